Land the skeleton: core types, tables, object API client and its stand-in

The object API client and its stand-in were run over real sockets and over virtual time: reads, conditional updates, watches, a lost answer and an outage gave the same results in both.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Each target makes the virtual environment that it needs.
+VENV ?= .venv
+PY := $(VENV)/bin/python
+export PYTHONHASHSEED := 0
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: demo test check
+
+$(VENV)/.installed: requirements.lock
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	touch $@
+
+demo: $(VENV)/.installed
+	$(PY) -m lentilhaven.demo
+
+test: $(VENV)/.installed
+	$(PY) -m nose2 --quiet
+
+check: $(VENV)/.installed
+	$(VENV)/bin/ruff format --check lentilhaven
+	$(VENV)/bin/ruff check lentilhaven
+	$(VENV)/bin/mypy
+	$(VENV)/bin/lint-imports
--- /dev/null
+++ b/lentilhaven/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder docstring of cli."""
--- /dev/null
+++ b/lentilhaven/core/ids.py
@@ -0,0 +1,19 @@
+"""
+Identifiers as distinct types, so that a type checker tells them apart.
+
+References
+----------
+PEP 484, "NewType helper function".
+"""
+
+from typing import NewType
+
+VmId = NewType("VmId", str)
+DataCentre = NewType("DataCentre", str)
+WorkspaceId = NewType("WorkspaceId", str)
+EndpointId = NewType("EndpointId", str)
+PoolName = NewType("PoolName", str)
+RouteName = NewType("RouteName", str)
+RequestId = NewType("RequestId", str)
+ModelName = NewType("ModelName", str)
+ModelVersion = NewType("ModelVersion", str)
--- /dev/null
+++ b/lentilhaven/standins/object_api.py
@@ -0,0 +1,99 @@
+"""The HTTP side of the platform's object API."""
+
+import asyncio
+
+from aiohttp import web
+
+from lentilhaven.core.settings import to_document
+from lentilhaven.standins.object_store import ObjectStore
+
+STORE: web.AppKey[ObjectStore] = web.AppKey("store", ObjectStore)
+
+#: Largest value of an object, in bytes.
+MAX_VALUE_BYTES = 1_000_000
+
+
+def object_api_app(store: ObjectStore) -> web.Application:
+    """
+    Return the application that serves `store`.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        State and faults.
+    """
+    app = web.Application(client_max_size=MAX_VALUE_BYTES, middlewares=[inject])
+    app[STORE] = store
+    app.router.add_get("/objects", list_objects)
+    app.router.add_get("/objects/{name:.+}", read_object)
+    app.router.add_put("/objects/{name:.+}", write_object)
+    app.router.add_get("/watch", watch_objects)
+    app.router.add_get("/vms", list_vms)
+    return app
+
+
+@web.middleware
+async def inject(request: web.Request, handler) -> web.StreamResponse:
+    """Apply the faults that hold for every call."""
+    store = request.app[STORE]
+    if store.faults.delay:
+        await asyncio.sleep(store.faults.delay)
+    if store.faults.outage:
+        return web.json_response({"error": "outage"}, status=503)
+    if store.random.random() < store.faults.refusal_rate:
+        return web.json_response({"error": "rate"}, status=429)
+    return await handler(request)
+
+
+async def list_objects(request: web.Request) -> web.Response:
+    """Answer all objects below a prefix."""
+    store = request.app[STORE]
+    store.reads += 1
+    found = store.below(request.query.get("prefix", ""))
+    return web.json_response({"objects": to_document(found)})
+
+
+async def read_object(request: web.Request) -> web.Response:
+    """Answer one object."""
+    store = request.app[STORE]
+    store.reads += 1
+    stored = store.objects.get(request.match_info["name"])
+    if stored is None:
+        return web.json_response({"error": "not found"}, status=404)
+    return web.json_response(to_document(stored))
+
+
+async def write_object(request: web.Request) -> web.Response:
+    """Write one object if its version is the expected one."""
+    store = request.app[STORE]
+    store.writes += 1
+    expected = int(request.headers["If-Match"])
+    value = await request.json()
+    version = await store.write(request.match_info["name"], value, expected)
+    if version is None:
+        return web.json_response({"error": "conflict"}, status=412)
+    if store.random.random() < store.faults.lost_answer_rate:
+        return web.json_response({"error": "answer lost"}, status=504)
+    return web.json_response({"version": version})
+
+
+async def watch_objects(request: web.Request) -> web.Response:
+    """Answer what changed after a version, waiting for a change."""
+    store = request.app[STORE]
+    store.reads += 1
+    prefix = request.query.get("prefix", "")
+    after = int(request.query["after"])
+    if store.faults.silent_watches:
+        await asyncio.Event().wait()
+    if after < store.compacted_before:
+        return web.json_response({"error": "compacted"}, status=410)
+    await store.wait_for_change(prefix, after, float(request.query["timeout"]))
+    found = store.below(prefix, after)
+    return web.json_response({"objects": to_document(found)})
+
+
+async def list_vms(request: web.Request) -> web.Response:
+    """Answer the list of VMs."""
+    store = request.app[STORE]
+    store.reads += 1
+    return web.json_response({"vms": to_document(store.vms)})
--- /dev/null
+++ b/lentilhaven/tables/endpoint_spec.py
@@ -0,0 +1,38 @@
+"""What the pool table says of one endpoint."""
+
+import attrs
+
+from lentilhaven.core.ids import DataCentre, EndpointId, ModelVersion
+from lentilhaven.tables.layer_range import LayerRange
+
+
+@attrs.frozen
+class EndpointSpec:
+    """
+    One back end of a pool.
+
+    Attributes
+    ----------
+    id : str
+        Unique over all pools.
+    url : str
+        Base URL, such as ``"http://10.0.0.7:8000"``.
+    data_centre : str
+        Where it stands.
+    layers : LayerRange or None
+        Layers that a model engine holds; absent for a plain service.
+    version : str
+        Model version that an engine holds; empty for a plain service.
+    accelerator : str
+        Key into the pool's ``accelerators``; empty for a plain service.
+    leaving : bool
+        Whether an operator has asked that it gets no new work.
+    """
+
+    id: EndpointId
+    url: str
+    data_centre: DataCentre
+    layers: LayerRange | None = None
+    version: ModelVersion = ModelVersion("")
+    accelerator: str = ""
+    leaving: bool = False
