--- /dev/null
+++ b/lentilhaven/agent/agent_api.py
@@ -0,0 +1,71 @@
+"""The HTTP side of the agent."""
+
+import hmac
+
+from aiohttp import web
+
+from lentilhaven.agent.agent import Agent
+from lentilhaven.control.claim import ClaimRequest, Settlement
+from lentilhaven.core.settings import CONVERTER, to_document
+
+AGENT: web.AppKey[Agent] = web.AppKey("agent", Agent)
+TOKEN: web.AppKey[str] = web.AppKey("token", str)
+
+
+def agent_app(agent: Agent, cluster_token: str) -> web.Application:
+    """
+    Return the application that serves an agent.
+
+    Parameters
+    ----------
+    agent : Agent
+        The agent.
+    cluster_token : str
+        Token that every caller must show.
+    """
+    app = web.Application(middlewares=[authenticate])
+    app[AGENT] = agent
+    app[TOKEN] = cluster_token
+    app.router.add_get("/view", read_view)
+    app.router.add_post("/claims", claim_call)
+    app.router.add_post("/settlements", settle_call)
+    app.router.add_get("/readyz", read_readiness)
+    return app
+
+
+@web.middleware
+async def authenticate(request: web.Request, handler) -> web.StreamResponse:
+    """Refuse callers that do not show the cluster's token."""
+    shown = request.headers.get("Authorization", "")
+    expected = f"Bearer {request.app[TOKEN]}"
+    if not hmac.compare_digest(shown.encode(), expected.encode()):
+        return web.json_response({"error": "cluster token required"}, status=401)
+    return await handler(request)
+
+
+async def read_view(request: web.Request) -> web.Response:
+    """Answer the view once it is newer than the caller's."""
+    after = int(request.query.get("after", "-1"))
+    timeout = float(request.query.get("timeout", "0"))
+    view = await request.app[AGENT].wait_for_view(after, timeout)
+    return web.json_response(to_document(view))
+
+
+async def claim_call(request: web.Request) -> web.Response:
+    """Answer a claim."""
+    claim = CONVERTER.structure(await request.json(), ClaimRequest)
+    answer = await request.app[AGENT].journal.claim(claim)
+    return web.json_response(to_document(answer))
+
+
+async def settle_call(request: web.Request) -> web.Response:
+    """Record a settlement."""
+    settlement = CONVERTER.structure(await request.json(), Settlement)
+    confirmed = await request.app[AGENT].journal.settle(settlement)
+    return web.json_response({"confirmed": confirmed})
+
+
+async def read_readiness(request: web.Request) -> web.Response:
+    """Answer whether the agent has tables."""
+    ready = request.app[AGENT].ready
+    return web.json_response({"ready": ready}, status=200 if ready else 503)
--- /dev/null
+++ b/lentilhaven/bench/__main__.py
@@ -0,0 +1,84 @@
+"""The program ``lentilhaven-bench``."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import cyclopts
+
+from lentilhaven.bench.report import Report
+from lentilhaven.bench.scenario_options import ScenarioOptions
+from lentilhaven.bench.scenarios import SCENARIOS
+from lentilhaven.core.logs import configure_logs
+from lentilhaven.core.settings import to_document
+
+app = cyclopts.App(name="lentilhaven-bench", help="Measured scenarios.")
+
+
+@app.command(name="list")
+def list_scenarios() -> int:
+    """Print the names of the scenarios."""
+    print("\n".join(SCENARIOS))
+    return 0
+
+
+@app.command
+def run(
+    scenario: str,
+    *,
+    seed: int = 1,
+    size: int = 0,
+    deployment: str = "monterrey",
+    json_file: Annotated[str, cyclopts.Parameter(name="--json")] = "",
+    plot: str = "",
+    log_level: str = "critical",
+) -> int:
+    """
+    Run one scenario; exit with 1 if a figure misses its target.
+
+    Parameters
+    ----------
+    scenario
+        Its name.
+    seed
+        Seed of every random source.
+    size
+        Number of trials; 0 takes the scenario's own.
+    deployment
+        Shape of the deployment: monterrey or muscat.
+    json_file
+        File for the report.
+    plot
+        File for a plot.
+    log_level
+        Least severe level to log.
+    """
+    if scenario not in SCENARIOS:
+        print(f"unknown scenario {scenario!r}; see 'list'", file=sys.stderr)
+        return 2
+    configure_logs(log_level)
+    options = ScenarioOptions(seed, size, deployment, plot)
+    report = SCENARIOS[scenario](options)
+    if json_file:
+        text = json.dumps(to_document(report), indent=2, sort_keys=True)
+        Path(json_file).write_text(text + "\n", encoding="utf-8")
+    print_report(report)
+    return 0 if report.holds else 1
+
+
+def print_report(report: Report) -> None:
+    """Print one line a figure."""
+    for name, figure in report.figures.items():
+        verdict = "holds" if figure.holds else "MISSED"
+        target = f"(target {figure.target}: {verdict})" if figure.target else ""
+        print(f"{report.scenario} {name} = {figure.value:.6g} {figure.unit} {target}")
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lentilhaven/bench/scenarios.py
@@ -0,0 +1,13 @@
+"""The scenarios by name."""
+
+from collections.abc import Callable
+
+from lentilhaven.bench.report import Report
+from lentilhaven.bench.scenario_options import ScenarioOptions
+from lentilhaven.bench.smoke import run_smoke
+
+Scenario = Callable[[ScenarioOptions], Report]
+
+SCENARIOS: dict[str, Scenario] = {
+    "smoke": run_smoke,
+}
--- /dev/null
+++ b/lentilhaven/bench/smoke.py
@@ -0,0 +1,48 @@
+"""The scenario ``smoke``: some answers through the whole path."""
+
+from lentilhaven.bench.figure import at_most
+from lentilhaven.bench.report import Report
+from lentilhaven.bench.scenario_options import ScenarioOptions
+from lentilhaven.standins.toy_model import naive_answer
+from lentilhaven.standins.virtual import run_virtual
+from lentilhaven.testbed import Testbed, TestbedPlan, open_testbed
+
+#: Answers asked for when no size is given.
+DEFAULT_SIZE = 20
+
+
+def run_smoke(options: ScenarioOptions) -> Report:
+    """
+    Compare whole answers with the naive model.
+
+    Parameters
+    ----------
+    options : ScenarioOptions
+        Seed and number of answers.
+    """
+    wrong = run_virtual(count_wrong(options))
+    return Report("smoke", options.seed, {"wrong": at_most(wrong, 0, "answers")})
+
+
+async def count_wrong(options: ScenarioOptions) -> int:
+    """Return the number of answers that differ from the naive model's."""
+    wrong = 0
+    async with open_testbed(TestbedPlan(seed=options.seed)) as testbed:
+        for index in range(options.size or DEFAULT_SIZE):
+            text = await complete_text(testbed, f"explain count {index}", 12)
+            plan = testbed.plan
+            prompt = ["explain ", "count ", str(index)]
+            expected = naive_answer(plan.version, plan.layer_count, prompt, 12)
+            wrong += text != "".join(expected)
+    return wrong
+
+
+async def complete_text(testbed: Testbed, prompt: str, max_tokens: int) -> str:
+    """Ask the first VM for a whole answer and return its text."""
+    body = {"model": testbed.plan.model, "prompt": prompt, "max_tokens": max_tokens}
+    url = f"{testbed.vms[0].url}/v1/completions"
+    async with testbed.session.post(
+        url, json=body, headers=testbed.headers
+    ) as response:
+        response.raise_for_status()
+        return (await response.json())["choices"][0]["text"]
--- a/lentilhaven/core/__init__.py
+++ b/lentilhaven/core/__init__.py
@@ -16,8 +16,8 @@
 from lentilhaven.core.clock import Clock, loop_clock, system_clock
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.invariants import InvariantError, ensure
-from lentilhaven.core.randomness import derive_random
 from lentilhaven.core.ran import Ran
+from lentilhaven.core.randomness import derive_random
 from lentilhaven.core.step import Step
 
 __all__ = [
--- a/lentilhaven/core/logs.py
+++ b/lentilhaven/core/logs.py
@@ -51,4 +51,5 @@
     component : str
         Name of the subpackage that writes.
     """
-    return structlog.get_logger().bind(component=component)
+    # Initial values keep the logger lazy, so that it follows later configuration.
+    return structlog.get_logger(component=component)
--- /dev/null
+++ b/lentilhaven/distribution/table_head.py
@@ -0,0 +1,35 @@
+"""The object that names the tables in force."""
+
+import attrs
+
+#: Name of the head object.
+HEAD_NAME = "tables/head"
+
+#: Prefix of the names of parts.
+PART_PREFIX = "tables/parts/"
+
+
+@attrs.frozen
+class TableHead:
+    """
+    The version in force and the parts that it consists of.
+
+    Attributes
+    ----------
+    version : int
+        Rises by one with every edit; 0 before the first.
+    edit : str
+        Unique id of the edit that made this version.
+    author : str
+        Who made the edit.
+    parts : list of str
+        Content hashes of the parts.
+    object_version : int
+        Version of the head object as the platform counts it.
+    """
+
+    version: int = 0
+    edit: str = ""
+    author: str = ""
+    parts: list[str] = attrs.field(factory=list)
+    object_version: int = 0
--- a/lentilhaven/platform/object_client.py
+++ b/lentilhaven/platform/object_client.py
@@ -113,7 +113,8 @@
             Common start of the names.
         """
         url = f"{self.base_url}/objects"
-        return await self._objects(Step.READ_OBJECT, url, {"prefix": prefix}, None)
+        limit = aiohttp.ClientTimeout(total=CALL_TIMEOUT)
+        return await self._objects(Step.READ_OBJECT, url, {"prefix": prefix}, limit)
 
     async def watch(
         self, prefix: str, after: int, timeout: float
@@ -145,11 +146,10 @@
         step: Step,
         url: str,
         query: dict[str, str],
-        limit: aiohttp.ClientTimeout | None,
+        limit: aiohttp.ClientTimeout,
     ) -> Result[list[StoredObject], Failure]:
         try:
-            options = {"timeout": limit} if limit else {}
-            async with self.session.get(url, params=query, **options) as response:
+            async with self.session.get(url, params=query, timeout=limit) as response:
                 if response.status == 410:
                     return Error(Failure(step, PEER, "compacted", "history is gone"))
                 body = await read_body(response)
--- /dev/null
+++ b/lentilhaven/router/answer.py
@@ -0,0 +1,74 @@
+"""One request for a completion, from admission to its last token."""
+
+import attrs
+
+from lentilhaven.answers.answer_ledger import AnswerLedger
+from lentilhaven.core.ids import EndpointId, ModelVersion, RequestId, WorkspaceId
+from lentilhaven.endpoints.stage import Stage
+from lentilhaven.endpoints.stream_order import StreamOrder
+from lentilhaven.router.completion_request import CompletionRequest
+from lentilhaven.tables.pool import Pool
+from lentilhaven.tables.route import Route
+
+
+@attrs.define
+class Answer:
+    """
+    The state of one answer.
+
+    Attributes
+    ----------
+    request : str
+        Unique id.
+    workspace : str
+        Who asks.
+    wanted : CompletionRequest
+        What is asked.
+    route : Route
+        Rules in force when it was admitted.
+    pool : Pool
+        The pool that answers.
+    version : str
+        Model version, fixed for the whole answer.
+    deadline : float
+        Monotonic time at which it is due, in seconds.
+    ledger : AnswerLedger
+        Judges every piece.
+    chain : list of Stage
+        The pipeline of the current attempt.
+    excluded : set of str
+        Endpoints that failed this answer.
+    """
+
+    request: RequestId
+    workspace: WorkspaceId
+    wanted: CompletionRequest
+    route: Route
+    pool: Pool
+    version: ModelVersion
+    deadline: float
+    ledger: AnswerLedger
+    chain: list[Stage] = attrs.field(factory=list)
+    excluded: set[EndpointId] = attrs.field(factory=set)
+
+    def next_order(self, now: float) -> StreamOrder:
+        """
+        Begin another attempt and return its order.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time, in seconds.
+        """
+        attempt = self.ledger.begin_attempt([it.endpoint for it in self.chain])
+        return StreamOrder(
+            request=self.request,
+            attempt=attempt,
+            model=self.pool.model,
+            version=self.version,
+            chain=self.chain,
+            prompt=self.wanted.prompt,
+            generated=list(self.ledger.tokens),
+            max_tokens=self.wanted.max_tokens,
+            remaining=max(0.0, self.deadline - now),
+        )
--- /dev/null
+++ b/lentilhaven/standins/__main__.py
@@ -0,0 +1,89 @@
+"""The program ``lentilhaven-standin``."""
+
+import asyncio
+import random
+import sys
+
+import cyclopts
+
+from lentilhaven.core.ids import EndpointId, ModelVersion
+from lentilhaven.core.serving import serve_app
+from lentilhaven.standins.engine_api import serve_engine
+from lentilhaven.standins.object_api import object_api_app
+from lentilhaven.standins.object_store import ObjectStore
+from lentilhaven.standins.service import Service, service_app
+from lentilhaven.tables.layer_range import LayerRange
+
+app = cyclopts.App(name="lentilhaven-standin", help="Stand-ins of outside systems.")
+
+
+@app.command
+def store(*, port: int, seed: int = 1) -> None:
+    """
+    Serve the platform's object API.
+
+    Parameters
+    ----------
+    port
+        Port to listen on.
+    seed
+        Seed of the faults.
+    """
+    api = object_api_app(ObjectStore(random.Random(seed)))
+    asyncio.run(serve_for_ever(api, port))
+
+
+@app.command
+def service(*, port: int) -> None:
+    """
+    Serve a plain service.
+
+    Parameters
+    ----------
+    port
+        Port to listen on.
+    """
+    asyncio.run(serve_for_ever(service_app(Service()), port))
+
+
+@app.command
+def engine(name: str, start: int, stop: int, *, port: int, version: str = "v1") -> None:
+    """
+    Serve a model engine.
+
+    Parameters
+    ----------
+    name
+        Its endpoint id.
+    start
+        Its first layer.
+    stop
+        One past its last layer.
+    port
+        Port to listen on.
+    version
+        Model version.
+    """
+    asyncio.run(run_engine(name, LayerRange(start, stop), version, port))
+
+
+async def serve_for_ever(api, port: int) -> None:
+    """Serve an application until the process is told to stop."""
+    async with serve_app(api, port=port):
+        await asyncio.Event().wait()
+
+
+async def run_engine(name: str, layers: LayerRange, version: str, port: int) -> None:
+    """Serve an engine until the process is told to stop."""
+    engine_id, model_version = EndpointId(name), ModelVersion(version)
+    async with serve_engine(engine_id, layers, model_version, port=port):
+        await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lentilhaven/standins/engine.py
@@ -0,0 +1,370 @@
+"""
+A model engine that runs the toy model on a range of layers.
+
+Left out: batching shares no compute between streams, the weight store, and
+adapters.  Its compute time is a constant per layer and token.
+"""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import attrs
+
+from lentilhaven.core.ids import EndpointId, ModelVersion, RequestId
+from lentilhaven.core.settings import CONVERTER, to_document
+from lentilhaven.endpoints.load_report import LoadReport
+from lentilhaven.endpoints.piece import Piece, TrailEntry
+from lentilhaven.endpoints.stage import Stage
+from lentilhaven.endpoints.stage_loss import StageLoss
+from lentilhaven.endpoints.stream_order import StreamOrder
+from lentilhaven.standins.advance import Advance, Advanced
+from lentilhaven.standins.engine_stream import EngineStream
+from lentilhaven.standins.toy_model import embed, is_stop, unembed
+from lentilhaven.tables.layer_range import LayerRange
+
+#: Tokens that a head generates ahead of its reader before it pauses.
+READ_AHEAD = 64
+
+#: Seconds without a reader after which a head cancels a stream.
+RESUME_WINDOW = 10.0
+
+LOST = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+
+
+class EngineRefusalError(Exception):
+    """The engine will not do what it was asked; answered with 409."""
+
+
+class LostStageError(Exception):
+    """
+    A later stage of the chain failed.
+
+    Parameters
+    ----------
+    loss : StageLoss
+        Which stage, and how.
+    """
+
+    def __init__(self, loss: StageLoss) -> None:
+        super().__init__(loss.detail)
+        self.loss = loss
+
+
+@attrs.define
+class EngineFaults:
+    """
+    Faults that the stand-in injects.
+
+    Attributes
+    ----------
+    dead : bool
+        Connections break at once.
+    silent_requests : set of str
+        Streams whose open connections stay open and say nothing.
+    """
+
+    dead: bool = False
+    silent_requests: set[RequestId] = attrs.field(factory=set)
+
+
+@attrs.define
+class Engine:
+    """
+    One engine.
+
+    Attributes
+    ----------
+    id : str
+        Its endpoint id.
+    layers : LayerRange
+        Layers that it holds.
+    version : str
+        Model version that it holds.
+    session : aiohttp.ClientSession
+        Connections to other engines.
+    decode_time : float
+        Seconds per generated token.
+    prefill_time : float
+        Seconds per token of a prompt or of a rebuilt cache.
+    streams : dict
+        `EngineStream` by request.
+    faults : EngineFaults
+        Faults in force.
+    leaving : bool
+        Whether it refuses new streams.
+    new_streams : int
+        Number of streams that began here.
+    tasks : set of asyncio.Task
+        Generation in progress.
+    """
+
+    id: EndpointId
+    layers: LayerRange
+    version: ModelVersion
+    session: aiohttp.ClientSession
+    decode_time: float = 0.005
+    prefill_time: float = 0.0002
+    streams: dict[RequestId, EngineStream] = attrs.field(factory=dict)
+    faults: EngineFaults = attrs.field(factory=EngineFaults)
+    leaving: bool = False
+    new_streams: int = 0
+    tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+    def report_load(self) -> LoadReport:
+        """Return the load now."""
+        kv_used = sum(s.length * s.layers.size for s in self.streams.values())
+        return LoadReport(
+            endpoint=self.id,
+            running=len(self.streams),
+            waiting=0,
+            kv_used=float(kv_used),
+            kv_capacity=1e9,
+            version=self.version,
+            layers=self.layers,
+            leaving=self.leaving,
+        )
+
+    def open_stream(self, order: StreamOrder) -> EngineStream:
+        """
+        Start generating at the head of a chain.
+
+        Parameters
+        ----------
+        order : StreamOrder
+            What to generate.
+
+        Raises
+        ------
+        EngineRefusalError
+            If the version, the layers or the attempt are not right.
+        """
+        self.check_stage(order.version, order.chain[0])
+        stream = self.claim_stream(order.request, order.attempt, order.chain[0].layers)
+        stream.order = order
+        stream.pieces = []
+        stream.loss = None
+        stream.position = len(order.generated)
+        stream.read_until = stream.position
+        stream.notify()
+        task = asyncio.create_task(self.generate(stream, order))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return stream
+
+    def check_stage(self, version: ModelVersion, stage: Stage) -> None:
+        """Refuse a stage that this engine does not hold."""
+        if version != self.version:
+            raise EngineRefusalError(f"holds version {self.version}, not {version}")
+        if stage.endpoint != self.id or stage.layers != self.layers:
+            raise EngineRefusalError(f"holds {self.layers}, not {stage}")
+
+    def claim_stream(
+        self, request: RequestId, attempt: int, layers: LayerRange
+    ) -> EngineStream:
+        """Return the stream of a request, refusing attempts that are too old."""
+        stream = self.streams.get(request)
+        if stream is None:
+            if self.leaving:
+                raise EngineRefusalError("leaving")
+            self.new_streams += 1
+            stream = self.streams[request] = EngineStream(layers)
+        if attempt < stream.attempt:
+            raise EngineRefusalError(f"attempt {attempt} is over")
+        stream.attempt = attempt
+        return stream
+
+    async def generate(self, stream: EngineStream, order: StreamOrder) -> None:
+        """
+        Generate pieces until the answer ends or a stage fails.
+
+        Parameters
+        ----------
+        stream : EngineStream
+            Where the pieces go.
+        order : StreamOrder
+            What to generate.
+        """
+        tokens = order.prompt + order.generated
+        start = 0 if order.attempt == 1 else len(tokens) - 1
+        try:
+            while stream.attempt == order.attempt:
+                advanced = await self.advance_head(order, tokens, start)
+                piece = make_piece(order, len(tokens) - len(order.prompt), advanced)
+                tokens.append(piece.token)
+                start = len(tokens) - 1
+                if stream.attempt != order.attempt:
+                    return
+                stream.pieces.append(piece)
+                stream.notify()
+                if piece.finish_reason:
+                    return
+                await self.wait_for_reader(stream, order.attempt)
+        except LostStageError as error:
+            if stream.attempt == order.attempt:
+                stream.loss = error.loss
+                stream.notify()
+        except EngineRefusalError as error:
+            if stream.attempt == order.attempt:
+                stream.loss = StageLoss(self.id, str(error))
+                stream.notify()
+
+    async def wait_for_reader(self, stream: EngineStream, attempt: int) -> None:
+        """Pause while the reader is too far behind; drop it when it stays away."""
+        while stream.attempt == attempt:
+            made = stream.position + len(stream.pieces)
+            if made - stream.read_until < READ_AHEAD:
+                return
+            changed = stream.changed
+            try:
+                async with asyncio.timeout(RESUME_WINDOW):
+                    await changed.wait()
+            except TimeoutError:
+                stream.attempt += 1
+
+    async def advance_head(
+        self, order: StreamOrder, tokens: list[str], start: int
+    ) -> Advanced:
+        """Embed the tokens from a position on and run them through the chain."""
+        activations = [embed(order.version, token) for token in tokens]
+        advance = Advance(
+            request=order.request,
+            attempt=order.attempt,
+            version=order.version,
+            chain=order.chain,
+            index=0,
+            start=start,
+            activations=activations[start:],
+        )
+        return await self.advance(advance, activations[:start])
+
+    async def advance(
+        self, advance: Advance, earlier: list[int] | None = None
+    ) -> Advanced:
+        """
+        Run this stage and all later ones.
+
+        Parameters
+        ----------
+        advance : Advance
+            Activations from the previous stage.
+        earlier : list of int or None
+            Inputs of all earlier positions; asked of the previous stage when
+            None and needed.
+
+        Raises
+        ------
+        EngineRefusalError
+            If the message is not for this engine or is too old.
+        LostStageError
+            If a later stage failed.
+        """
+        stage = advance.chain[advance.index]
+        self.check_stage(advance.version, stage)
+        stream = self.claim_stream(advance.request, advance.attempt, stage.layers)
+        async with stream.lock:
+            await self.rebuild(stream, advance, earlier)
+            stream.truncate(advance.start)
+            await asyncio.sleep(self.compute_time(len(advance.activations)))
+            if advance.attempt != stream.attempt:
+                raise EngineRefusalError(f"attempt {advance.attempt} is over")
+            stream.run(advance.activations)
+            outputs = stream.outputs[advance.start :]
+        entry = TrailEntry(self.id, self.layers, advance.attempt)
+        if advance.index == len(advance.chain) - 1:
+            return Advanced(outputs[-1], [entry])
+        advanced = await self.send_advance(advance, outputs)
+        return Advanced(advanced.activation, [entry, *advanced.trail])
+
+    def compute_time(self, count: int) -> float:
+        """Return the seconds that some positions take."""
+        return self.decode_time + (count - 1) * self.prefill_time
+
+    async def rebuild(
+        self, stream: EngineStream, advance: Advance, earlier: list[int] | None
+    ) -> None:
+        """Compute the cache of the positions before an advance that are missing."""
+        missing = advance.start - stream.length
+        if missing <= 0:
+            return
+        if earlier is None:
+            earlier = await self.fetch_outputs(advance)
+        await asyncio.sleep(missing * self.prefill_time)
+        stream.run(earlier[stream.length : advance.start])
+
+    async def fetch_outputs(self, advance: Advance) -> list[int]:
+        """Ask the previous stage for everything that it has put out."""
+        previous = advance.chain[advance.index - 1]
+        url = f"{previous.url}/streams/{advance.request}/outputs"
+        try:
+            async with self.session.get(url) as response:
+                response.raise_for_status()
+                return (await response.json())["outputs"]
+        except LOST as error:
+            raise LostStageError(StageLoss(previous.endpoint, str(error))) from error
+
+    async def send_advance(self, advance: Advance, outputs: list[int]) -> Advanced:
+        """Hand activations to the next stage and wait for the result."""
+        following = attrs.evolve(advance, index=advance.index + 1, activations=outputs)
+        stage = advance.chain[following.index]
+        url = f"{stage.url}/streams/{advance.request}/advance"
+        try:
+            async with self.session.post(url, json=to_document(following)) as response:
+                body = await response.json()
+        except LOST as error:
+            raise LostStageError(StageLoss(stage.endpoint, repr(error))) from error
+        if response.status == 200:
+            return CONVERTER.structure(body, Advanced)
+        if "lost" in body:
+            raise LostStageError(CONVERTER.structure(body["lost"], StageLoss))
+        raise LostStageError(StageLoss(stage.endpoint, str(body)))
+
+    def cancel(self, request: RequestId) -> None:
+        """
+        Forget a stream.
+
+        Parameters
+        ----------
+        request : str
+            The request.
+        """
+        stream = self.streams.pop(request, None)
+        if stream is not None:
+            stream.attempt += 1
+            stream.notify()
+
+    async def close(self) -> None:
+        """Stop all generation."""
+        for task in list(self.tasks):
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+
+def make_piece(order: StreamOrder, position: int, advanced: Advanced) -> Piece:
+    """
+    Return the piece for the last stage's result.
+
+    Parameters
+    ----------
+    order : StreamOrder
+        What is being generated.
+    position : int
+        The piece's place in the answer.
+    advanced : Advanced
+        Result of the chain.
+    """
+    finish = ""
+    if is_stop(advanced.activation):
+        finish = "stop"
+    elif position + 1 >= order.max_tokens:
+        finish = "length"
+    return Piece(
+        request=order.request,
+        attempt=order.attempt,
+        position=position,
+        version=order.version,
+        token=unembed(advanced.activation),
+        trail=advanced.trail,
+        finish_reason=finish,
+    )
--- a/lentilhaven/standins/virtual.py
+++ b/lentilhaven/standins/virtual.py
@@ -6,7 +6,6 @@
 sockets itself; the connector here asks the loop instead.
 """
 
-import asyncio
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
@@ -19,7 +18,7 @@
 class VirtualConnector(aiohttp.TCPConnector):
     """Opens connections through the event loop, by host and port."""
 
-    async def _wrap_create_connection(  # type: ignore[override]
+    async def _wrap_create_connection(
         self, *args: Any, addr_infos: Any, req: Any, timeout: Any, **kwargs: Any
     ) -> Any:
         """Connect to the first address with the loop's own transport."""
@@ -27,7 +26,8 @@
             kwargs.pop(name, None)
         host, port = addr_infos[0][4][:2]
         try:
-            return await self._loop.create_connection(*args, host=host, port=port)
+            connect: Any = self._loop.create_connection
+            return await connect(*args, host=host, port=port)
         except OSError as error:
             raise aiohttp.ClientConnectorError(req.connection_key, error) from error
 
@@ -43,6 +43,7 @@
 
     Examples
     --------
+    >>> import asyncio
     >>> async def wait_an_hour():
     ...     await asyncio.sleep(3600)
     ...     return asyncio.get_running_loop().time()
--- /dev/null
+++ b/lentilhaven/testbed/testbed.py
@@ -0,0 +1,358 @@
+"""Starts the whole system in one process."""
+
+import itertools
+import random
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import aiohttp
+import attrs
+
+from lentilhaven.agent.agent import Agent, open_agent
+from lentilhaven.agent.agent_api import agent_app
+from lentilhaven.agent.agent_settings import AgentSettings
+from lentilhaven.core.clock import Clock, loop_clock
+from lentilhaven.core.hashing import token_hash
+from lentilhaven.core.ids import (
+    DataCentre,
+    EndpointId,
+    PoolName,
+    RouteName,
+    VmId,
+    WorkspaceId,
+)
+from lentilhaven.core.randomness import derive_random
+from lentilhaven.core.serving import serve_app
+from lentilhaven.distribution.commit import Committed, commit_tables
+from lentilhaven.distribution.table_reader import read_head
+from lentilhaven.platform.object_client import ObjectClient, open_object_client
+from lentilhaven.platform.vm import ListedVm
+from lentilhaven.router.router import Router, open_router
+from lentilhaven.router.router_api import router_app
+from lentilhaven.router.router_settings import RouterSettings
+from lentilhaven.standins.engine import Engine
+from lentilhaven.standins.engine_api import serve_engine
+from lentilhaven.standins.object_api import object_api_app
+from lentilhaven.standins.object_store import ObjectStore
+from lentilhaven.standins.service import Service, service_app
+from lentilhaven.standins.virtual import VirtualConnector
+from lentilhaven.tables.endpoint_spec import EndpointSpec
+from lentilhaven.tables.layer_range import LayerRange
+from lentilhaven.tables.pool import Pool, PoolKind
+from lentilhaven.tables.route import Route
+from lentilhaven.tables.tables import Tables
+from lentilhaven.tables.workspace import Workspace
+from lentilhaven.testbed.testbed_plan import TestbedPlan
+
+#: Token that the processes of a testbed share.
+CLUSTER_TOKEN = "testbed-cluster-token"
+
+#: Token of the testbed's workspace.
+WORKSPACE_TOKEN = "testbed-workspace-token"
+
+#: First port used in virtual time.
+FIRST_VIRTUAL_PORT = 10_000
+
+
+@attrs.define
+class TestbedVm:
+    """
+    One VM of a testbed.
+
+    Attributes
+    ----------
+    agent : Agent
+        Its agent.
+    router : Router
+        Its router.
+    url : str
+        Where its router answers callers.
+    agent_url : str
+        Where its agent answers.
+    """
+
+    __test__ = False
+
+    agent: Agent
+    router: Router
+    url: str
+    agent_url: str
+
+
+@attrs.define
+class Testbed:
+    """
+    The running system.
+
+    Attributes
+    ----------
+    plan : TestbedPlan
+        What it consists of.
+    stack : AsyncExitStack
+        Closes everything at the end, newest first.
+    clock : Clock
+        Source of time.
+    store : ObjectStore
+        The platform's state and faults.
+    store_url : str
+        Where the platform answers.
+    client : ObjectClient
+        A client of the platform for the operator.
+    session : aiohttp.ClientSession
+        Connections of a caller.
+    engines : dict
+        `Engine` by endpoint.
+    services : dict
+        `Service` by endpoint.
+    vms : list of TestbedVm
+        The VMs.
+    endpoints : list of EndpointSpec
+        Engines as the pool table names them.
+    service_endpoints : list of EndpointSpec
+        Services as the pool table names them.
+    ports : iterator of int
+        Free ports in virtual time.
+    """
+
+    __test__ = False
+
+    plan: TestbedPlan
+    stack: AsyncExitStack
+    clock: Clock
+    store: ObjectStore
+    store_url: str
+    client: ObjectClient
+    session: aiohttp.ClientSession
+    ports: "itertools.count[int]"
+    engines: dict[EndpointId, Engine] = attrs.field(factory=dict)
+    services: dict[EndpointId, Service] = attrs.field(factory=dict)
+    vms: list[TestbedVm] = attrs.field(factory=list)
+    endpoints: list[EndpointSpec] = attrs.field(factory=list)
+    service_endpoints: list[EndpointSpec] = attrs.field(factory=list)
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Return the headers that show the workspace's token."""
+        return {"Authorization": f"Bearer {WORKSPACE_TOKEN}"}
+
+    def connector(self) -> aiohttp.BaseConnector:
+        """Return a connector for this testbed's kind of time."""
+        if self.plan.virtual:
+            return VirtualConnector(limit=0)
+        return aiohttp.TCPConnector(limit=0)
+
+    def next_port(self) -> int:
+        """Return the port for another server; 0 lets the system choose."""
+        return next(self.ports) if self.plan.virtual else 0
+
+    async def add_engine(
+        self, name: str, layers: LayerRange, data_centre: DataCentre
+    ) -> Engine:
+        """
+        Start an engine.
+
+        Parameters
+        ----------
+        name : str
+            Its endpoint id.
+        layers : LayerRange
+            Layers that it holds.
+        data_centre : str
+            Where it stands.
+        """
+        endpoint = EndpointId(name)
+        engine, url = await self.stack.enter_async_context(
+            serve_engine(
+                endpoint,
+                layers,
+                self.plan.version,
+                self.connector(),
+                self.next_port(),
+            )
+        )
+        engine.decode_time = self.plan.decode_time
+        self.engines[endpoint] = engine
+        spec = EndpointSpec(endpoint, url, data_centre, layers, self.plan.version)
+        self.endpoints.append(spec)
+        return engine
+
+    async def add_service(self, name: str, data_centre: DataCentre) -> Service:
+        """
+        Start a plain service.
+
+        Parameters
+        ----------
+        name : str
+            Its endpoint id.
+        data_centre : str
+            Where it stands.
+        """
+        endpoint, service = EndpointId(name), Service()
+        url = await self.stack.enter_async_context(
+            serve_app(service_app(service), port=self.next_port())
+        )
+        self.services[endpoint] = service
+        self.service_endpoints.append(EndpointSpec(endpoint, url, data_centre))
+        return service
+
+    async def add_vm(self, name: str, data_centre: DataCentre) -> TestbedVm:
+        """
+        Start a VM's agent and router.
+
+        Parameters
+        ----------
+        name : str
+            The VM.
+        data_centre : str
+            Where it stands.
+        """
+        vm = VmId(name)
+        client = await self.stack.enter_async_context(
+            open_object_client(self.store_url, self.connector())
+        )
+        agent_settings = AgentSettings(vm, data_centre, self.store_url)
+        agent = await self.stack.enter_async_context(
+            open_agent(agent_settings, client, self.clock)
+        )
+        agent_url = await self.stack.enter_async_context(
+            serve_app(agent_app(agent, CLUSTER_TOKEN), port=self.next_port())
+        )
+        self.store.vms.append(ListedVm(vm, agent_url, data_centre))
+        router_settings = RouterSettings(
+            vm, data_centre, agent_url, drain_delay=self.plan.drain_delay
+        )
+        source = derive_random(self.plan.seed, "router", name)
+        router = await self.stack.enter_async_context(
+            open_router(
+                router_settings, self.clock, source, CLUSTER_TOKEN, self.connector()
+            )
+        )
+        url = await self.stack.enter_async_context(
+            serve_app(router_app(router), port=self.next_port())
+        )
+        added = TestbedVm(agent, router, url, agent_url)
+        self.vms.append(added)
+        return added
+
+    def initial_tables(self) -> Tables:
+        """Return tables that name everything that runs."""
+        pool = Pool(
+            PoolName("llm"),
+            PoolKind.ENGINE,
+            list(self.endpoints),
+            model=self.plan.model,
+            layer_count=self.plan.layer_count,
+        )
+        stock = Pool(PoolName("stock"), PoolKind.SERVICE, list(self.service_endpoints))
+        workspace = Workspace(WorkspaceId("depot"), [token_hash(WORKSPACE_TOKEN)])
+        return Tables(
+            routes=[
+                Route(RouteName("chat"), pool.name),
+                Route(RouteName("stock"), stock.name),
+            ],
+            pools=[pool, stock],
+            workspaces=[workspace],
+        )
+
+    async def apply(self, tables: Tables, edit: str) -> int:
+        """
+        Commit tables and return their version.
+
+        Parameters
+        ----------
+        tables : Tables
+            What to put in force.
+        edit : str
+            Unique id of the edit.
+
+        Raises
+        ------
+        RuntimeError
+            If the edit is not accepted.
+        """
+        head = await read_head(self.client)
+        if head.is_error():
+            raise RuntimeError(str(head.error))
+        outcome = await commit_tables(self.client, head.ok, tables, edit, "testbed")
+        if outcome.is_error() or not isinstance(outcome.ok, Committed):
+            raise RuntimeError(f"edit {edit!r} was not accepted: {outcome}")
+        return outcome.ok.head.version
+
+    async def wait_in_force(self, version: int, timeout: float = 10.0) -> float:
+        """
+        Wait until every router decides on a version; return the seconds taken.
+
+        Parameters
+        ----------
+        version : int
+            Version of the tables.
+        timeout : float
+            Seconds after which `TimeoutError` is raised.
+        """
+        began = self.clock.monotonic()
+        while any(vm.router.view.tables.version < version for vm in self.vms):
+            if self.clock.monotonic() - began > timeout:
+                raise TimeoutError(f"version {version} is not in force everywhere")
+            await self.clock.sleep(0.01)
+        return self.clock.monotonic() - began
+
+
+@asynccontextmanager
+async def open_testbed(plan: TestbedPlan) -> AsyncIterator[Testbed]:
+    """
+    Start a testbed and stop it at the end.
+
+    Parameters
+    ----------
+    plan : TestbedPlan
+        What it consists of.
+    """
+    async with AsyncExitStack() as stack:
+        testbed = await start_platform(plan, stack)
+        await start_endpoints(testbed)
+        for index in range(plan.vm_count):
+            data_centre = plan.data_centres[index % len(plan.data_centres)]
+            await testbed.add_vm(f"vm-{index + 1}", data_centre)
+        version = await testbed.apply(testbed.initial_tables(), "initial")
+        await testbed.wait_in_force(version)
+        yield testbed
+
+
+async def start_platform(plan: TestbedPlan, stack: AsyncExitStack) -> Testbed:
+    """Start the platform's stand-in and return an empty testbed."""
+    ports = itertools.count(FIRST_VIRTUAL_PORT)
+    store = ObjectStore(derive_random(plan.seed, "store"))
+    port = next(ports) if plan.virtual else 0
+    url = await stack.enter_async_context(serve_app(object_api_app(store), port=port))
+
+    def connector() -> aiohttp.BaseConnector:
+        if plan.virtual:
+            return VirtualConnector(limit=0)
+        return aiohttp.TCPConnector(limit=0)
+
+    client = await stack.enter_async_context(open_object_client(url, connector()))
+    session = await stack.enter_async_context(
+        aiohttp.ClientSession(connector=connector())
+    )
+    clock = loop_clock()
+    return Testbed(plan, stack, clock, store, url, client, session, ports)
+
+
+async def start_endpoints(testbed: Testbed) -> None:
+    """Start all engines and services of a plan."""
+    plan = testbed.plan
+    size = plan.layer_count // plan.range_count
+    for replica in range(plan.replica_count):
+        for index in range(plan.range_count):
+            layers = LayerRange(index * size, (index + 1) * size)
+            data_centre = plan.data_centres[replica % len(plan.data_centres)]
+            name = f"engine-{replica + 1}{chr(ord('a') + index)}"
+            await testbed.add_engine(name, layers, data_centre)
+    for index in range(plan.service_count):
+        data_centre = plan.data_centres[index % len(plan.data_centres)]
+        await testbed.add_service(f"stock-{index + 1}", data_centre)
+
+
+def seeded(testbed: Testbed, *names: str) -> random.Random:
+    """Return a random source of a testbed's seed."""
+    return derive_random(testbed.plan.seed, *names)
