--- /dev/null
+++ b/lentilhaven/retries/circuit_board.py
@@ -0,0 +1,65 @@
+"""The circuits of all endpoints."""
+
+import random
+
+import attrs
+
+from lentilhaven.core.ids import EndpointId
+from lentilhaven.retries.circuit import Circuit
+
+
+@attrs.define
+class CircuitBoard:
+    """
+    Circuits by endpoint; an endpoint that never failed has none.
+
+    Attributes
+    ----------
+    random : random.Random
+        Source of chance.
+    circuits : dict
+        `Circuit` by endpoint.
+    """
+
+    random: random.Random
+    circuits: dict[EndpointId, Circuit] = attrs.field(factory=dict)
+
+    def allows(self, endpoint: EndpointId, now: float, in_flight: int) -> bool:
+        """
+        Return whether an endpoint may get new work.
+
+        Parameters
+        ----------
+        endpoint : str
+            The endpoint.
+        now : float
+            Monotonic time, in seconds.
+        in_flight : int
+            Requests of this process at the endpoint.
+        """
+        circuit = self.circuits.get(endpoint)
+        return circuit is None or circuit.allows(now, in_flight)
+
+    def record_success(self, endpoint: EndpointId) -> None:
+        """Close the circuit of an endpoint that has answered."""
+        circuit = self.circuits.get(endpoint)
+        if circuit is not None:
+            circuit.record_success()
+
+    def record_failure(
+        self, endpoint: EndpointId, now: float, proven: bool = False
+    ) -> None:
+        """
+        Count a failure of an endpoint.
+
+        Parameters
+        ----------
+        endpoint : str
+            The endpoint.
+        now : float
+            Monotonic time, in seconds.
+        proven : bool
+            Whether it is known to be unreachable.
+        """
+        circuit = self.circuits.setdefault(endpoint, Circuit())
+        circuit.record_failure(now, self.random, proven)
