Rework attempts: silence is examined, lost ranges replaced, pieces read in chunks

Cause: after 200 ms without a token the router probed for another 100 ms, took every ended stream for a lost head, retried without a budget or delay, and sent retries over pooled connections that may have gone silent. Now a stream is suspected after 4 mean token times (a quarter to a half of the route's token timeout); stages are probed on new connections and tell whether they work on the request, which tells a dead stage, a silent connection, a lost order, a stuck chain and mere slowness apart. All other stages are probed with the failed one, so that two that die at once are replaced at once. Retries use new connections, budgets and circuits; a chain that another router took over ends as superseded. The stand-in engine gets pauses, muted connections, piece noise and cache export.

--- a/lentilhaven/answers/answer_ledger.py
+++ b/lentilhaven/answers/answer_ledger.py
@@ -7,7 +7,7 @@
 
 from lentilhaven.core.ids import EndpointId, ModelVersion, RequestId
 from lentilhaven.core.invariants import ensure
-from lentilhaven.endpoints.piece import Piece
+from lentilhaven.endpoints.piece import Piece, TrailEntry
 from lentilhaven.tables.layer_range import covers_once
 
 
@@ -46,6 +46,10 @@
         Empty until the last piece has been accepted.
     dropped : Counter
         Number of dropped pieces by `DropReason`.
+    furthest : int
+        One past the highest position that the current attempt has shown.
+    checked_trail : list of TrailEntry or None
+        The newest trail of the current attempt that held.
     """
 
     request: RequestId
@@ -56,8 +60,15 @@
     tokens: list[str] = attrs.field(factory=list)
     finish_reason: str = ""
     dropped: Counter[DropReason] = attrs.field(factory=Counter)
+    furthest: int = 0
+    checked_trail: list[TrailEntry] | None = None
 
-    def begin_attempt(self, chain: list[EndpointId]) -> int:
+    @property
+    def has_gap(self) -> bool:
+        """Return whether a later piece has come before the next one."""
+        return self.furthest > len(self.tokens)
+
+    def begin_attempt(self, chain: list[EndpointId], step: int = 1) -> int:
         """
         Start another attempt and return its number.
 
@@ -65,10 +76,15 @@
         ----------
         chain : list of str
             Endpoints of the attempt, in order.
+        step : int
+            By how much the number rises.
         """
+        ensure(step > 0, "attempt-rises", step)
         ensure(not self.finish_reason, "attempt-after-end", self.request)
-        self.attempt += 1
+        self.attempt += step
         self.chain = chain
+        self.furthest = len(self.tokens)
+        self.checked_trail = None
         return self.attempt
 
     def judge(self, piece: Piece) -> DropReason | None:
@@ -125,9 +141,12 @@
         """
         reason = self.judge(piece)
         if reason is not None:
+            if reason is DropReason.GAP:
+                self.furthest = max(self.furthest, piece.position + 1)
             self.dropped[reason] += 1
             return reason
         ensure(piece.position == len(self.tokens), "position-follows", piece)
         self.tokens.append(piece.token)
+        self.furthest = max(self.furthest, len(self.tokens))
         self.finish_reason = piece.finish_reason
         return None
--- a/lentilhaven/endpoints/engine_client.py
+++ b/lentilhaven/endpoints/engine_client.py
@@ -7,9 +7,8 @@
 ``DELETE /streams/ID`` cancels; ``GET /load`` reports load.
 """
 
-import json
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
 import aiohttp
 import attrs
@@ -21,9 +20,9 @@
 from lentilhaven.core.settings import CONVERTER, to_document
 from lentilhaven.core.step import Step
 from lentilhaven.endpoints.load_report import LoadReport
-from lentilhaven.endpoints.piece import Piece
 from lentilhaven.endpoints.stage import Stage
-from lentilhaven.endpoints.stage_loss import StageLoss
+from lentilhaven.endpoints.stage_progress import StageProgress
+from lentilhaven.endpoints.stream_feed import StreamFeed, open_feed
 from lentilhaven.endpoints.stream_order import StreamOrder
 
 #: Seconds for a probe, a cancellation or a load report.
@@ -34,7 +33,7 @@
 
 LOST = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
-StreamEvent = Piece | StageLoss
+Response = aiohttp.ClientResponse
 
 
 @attrs.define
@@ -45,45 +44,44 @@
     Attributes
     ----------
     session : aiohttp.ClientSession
-        Connections; owned by the caller.
+        Pooled connections; owned by the caller.
+    fresh : aiohttp.ClientSession or None
+        Opens a new connection for each request, since a pooled one may have
+        gone silent for good; None uses `session`.
     """
 
     session: aiohttp.ClientSession
+    fresh: aiohttp.ClientSession | None = None
 
-    @asynccontextmanager
-    async def open_stream(
-        self, order: StreamOrder
-    ) -> AsyncIterator[AsyncIterator[StreamEvent]]:
+    def pick_session(self, fresh: bool) -> aiohttp.ClientSession:
+        """Return the session for new or for pooled connections."""
+        return self.fresh if fresh and self.fresh is not None else self.session
+
+    def start_stream(
+        self, order: StreamOrder, fresh: bool = False
+    ) -> AbstractAsyncContextManager[StreamFeed]:
         """
-        Start a stream at the head of its chain and yield its events.
+        Start a stream at the head of its chain and read it.
 
         Parameters
         ----------
         order : StreamOrder
             What to generate.
-
-        Raises
-        ------
-        FailureError
-            If the head can't be reached, refuses, or breaks the connection.
+        fresh : bool
+            Whether to use a new connection.
         """
         head = order.chain[0]
         limit = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT)
-        try:
-            async with self.session.post(
-                f"{head.url}/streams", json=to_document(order), timeout=limit
-            ) as response:
-                await raise_for_refusal(head, response)
-                yield read_events(head, response)
-        except LOST as error:
-            raise lost_engine(Step.CONNECT, head, error) from error
+        opening = self.pick_session(fresh).post(
+            f"{head.url}/streams", json=to_document(order), timeout=limit
+        )
+        return open_feed(head, checked_response(Step.CONNECT, head, opening))
 
-    @asynccontextmanager
-    async def resume_stream(
+    def resume_stream(
         self, head: Stage, request: RequestId, position: int
-    ) -> AsyncIterator[AsyncIterator[StreamEvent]]:
+    ) -> AbstractAsyncContextManager[StreamFeed]:
         """
-        Read a running stream again from a position.
+        Read a running stream from a position, on a new connection.
 
         Parameters
         ----------
@@ -93,21 +91,14 @@
             The request.
         position : int
             First position to read.
-
-        Raises
-        ------
-        FailureError
-            If the head can't be reached or no longer has the stream.
         """
         limit = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT)
-        url = f"{head.url}/streams/{request}/pieces"
-        query = {"position": str(position)}
-        try:
-            async with self.session.get(url, params=query, timeout=limit) as response:
-                await raise_for_refusal(head, response)
-                yield read_events(head, response)
-        except LOST as error:
-            raise lost_engine(Step.RESUME, head, error) from error
+        opening = self.pick_session(fresh=True).get(
+            f"{head.url}/streams/{request}/pieces",
+            params={"position": str(position)},
+            timeout=limit,
+        )
+        return open_feed(head, checked_response(Step.RESUME, head, opening))
 
     async def read_order(
         self, head: Stage, request: RequestId
@@ -124,17 +115,20 @@
         """
         limit = aiohttp.ClientTimeout(total=PROBE_TIMEOUT)
         url = f"{head.url}/streams/{request}"
+        session = self.pick_session(fresh=True)
         try:
-            async with self.session.get(url, timeout=limit) as response:
+            async with session.get(url, timeout=limit) as response:
                 response.raise_for_status()
                 body = await response.json()
                 return Ok(CONVERTER.structure(body["order"], StreamOrder))
-        except LOST as error:
+        except Exception as error:  # Every structuring hook raises its own kind.
             return Error(lost_engine(Step.RESUME, head, error).failure)
 
-    async def probe(self, stage: Stage, request: RequestId) -> bool:
+    async def probe(
+        self, stage: Stage, request: RequestId, timeout: float = PROBE_TIMEOUT
+    ) -> StageProgress | None:
         """
-        Return whether a stage answers on a new connection.
+        Ask a stage on a new connection how far it has come.
 
         Parameters
         ----------
@@ -142,17 +136,28 @@
             The stage to ask.
         request : str
             The request that is stuck.
+        timeout : float
+            Seconds to wait.
+
+        Returns
+        -------
+        StageProgress or None
+            None if the stage does not answer.
         """
-        limit = aiohttp.ClientTimeout(total=PROBE_TIMEOUT)
-        headers = {"Connection": "close"}
-        url = f"{stage.url}/streams/{request}"
+        limit = aiohttp.ClientTimeout(total=timeout)
+        url = f"{stage.url}/streams/{request}/progress"
+        session = self.pick_session(fresh=True)
         try:
-            async with self.session.get(url, timeout=limit, headers=headers):
-                return True
-        except LOST:
-            return False
-
-    async def cancel(self, stage: Stage, request: RequestId) -> None:
+            async with session.get(url, timeout=limit) as response:
+                if response.status != 200:
+                    return StageProgress(known=False)
+                return CONVERTER.structure(await response.json(), StageProgress)
+        except Exception:  # Every structuring hook raises its own kind.
+            return None
+
+    async def cancel(
+        self, stage: Stage, request: RequestId, unread_only: bool = False
+    ) -> None:
         """
         Tell a stage to drop a stream; a stage that can't be told times out.
 
@@ -162,11 +167,15 @@
             The stage to tell.
         request : str
             The request to drop.
+        unread_only : bool
+            Whether to leave a stream that somebody reads.
         """
         limit = aiohttp.ClientTimeout(total=PROBE_TIMEOUT)
         url = f"{stage.url}/streams/{request}"
+        query = {"unread_only": "1"} if unread_only else {}
+        session = self.pick_session(fresh=True)
         try:
-            async with self.session.delete(url, timeout=limit):
+            async with session.delete(url, params=query, timeout=limit):
                 return
         except LOST:
             return
@@ -189,50 +198,31 @@
             return Error(lost_engine(Step.CONNECT, stage, error).failure)
 
 
-async def read_events(
-    head: Stage, response: aiohttp.ClientResponse
-) -> AsyncIterator[StreamEvent]:
+@asynccontextmanager
+async def checked_response(
+    step: Step, head: Stage, opening: AbstractAsyncContextManager[Response]
+) -> AsyncIterator[Response]:
     """
-    Yield the events of a response, one a line.
+    Open a response and turn everything that goes wrong into `FailureError`.
 
     Parameters
     ----------
+    step : Step
+        What is being done.
     head : Stage
-        Where the response comes from.
-    response : aiohttp.ClientResponse
-        The open response.
-
-    Raises
-    ------
-    FailureError
-        If a line is not an event.
-    """
-    async for line in response.content:
-        try:
-            yield parse_event(json.loads(line))
-        except Exception as error:
-            detail = f"{type(error).__name__}: {error}"
-            failure = Failure(
-                Step.VERIFY, head.endpoint, "bad-event", detail, Ran.UNKNOWN
-            )
-            raise FailureError(failure) from error
-
-
-def parse_event(document: dict) -> StreamEvent:
-    """
-    Return the event that a JSON object stands for.
-
-    Examples
-    --------
-    >>> parse_event({"lost": {"endpoint": "e2", "detail": "refused"}})
-    StageLoss(endpoint='e2', detail='refused')
+        The engine.
+    opening : context manager
+        Opens the response.
     """
-    if "lost" in document:
-        return CONVERTER.structure(document["lost"], StageLoss)
-    return CONVERTER.structure(document["piece"], Piece)
+    try:
+        async with opening as response:
+            await raise_for_refusal(head, response)
+            yield response
+    except LOST as error:
+        raise lost_engine(step, head, error) from error
 
 
-async def raise_for_refusal(head: Stage, response: aiohttp.ClientResponse) -> None:
+async def raise_for_refusal(head: Stage, response: Response) -> None:
     """
     Raise `FailureError` if an engine refused a stream.
 
@@ -246,7 +236,9 @@
     if response.status == 200:
         return
     detail = f"status {response.status}: {(await response.text())[:200]}"
-    raise FailureError(Failure(Step.SEND, head.endpoint, "engine-refused", detail))
+    # Another router has taken the answer over with a higher attempt.
+    kind = "superseded" if response.status == 410 else "engine-refused"
+    raise FailureError(Failure(Step.SEND, head.endpoint, kind, detail))
 
 
 def lost_engine(step: Step, stage: Stage, error: BaseException) -> FailureError:
--- a/lentilhaven/endpoints/stage.py
+++ b/lentilhaven/endpoints/stage.py
@@ -19,8 +19,12 @@
         Its base URL.
     layers : LayerRange
         The layers that it runs.
+    import_from : str
+        Base URL of an engine whose KV cache of this request may be imported;
+        empty to rebuild.
     """
 
     endpoint: EndpointId
     url: str
     layers: LayerRange
+    import_from: str = ""
--- a/lentilhaven/retries/circuit.py
+++ b/lentilhaven/retries/circuit.py
@@ -20,12 +20,6 @@
 #: Upper bound of the time that a circuit stays open, in seconds.
 LONGEST_OPEN = 30.0
 
-TRANSITIONS = [
-    {"trigger": "trip", "source": [CLOSED, HALF_OPEN], "dest": OPEN},
-    {"trigger": "admit_trial", "source": OPEN, "dest": HALF_OPEN},
-    {"trigger": "close", "source": [CLOSED, HALF_OPEN, OPEN], "dest": CLOSED},
-]
-
 
 @attrs.define(slots=False, eq=False)
 class Circuit:
@@ -66,9 +60,10 @@
     def __attrs_post_init__(self) -> None:
         """Bind a machine to this circuit."""
         states = [CLOSED, OPEN, HALF_OPEN]
-        self.machine = Machine(
-            self, states, CLOSED, transitions=TRANSITIONS, auto_transitions=False
-        )
+        self.machine = Machine(self, states, CLOSED, auto_transitions=False)
+        self.machine.add_transition("trip", [CLOSED, HALF_OPEN], OPEN)
+        self.machine.add_transition("admit_trial", OPEN, HALF_OPEN)
+        self.machine.add_transition("close", [CLOSED, HALF_OPEN, OPEN], CLOSED)
 
     def fire(self, event: str) -> None:
         """Change the state as the machine allows."""
--- a/lentilhaven/router/answer.py
+++ b/lentilhaven/router/answer.py
@@ -4,6 +4,7 @@
 
 from lentilhaven.answers.answer_ledger import AnswerLedger
 from lentilhaven.core.ids import EndpointId, ModelVersion, RequestId, WorkspaceId
+from lentilhaven.core.ran import Ran
 from lentilhaven.endpoints.stage import Stage
 from lentilhaven.endpoints.stream_order import StreamOrder
 from lentilhaven.router.completion_request import CompletionRequest
@@ -38,6 +39,12 @@
         The pipeline of the current attempt.
     excluded : set of str
         Endpoints that failed this answer.
+    failures : int
+        Failed attempts since the newest token.
+    attempt_step : int
+        By how much the number of the next attempt rises.
+    maybe_ran : bool
+        Whether an engine may have begun to work on it.
     """
 
     request: RequestId
@@ -50,6 +57,16 @@
     ledger: AnswerLedger
     chain: list[Stage] = attrs.field(factory=list)
     excluded: set[EndpointId] = attrs.field(factory=set)
+    failures: int = 0
+    attempt_step: int = 1
+    maybe_ran: bool = False
+
+    @property
+    def ran(self) -> Ran:
+        """Return what is known of its execution."""
+        if self.ledger.tokens:
+            return Ran.YES
+        return Ran.UNKNOWN if self.maybe_ran else Ran.NO
 
     def next_order(self, now: float) -> StreamOrder:
         """
@@ -60,7 +77,8 @@
         now : float
             Monotonic time, in seconds.
         """
-        attempt = self.ledger.begin_attempt([it.endpoint for it in self.chain])
+        names = [stage.endpoint for stage in self.chain]
+        attempt = self.ledger.begin_attempt(names, self.attempt_step)
         return StreamOrder(
             request=self.request,
             attempt=attempt,
--- a/lentilhaven/router/answering.py
+++ b/lentilhaven/router/answering.py
@@ -3,164 +3,184 @@
 
 Each attempt sends the tokens accepted so far along with the prompt, so that
 the answer goes on at the next position.  Stages that still hold their KV cache
-keep it; only a replaced stage rebuilds its own.
+keep it; only a replaced stage rebuilds or imports its own.
 """
 
-import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator
-from contextlib import aclosing
+from collections.abc import AsyncGenerator
+from contextlib import AbstractAsyncContextManager, aclosing
 
 from lentilhaven.core.failure import Failure, FailureError
-from lentilhaven.core.ids import EndpointId
-from lentilhaven.core.logs import get_logger
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
 from lentilhaven.endpoints.piece import Piece
+from lentilhaven.endpoints.piece_wire import StreamEvent
 from lentilhaven.endpoints.stage_loss import StageLoss
+from lentilhaven.endpoints.stream_feed import StreamFeed
 from lentilhaven.router.answer import Answer
-from lentilhaven.router.chain_choice import choose_chain, repair_chain
+from lentilhaven.router.chain_choice import choose_chain
+from lentilhaven.router.recovery import deadline_passed, no_pipeline, plan_next_attempt
 from lentilhaven.router.router import Router
+from lentilhaven.router.silence_watch import SilenceWatch
+from lentilhaven.router.stream_examination import examine_silence
 
-#: Seconds of silence allowed before the first token of an attempt.
-FIRST_TOKEN_TIMEOUT = 1.5
+#: Times that one attempt's stream is read again without a token in between.
+REREAD_LIMIT = 3
 
-log = get_logger("router")
+Batches = AsyncGenerator[list[Piece], None]
 
 
-async def generate(router: Router, answer: Answer) -> AsyncGenerator[Piece, None]:
+async def generate(router: Router, answer: Answer) -> Batches:
     """
     Yield the pieces of an answer, each exactly once and in order.
 
+    Pieces that arrive together are yielded together.
+
     Parameters
     ----------
     router : Router
         Knows endpoints and their load.
     answer : Answer
-        The answer to generate.
+        The answer to generate.  One that has a chain already is read on from
+        its running stream.
 
     Raises
     ------
     FailureError
         If no pipeline is left, or attempts or time have run out.
     """
-    chain = choose_chain(router, answer)
-    while True:
-        if chain is None:
-            raise FailureError(no_pipeline(answer))
-        answer.chain = chain
-        lost: set[EndpointId] = set()
+    resuming = bool(answer.chain)
+    if not resuming:
+        answer.chain = choose_chain(router, answer) or []
+    if not answer.chain:
+        raise FailureError(no_pipeline(answer))
+    while not answer.ledger.finish_reason:
         try:
-            async with aclosing(run_attempt(router, answer)) as pieces:
-                async for piece in pieces:
-                    yield piece
+            async with aclosing(run_attempt(router, answer, resuming)) as batches:
+                async for batch in batches:
+                    answer.failures = 0
+                    yield batch
         except FailureError as error:
-            log.warning(
-                "attempt failed; replacing the failed range",
-                request=answer.request,
-                error=str(error),
-            )
-            lost = await find_lost(router, answer, error.failure)
-        if answer.ledger.finish_reason:
-            return
-        check_limits(router, answer)
-        router.counters["attempts_replaced"] += 1
-        chain = repair_chain(router, answer, lost)
-
-
-async def run_attempt(router: Router, answer: Answer) -> AsyncGenerator[Piece, None]:
+            if error.failure.kind == "deadline":
+                raise
+            answer.chain = await plan_next_attempt(router, answer, error.failure)
+        resuming = False
+
+
+async def run_attempt(router: Router, answer: Answer, resuming: bool) -> Batches:
     """
     Yield the accepted pieces of one attempt.
 
+    Parameters
+    ----------
+    router : Router
+        Has the engines' client.
+    answer : Answer
+        The answer.
+    resuming : bool
+        Whether the attempt runs already.
+
     Raises
     ------
     FailureError
         If the attempt fails before the answer is complete.
     """
+    with router.counted_use(answer.chain):
+        source = resume(router, answer) if resuming else start(router, answer)
+        rereads = 0
+        while True:
+            position = len(answer.ledger.tokens)
+            try:
+                async with source as feed, aclosing(read(router, answer, feed)) as it:
+                    async for batch in it:
+                        yield batch
+                return
+            except FailureError as error:
+                moved = len(answer.ledger.tokens) > position
+                rereads = 1 if moved else rereads + 1
+                if error.failure.kind != "read-again" or rereads > REREAD_LIMIT:
+                    raise
+                router.counters["streams_read_again"] += 1
+                source = resume(router, answer)
+
+
+def start(router: Router, answer: Answer) -> AbstractAsyncContextManager[StreamFeed]:
+    """Begin another attempt."""
     order = answer.next_order(router.clock.monotonic())
-    used = [stage.endpoint for stage in order.chain]
-    router.own_load.update(used)
-    silence = FIRST_TOKEN_TIMEOUT
-    try:
-        async with router.engines.open_stream(order) as events:
-            while True:
-                event = await next_event(events, silence, order.chain[0].endpoint)
-                if isinstance(event, StageLoss):
-                    raise FailureError(stage_lost(event))
-                reason = answer.ledger.accept(event)
-                if reason is not None:
-                    router.counters[f"dropped_{reason.value}"] += 1
-                    continue
-                silence = answer.route.token_timeout
-                yield event
-                if event.finish_reason:
-                    return
-    finally:
-        router.own_load.subtract(used)
-
-
-async def next_event(
-    events: AsyncIterator[Piece | StageLoss], silence: float, head: EndpointId
-) -> Piece | StageLoss:
-    """Return the next event, or fail when the stream ends or stays silent."""
-    try:
-        async with asyncio.timeout(silence):
-            return await anext(events)
-    except TimeoutError as error:
-        detail = f"no token for {silence} s"
-        failure = Failure(Step.STREAM, head, "silent-stream", detail, Ran.UNKNOWN)
-        raise FailureError(failure) from error
-    except StopAsyncIteration as error:
-        detail = "the stream ended before the answer"
-        failure = Failure(Step.STREAM, head, "engine-lost", detail, Ran.UNKNOWN)
-        raise FailureError(failure) from error
-
-
-async def find_lost(
-    router: Router, answer: Answer, failure: Failure
-) -> set[EndpointId]:
+    # After a failure a pooled connection may be a silent one.
+    return router.engines.start_stream(order, fresh=answer.failures > 0)
+
+
+def resume(router: Router, answer: Answer) -> AbstractAsyncContextManager[StreamFeed]:
+    """Read the running attempt from the next position."""
+    position = len(answer.ledger.tokens)
+    return router.engines.resume_stream(answer.chain[0], answer.request, position)
+
+
+async def read(router: Router, answer: Answer, feed: StreamFeed) -> Batches:
     """
-    Return the stages that must be replaced.
+    Yield the accepted pieces of one open stream.
 
-    A silent stream may have lost only its connection, so every stage is asked
-    on a new one; when all of them answer, the same chain is used again.
+    Raises
+    ------
+    FailureError
+        If the stream fails, or must be read again.
+    """
+    length = len(answer.wanted.prompt) + len(answer.ledger.tokens)
+    now = router.clock.monotonic()
+    watch = SilenceWatch(answer.route.token_timeout, length, now)
+    while not answer.ledger.finish_reason:
+        left = answer.deadline - router.clock.monotonic()
+        if left <= 0:
+            raise FailureError(deadline_passed(answer))
+        events = await feed.next_chunk(min(left, watch.suspect_after))
+        if events is None:
+            reason = await examine_silence(router, answer, watch)
+            # Tokens may have come while the stages were asked.
+            if reason is not None and feed.chunks.empty():
+                raise reason
+            continue
+        accepted, failure = accept_events(router, answer, events)
+        if accepted:
+            watch.record_tokens(router.clock.monotonic())
+            yield accepted
+        if failure is not None and not answer.ledger.finish_reason:
+            raise FailureError(failure)
+
+
+def accept_events(
+    router: Router, answer: Answer, events: list[StreamEvent]
+) -> tuple[list[Piece], Failure | None]:
+    """
+    Return the pieces to forward and the failure that follows them, if any.
 
     Parameters
     ----------
     router : Router
-        Has the engines' client.
+        Counts what is dropped.
     answer : Answer
-        The answer whose attempt failed.
-    failure : Failure
-        How it failed.
+        Judges every piece.
+    events : list
+        Events of the current stream, in order of arrival.
     """
-    if failure.kind in ("stage-lost", "engine-refused", "engine-lost"):
-        return {EndpointId(failure.peer)}
-    probes = [router.engines.probe(stage, answer.request) for stage in answer.chain]
-    alive = await asyncio.gather(*probes)
-    stages = zip(answer.chain, alive, strict=True)
-    return {stage.endpoint for stage, answered in stages if not answered}
-
-
-def check_limits(router: Router, answer: Answer) -> None:
-    """Raise `FailureError` if the answer may not be tried again."""
-    position = len(answer.ledger.tokens)
-    if router.clock.monotonic() >= answer.deadline:
-        detail = f"the deadline passed at position {position}"
-        raise FailureError(Failure(Step.STREAM, "", "deadline", detail, Ran.YES))
-    if answer.ledger.attempt >= answer.route.retry.max_attempts + position:
-        detail = f"{answer.ledger.attempt} attempts failed at position {position}"
-        failure = Failure(Step.STREAM, "", "attempts-exhausted", detail, Ran.UNKNOWN)
-        raise FailureError(failure)
+    accepted = []
+    failure = None
+    ledger = answer.ledger
+    for event in events:
+        if isinstance(event, StageLoss):
+            failure = stage_lost(event)
+            continue
+        reason = ledger.accept(event)
+        if reason is None:
+            accepted.append(event)
+        else:
+            router.counters[f"dropped_{reason.value}"] += 1
+    if failure is None and ledger.has_gap:
+        head = answer.chain[0].endpoint
+        detail = f"position {len(ledger.tokens)} is missing"
+        failure = Failure(Step.VERIFY, head, "read-again", detail, Ran.UNKNOWN)
+    return accepted, failure
 
 
 def stage_lost(loss: StageLoss) -> Failure:
     """Return the failure that an engine's notice stands for."""
     return Failure(Step.STREAM, loss.endpoint, "stage-lost", loss.detail, Ran.UNKNOWN)
-
-
-def no_pipeline(answer: Answer) -> Failure:
-    """Return the failure of an answer that no pipeline is left for."""
-    position = len(answer.ledger.tokens)
-    detail = f"no pipeline of {answer.pool.name!r} is left at position {position}"
-    ran = Ran.YES if position else Ran.NO
-    return Failure(Step.CHOOSE, "", "no-pipeline", detail, ran, retry_after=1.0)
--- a/lentilhaven/router/completions.py
+++ b/lentilhaven/router/completions.py
@@ -86,6 +86,7 @@
         detail = f"no route answers model {wanted.model!r} for this workspace"
         raise FailureError(Failure(Step.ROUTE, "", "unknown-model", detail))
     pool = tables.pool(route.pool)
+    router.budget(route).record_request(router.clock.monotonic())
     version = draw_version(route, pool, router.random)
     request = RequestId(uuid.UUID(int=router.random.getrandbits(128), version=4).hex)
     return Answer(
@@ -102,8 +103,8 @@
 
 async def send_whole(router: Router, answer: Answer) -> web.StreamResponse:
     """Collect the answer and send it as one JSON document."""
-    async with aclosing(generate(router, answer)) as pieces:
-        async for _ in pieces:
+    async with aclosing(generate(router, answer)) as batches:
+        async for _ in batches:
             pass
     text = "".join(answer.ledger.tokens)
     choice: dict = {"index": 0, "finish_reason": answer.ledger.finish_reason}
@@ -127,12 +128,13 @@
 ) -> web.StreamResponse:
     """Send the answer as server-sent events."""
     response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
-    async with aclosing(generate(router, answer)) as pieces:
+    async with aclosing(generate(router, answer)) as batches:
         try:
-            async for piece in pieces:
+            async for batch in batches:
                 if not response.prepared:
                     await response.prepare(request)
-                await response.write(event_bytes(router, answer, piece))
+                events = [event_bytes(router, answer, piece) for piece in batch]
+                await response.write(b"".join(events))
         except FailureError as error:
             if not response.prepared:
                 raise
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -11,12 +11,16 @@
 
 from lentilhaven.control.view import EndpointState, View
 from lentilhaven.core.clock import Clock
-from lentilhaven.core.ids import EndpointId
+from lentilhaven.core.ids import EndpointId, RouteName
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.endpoints.engine_client import EngineClient
+from lentilhaven.endpoints.stage import Stage
+from lentilhaven.retries.circuit_board import CircuitBoard
+from lentilhaven.retries.retry_budget import RetryBudget
 from lentilhaven.router.agent_client import AgentClient
 from lentilhaven.router.router_settings import RouterSettings
+from lentilhaven.tables.route import Route
 from lentilhaven.tables.tables import Tables
 
 #: Seconds before the view is asked for again after the agent was lost.
@@ -56,6 +60,10 @@
         Set while nothing is in flight.
     counters : Counter
         Events by name, for the state dump.
+    circuits : CircuitBoard
+        Endpoints that have failed lately.
+    budgets : dict
+        `RetryBudget` by route.
     """
 
     settings: RouterSettings
@@ -71,6 +79,10 @@
     draining: bool = False
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     counters: Counter[str] = attrs.field(factory=Counter)
+    circuits: CircuitBoard = attrs.field(
+        default=attrs.Factory(lambda self: CircuitBoard(self.random), takes_self=True)
+    )
+    budgets: dict[RouteName, RetryBudget] = attrs.field(factory=dict)
 
     @property
     def ready(self) -> bool:
@@ -87,7 +99,33 @@
             The endpoint.
         """
         view = self.view.endpoints.get(endpoint)
-        return view is None or view.state is EndpointState.LIVE
+        if view is not None and view.state is not EndpointState.LIVE:
+            return False
+        in_flight = self.own_load[endpoint]
+        return self.circuits.allows(endpoint, self.clock.monotonic(), in_flight)
+
+    def budget(self, route: Route) -> RetryBudget:
+        """
+        Return the retry budget of a route.
+
+        Parameters
+        ----------
+        route : Route
+            The route, with the ratio in force.
+        """
+        budget = self.budgets.setdefault(route.name, RetryBudget(route.retry.budget))
+        budget.ratio = route.retry.budget
+        return budget
+
+    @contextmanager
+    def counted_use(self, chain: list[Stage]) -> Iterator[None]:
+        """Count a request at every stage of a chain while the context lasts."""
+        names = [stage.endpoint for stage in chain]
+        self.own_load.update(names)
+        try:
+            yield
+        finally:
+            self.own_load.subtract(names)
 
     @contextmanager
     def counted_request(self) -> Iterator[None]:
@@ -132,6 +170,7 @@
     random: random.Random,
     token: str,
     connector: aiohttp.BaseConnector | None = None,
+    fresh_connector: aiohttp.BaseConnector | None = None,
 ) -> AsyncIterator[Router]:
     """
     Run a router's tasks until the context ends.
@@ -148,12 +187,19 @@
         The cluster's token.
     connector : aiohttp.BaseConnector or None
         Replaces the TCP connector, for virtual time.
+    fresh_connector : aiohttp.BaseConnector or None
+        Replaces the TCP connector that opens a connection for each request.
     """
     if connector is None:
         connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    if fresh_connector is None:
+        fresh_connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        aiohttp.ClientSession(connector=fresh_connector) as fresh,
+    ):
         agent = AgentClient(settings.agent_url, session, token)
-        engines = EngineClient(session)
+        engines = EngineClient(session, fresh)
         router = Router(settings, session, engines, agent, clock, random)
         router.idle.set()
         async with running_tasks(router.follow_view()):
--- /dev/null
+++ b/lentilhaven/router/stream_examination.py
@@ -0,0 +1,107 @@
+"""Finds out why a stream is silent."""
+
+import asyncio
+
+from lentilhaven.core.failure import Failure, FailureError
+from lentilhaven.core.ids import EndpointId
+from lentilhaven.core.ran import Ran
+from lentilhaven.core.step import Step
+from lentilhaven.endpoints.stage import Stage
+from lentilhaven.endpoints.stage_progress import StageProgress
+from lentilhaven.router.answer import Answer
+from lentilhaven.router.router import Router
+from lentilhaven.router.silence_watch import SilenceWatch
+
+#: Seconds between two looks at stages that are all idle.
+SECOND_LOOK_DELAY = 0.02
+
+Progress = dict[EndpointId, StageProgress | None]
+
+
+async def probe_stages(
+    router: Router, answer: Answer, stages: list[Stage], timeout: float
+) -> Progress:
+    """
+    Ask stages, each on a new connection, how far they have come.
+
+    Parameters
+    ----------
+    router : Router
+        Has the engines' client.
+    answer : Answer
+        The answer that is stuck.
+    stages : list of Stage
+        The stages to ask.
+    timeout : float
+        Seconds to wait.
+    """
+    probes = [router.engines.probe(it, answer.request, timeout) for it in stages]
+    found = await asyncio.gather(*probes)
+    names = [stage.endpoint for stage in stages]
+    return dict(zip(names, found, strict=True))
+
+
+async def examine_silence(
+    router: Router, answer: Answer, watch: SilenceWatch
+) -> FailureError | None:
+    """
+    Return why a stream is silent, or None if it is only slow.
+
+    Parameters
+    ----------
+    router : Router
+        Has the engines' client.
+    answer : Answer
+        The answer whose stream is silent.
+    watch : SilenceWatch
+        Knows how long a token may take.
+    """
+    progress = await probe_stages(router, answer, answer.chain, watch.probe_timeout)
+    reason = explain_silence(answer, watch, progress, router.clock.monotonic())
+    if reason is None or reason.failure.kind != "stream-stuck":
+        return reason
+    # Activations may have been between two stages at the first look.
+    await router.clock.sleep(SECOND_LOOK_DELAY)
+    progress = await probe_stages(router, answer, answer.chain, watch.probe_timeout)
+    return explain_silence(answer, watch, progress, router.clock.monotonic())
+
+
+def explain_silence(
+    answer: Answer, watch: SilenceWatch, progress: Progress, now: float
+) -> FailureError | None:
+    """
+    Return what the stages' answers say about a silence.
+
+    Parameters
+    ----------
+    answer : Answer
+        The answer whose stream is silent.
+    watch : SilenceWatch
+        Knows how long a token may take.
+    progress : dict
+        What each stage of the chain answered.
+    now : float
+        Monotonic time, in seconds.
+    """
+    for name, found in progress.items():
+        if found is None:
+            return silent(name, "stage-silent", "no answer on a new connection")
+    head = answer.chain[0].endpoint
+    found = progress[head]
+    if found is None or not found.known or found.attempt < answer.ledger.attempt:
+        return silent(head, "order-lost", "the order did not arrive")
+    if found.attempt > answer.ledger.attempt:
+        return silent(head, "superseded", "a newer attempt has begun elsewhere")
+    if found.made > len(answer.ledger.tokens):
+        return silent(head, "read-again", "the connection has gone silent")
+    working = [name for name, it in progress.items() if it is not None and it.working]
+    if not working:
+        return silent(head, "stream-stuck", "no stage is working")
+    if watch.is_hung(now):
+        return silent(working[0], "stage-hung", "a stage works without result")
+    return None
+
+
+def silent(peer: EndpointId, kind: str, detail: str) -> FailureError:
+    """Return the failure of a silent stream."""
+    return FailureError(Failure(Step.STREAM, peer, kind, detail, Ran.UNKNOWN))
--- a/lentilhaven/standins/engine.py
+++ b/lentilhaven/standins/engine.py
@@ -12,13 +12,15 @@
 import attrs
 
 from lentilhaven.core.ids import EndpointId, ModelVersion, RequestId
-from lentilhaven.core.settings import CONVERTER, to_document
+from lentilhaven.core.settings import CONVERTER
 from lentilhaven.endpoints.load_report import LoadReport
 from lentilhaven.endpoints.piece import Piece, TrailEntry
 from lentilhaven.endpoints.stage import Stage
 from lentilhaven.endpoints.stage_loss import StageLoss
 from lentilhaven.endpoints.stream_order import StreamOrder
 from lentilhaven.standins.advance import Advance, Advanced
+from lentilhaven.standins.advance_wire import decode_advanced, encode_advance
+from lentilhaven.standins.engine_faults import EngineFaults
 from lentilhaven.standins.engine_stream import EngineStream
 from lentilhaven.standins.toy_model import embed, is_stop, unembed
 from lentilhaven.tables.layer_range import LayerRange
@@ -32,10 +34,21 @@
 LOST = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
+#: Seconds for the import of a cache.
+IMPORT_TIMEOUT = 1.0
+
+#: Seconds for one hop between engines.
+HOP_TIMEOUT = 60.0
+
+
 class EngineRefusalError(Exception):
     """The engine will not do what it was asked; answered with 409."""
 
 
+class SupersededError(EngineRefusalError):
+    """A newer attempt has begun; answered with 410."""
+
+
 class LostStageError(Exception):
     """
     A later stage of the chain failed.
@@ -51,23 +64,6 @@
         self.loss = loss
 
 
-@attrs.define
-class EngineFaults:
-    """
-    Faults that the stand-in injects.
-
-    Attributes
-    ----------
-    dead : bool
-        Connections break at once.
-    silent_requests : set of str
-        Streams whose open connections stay open and say nothing.
-    """
-
-    dead: bool = False
-    silent_requests: set[RequestId] = attrs.field(factory=set)
-
-
 @attrs.define
 class Engine:
     """
@@ -87,6 +83,8 @@
         Seconds per generated token.
     prefill_time : float
         Seconds per token of a prompt or of a rebuilt cache.
+    import_time : float
+        Seconds per token of an imported cache.
     streams : dict
         `EngineStream` by request.
     faults : EngineFaults
@@ -95,6 +93,8 @@
         Whether it refuses new streams.
     new_streams : int
         Number of streams that began here.
+    imports : int
+        Number of caches copied from other engines.
     tasks : set of asyncio.Task
         Generation in progress.
     """
@@ -105,10 +105,12 @@
     session: aiohttp.ClientSession
     decode_time: float = 0.005
     prefill_time: float = 0.0002
+    import_time: float = 0.00002
     streams: dict[RequestId, EngineStream] = attrs.field(factory=dict)
     faults: EngineFaults = attrs.field(factory=EngineFaults)
     leaving: bool = False
     new_streams: int = 0
+    imports: int = 0
     tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     def report_load(self) -> LoadReport:
@@ -142,12 +144,16 @@
         self.check_stage(order.version, order.chain[0])
         stream = self.claim_stream(order.request, order.attempt, order.chain[0].layers)
         stream.order = order
+        stream.chain = order.chain
+        stream.began = asyncio.get_running_loop().time()
         stream.pieces = []
         stream.loss = None
         stream.position = len(order.generated)
         stream.read_until = stream.position
         stream.notify()
-        task = asyncio.create_task(self.generate(stream, order))
+        if stream.task is not None:
+            stream.task.cancel()
+        task = stream.task = asyncio.create_task(self.generate(stream, order))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return stream
@@ -159,6 +165,22 @@
         if stage.endpoint != self.id or stage.layers != self.layers:
             raise EngineRefusalError(f"holds {self.layers}, not {stage}")
 
+    def kill(self) -> None:
+        """Break every connection and forget everything, as a crash does."""
+        self.faults.dead = True
+        for task in list(self.tasks):
+            task.cancel()
+        for stream in self.streams.values():
+            stream.attempt += 1
+        self.streams.clear()
+        for transport in list(self.faults.transports):
+            transport.abort()
+        self.faults.transports.clear()
+
+    def revive(self) -> None:
+        """Accept connections again, with an empty cache."""
+        self.faults.dead = False
+
     def claim_stream(
         self, request: RequestId, attempt: int, layers: LayerRange
     ) -> EngineStream:
@@ -170,7 +192,7 @@
             self.new_streams += 1
             stream = self.streams[request] = EngineStream(layers)
         if attempt < stream.attempt:
-            raise EngineRefusalError(f"attempt {attempt} is over")
+            raise SupersededError(f"attempt {attempt} is over")
         stream.attempt = attempt
         return stream
 
@@ -199,19 +221,15 @@
                 stream.notify()
                 if piece.finish_reason:
                     return
-                await self.wait_for_reader(stream, order.attempt)
+                await self.wait_for_reader(stream, order)
         except LostStageError as error:
-            if stream.attempt == order.attempt:
-                stream.loss = error.loss
-                stream.notify()
+            stream.report_loss(error.loss, order.attempt)
         except EngineRefusalError as error:
-            if stream.attempt == order.attempt:
-                stream.loss = StageLoss(self.id, str(error))
-                stream.notify()
+            stream.report_loss(StageLoss(self.id, str(error)), order.attempt)
 
-    async def wait_for_reader(self, stream: EngineStream, attempt: int) -> None:
+    async def wait_for_reader(self, stream: EngineStream, order: StreamOrder) -> None:
         """Pause while the reader is too far behind; drop it when it stays away."""
-        while stream.attempt == attempt:
+        while stream.attempt == order.attempt:
             made = stream.position + len(stream.pieces)
             if made - stream.read_until < READ_AHEAD:
                 return
@@ -220,7 +238,8 @@
                 async with asyncio.timeout(RESUME_WINDOW):
                     await changed.wait()
             except TimeoutError:
-                stream.attempt += 1
+                if stream.readers == 0:
+                    self.cancel(order.request)
 
     async def advance_head(
         self, order: StreamOrder, tokens: list[str], start: int
@@ -262,12 +281,14 @@
         stage = advance.chain[advance.index]
         self.check_stage(advance.version, stage)
         stream = self.claim_stream(advance.request, advance.attempt, stage.layers)
+        stream.chain = advance.chain
         async with stream.lock:
             await self.rebuild(stream, advance, earlier)
             stream.truncate(advance.start)
             await asyncio.sleep(self.compute_time(len(advance.activations)))
+            await self.faults.running.wait()
             if advance.attempt != stream.attempt:
-                raise EngineRefusalError(f"attempt {advance.attempt} is over")
+                raise SupersededError(f"attempt {advance.attempt} is over")
             stream.run(advance.activations)
             outputs = stream.outputs[advance.start :]
         entry = TrailEntry(self.id, self.layers, advance.attempt)
@@ -284,6 +305,9 @@
         self, stream: EngineStream, advance: Advance, earlier: list[int] | None
     ) -> None:
         """Compute the cache of the positions before an advance that are missing."""
+        source = advance.chain[advance.index].import_from
+        if source and stream.length < advance.start:
+            await self.import_cache(stream, advance, source)
         missing = advance.start - stream.length
         if missing <= 0:
             return
@@ -292,12 +316,33 @@
         await asyncio.sleep(missing * self.prefill_time)
         stream.run(earlier[stream.length : advance.start])
 
+    async def import_cache(
+        self, stream: EngineStream, advance: Advance, source: str
+    ) -> None:
+        """Copy another engine's cache of the same layers, if it still has one."""
+        url = f"{source}/streams/{advance.request}/cache"
+        limit = aiohttp.ClientTimeout(total=IMPORT_TIMEOUT)
+        try:
+            async with self.session.get(url, timeout=limit) as response:
+                response.raise_for_status()
+                body = await response.json()
+        except LOST:
+            return
+        if body["start"] != self.layers.start or body["stop"] != self.layers.stop:
+            return
+        count = min(advance.start, len(body["outputs"]))
+        await asyncio.sleep(count * self.import_time)
+        stream.caches = body["caches"][:count]
+        stream.outputs = body["outputs"][:count]
+        self.imports += 1
+
     async def fetch_outputs(self, advance: Advance) -> list[int]:
         """Ask the previous stage for everything that it has put out."""
         previous = advance.chain[advance.index - 1]
         url = f"{previous.url}/streams/{advance.request}/outputs"
         try:
-            async with self.session.get(url) as response:
+            limit = aiohttp.ClientTimeout(total=IMPORT_TIMEOUT)
+            async with self.session.get(url, timeout=limit) as response:
                 response.raise_for_status()
                 return (await response.json())["outputs"]
         except LOST as error:
@@ -309,12 +354,15 @@
         stage = advance.chain[following.index]
         url = f"{stage.url}/streams/{advance.request}/advance"
         try:
-            async with self.session.post(url, json=to_document(following)) as response:
+            limit = aiohttp.ClientTimeout(total=HOP_TIMEOUT)
+            async with self.session.post(
+                url, json=encode_advance(following), timeout=limit
+            ) as response:
                 body = await response.json()
         except LOST as error:
             raise LostStageError(StageLoss(stage.endpoint, repr(error))) from error
         if response.status == 200:
-            return CONVERTER.structure(body, Advanced)
+            return decode_advanced(body)
         if "lost" in body:
             raise LostStageError(CONVERTER.structure(body["lost"], StageLoss))
         raise LostStageError(StageLoss(stage.endpoint, str(body)))
@@ -329,9 +377,12 @@
             The request.
         """
         stream = self.streams.pop(request, None)
-        if stream is not None:
-            stream.attempt += 1
-            stream.notify()
+        if stream is None:
+            return
+        stream.attempt += 1
+        stream.notify()
+        if stream.task is not None:
+            stream.task.cancel()
 
     async def close(self) -> None:
         """Stop all generation."""
--- a/lentilhaven/standins/engine_api.py
+++ b/lentilhaven/standins/engine_api.py
@@ -6,14 +6,23 @@
 from contextlib import asynccontextmanager
 
 import aiohttp
+import attrs
 from aiohttp import web
 
 from lentilhaven.core.ids import EndpointId, ModelVersion, RequestId
 from lentilhaven.core.serving import serve_app
 from lentilhaven.core.settings import CONVERTER, to_document
+from lentilhaven.endpoints.piece import Piece
+from lentilhaven.endpoints.piece_wire import encode_piece
+from lentilhaven.endpoints.stage_progress import StageProgress
 from lentilhaven.endpoints.stream_order import StreamOrder
-from lentilhaven.standins.advance import Advance
-from lentilhaven.standins.engine import Engine, EngineRefusalError, LostStageError
+from lentilhaven.standins.advance_wire import decode_advance, encode_advanced
+from lentilhaven.standins.engine import (
+    Engine,
+    EngineRefusalError,
+    LostStageError,
+    SupersededError,
+)
 from lentilhaven.standins.engine_stream import EngineStream
 from lentilhaven.tables.layer_range import LayerRange
 
@@ -34,6 +43,8 @@
     app.router.add_post("/streams", open_stream)
     app.router.add_get("/streams/{id}", read_stream)
     app.router.add_delete("/streams/{id}", cancel_stream)
+    app.router.add_get("/streams/{id}/progress", read_progress)
+    app.router.add_get("/streams/{id}/cache", export_cache)
     app.router.add_get("/streams/{id}/pieces", read_pieces)
     app.router.add_get("/streams/{id}/outputs", read_outputs)
     app.router.add_post("/streams/{id}/advance", advance_stream)
@@ -43,27 +54,42 @@
 
 @web.middleware
 async def inject(request: web.Request, handler) -> web.StreamResponse:
-    """Break the connection if the engine is dead, and answer refusals."""
+    """Break or mute the connection as the faults say, and answer refusals."""
     engine = request.app[ENGINE]
-    break_if_dead(engine, request)
+    await suffer_faults(engine, request)
     try:
         response = await handler(request)
+    except SupersededError as error:
+        response = web.json_response({"error": str(error)}, status=410)
     except EngineRefusalError as error:
-        return web.json_response({"error": str(error)}, status=409)
+        response = web.json_response({"error": str(error)}, status=409)
     except LostStageError as error:
-        return web.json_response({"lost": to_document(error.loss)}, status=502)
-    break_if_dead(engine, request)
+        response = web.json_response({"lost": to_document(error.loss)}, status=502)
+    await suffer_faults(engine, request)
     return response
 
 
-def break_if_dead(engine: Engine, request: web.Request) -> None:
-    """Close the connection without an answer if the engine is dead."""
+async def suffer_faults(engine: Engine, request: web.Request) -> None:
+    """Wait while the connection is muted; close it if the engine is dead."""
+    transport = request.transport
+    if transport is not None and transport not in engine.faults.transports:
+        forget_closed(engine)
+        engine.faults.transports.add(transport)
+    await engine.faults.wait_if_muted(transport)
     if engine.faults.dead:
-        if request.transport is not None:
-            request.transport.abort()
+        if transport is not None:
+            transport.abort()
         raise asyncio.CancelledError
 
 
+def forget_closed(engine: Engine) -> None:
+    """Drop the connections that have closed."""
+    faults = engine.faults
+    open_ones = {it for it in faults.transports if not it.is_closing()}
+    faults.transports = open_ones
+    faults.muted &= open_ones
+
+
 def find_stream(request: web.Request) -> EngineStream:
     """Return the stream that a URL names, or raise 404."""
     engine = request.app[ENGINE]
@@ -93,50 +119,104 @@
     request: web.Request, stream: EngineStream, order: StreamOrder, position: int
 ) -> web.StreamResponse:
     """Send pieces as they are made, one JSON object a line."""
-    engine = request.app[ENGINE]
     response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
     await response.prepare(request)
-    while stream.attempt == order.attempt:
-        break_if_dead(engine, request)
-        if order.request in engine.faults.silent_requests:
-            await asyncio.Event().wait()
+    stream.readers += 1
+    try:
+        await send_pieces(request, response, stream, order.attempt, position)
+    finally:
+        stream.readers -= 1
+    await suffer_faults(request.app[ENGINE], request)
+    await response.write_eof()
+    return response
+
+
+async def send_pieces(
+    request: web.Request,
+    response: web.StreamResponse,
+    stream: EngineStream,
+    attempt: int,
+    position: int,
+) -> None:
+    """Send pieces until the answer ends, a stage is lost or the attempt is over."""
+    engine = request.app[ENGINE]
+    while stream.attempt == attempt:
+        await suffer_faults(engine, request)
         changed = stream.changed
         made = stream.pieces[position - stream.position :]
         for piece in made:
-            line = json.dumps({"piece": to_document(piece)})
-            await response.write(line.encode() + b"\n")
+            await response.write(encode_lines(engine, piece))
             position += 1
             stream.read_until = max(stream.read_until, position)
         if made:
             stream.notify()
             if made[-1].finish_reason:
-                break
+                return
             continue
         if stream.loss is not None:
             line = json.dumps({"lost": to_document(stream.loss)})
             await response.write(line.encode() + b"\n")
-            break
+            return
         await changed.wait()
-    await response.write_eof()
-    return response
+
+
+def encode_lines(engine: Engine, piece: Piece) -> bytes:
+    """Return the lines of one piece, disturbed as the faults say."""
+    noise = engine.faults.noise
+    pieces = [piece] if noise is None else noise.disturb(piece)
+    lines = [json.dumps({"piece": encode_piece(it)}) + "\n" for it in pieces]
+    return "".join(lines).encode()
 
 
 async def read_stream(request: web.Request) -> web.Response:
-    """Answer how far a stream has come; 404 still shows that the engine lives."""
+    """Answer the order of a stream with all tokens made and the time left."""
+    stream = find_stream(request)
+    if stream.order is None:
+        raise web.HTTPNotFound(text="not the head of this stream")
+    elapsed = asyncio.get_running_loop().time() - stream.began
+    order = attrs.evolve(
+        stream.order,
+        generated=stream.order.generated + [it.token for it in stream.pieces],
+        remaining=max(0.0, stream.order.remaining - elapsed),
+    )
+    return web.json_response({"order": to_document(order)})
+
+
+async def read_progress(request: web.Request) -> web.Response:
+    """Answer how far a stage has come; 404 still shows that the engine lives."""
+    stream = find_stream(request)
+    chain = stream.order.chain if stream.order else stream.chain
+    progress = StageProgress(
+        known=True,
+        attempt=stream.attempt,
+        made=stream.position + len(stream.pieces) if stream.order else 0,
+        working=stream.lock.locked(),
+        chain=[stage.endpoint for stage in chain],
+    )
+    return web.json_response(to_document(progress))
+
+
+async def export_cache(request: web.Request) -> web.Response:
+    """Answer the KV cache of a stream."""
     stream = find_stream(request)
-    order = stream.order
     return web.json_response(
         {
-            "length": stream.length,
-            "attempt": stream.attempt,
-            "order": to_document(order) if order else None,
+            "start": stream.layers.start,
+            "stop": stream.layers.stop,
+            "caches": stream.caches,
+            "outputs": stream.outputs,
         }
     )
 
 
 async def cancel_stream(request: web.Request) -> web.Response:
     """Forget a stream."""
-    request.app[ENGINE].cancel(RequestId(request.match_info["id"]))
+    engine = request.app[ENGINE]
+    name = RequestId(request.match_info["id"])
+    stream = engine.streams.get(name)
+    if stream is None or (stream.readers and request.query.get("unread_only")):
+        return web.json_response({})
+    engine.cancel(name)
     return web.json_response({})
 
 
@@ -147,9 +227,9 @@
 
 async def advance_stream(request: web.Request) -> web.Response:
     """Run this stage and all later ones."""
-    advance = CONVERTER.structure(await request.json(), Advance)
+    advance = decode_advance(await request.json())
     advanced = await request.app[ENGINE].advance(advance)
-    return web.json_response(to_document(advanced))
+    return web.json_response(encode_advanced(advanced))
 
 
 async def read_load(request: web.Request) -> web.Response:
--- a/lentilhaven/standins/engine_stream.py
+++ b/lentilhaven/standins/engine_stream.py
@@ -5,6 +5,7 @@
 import attrs
 
 from lentilhaven.endpoints.piece import Piece
+from lentilhaven.endpoints.stage import Stage
 from lentilhaven.endpoints.stage_loss import StageLoss
 from lentilhaven.endpoints.stream_order import StreamOrder
 from lentilhaven.standins.toy_model import run_layer
@@ -40,6 +41,14 @@
         Set when `pieces`, `loss` or `read_until` change.
     lock : asyncio.Lock
         Held while positions are computed.
+    chain : list of Stage
+        Chain of the newest attempt.
+    readers : int
+        Open responses that send the pieces.
+    task : asyncio.Task or None
+        Generates at the head of the chain.
+    began : float
+        Time of the event loop at which the order came, in seconds.
     """
 
     layers: LayerRange
@@ -53,6 +62,10 @@
     read_until: int = 0
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    chain: list[Stage] = attrs.field(factory=list)
+    readers: int = 0
+    task: asyncio.Task | None = None
+    began: float = 0.0
 
     @property
     def length(self) -> int:
@@ -92,3 +105,18 @@
         """Wake everything that waits for a change."""
         self.changed.set()
         self.changed = asyncio.Event()
+
+    def report_loss(self, loss: StageLoss, attempt: int) -> None:
+        """
+        Tell the reader that a stage was lost, unless a newer attempt has begun.
+
+        Parameters
+        ----------
+        loss : StageLoss
+            The stage, and how it failed.
+        attempt : int
+            The attempt that failed.
+        """
+        if self.attempt == attempt:
+            self.loss = loss
+            self.notify()
