--- /dev/null
+++ b/lentilhaven/bench/integrity.py
@@ -0,0 +1,151 @@
+"""The scenario ``integrity``: answers under every fault, against a naive model."""
+
+import asyncio
+from collections import Counter
+
+import attrs
+
+from lentilhaven.bench.engine_chaos import EngineChaos
+from lentilhaven.bench.figure import at_least, at_most, observed
+from lentilhaven.bench.report import Report
+from lentilhaven.bench.scenario_options import ScenarioOptions
+from lentilhaven.core.invariants import VIOLATIONS
+from lentilhaven.core.randomness import derive_random
+from lentilhaven.core.tasks import running_tasks
+from lentilhaven.router.completion_request import split_tokens
+from lentilhaven.standins.toy_model import naive_answer
+from lentilhaven.standins.virtual import run_virtual
+from lentilhaven.testbed import Testbed, TestbedPlan, open_testbed
+from lentilhaven.testbed.caller import CallerAnswer, ask
+
+#: Answers asked for when no size is given.
+DEFAULT_SIZE = 10_000
+
+#: Callers at the same time.
+CALLERS = 12
+
+#: Seconds that a caller waits after an error, as ``Retry-After`` asks.
+RETRY_AFTER = 1.0
+
+#: Longest answer, in tokens.
+LONGEST = 12
+
+
+@attrs.define
+class IntegrityTally:
+    """
+    How answers ended.
+
+    Attributes
+    ----------
+    ends : Counter
+        Number of answers by how they ended.
+    expected : dict
+        Tokens that the naive model gives, by prompt, of the answers in work.
+    """
+
+    ends: Counter[str] = attrs.field(factory=Counter)
+    expected: dict[str, list[str]] = attrs.field(factory=dict)
+
+    def judge(self, prompt: str, answer: CallerAnswer) -> str:
+        """
+        Return how an answer ended.
+
+        Parameters
+        ----------
+        prompt : str
+            What was asked.
+        answer : CallerAnswer
+            What came back.
+        """
+        whole = "".join(self.expected[prompt])
+        if not whole.startswith(answer.text):
+            return "mixed" if self.is_mixed(prompt, answer) else "wrong"
+        if answer.done:
+            return "complete" if answer.text == whole else "truncated"
+        if answer.truncated_silently:
+            return "truncated"
+        if answer.broken:
+            return "broken"
+        ran = answer.error["ran"] if answer.error is not None else ""
+        return "refused" if ran == "no" else "failed"
+
+    def is_mixed(self, prompt: str, answer: CallerAnswer) -> bool:
+        """Return whether an answer holds tokens of another one in work."""
+        own = set(self.expected[prompt])
+        others = {it for name, them in self.expected.items() for it in them}
+        received = {token + " " for token in answer.text.split()}
+        return bool((received - own) & others)
+
+
+def run_integrity(options: ScenarioOptions) -> Report:
+    """
+    Compare answers under random faults with the naive model's.
+
+    Parameters
+    ----------
+    options : ScenarioOptions
+        Seed and number of answers.
+    """
+    VIOLATIONS.clear()
+    figures = run_virtual(measure_integrity(options))
+    return Report("integrity", options.seed, figures)
+
+
+async def measure_integrity(options: ScenarioOptions) -> dict:
+    """Return the figures of a run."""
+    size = options.size or DEFAULT_SIZE
+    tally = IntegrityTally()
+    plan = TestbedPlan(seed=options.seed, replica_count=3)
+    async with open_testbed(plan) as testbed:
+        chaos = EngineChaos(testbed, derive_random(options.seed, "chaos"))
+        chaos.add_noise()
+        numbers = iter(range(size))
+        async with running_tasks(chaos.run()):
+            callers = [
+                call_repeatedly(testbed, tally, numbers, options.seed)
+                for _ in range(CALLERS)
+            ]
+            await asyncio.gather(*callers)
+        counters = testbed.vms[0].router.counters
+        faults, noise = sum(chaos.injected.values()), chaos.noise_injected
+    dropped = sum(n for name, n in counters.items() if name.startswith("dropped_"))
+    ends = tally.ends
+    return {
+        "answers": at_least(sum(ends.values()), size, "answers"),
+        "wrong": at_most(ends["wrong"], 0, "answers"),
+        "mixed": at_most(ends["mixed"], 0, "answers"),
+        "truncated-silently": at_most(ends["truncated"], 0, "answers"),
+        "connection-broken": at_most(ends["broken"], 0, "answers"),
+        "violations": at_most(sum(VIOLATIONS.values()), 0, "invariants"),
+        "faults-injected": at_least(faults, 1, "faults"),
+        "pieces-disturbed": at_least(noise, 1, "pieces"),
+        "pieces-dropped": observed(dropped, "pieces"),
+        "attempts-replaced": observed(counters["attempts_replaced"], "attempts"),
+        "refused-as-not-run": observed(ends["refused"], "answers"),
+        "failed-with-error": observed(ends["failed"], "answers"),
+        "complete": observed(ends["complete"], "answers"),
+    }
+
+
+async def call_repeatedly(
+    testbed: Testbed, tally: IntegrityTally, numbers, seed: int
+) -> None:
+    """Ask for one answer after the other until no number is left."""
+    plan = testbed.plan
+    for number in numbers:
+        draw = derive_random(seed, "caller", str(number))
+        words = [f"count{draw.randrange(10)}" for _ in range(draw.randint(0, 5))]
+        prompt = " ".join([*words, f"item{number}"])
+        length = draw.randint(1, LONGEST)
+        tokens = split_tokens(prompt)
+        expected = naive_answer(plan.version, plan.layer_count, tokens, length)
+        tally.expected[prompt] = expected
+        body = {"model": plan.model, "prompt": prompt, "max_tokens": length}
+        body["stream"] = draw.random() < 0.5
+        url = testbed.vms[0].url
+        answer = await ask(testbed.session, url, testbed.headers, body)
+        tally.ends[tally.judge(prompt, answer)] += 1
+        del tally.expected[prompt]
+        if answer.error is not None:
+            await testbed.clock.sleep(RETRY_AFTER)
--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from lentilhaven.bench.integrity import run_integrity
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.smoke import run_smoke
@@ -9,5 +10,6 @@
 Scenario = Callable[[ScenarioOptions], Report]
 
 SCENARIOS: dict[str, Scenario] = {
+    "integrity": run_integrity,
     "smoke": run_smoke,
 }
--- a/lentilhaven/retries/circuit_board.py
+++ b/lentilhaven/retries/circuit_board.py
@@ -1,6 +1,8 @@
 """The circuits of all endpoints."""
 
 import random
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import attrs
 
@@ -19,10 +21,22 @@
         Source of chance.
     circuits : dict
         `Circuit` by endpoint.
+    ignoring : bool
+        Whether every endpoint is allowed for the moment.
     """
 
     random: random.Random
     circuits: dict[EndpointId, Circuit] = attrs.field(factory=dict)
+    ignoring: bool = False
+
+    @contextmanager
+    def ignored(self) -> Iterator[None]:
+        """Allow every endpoint while the context lasts, as a last resort."""
+        self.ignoring = True
+        try:
+            yield
+        finally:
+            self.ignoring = False
 
     def allows(self, endpoint: EndpointId, now: float, in_flight: int) -> bool:
         """
@@ -38,7 +52,7 @@
             Requests of this process at the endpoint.
         """
         circuit = self.circuits.get(endpoint)
-        return circuit is None or circuit.allows(now, in_flight)
+        return self.ignoring or circuit is None or circuit.allows(now, in_flight)
 
     def record_success(self, endpoint: EndpointId) -> None:
         """Close the circuit of an endpoint that has answered."""
--- a/lentilhaven/router/recovery.py
+++ b/lentilhaven/router/recovery.py
@@ -169,9 +169,18 @@
 
 
 def choose_any_chain(router: Router, answer: Answer) -> list[Stage] | None:
-    """Return a chain that may use endpoints which failed this answer before."""
+    """
+    Return a chain that may use endpoints which failed this answer before.
+
+    An answer that has begun would lose its work, so that it may also try
+    endpoints whose circuit is open; a new one fails fast instead.
+    """
     answer.excluded.clear()
-    return choose_chain(router, answer)
+    chain = choose_chain(router, answer)
+    if chain is None and answer.ledger.tokens:
+        with router.circuits.ignored():
+            chain = choose_chain(router, answer)
+    return chain
 
 
 def mark_imports(old: list[Stage], new: list[Stage], progress: Progress) -> list[Stage]:
--- a/lentilhaven/standins/engine_api.py
+++ b/lentilhaven/standins/engine_api.py
@@ -59,6 +59,8 @@
     await suffer_faults(engine, request)
     try:
         response = await handler(request)
+    except ConnectionResetError:
+        response = web.Response(status=499)
     except SupersededError as error:
         response = web.json_response({"error": str(error)}, status=410)
     except EngineRefusalError as error:
@@ -124,10 +126,13 @@
     stream.readers += 1
     try:
         await send_pieces(request, response, stream, order.attempt, position)
+        await suffer_faults(request.app[ENGINE], request)
+        await response.write_eof()
+    except ConnectionResetError:
+        # The reader has gone; another may read the stream on.
+        response.force_close()
     finally:
         stream.readers -= 1
-    await suffer_faults(request.app[ENGINE], request)
-    await response.write_eof()
     return response
 
 
