--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from lentilhaven.bench.integrity import run_integrity
+from lentilhaven.bench.recovery import run_recovery
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.smoke import run_smoke
@@ -11,5 +12,6 @@
 
 SCENARIOS: dict[str, Scenario] = {
     "integrity": run_integrity,
+    "recovery": run_recovery,
     "smoke": run_smoke,
 }
--- a/lentilhaven/retries/circuit_board.py
+++ b/lentilhaven/retries/circuit_board.py
@@ -1,7 +1,7 @@
 """The circuits of all endpoints."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 
 import attrs
@@ -60,6 +60,19 @@
         if circuit is not None:
             circuit.record_success()
 
+    def record_successes(self, endpoints: Iterable[EndpointId]) -> None:
+        """
+        Close the circuits of endpoints that have answered together.
+
+        Parameters
+        ----------
+        endpoints : iterable of str
+            The endpoints.
+        """
+        if self.circuits:
+            for endpoint in endpoints:
+                self.record_success(endpoint)
+
     def record_failure(
         self, endpoint: EndpointId, now: float, proven: bool = False
     ) -> None:
--- a/lentilhaven/router/answer.py
+++ b/lentilhaven/router/answer.py
@@ -6,11 +6,14 @@
 from lentilhaven.core.ids import EndpointId, ModelVersion, RequestId, WorkspaceId
 from lentilhaven.core.ran import Ran
 from lentilhaven.endpoints.stage import Stage
+from lentilhaven.endpoints.stage_progress import StageProgress
 from lentilhaven.endpoints.stream_order import StreamOrder
 from lentilhaven.router.completion_request import CompletionRequest
 from lentilhaven.tables.pool import Pool
 from lentilhaven.tables.route import Route
 
+Progress = dict[EndpointId, StageProgress | None]
+
 
 @attrs.define
 class Answer:
@@ -45,6 +48,8 @@
         By how much the number of the next attempt rises.
     maybe_ran : bool
         Whether an engine may have begun to work on it.
+    progress : dict
+        What each stage answered at the last examination; None for silence.
     """
 
     request: RequestId
@@ -60,6 +65,7 @@
     failures: int = 0
     attempt_step: int = 1
     maybe_ran: bool = False
+    progress: Progress = attrs.field(factory=dict)
 
     @property
     def ran(self) -> Ran:
--- a/lentilhaven/router/answering.py
+++ b/lentilhaven/router/answering.py
@@ -84,6 +84,7 @@
     FailureError
         If the attempt fails before the answer is complete.
     """
+    names = [stage.endpoint for stage in answer.chain]
     with router.counted_use(answer.chain):
         source = resume(router, answer) if resuming else start(router, answer)
         rereads = 0
@@ -92,6 +93,7 @@
             try:
                 async with source as feed, aclosing(read(router, answer, feed)) as it:
                     async for batch in it:
+                        router.circuits.record_successes(names)
                         yield batch
                 return
             except FailureError as error:
--- a/lentilhaven/router/recovery.py
+++ b/lentilhaven/router/recovery.py
@@ -9,14 +9,17 @@
 from lentilhaven.core.step import Step
 from lentilhaven.endpoints.stage import Stage
 from lentilhaven.retries.backoff import jittered_delay
-from lentilhaven.router.answer import Answer
+from lentilhaven.router.answer import Answer, Progress
 from lentilhaven.router.chain_choice import choose_chain, repair_chain
 from lentilhaven.router.router import Router
-from lentilhaven.router.stream_examination import Progress, probe_stages
+from lentilhaven.router.stream_examination import probe_stages
 
 #: Kinds of failure after which the chain is used again on new connections.
 SAME_CHAIN = frozenset({"order-lost", "stream-stuck", "read-again"})
 
+#: Kinds of failure that are found by asking every stage.
+EXAMINED = frozenset({"stage-silent", "stage-hung"})
+
 #: Kinds of failure that no other attempt can mend.
 FINAL = frozenset({"superseded"})
 
@@ -74,17 +77,14 @@
     """
     Ask every stage, so that two that died at once are replaced at once.
 
-    The stage that is known to be silent is not asked again.
+    After a silence all have been asked already.
     """
     if failure.kind in SAME_CHAIN:
         return {}
-    known = failure.peer if failure.kind == "stage-silent" else ""
-    others = [stage for stage in answer.chain if stage.endpoint != known]
+    if failure.kind in EXAMINED:
+        return answer.progress
     timeout = answer.route.token_timeout / 2
-    progress = await probe_stages(router, answer, others, timeout)
-    if known:
-        progress[EndpointId(known)] = None
-    return progress
+    return await probe_stages(router, answer, answer.chain, timeout)
 
 
 def find_lost(answer: Answer, failure: Failure, progress: Progress) -> set[EndpointId]:
--- a/lentilhaven/router/stream_examination.py
+++ b/lentilhaven/router/stream_examination.py
@@ -7,16 +7,13 @@
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
 from lentilhaven.endpoints.stage import Stage
-from lentilhaven.endpoints.stage_progress import StageProgress
-from lentilhaven.router.answer import Answer
+from lentilhaven.router.answer import Answer, Progress
 from lentilhaven.router.router import Router
 from lentilhaven.router.silence_watch import SilenceWatch
 
 #: Seconds between two looks at stages that are all idle.
 SECOND_LOOK_DELAY = 0.02
 
-Progress = dict[EndpointId, StageProgress | None]
-
 
 async def probe_stages(
     router: Router, answer: Answer, stages: list[Stage], timeout: float
@@ -56,13 +53,21 @@
     watch : SilenceWatch
         Knows how long a token may take.
     """
-    progress = await probe_stages(router, answer, answer.chain, watch.probe_timeout)
-    reason = explain_silence(answer, watch, progress, router.clock.monotonic())
+    router.counters["streams_examined"] += 1
+    reason = await look(router, answer, watch)
     if reason is None or reason.failure.kind != "stream-stuck":
         return reason
     # Activations may have been between two stages at the first look.
     await router.clock.sleep(SECOND_LOOK_DELAY)
+    return await look(router, answer, watch)
+
+
+async def look(
+    router: Router, answer: Answer, watch: SilenceWatch
+) -> FailureError | None:
+    """Ask every stage once, and return what their answers say."""
     progress = await probe_stages(router, answer, answer.chain, watch.probe_timeout)
+    answer.progress = progress
     return explain_silence(answer, watch, progress, router.clock.monotonic())
 
 
--- a/lentilhaven/standins/engine.py
+++ b/lentilhaven/standins/engine.py
@@ -162,6 +162,8 @@
         """Refuse a stage that this engine does not hold."""
         if version != self.version:
             raise EngineRefusalError(f"holds version {self.version}, not {version}")
+        if self.faults.refusing:
+            raise EngineRefusalError("told to refuse")
         if stage.endpoint != self.id or stage.layers != self.layers:
             raise EngineRefusalError(f"holds {self.layers}, not {stage}")
 
--- a/lentilhaven/standins/engine_faults.py
+++ b/lentilhaven/standins/engine_faults.py
@@ -23,6 +23,8 @@
     ----------
     dead : bool
         Connections break at once.
+    refusing : bool
+        Work is refused, while probes and exports are answered.
     running : asyncio.Event
         Cleared while the engine is paused: connections open and nothing is
         answered.  When it is set again, everything that was held back goes out.
@@ -35,6 +37,7 @@
     """
 
     dead: bool = False
+    refusing: bool = False
     running: asyncio.Event = attrs.field(factory=set_event)
     transports: set[asyncio.Transport] = attrs.field(factory=set)
     muted: set[asyncio.Transport] = attrs.field(factory=set)
