Resume answers at any VM, cancel what nobody wants, drain without cut-offs

Event ids are signed with a key derived from the cluster's token, bound to the workspace and expiring; they name the chain, the request and the position, so that nothing about a stream is stored. A router that resumes reads the stream on from its engines and jumps its attempt numbers, which fences the old router. A caller that goes away leaves its stream for the resume window. Every early end of a stream is an error event. Responses are sent to their end, and buffers flushed, while their request still counts as in flight; cut-offs at the limit or a second signal are logged one by one and told to the caller.

--- a/lentilhaven/answers/__init__.py
+++ b/lentilhaven/answers/__init__.py
@@ -8,5 +8,6 @@
 """
 
 from lentilhaven.answers.answer_ledger import AnswerLedger, DropReason
+from lentilhaven.answers.event_id import ResumePoint
 
-__all__ = ["AnswerLedger", "DropReason"]
+__all__ = ["AnswerLedger", "DropReason", "ResumePoint"]
--- a/lentilhaven/answers/answer_ledger.py
+++ b/lentilhaven/answers/answer_ledger.py
@@ -87,6 +87,27 @@
         self.checked_trail = None
         return self.attempt
 
+    def adopt_attempt(
+        self, attempt: int, chain: list[EndpointId], tokens: list[str]
+    ) -> None:
+        """
+        Go on with an attempt that another ledger has begun.
+
+        Parameters
+        ----------
+        attempt : int
+            Its number.
+        chain : list of str
+            Its endpoints, in order.
+        tokens : list of str
+            The tokens with which it began, which that ledger had accepted.
+        """
+        ensure(self.attempt == 0, "adopt-once", self.request)
+        self.attempt = attempt
+        self.chain = chain
+        self.tokens = tokens
+        self.furthest = len(tokens)
+
     def judge(self, piece: Piece) -> DropReason | None:
         """
         Return why `piece` must be dropped, or None if it may be forwarded.
--- a/lentilhaven/endpoints/engine_client.py
+++ b/lentilhaven/endpoints/engine_client.py
@@ -104,7 +104,7 @@
         self, head: Stage, request: RequestId
     ) -> Result[StreamOrder, Failure]:
         """
-        Read the order of a running stream, with all tokens made so far.
+        Read the order of a running stream, with the time that is left.
 
         Parameters
         ----------
@@ -157,7 +157,7 @@
 
     async def cancel(
         self, stage: Stage, request: RequestId, unread_only: bool = False
-    ) -> None:
+    ) -> bool:
         """
         Tell a stage to drop a stream; a stage that can't be told times out.
 
@@ -169,16 +169,21 @@
             The request to drop.
         unread_only : bool
             Whether to leave a stream that somebody reads.
+
+        Returns
+        -------
+        bool
+            Whether the stage had the stream and has dropped it.
         """
         limit = aiohttp.ClientTimeout(total=PROBE_TIMEOUT)
         url = f"{stage.url}/streams/{request}"
         query = {"unread_only": "1"} if unread_only else {}
         session = self.pick_session(fresh=True)
         try:
-            async with session.delete(url, params=query, timeout=limit):
-                return
-        except LOST:
-            return
+            async with session.delete(url, params=query, timeout=limit) as response:
+                return bool((await response.json())["cancelled"])
+        except (*LOST, KeyError, TypeError):
+            return False
 
     async def read_load(self, stage: Stage) -> Result[LoadReport, Failure]:
         """
--- a/lentilhaven/router/answer.py
+++ b/lentilhaven/router/answer.py
@@ -3,6 +3,7 @@
 import attrs
 
 from lentilhaven.answers.answer_ledger import AnswerLedger
+from lentilhaven.core.failure import Failure
 from lentilhaven.core.ids import EndpointId, ModelVersion, RequestId, WorkspaceId
 from lentilhaven.core.ran import Ran
 from lentilhaven.endpoints.stage import Stage
@@ -48,6 +49,10 @@
         By how much the number of the next attempt rises.
     maybe_ran : bool
         Whether an engine may have begun to work on it.
+    ended_by : Failure or None
+        Why it ended early.
+    forward_from : int
+        First position that the caller does not have, when it came back.
     progress : dict
         What each stage answered at the last examination; None for silence.
     """
@@ -65,6 +70,8 @@
     failures: int = 0
     attempt_step: int = 1
     maybe_ran: bool = False
+    ended_by: Failure | None = None
+    forward_from: int = 0
     progress: Progress = attrs.field(factory=dict)
 
     @property
--- a/lentilhaven/router/completions.py
+++ b/lentilhaven/router/completions.py
@@ -1,6 +1,5 @@
 """The handlers of completion requests."""
 
-import json
 import uuid
 from contextlib import aclosing
 
@@ -10,17 +9,23 @@
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.ids import RequestId
 from lentilhaven.core.step import Step
-from lentilhaven.endpoints.piece import Piece
 from lentilhaven.router.answer import Answer
 from lentilhaven.router.answering import generate
 from lentilhaven.router.app_keys import ROUTER, read_workspace
+from lentilhaven.router.caller_stream import EVENT_HEADERS, send_stream
+from lentilhaven.router.completion_events import DONE, envelope
 from lentilhaven.router.completion_request import CompletionRequest, parse_completion
-from lentilhaven.router.problems import problem_document, problem_response
+from lentilhaven.router.problems import problem_response
+from lentilhaven.router.resuming import check_event_id, find_answer
 from lentilhaven.router.router import Router
 from lentilhaven.tables.matching import RequestTraits, draw_version, match_completion
 from lentilhaven.tables.pool import PoolKind
+from lentilhaven.tables.route import Route
 from lentilhaven.tables.workspace import Workspace
 
+#: Ends after which another router works on the answer, or may.
+KEPT = frozenset({"superseded", "leaving"})
+
 
 async def complete(request: web.Request) -> web.StreamResponse:
     """Answer ``POST /v1/completions``."""
@@ -58,34 +63,83 @@
     parsed = parse_completion(await request.read(), chat)
     if parsed.is_error():
         return problem_response(parsed.error)
-    answer = admit(router, workspace, parsed.ok)
+    route = find_route(router, workspace, parsed.ok)
+    event_id = request.headers.get("Last-Event-ID", "")
+    if event_id and parsed.ok.stream:
+        return await resume_answer(request, route, workspace, parsed.ok, event_id)
+    answer = admit(router, workspace, parsed.ok, route)
+    return await send_answer(request, router, answer)
+
+
+async def resume_answer(
+    request: web.Request,
+    route: Route,
+    workspace: Workspace,
+    wanted: CompletionRequest,
+    event_id: str,
+) -> web.StreamResponse:
+    """Go on with the answer that the caller's last event id names."""
+    router = request.app[ROUTER]
+    point = check_event_id(router, workspace, event_id)
+    if point.finished:
+        return web.Response(body=DONE, headers=EVENT_HEADERS)
+    answer = await find_answer(router, route, wanted, point)
+    router.counters["answers_resumed"] += 1
+    return await send_answer(request, router, answer)
+
+
+async def send_answer(
+    request: web.Request, router: Router, answer: Answer
+) -> web.StreamResponse:
+    """Send an answer in the form that the caller asked for."""
     try:
-        if parsed.ok.stream:
+        if answer.wanted.stream:
             return await send_stream(request, router, answer)
-        return await send_whole(router, answer)
+        return await send_whole(request, router, answer)
+    except FailureError as error:
+        answer.ended_by = error.failure
+        raise
     finally:
-        if not answer.ledger.finish_reason:
-            await cancel_answer(router, answer)
+        clean_up(router, answer)
+
+
+def clean_up(router: Router, answer: Answer) -> None:
+    """Let engines drop what nobody will ask for any more."""
+    kind = answer.ended_by.kind if answer.ended_by is not None else ""
+    if answer.ledger.finish_reason or kind in KEPT:
+        return
+    if kind == "caller-gone" and answer.wanted.stream:
+        router.spawn(leave_answer(router, answer))
+    else:
+        router.spawn(cancel_answer(router, answer))
 
 
-def admit(router: Router, workspace: Workspace, wanted: CompletionRequest) -> Answer:
+def find_route(
+    router: Router, workspace: Workspace, wanted: CompletionRequest
+) -> Route:
     """
-    Return the answer to work on.
+    Return the route that answers a request.
 
     Raises
     ------
     FailureError
-        If no route answers the request.
+        If there is none.
     """
-    tables = router.view.tables
     traits = RequestTraits(
         workspace.id, model=wanted.model, priority=workspace.priority
     )
-    route = match_completion(tables, traits)
+    route = match_completion(router.view.tables, traits)
     if route is None:
         detail = f"no route answers model {wanted.model!r} for this workspace"
         raise FailureError(Failure(Step.ROUTE, "", "unknown-model", detail))
-    pool = tables.pool(route.pool)
+    return route
+
+
+def admit(
+    router: Router, workspace: Workspace, wanted: CompletionRequest, route: Route
+) -> Answer:
+    """Return the answer to work on."""
+    pool = router.view.tables.pool(route.pool)
     router.budget(route).record_request(router.clock.monotonic())
     version = draw_version(route, pool, router.random)
     request = RequestId(uuid.UUID(int=router.random.getrandbits(128), version=4).hex)
@@ -101,11 +155,15 @@
     )
 
 
-async def send_whole(router: Router, answer: Answer) -> web.StreamResponse:
+async def send_whole(
+    request: web.Request, router: Router, answer: Answer
+) -> web.StreamResponse:
     """Collect the answer and send it as one JSON document."""
     async with aclosing(generate(router, answer)) as batches:
         async for _ in batches:
-            pass
+            if request.transport is None:
+                detail = "the caller has gone"
+                raise FailureError(Failure(Step.SEND, "", "caller-gone", detail))
     text = "".join(answer.ledger.tokens)
     choice: dict = {"index": 0, "finish_reason": answer.ledger.finish_reason}
     if answer.wanted.chat:
@@ -123,52 +181,13 @@
     return web.json_response(document)
 
 
-async def send_stream(
-    request: web.Request, router: Router, answer: Answer
-) -> web.StreamResponse:
-    """Send the answer as server-sent events."""
-    response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
-    async with aclosing(generate(router, answer)) as batches:
-        try:
-            async for batch in batches:
-                if not response.prepared:
-                    await response.prepare(request)
-                events = [event_bytes(router, answer, piece) for piece in batch]
-                await response.write(b"".join(events))
-        except FailureError as error:
-            if not response.prepared:
-                raise
-            document = problem_document(error.failure)
-            await response.write(
-                f"event: error\ndata: {json.dumps(document)}\n\n".encode()
-            )
-            await response.write_eof()
-            return response
-    await response.write(b"data: [DONE]\n\n")
-    await response.write_eof()
-    return response
-
-
-def event_bytes(router: Router, answer: Answer, piece: Piece) -> bytes:
-    """Return the server-sent event of one piece."""
-    choice: dict = {"index": 0, "finish_reason": piece.finish_reason or None}
-    if answer.wanted.chat:
-        choice["delta"] = {"role": "assistant", "content": piece.token}
-    else:
-        choice["text"] = piece.token
-    kind = "chat.completion.chunk" if answer.wanted.chat else "text_completion"
-    document = envelope(router, answer, kind) | {"choices": [choice]}
-    return f"data: {json.dumps(document)}\n\n".encode()
-
-
-def envelope(router: Router, answer: Answer, kind: str) -> dict:
-    """Return the fields that every document of an answer has."""
-    return {
-        "id": answer.request,
-        "object": kind,
-        "created": int(router.clock.wall()),
-        "model": answer.wanted.model,
-    }
+async def leave_answer(router: Router, answer: Answer) -> None:
+    """Cancel an answer unless its caller has come back, here or elsewhere."""
+    await router.clock.sleep(router.settings.resume_window)
+    head = answer.chain[0]
+    if await router.engines.cancel(head, answer.request, unread_only=True):
+        router.counters["answers_abandoned"] += 1
+        await cancel_answer(router, answer)
 
 
 async def cancel_answer(router: Router, answer: Answer) -> None:
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -2,23 +2,28 @@
 
 import asyncio
 import random
+import secrets
+import weakref
 from collections import Counter
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Coroutine, Iterator
 from contextlib import asynccontextmanager, contextmanager
+from typing import Any
 
 import aiohttp
 import attrs
 
+from lentilhaven.answers.event_id import derive_key
 from lentilhaven.control.view import EndpointState, View
 from lentilhaven.core.clock import Clock
 from lentilhaven.core.ids import EndpointId, RouteName
 from lentilhaven.core.logs import get_logger
-from lentilhaven.core.tasks import running_tasks
+from lentilhaven.core.tasks import report_task_failure, running_tasks
 from lentilhaven.endpoints.engine_client import EngineClient
 from lentilhaven.endpoints.stage import Stage
 from lentilhaven.retries.circuit_board import CircuitBoard
 from lentilhaven.retries.retry_budget import RetryBudget
 from lentilhaven.router.agent_client import AgentClient
+from lentilhaven.router.request_record import RequestRecord
 from lentilhaven.router.router_settings import RouterSettings
 from lentilhaven.tables.route import Route
 from lentilhaven.tables.tables import Tables
@@ -56,6 +61,12 @@
         Requests of this router in flight, by endpoint.
     draining : bool
         Whether new requests are refused.
+    cutting : bool
+        Whether the requests in flight are being cut off.
+    requests : dict
+        `RequestRecord` of each request in flight, by its task.
+    transports : set of asyncio.Transport
+        Connections of callers.
     idle : asyncio.Event
         Set while nothing is in flight.
     counters : Counter
@@ -64,6 +75,10 @@
         Endpoints that have failed lately.
     budgets : dict
         `RetryBudget` by route.
+    event_key : bytes
+        Signs event ids.
+    background : set of asyncio.Task
+        Work that outlives its request.
     """
 
     settings: RouterSettings
@@ -77,12 +92,19 @@
     own_load: Counter[EndpointId] = attrs.field(factory=Counter)
     leaving: bool = False
     draining: bool = False
+    cutting: bool = False
+    requests: dict[asyncio.Task, RequestRecord] = attrs.field(factory=dict)
+    transports: weakref.WeakSet[asyncio.Transport] = attrs.field(
+        factory=weakref.WeakSet
+    )
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     counters: Counter[str] = attrs.field(factory=Counter)
     circuits: CircuitBoard = attrs.field(
         default=attrs.Factory(lambda self: CircuitBoard(self.random), takes_self=True)
     )
     budgets: dict[RouteName, RetryBudget] = attrs.field(factory=dict)
+    event_key: bytes = b""
+    background: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
     def ready(self) -> bool:
@@ -128,17 +150,53 @@
             self.own_load.subtract(names)
 
     @contextmanager
-    def counted_request(self) -> Iterator[None]:
-        """Count a request as in flight while the context lasts."""
+    def counted_request(self, method: str = "", path: str = "") -> Iterator[None]:
+        """
+        Count a request as in flight while the context lasts.
+
+        Parameters
+        ----------
+        method : str
+            Its HTTP method.
+        path : str
+            Its path.
+        """
+        task = asyncio.current_task()
         self.in_flight += 1
         self.idle.clear()
+        if task is not None:
+            began = self.clock.monotonic()
+            self.requests[task] = RequestRecord(method, path, began)
         try:
             yield
         finally:
+            if task is not None:
+                del self.requests[task]
             self.in_flight -= 1
             if self.in_flight == 0:
                 self.idle.set()
 
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """
+        Run something after its request has been answered.
+
+        Parameters
+        ----------
+        work : coroutine
+            What to run; it is cancelled when the router closes.
+        """
+        task = asyncio.create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+        task.add_done_callback(report_task_failure)
+
+    async def close(self) -> None:
+        """Cancel what runs in the background."""
+        tasks = list(self.background)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def follow_view(self) -> None:
         """Adopt every newer view of the agent, for ever."""
         while True:
@@ -202,5 +260,11 @@
         engines = EngineClient(session, fresh)
         router = Router(settings, session, engines, agent, clock, random)
         router.idle.set()
+        # Without a shared token, ids are good at this process only.
+        shared = token or secrets.token_hex()
+        router.event_key = derive_key(shared)
         async with running_tasks(router.follow_view()):
-            yield router
+            try:
+                yield router
+            finally:
+                await router.close()
--- a/lentilhaven/router/router_settings.py
+++ b/lentilhaven/router/router_settings.py
@@ -30,6 +30,10 @@
         Seconds between saying not ready and refusing new work.
     drain_limit : float
         Seconds after which a shutdown cuts off what is left.
+    resume_window : float
+        Seconds for which an answer whose caller has gone is kept for its return.
+    write_timeout : float
+        Seconds after which a caller that takes nothing is disconnected.
     log_level : str
         Least severe level to log.
     """
@@ -43,4 +47,6 @@
     max_body_bytes: int = 1_000_000
     drain_delay: float = 2.0
     drain_limit: float = 120.0
+    resume_window: float = 10.0
+    write_timeout: float = 30.0
     log_level: str = "info"
--- a/lentilhaven/router/shutdown.py
+++ b/lentilhaven/router/shutdown.py
@@ -1,10 +1,22 @@
-"""Graceful shutdown of a router."""
+"""
+Graceful shutdown of a router.
+
+The VM says that it is not ready, goes on taking requests for as long as the
+balancer needs to notice, then refuses new ones and waits for those in flight.
+Only the limit or a second signal cuts a request off, with an error that says so.
+"""
 
 import asyncio
 
 from lentilhaven.core.logs import get_logger
 from lentilhaven.router.router import Router
 
+#: Seconds between two looks at what is still being sent.
+FLUSH_INTERVAL = 0.01
+
+#: Seconds for which requests that are cut off may send their last error.
+CUT_OFF_TIME = 1.0
+
 log = get_logger("router")
 
 
@@ -24,18 +36,50 @@
     int
         Number of requests that were cut off.
     """
+    log.info("shutdown has begun", in_flight=router.in_flight)
     router.leaving = True
     await wait_either(hurry, router.clock.sleep(router.settings.drain_delay))
     router.draining = True
     limit = router.settings.drain_limit
     try:
         async with asyncio.timeout(limit):
-            await wait_either(hurry, router.idle.wait())
+            await wait_either(hurry, wait_until_sent(router))
     except TimeoutError:
         log.error("requests are still in flight at the drain limit", limit=limit)
-    if router.in_flight:
-        log.error("requests were cut off", count=router.in_flight)
-    return router.in_flight
+    cut = await cut_off_rest(router)
+    log.info("shutdown is complete", cut_off=cut)
+    return cut
+
+
+async def wait_until_sent(router: Router) -> None:
+    """Wait until nothing is in flight and every response has left this process."""
+    await router.idle.wait()
+    while any(is_sending(transport) for transport in list(router.transports)):
+        await router.clock.sleep(FLUSH_INTERVAL)
+
+
+def is_sending(transport: asyncio.Transport) -> bool:
+    """Return whether a connection has bytes that the system has not taken yet."""
+    return not transport.is_closing() and transport.get_write_buffer_size() > 0
+
+
+async def cut_off_rest(router: Router) -> int:
+    """Cut off what is in flight, report it, and return its number."""
+    tasks = dict(router.requests)
+    if not tasks:
+        return 0
+    router.cutting = True
+    now = router.clock.monotonic()
+    for task, record in tasks.items():
+        log.error(
+            "request was cut off",
+            method=record.method,
+            path=record.path,
+            age=round(now - record.began, 3),
+        )
+        task.cancel()
+    await asyncio.wait(tasks, timeout=CUT_OFF_TIME)
+    return len(tasks)
 
 
 async def wait_either(hurry: asyncio.Event, awaited) -> None:
--- a/lentilhaven/standins/engine.py
+++ b/lentilhaven/standins/engine.py
@@ -34,6 +34,9 @@
 LOST = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
+#: New streams between two sweeps of old ones.
+SWEEP_INTERVAL = 64
+
 #: Seconds for the import of a cache.
 IMPORT_TIMEOUT = 1.0
 
@@ -192,12 +195,21 @@
             if self.leaving:
                 raise EngineRefusalError("leaving")
             self.new_streams += 1
+            if self.new_streams % SWEEP_INTERVAL == 0:
+                self.sweep()
             stream = self.streams[request] = EngineStream(layers)
         if attempt < stream.attempt:
             raise SupersededError(f"attempt {attempt} is over")
         stream.attempt = attempt
+        stream.touched = asyncio.get_running_loop().time()
         return stream
 
+    def sweep(self) -> None:
+        """Forget the streams that nobody has worked on for long."""
+        limit = asyncio.get_running_loop().time() - 2 * RESUME_WINDOW
+        for request in [it for it, s in self.streams.items() if s.touched < limit]:
+            self.cancel(request)
+
     async def generate(self, stream: EngineStream, order: StreamOrder) -> None:
         """
         Generate pieces until the answer ends or a stage fails.
--- a/lentilhaven/standins/engine_api.py
+++ b/lentilhaven/standins/engine_api.py
@@ -174,16 +174,13 @@
 
 
 async def read_stream(request: web.Request) -> web.Response:
-    """Answer the order of a stream with all tokens made and the time left."""
+    """Answer the order of a stream with the time that is left."""
     stream = find_stream(request)
     if stream.order is None:
         raise web.HTTPNotFound(text="not the head of this stream")
     elapsed = asyncio.get_running_loop().time() - stream.began
-    order = attrs.evolve(
-        stream.order,
-        generated=stream.order.generated + [it.token for it in stream.pieces],
-        remaining=max(0.0, stream.order.remaining - elapsed),
-    )
+    remaining = max(0.0, stream.order.remaining - elapsed)
+    order = attrs.evolve(stream.order, remaining=remaining)
     return web.json_response({"order": to_document(order)})
 
 
@@ -220,9 +217,9 @@
     name = RequestId(request.match_info["id"])
     stream = engine.streams.get(name)
     if stream is None or (stream.readers and request.query.get("unread_only")):
-        return web.json_response({})
+        return web.json_response({"cancelled": False})
     engine.cancel(name)
-    return web.json_response({})
+    return web.json_response({"cancelled": True})
 
 
 async def read_outputs(request: web.Request) -> web.Response:
--- a/lentilhaven/standins/engine_stream.py
+++ b/lentilhaven/standins/engine_stream.py
@@ -49,6 +49,8 @@
         Generates at the head of the chain.
     began : float
         Time of the event loop at which the order came, in seconds.
+    touched : float
+        Time of the event loop at which it was last worked on, in seconds.
     """
 
     layers: LayerRange
@@ -66,6 +68,7 @@
     readers: int = 0
     task: asyncio.Task | None = None
     began: float = 0.0
+    touched: float = 0.0
 
     @property
     def length(self) -> int:
