Limit store calls by share and read the list with its version

The stand-in gains lost requests, a lagging list and an outage of the list alone. Ruled out: one bucket with priorities, since a steady high priority starves the rest.

--- a/lentilhaven/platform/__init__.py
+++ b/lentilhaven/platform/__init__.py
@@ -14,9 +14,12 @@
 This subpackage is the only one that knows the platform's wire.
 """
 
+from lentilhaven.platform.listing import Listing
 from lentilhaven.platform.object_client import ObjectClient, open_object_client
+from lentilhaven.platform.share import Share
 from lentilhaven.platform.stored_object import StoredObject
 from lentilhaven.platform.vm import ListedVm, VmState
+from lentilhaven.platform.vm_list import VmList
 from lentilhaven.platform.write_outcome import (
     Ambiguous,
     Conflict,
@@ -29,9 +32,12 @@
     "Ambiguous",
     "Conflict",
     "ListedVm",
+    "Listing",
     "ObjectClient",
     "Refused",
+    "Share",
     "StoredObject",
+    "VmList",
     "VmState",
     "WriteOutcome",
     "Written",
--- a/lentilhaven/platform/object_client.py
+++ b/lentilhaven/platform/object_client.py
@@ -6,22 +6,29 @@
 exist) answers the new version, or 412; ``GET /objects?prefix=P`` lists;
 ``GET /watch?prefix=P&after=V&timeout=S`` answers the objects below a prefix
 that changed after a version, waiting for one if need be, or 410 when that part
-of the history has been compacted away.
+of the history has been compacted away.  Lists and watches also answer the
+``version`` of the whole store, from which the next watch goes on.  ``GET /vms``
+answers the list of VMs and its own version.
 """
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
 import attrs
 from expression import Error, Ok, Result
 
+from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.settings import CONVERTER
+from lentilhaven.core.settings import structure_document
 from lentilhaven.core.step import Step
+from lentilhaven.platform.listing import Listing
+from lentilhaven.platform.share import SHARE_RATES, Share
 from lentilhaven.platform.stored_object import StoredObject
+from lentilhaven.platform.token_bucket import TokenBucket
 from lentilhaven.platform.vm import ListedVm
+from lentilhaven.platform.vm_list import VmList
 from lentilhaven.platform.write_outcome import (
     Ambiguous,
     Conflict,
@@ -34,10 +41,12 @@
 CALL_TIMEOUT = 2.0
 
 #: Seconds beyond its own timeout after which a watch is taken for silent.
-WATCH_SLACK = 2.0
+WATCH_SLACK = 0.5
 
 PEER = "object-api"
 
+T = TypeVar("T")
+
 LOST = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
@@ -52,10 +61,33 @@
         Where the platform answers.
     session : aiohttp.ClientSession
         Connections, closed by `open_object_client`.
+    clock : Clock
+        Source of time for the limit.
+    bucket : TokenBucket or None
+        Limits the rate of calls; None for no limit.
+    buckets : dict
+        `TokenBucket` by share, common to all clients of the process.
     """
 
     base_url: str
     session: aiohttp.ClientSession
+    clock: Clock = attrs.field(factory=system_clock)
+    bucket: TokenBucket | None = None
+    buckets: dict[Share, TokenBucket] = attrs.field(factory=dict)
+
+    def for_share(self, share: Share) -> "ObjectClient":
+        """
+        Return a client whose calls count against one share only.
+
+        Parameters
+        ----------
+        share : Share
+            What the calls are made for.
+        """
+        if share not in self.buckets:
+            bucket = TokenBucket.full(self.clock, SHARE_RATES[share])
+            self.buckets[share] = bucket
+        return attrs.evolve(self, bucket=self.buckets[share])
 
     async def read(self, name: str) -> Result[StoredObject | None, Failure]:
         """
@@ -66,14 +98,17 @@
         name : str
             Name of the object.
         """
+        limited = await self._wait_for_turn(Step.READ_OBJECT)
+        if limited is not None:
+            return Error(limited)
         try:
             async with self.session.get(f"{self.base_url}/objects/{name}") as response:
                 if response.status == 404:
                     return Ok(None)
                 body = await read_body(response)
-                return Ok(CONVERTER.structure(body, StoredObject))
         except LOST as error:
             return Error(failure_of(Step.READ_OBJECT, error))
+        return parse_body(Step.READ_OBJECT, body, StoredObject)
 
     async def write(self, name: str, value: Any, expected_version: int) -> WriteOutcome:
         """
@@ -88,6 +123,9 @@
         expected_version : int
             The version read before; 0 if the object must not exist.
         """
+        limited = await self._wait_for_turn(Step.WRITE_OBJECT)
+        if limited is not None:
+            return Refused(limited)
         headers = {"If-Match": str(expected_version)}
         url = f"{self.base_url}/objects/{name}"
         try:
@@ -95,18 +133,29 @@
                 if response.status == 412:
                     return Conflict()
                 if response.status in (413, 429):
-                    return Refused(await refusal_of(response))
+                    return Refused(refusal_of(response))
                 body = await read_body(response)
                 return Written(int(body["version"]))
         except aiohttp.ClientConnectorError as error:
             return Refused(failure_of(Step.WRITE_OBJECT, error))
-        except LOST as error:
+        except (*LOST, KeyError, TypeError) as error:
             return Ambiguous(failure_of(Step.WRITE_OBJECT, error))
 
     async def list_below(self, prefix: str) -> Result[list[StoredObject], Failure]:
         """
         Read all objects whose names start with `prefix`.
 
+        Parameters
+        ----------
+        prefix : str
+            Common start of the names.
+        """
+        return (await self.list_at(prefix)).map(lambda listing: listing.objects)
+
+    async def list_at(self, prefix: str) -> Result[Listing, Failure]:
+        """
+        Read all objects whose names start with `prefix`, and the version of it all.
+
         Parameters
         ----------
         prefix : str
@@ -114,7 +163,7 @@
         """
         url = f"{self.base_url}/objects"
         limit = aiohttp.ClientTimeout(total=CALL_TIMEOUT)
-        return await self._objects(Step.READ_OBJECT, url, {"prefix": prefix}, limit)
+        return await self._list(Step.READ_OBJECT, url, {"prefix": prefix}, limit)
 
     async def watch(
         self, prefix: str, after: int, timeout: float
@@ -122,6 +171,25 @@
         """
         Wait until objects below `prefix` are newer than `after`.
 
+        Parameters
+        ----------
+        prefix, after, timeout
+            As in `watch_from`.
+
+        Returns
+        -------
+        Result
+            Newest state of each changed object; failures as in `watch_from`.
+        """
+        outcome = await self.watch_from(prefix, after, timeout)
+        return outcome.map(lambda listing: listing.objects)
+
+    async def watch_from(
+        self, prefix: str, after: int, timeout: float
+    ) -> Result[Listing, Failure]:
+        """
+        Wait until objects below `prefix` are newer than `after`.
+
         Parameters
         ----------
         prefix : str
@@ -134,37 +202,77 @@
         Returns
         -------
         Result
-            Newest state of each changed object.  A failure of kind
-            ``"compacted"`` says that `after` is too old: list again.
+            Newest state of each changed object, and the version to go on from.
+            A failure of kind ``"compacted"`` says that `after` is too old:
+            list again.
         """
         query = {"prefix": prefix, "after": str(after), "timeout": str(timeout)}
         limit = aiohttp.ClientTimeout(total=timeout + WATCH_SLACK)
-        return await self._objects(Step.WATCH, f"{self.base_url}/watch", query, limit)
+        return await self._list(Step.WATCH, f"{self.base_url}/watch", query, limit)
 
-    async def _objects(
+    async def _list(
         self,
         step: Step,
         url: str,
         query: dict[str, str],
         limit: aiohttp.ClientTimeout,
-    ) -> Result[list[StoredObject], Failure]:
+    ) -> Result[Listing, Failure]:
+        limited = await self._wait_for_turn(step)
+        if limited is not None:
+            return Error(limited)
         try:
             async with self.session.get(url, params=query, timeout=limit) as response:
                 if response.status == 410:
                     return Error(Failure(step, PEER, "compacted", "history is gone"))
                 body = await read_body(response)
-                return Ok(CONVERTER.structure(body["objects"], list[StoredObject]))
         except LOST as error:
             return Error(failure_of(step, error))
+        return parse_body(step, body, Listing)
 
     async def list_vms(self) -> Result[list[ListedVm], Failure]:
         """Read the platform's list of VMs, which lags behind the truth."""
+        return (await self.read_vm_list()).map(lambda listed: listed.vms)
+
+    async def read_vm_list(self) -> Result[VmList, Failure]:
+        """Read the platform's list of VMs and its version."""
+        limited = await self._wait_for_turn(Step.LIST_VMS)
+        if limited is not None:
+            return Error(limited)
         try:
             async with self.session.get(f"{self.base_url}/vms") as response:
                 body = await read_body(response)
-                return Ok(CONVERTER.structure(body["vms"], list[ListedVm]))
         except LOST as error:
             return Error(failure_of(Step.LIST_VMS, error))
+        return parse_body(Step.LIST_VMS, body, VmList)
+
+    async def _wait_for_turn(self, step: Step) -> Failure | None:
+        """Wait for the share's token; return a failure if it is used up."""
+        if self.bucket is None:
+            return None
+        wait = self.bucket.reserve(CALL_TIMEOUT)
+        if wait is None:
+            detail = "this process has used up its share of the platform's rate"
+            return Failure(step, PEER, "share-used-up", detail, retry_after=1.0)
+        if wait > 0:
+            await self.clock.sleep(wait)
+        return None
+
+
+def parse_body(step: Step, body: Any, kind: type[T]) -> Result[T, Failure]:
+    """
+    Return the instance of `kind` that a response's body holds.
+
+    Parameters
+    ----------
+    step : Step
+        What was being done.
+    body : Any
+        Parsed JSON.
+    kind : type
+        An attrs class.
+    """
+    parsed = structure_document(body, kind)
+    return parsed.map_error(lambda it: attrs.evolve(it, step=step, peer=PEER))
 
 
 async def read_body(response: aiohttp.ClientResponse) -> Any:
@@ -182,7 +290,7 @@
     return await response.json()
 
 
-async def refusal_of(response: aiohttp.ClientResponse) -> Failure:
+def refusal_of(response: aiohttp.ClientResponse) -> Failure:
     """Return the failure that a 413 or 429 response stands for."""
     kind = "too-large" if response.status == 413 else "rate-limited"
     detail = f"status {response.status}"
@@ -192,12 +300,16 @@
 def failure_of(step: Step, error: BaseException) -> Failure:
     """Return the failure that a lost call stands for."""
     detail = f"{type(error).__name__}: {error}"
-    return Failure(step, PEER, "store-unavailable", detail, retry_after=1.0)
+    refused = isinstance(error, aiohttp.ClientResponseError) and error.status == 429
+    kind = "rate-limited" if refused else "store-unavailable"
+    return Failure(step, PEER, kind, detail, retry_after=1.0)
 
 
 @asynccontextmanager
 async def open_object_client(
-    base_url: str, connector: aiohttp.BaseConnector | None = None
+    base_url: str,
+    connector: aiohttp.BaseConnector | None = None,
+    clock: Clock | None = None,
 ) -> AsyncIterator[ObjectClient]:
     """
     Open a client and close its connections at the end.
@@ -208,7 +320,9 @@
         Where the platform answers.
     connector : aiohttp.BaseConnector or None
         Replaces the TCP connector, for virtual time.
+    clock : Clock or None
+        Replaces the system's clock.
     """
     timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT)
     async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
-        yield ObjectClient(base_url, session)
+        yield ObjectClient(base_url, session, clock or system_clock())
--- a/lentilhaven/standins/object_api.py
+++ b/lentilhaven/standins/object_api.py
@@ -38,7 +38,7 @@
     store = request.app[STORE]
     if store.faults.delay:
         await asyncio.sleep(store.faults.delay)
-    if store.faults.outage:
+    if store.faults.outage or (store.faults.vms_outage and request.path == "/vms"):
         return web.json_response({"error": "outage"}, status=503)
     if store.random.random() < store.faults.refusal_rate:
         return web.json_response({"error": "rate"}, status=429)
@@ -50,7 +50,7 @@
     store = request.app[STORE]
     store.reads += 1
     found = store.below(request.query.get("prefix", ""))
-    return web.json_response({"objects": to_document(found)})
+    return web.json_response({"version": store.version, "objects": to_document(found)})
 
 
 async def read_object(request: web.Request) -> web.Response:
@@ -69,6 +69,8 @@
     store.writes += 1
     expected = int(request.headers["If-Match"])
     value = await request.json()
+    if store.random.random() < store.faults.lost_request_rate:
+        return web.json_response({"error": "request lost"}, status=504)
     version = await store.write(request.match_info["name"], value, expected)
     if version is None:
         return web.json_response({"error": "conflict"}, status=412)
@@ -86,14 +88,19 @@
     if store.faults.silent_watches:
         await asyncio.Event().wait()
     if after < store.compacted_before:
+        store.counters["compacted"] += 1
         return web.json_response({"error": "compacted"}, status=410)
-    await store.wait_for_change(prefix, after, float(request.query["timeout"]))
+    store.waiting += 1
+    try:
+        await store.wait_for_change(prefix, after, float(request.query["timeout"]))
+    finally:
+        store.waiting -= 1
     found = store.below(prefix, after)
-    return web.json_response({"objects": to_document(found)})
+    return web.json_response({"version": store.version, "objects": to_document(found)})
 
 
 async def list_vms(request: web.Request) -> web.Response:
     """Answer the list of VMs."""
     store = request.app[STORE]
     store.reads += 1
-    return web.json_response({"vms": to_document(store.vms)})
+    return web.json_response(to_document(store.list_vms(store.now())))
--- a/lentilhaven/standins/object_store.py
+++ b/lentilhaven/standins/object_store.py
@@ -5,13 +5,19 @@
 """
 
 import asyncio
+import bisect
 import random
+from collections import Counter
 from typing import Any
 
 import attrs
 
 from lentilhaven.platform.stored_object import StoredObject
 from lentilhaven.platform.vm import ListedVm
+from lentilhaven.platform.vm_list import VmList
+
+#: A string above every name of an object.
+MAX_NAME = "\U0010ffff"
 
 
 @attrs.define
@@ -27,17 +33,26 @@
         Seconds added before each call takes effect.
     lost_answer_rate : float
         Share of writes whose answer is lost after the write took effect.
+    lost_request_rate : float
+        Share of writes that are lost before they take effect, which looks the same.
     refusal_rate : float
         Share of calls refused with 429.
     silent_watches : bool
         Watches never answer.
+    vms_outage : bool
+        Reads of the list of VMs fail.
+    vms_lag : float
+        Seconds by which the list of VMs is old.
     """
 
     outage: bool = False
     delay: float = 0.0
     lost_answer_rate: float = 0.0
+    lost_request_rate: float = 0.0
     refusal_rate: float = 0.0
     silent_watches: bool = False
+    vms_outage: bool = False
+    vms_lag: float = 0.0
 
 
 @attrs.define
@@ -61,6 +76,14 @@
         Faults in force.
     reads, writes : int
         Calls so far.
+    waiting : int
+        Watches that wait now.
+    counters : Counter
+        Faults met so far, by name.
+    vm_history : list of tuple
+        Times at which the list of VMs was seen to change, with the list.
+    changes : list of tuple
+        Version and name of each write, oldest first.
     changed : asyncio.Condition
         Notified at each write.
     """
@@ -73,6 +96,10 @@
     faults: StoreFaults = attrs.field(factory=StoreFaults)
     reads: int = 0
     writes: int = 0
+    waiting: int = 0
+    counters: Counter[str] = attrs.field(factory=Counter)
+    vm_history: list[tuple[float, list[ListedVm]]] = attrs.field(factory=list)
+    changes: list[tuple[int, str]] = attrs.field(factory=list)
     changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
 
     async def write(self, name: str, value: Any, expected_version: int) -> int | None:
@@ -94,6 +121,7 @@
             return None
         self.version += 1
         self.objects[name] = StoredObject(name, self.version, value)
+        self.changes.append((self.version, name))
         async with self.changed:
             self.changed.notify_all()
         return self.version
@@ -109,11 +137,32 @@
         after : int
             Version already seen.
         """
-        return [
-            stored
-            for name, stored in sorted(self.objects.items())
-            if name.startswith(prefix) and stored.version > after
-        ]
+        first = bisect.bisect_right(self.changes, (after, MAX_NAME))
+        names = {name for _, name in self.changes[first:] if name.startswith(prefix)}
+        return [self.objects[name] for name in sorted(names)]
+
+    def now(self) -> float:
+        """Return the event loop's time, and note a change of the list of VMs."""
+        now = asyncio.get_running_loop().time()
+        if not self.vm_history or self.vm_history[-1][1] != self.vms:
+            self.vm_history.append((now, list(self.vms)))
+        return now
+
+    def list_vms(self, now: float) -> VmList:
+        """
+        Return the list of VMs as it was, by the lag, before a time.
+
+        Parameters
+        ----------
+        now : float
+            Time of the call; changes are seen when `now` is read.
+        """
+        seen = now - self.faults.vms_lag
+        current = 0
+        for index, (since, _) in enumerate(self.vm_history):
+            if since <= seen:
+                current = index
+        return VmList(current + 1, self.vm_history[current][1])
 
     async def wait_for_change(self, prefix: str, after: int, timeout: float) -> None:
         """
