Split tables into hash buckets, keep history, rebase racing edits

Cause: three parts hold 20,000 workspaces in one object above the store's 1 MB; an edit whose answer was lost and that another edit followed was reported as a conflict although it had taken effect; a conflict showed only an author. Change: entries go into buckets by hash of their id; the former head stands in the history before the next head is written, so that a lost answer is always resolved; diff_tables, rebase_tables, rebase_edit and roll_back; checks of every reference, URL, number, token and link with its path; index_tables looks a token up in one step. Ruled out: compaction into one object per table (an edit would move megabytes).

--- a/lentilhaven/distribution/__init__.py
+++ b/lentilhaven/distribution/__init__.py
@@ -8,8 +8,9 @@
 """
 
 from lentilhaven.distribution.commit import CommitConflict, Committed, commit_tables
+from lentilhaven.distribution.editing import edit_tables, rebase_edit, roll_back
 from lentilhaven.distribution.table_head import HEAD_NAME, TableHead
-from lentilhaven.distribution.table_reader import read_head, read_tables
+from lentilhaven.distribution.table_reader import read_head, read_history, read_tables
 
 __all__ = [
     "HEAD_NAME",
@@ -17,6 +18,10 @@
     "Committed",
     "TableHead",
     "commit_tables",
+    "edit_tables",
     "read_head",
+    "read_history",
     "read_tables",
+    "rebase_edit",
+    "roll_back",
 ]
--- a/lentilhaven/distribution/commit.py
+++ b/lentilhaven/distribution/commit.py
@@ -1,21 +1,36 @@
-"""Commits an edit of the tables with one conditional update."""
+"""
+Commits an edit of the tables with one conditional update.
+
+The parts come first, then the former head's entry in the history, then the new
+head.  Since nobody commits on top of a head before that head stands in the
+history, a writer whose answer was lost can always learn what became of its edit,
+however many edits came after it.
+"""
 
 import attrs
 from expression import Error, Ok, Result
 
+from lentilhaven.core.backoff import Backoff
+from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.hashing import content_hash
 from lentilhaven.core.ran import Ran
+from lentilhaven.core.randomness import derive_random
 from lentilhaven.core.settings import to_document
 from lentilhaven.core.step import Step
-from lentilhaven.distribution.table_head import HEAD_NAME, PART_PREFIX, TableHead
-from lentilhaven.distribution.table_reader import read_head
+from lentilhaven.distribution.table_head import (
+    HEAD_NAME,
+    PART_PREFIX,
+    TableHead,
+    history_name,
+)
+from lentilhaven.distribution.table_reader import read_former_head, read_head
 from lentilhaven.platform.object_client import ObjectClient
-from lentilhaven.platform.write_outcome import Ambiguous, Conflict, Refused
+from lentilhaven.platform.write_outcome import Ambiguous, Conflict, Refused, Written
+from lentilhaven.tables.parts import split_tables
 from lentilhaven.tables.tables import Tables
 
-#: Tries of resolving a write whose answer was lost.
-RESOLVE_ATTEMPTS = 5
+#: Tries of one write, and of learning what became of the edit.
+WRITE_ATTEMPTS = 6
 
 
 @attrs.frozen
@@ -46,9 +61,107 @@
     head: TableHead
 
 
+CommitOutcome = Result[Committed | CommitConflict, Failure]
+
+
+@attrs.define
+class Committer:
+    """
+    The writes of one edit.
+
+    Attributes
+    ----------
+    client : ObjectClient
+        The platform's store.
+    clock : Clock
+        Source of time.
+    backoff : Backoff
+        Delays between tries.
+    """
+
+    client: ObjectClient
+    clock: Clock
+    backoff: Backoff
+
+    async def write_fixed(self, name: str, document: object) -> Failure | None:
+        """
+        Write an object whose content its name determines.
+
+        A conflict means that it is already there, and a lost answer needs no
+        reading back: the same write is tried again.
+
+        Parameters
+        ----------
+        name : str
+            Name of the object.
+        document : object
+            JSON value.
+        """
+        failure = None
+        for _ in range(WRITE_ATTEMPTS):
+            outcome = await self.client.write(name, document, 0)
+            if isinstance(outcome, Written | Conflict):
+                return None
+            failure = outcome.failure
+            await self.clock.sleep(self.backoff.next_delay())
+        # Nothing refers to the object yet, so that the edit can't take effect.
+        return failure and attrs.evolve(failure, ran=Ran.NO)
+
+    async def write_head(self, base: TableHead, head: TableHead) -> CommitOutcome:
+        """
+        Put a head in force if `base` still is.
+
+        A write whose answer was lost is sent again: at most one of the copies
+        can take effect, as both expect the same version.
+
+        Parameters
+        ----------
+        base, head : TableHead
+            The head before, and the one to write.
+        """
+        document = head_document(head)
+        sent = False
+        for _ in range(WRITE_ATTEMPTS):
+            outcome = await self.client.write(HEAD_NAME, document, base.object_version)
+            if isinstance(outcome, Written):
+                written = attrs.evolve(head, object_version=outcome.version)
+                return Ok(Committed(written))
+            if isinstance(outcome, Conflict):
+                return await self.resolve(head)
+            if isinstance(outcome, Refused) and not sent:
+                return Error(outcome.failure)
+            sent = sent or isinstance(outcome, Ambiguous)
+            await self.clock.sleep(self.backoff.next_delay())
+        return Error(unknown_edit())
+
+    async def resolve(self, head: TableHead) -> CommitOutcome:
+        """
+        Learn after a conflict whether an edit is the one that took effect.
+
+        Parameters
+        ----------
+        head : TableHead
+            What the edit tried to put in force.
+        """
+        for _ in range(WRITE_ATTEMPTS):
+            current = await read_head(self.client)
+            made = await read_former_head(self.client, head.version)
+            if current.is_ok() and made.is_ok():
+                if made.ok.edit == head.edit:
+                    return Ok(Committed(made.ok))
+                return Ok(CommitConflict(current.ok))
+            await self.clock.sleep(self.backoff.next_delay())
+        return Error(unknown_edit())
+
+
 async def commit_tables(
-    client: ObjectClient, base: TableHead, tables: Tables, edit: str, author: str
-) -> Result[Committed | CommitConflict, Failure]:
+    client: ObjectClient,
+    base: TableHead,
+    tables: Tables,
+    edit: str,
+    author: str,
+    clock: Clock | None = None,
+) -> CommitOutcome:
     """
     Make `tables` the version after `base`.
 
@@ -64,6 +177,8 @@
         Unique id of the edit.
     author : str
         Who makes the edit.
+    clock : Clock or None
+        Replaces the system's clock.
 
     Returns
     -------
@@ -71,65 +186,30 @@
         An outcome, or a failure whose `ran` says whether the edit may still
         take effect.
     """
+    backoff = Backoff(derive_random(0, "commit", edit))
+    committer = Committer(client, clock or system_clock(), backoff)
     parts = split_tables(tables)
     for name, document in parts.items():
-        failure = await write_part(client, name, document)
+        if name in base.parts:
+            continue
+        failure = await committer.write_fixed(PART_PREFIX + name, document)
+        if failure is not None:
+            return Error(failure)
+    if base.version > 0:
+        name = history_name(base.version)
+        failure = await committer.write_fixed(name, head_document(base))
         if failure is not None:
             return Error(failure)
     head = TableHead(base.version + 1, edit, author, list(parts))
-    document = to_document(attrs.evolve(head, object_version=0))
-    outcome = await client.write(HEAD_NAME, document, base.object_version)
-    if isinstance(outcome, Refused):
-        return Error(outcome.failure)
-    if isinstance(outcome, Conflict | Ambiguous):
-        return await resolve_commit(client, base, head)
-    return Ok(Committed(attrs.evolve(head, object_version=outcome.version)))
+    return await committer.write_head(base, head)
 
 
-def split_tables(tables: Tables) -> dict[str, dict]:
-    """
-    Return the parts of some tables by content hash.
+def head_document(head: TableHead) -> dict:
+    """Return what the store holds of a head."""
+    return to_document(attrs.evolve(head, object_version=0))
 
-    Parameters
-    ----------
-    tables : Tables
-        The tables.
-    """
-    documents = [
-        {"routes": to_document(tables.routes)},
-        {"pools": to_document(tables.pools)},
-        {"workspaces": to_document(tables.workspaces)},
-    ]
-    return {content_hash(document): document for document in documents}
-
-
-async def write_part(client: ObjectClient, name: str, document: dict) -> Failure | None:
-    """Write an immutable part; a conflict means that it is already there."""
-    outcome = await client.write(PART_PREFIX + name, document, 0)
-    if isinstance(outcome, Refused):
-        return outcome.failure
-    if isinstance(outcome, Ambiguous):
-        read = await client.read(PART_PREFIX + name)
-        if read.is_error():
-            return read.error
-        return None if read.ok else outcome.failure
-    return None
-
-
-async def resolve_commit(
-    client: ObjectClient, base: TableHead, head: TableHead
-) -> Result[Committed | CommitConflict, Failure]:
-    """Read the head back to learn whether an edit took effect."""
-    for _ in range(RESOLVE_ATTEMPTS):
-        found = await read_head(client)
-        if found.is_error():
-            continue
-        if found.ok.edit == head.edit:
-            return Ok(Committed(found.ok))
-        if found.ok.version > base.version:
-            return Ok(CommitConflict(found.ok))
+
+def unknown_edit() -> Failure:
+    """Return the failure of an edit that may yet take effect."""
     detail = "the store did not answer whether the edit took effect"
-    failure = Failure(
-        Step.WRITE_OBJECT, "object-api", "edit-unknown", detail, Ran.UNKNOWN
-    )
-    return Error(failure)
+    return Failure(Step.WRITE_OBJECT, "object-api", "edit-unknown", detail, Ran.UNKNOWN)
--- a/lentilhaven/distribution/table_head.py
+++ b/lentilhaven/distribution/table_head.py
@@ -8,6 +8,12 @@
 #: Prefix of the names of parts.
 PART_PREFIX = "tables/parts/"
 
+#: Prefix of the names of former heads.
+HISTORY_PREFIX = "tables/history/"
+
+#: Prefix of everything above.
+TABLES_PREFIX = "tables/"
+
 
 @attrs.frozen
 class TableHead:
@@ -33,3 +39,15 @@
     author: str = ""
     parts: list[str] = attrs.field(factory=list)
     object_version: int = 0
+
+
+def history_name(version: int) -> str:
+    """
+    Return the name of the object that keeps a former head.
+
+    Examples
+    --------
+    >>> history_name(7)
+    'tables/history/0000000007'
+    """
+    return f"{HISTORY_PREFIX}{version:010d}"
--- a/lentilhaven/distribution/table_reader.py
+++ b/lentilhaven/distribution/table_reader.py
@@ -1,13 +1,24 @@
 """Reads the tables in force from the platform's store."""
 
+from typing import Any
+
 import attrs
 from expression import Error, Ok, Result
 
 from lentilhaven.core.failure import Failure
+from lentilhaven.core.hashing import content_hash
 from lentilhaven.core.settings import structure_document
 from lentilhaven.core.step import Step
-from lentilhaven.distribution.table_head import HEAD_NAME, PART_PREFIX, TableHead
+from lentilhaven.distribution.table_head import (
+    HEAD_NAME,
+    HISTORY_PREFIX,
+    PART_PREFIX,
+    TableHead,
+    history_name,
+)
 from lentilhaven.platform.object_client import ObjectClient
+from lentilhaven.platform.stored_object import StoredObject
+from lentilhaven.tables.parts import join_parts
 from lentilhaven.tables.tables import Tables
 
 
@@ -23,13 +34,57 @@
     outcome = await client.read(HEAD_NAME)
     if outcome.is_error():
         return Error(outcome.error)
-    stored = outcome.ok
-    if stored is None:
-        return Ok(TableHead())
+    return Ok(TableHead()) if outcome.ok is None else parse_head(outcome.ok)
+
+
+def parse_head(stored: StoredObject) -> Result[TableHead, Failure]:
+    """
+    Return the head that an object holds.
+
+    Parameters
+    ----------
+    stored : StoredObject
+        The head object, or one of the history.
+    """
     head = structure_document(stored.value, TableHead)
     return head.map(lambda it: attrs.evolve(it, object_version=stored.version))
 
 
+async def read_part(client: ObjectClient, part: str) -> Result[Any, Failure]:
+    """
+    Read one part and check its hash.
+
+    Parameters
+    ----------
+    client : ObjectClient
+        The platform's store.
+    part : str
+        Content hash of the part.
+    """
+    outcome = await client.read(PART_PREFIX + part)
+    if outcome.is_error():
+        return Error(outcome.error)
+    if outcome.ok is None:
+        return Error(Failure(Step.READ_OBJECT, part, "missing-part", "no object"))
+    return check_part(part, outcome.ok.value)
+
+
+def check_part(part: str, document: Any) -> Result[Any, Failure]:
+    """
+    Return a part's document if it has the hash that names it.
+
+    Parameters
+    ----------
+    part : str
+        Content hash.
+    document : Any
+        What was received.
+    """
+    if content_hash(document) != part:
+        return Error(Failure(Step.READ_OBJECT, part, "bad-part", "the hash differs"))
+    return Ok(document)
+
+
 async def read_tables(client: ObjectClient, head: TableHead) -> Result[Tables, Failure]:
     """
     Read all parts that a head names and join them.
@@ -41,31 +96,60 @@
     head : TableHead
         The head to follow.
     """
-    tables = Tables()
+    documents = []
     for part in head.parts:
-        outcome = await client.read(PART_PREFIX + part)
+        outcome = await read_part(client, part)
         if outcome.is_error():
             return Error(outcome.error)
-        if outcome.ok is None:
-            return Error(Failure(Step.READ_OBJECT, part, "missing-part", "no object"))
-        parsed = structure_document(outcome.ok.value, Tables)
-        if parsed.is_error():
-            return Error(parsed.error)
-        tables = join_tables(tables, parsed.ok)
-    return Ok(attrs.evolve(tables, version=head.version))
+        documents.append(outcome.ok)
+    return join_parts(documents, head.version)
 
 
-def join_tables(first: Tables, second: Tables) -> Tables:
+async def read_former_head(
+    client: ObjectClient, version: int
+) -> Result[TableHead, Failure]:
     """
-    Return the tables that hold the entries of both.
+    Read the head of a version that is, or was, in force.
 
     Parameters
     ----------
-    first, second : Tables
-        Parts, in order.
+    client : ObjectClient
+        The platform's store.
+    version : int
+        Version of the tables.
     """
-    return Tables(
-        routes=first.routes + second.routes,
-        pools=first.pools + second.pools,
-        workspaces=first.workspaces + second.workspaces,
-    )
+    current = await read_head(client)
+    if current.is_ok() and current.ok.version == version:
+        return current
+    outcome = await client.read(history_name(version))
+    if outcome.is_error():
+        return Error(outcome.error)
+    if outcome.ok is None:
+        detail = f"the history has no version {version}"
+        return Error(Failure(Step.READ_OBJECT, "object-api", "no-version", detail))
+    return parse_head(outcome.ok)
+
+
+async def read_history(client: ObjectClient) -> Result[list[TableHead], Failure]:
+    """
+    Read the heads of all former versions and of the one in force, oldest first.
+
+    Parameters
+    ----------
+    client : ObjectClient
+        The platform's store.
+    """
+    listed = await client.list_below(HISTORY_PREFIX)
+    if listed.is_error():
+        return Error(listed.error)
+    heads = []
+    for stored in listed.ok:
+        parsed = parse_head(stored)
+        if parsed.is_error():
+            return Error(parsed.error)
+        heads.append(parsed.ok)
+    current = await read_head(client)
+    if current.is_error():
+        return Error(current.error)
+    former = [head for head in heads if head.version < current.ok.version]
+    return Ok([*former, current.ok])
--- /dev/null
+++ b/lentilhaven/tables/route_validation.py
@@ -0,0 +1,88 @@
+"""Checks of one route."""
+
+from collections.abc import Iterator
+
+from lentilhaven.tables.numbers import find_bad_number
+from lentilhaven.tables.pool import Pool, PoolKind
+from lentilhaven.tables.route import Route
+
+#: Methods of RFC 9110 and RFC 5789 that a route may name.
+METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "PATCH")
+
+
+def find_route_problems(
+    path: str, route: Route, pools: dict, workspaces: set
+) -> Iterator[str]:
+    """
+    Yield the problems of one route.
+
+    Parameters
+    ----------
+    path : str
+        Path of the route in the document.
+    route : Route
+        The route.
+    pools : dict
+        `Pool` by name.
+    workspaces : set of str
+        Known workspaces.
+    """
+    yield from find_rule_problems(path, route)
+    yield from find_match_problems(path, route, workspaces)
+    if route.pool not in pools:
+        yield f"{path}.pool: no pool is called {route.pool!r}"
+        return
+    yield from find_version_problems(path, route, pools[route.pool])
+    yield from find_kind_problems(path, route, pools[route.pool])
+
+
+def find_rule_problems(path: str, route: Route) -> Iterator[str]:
+    """Yield the problems of a route's numbers and methods."""
+    yield from find_bad_number(f"{path}.deadline", route.deadline, above=0)
+    yield from find_bad_number(f"{path}.token_timeout", route.token_timeout, above=0)
+    attempts = route.retry.max_attempts
+    yield from find_bad_number(f"{path}.retry.max_attempts", attempts, least=1)
+    yield from find_bad_number(f"{path}.retry.budget", route.retry.budget, least=0)
+    for index, method in enumerate(route.idempotent_methods):
+        if method not in METHODS:
+            yield f"{path}.idempotent_methods[{index}]: unknown method {method!r}"
+    if "/" in route.name:
+        yield f"{path}.name: must be one path segment, not {route.name!r}"
+
+
+def find_match_problems(path: str, route: Route, workspaces: set) -> Iterator[str]:
+    """Yield the problems of what a route matches."""
+    for index, method in enumerate(route.match.methods):
+        if method not in METHODS:
+            yield f"{path}.match.methods[{index}]: unknown method {method!r}"
+    for index, name in enumerate(route.match.workspaces):
+        if name not in workspaces:
+            yield f"{path}.match.workspaces[{index}]: no workspace is called {name!r}"
+    for index, prefix in enumerate(route.match.paths):
+        if not prefix.startswith("/"):
+            yield f"{path}.match.paths[{index}]: must start with '/', not {prefix!r}"
+
+
+def find_version_problems(path: str, route: Route, pool: Pool) -> Iterator[str]:
+    """Yield the problems of a route's weights of versions."""
+    versions = {spec.version for spec in pool.endpoints}
+    for version, weight in route.versions.items():
+        place = f"{path}.versions[{version!r}]"
+        yield from find_bad_number(place, weight, least=0)
+        if weight > 0 and version not in versions:
+            yield f"{place}: pool {pool.name!r} has no such version"
+    if route.versions and not any(it > 0 for it in route.versions.values()):
+        yield f"{path}.versions: at least one weight must be above 0"
+
+
+def find_kind_problems(path: str, route: Route, pool: Pool) -> Iterator[str]:
+    """Yield what does not fit the kind of a route's pool."""
+    if pool.kind is PoolKind.SERVICE and route.versions:
+        yield f"{path}.versions: pool {pool.name!r} holds plain services"
+    if pool.kind is PoolKind.SERVICE and route.match.models:
+        yield f"{path}.match.models: pool {pool.name!r} holds plain services"
+    if pool.kind is PoolKind.ENGINE and route.match.paths:
+        yield f"{path}.match.paths: pool {pool.name!r} holds engines"
+    for index, model in enumerate(route.match.models):
+        if pool.kind is PoolKind.ENGINE and not model:
+            yield f"{path}.match.models[{index}]: must not be empty"
--- a/lentilhaven/tables/validation.py
+++ b/lentilhaven/tables/validation.py
@@ -13,9 +13,10 @@
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.settings import parse_document
 from lentilhaven.core.step import Step
-from lentilhaven.tables.pool import Pool, PoolKind
-from lentilhaven.tables.route import Route
+from lentilhaven.tables.pool_validation import find_pool_problems
+from lentilhaven.tables.route_validation import find_route_problems
 from lentilhaven.tables.tables import Tables
+from lentilhaven.tables.workspace_validation import find_workspace_problems
 
 
 def parse_tables(text: str) -> Result[Tables, Failure]:
@@ -66,10 +67,12 @@
     endpoint_ids = [spec.id for pool in tables.pools for spec in pool.endpoints]
     yield from find_duplicates("$.pools[*].endpoints", endpoint_ids)
     pools = {pool.name: pool for pool in tables.pools}
+    known = {workspace.id for workspace in tables.workspaces}
     for index, route in enumerate(tables.routes):
-        yield from find_route_problems(f"$.routes[{index}]", route, pools)
+        yield from find_route_problems(f"$.routes[{index}]", route, pools, known)
     for index, pool in enumerate(tables.pools):
         yield from find_pool_problems(f"$.pools[{index}]", pool)
+    yield from find_workspace_problems(tables.workspaces)
 
 
 def find_duplicates(path: str, names: list) -> Iterator[str]:
@@ -85,59 +88,6 @@
     for name in names:
         if name in seen:
             yield f"{path}: {name!r} is defined twice"
+        if not name:
+            yield f"{path}: a name is empty"
         seen.add(name)
-
-
-def find_route_problems(path: str, route: Route, pools: dict) -> Iterator[str]:
-    """
-    Yield the problems of one route.
-
-    Parameters
-    ----------
-    path : str
-        Path of the route in the document.
-    route : Route
-        The route.
-    pools : dict
-        `Pool` by name.
-    """
-    if route.pool not in pools:
-        yield f"{path}.pool: no pool is called {route.pool!r}"
-        return
-    if route.deadline <= 0:
-        yield f"{path}.deadline: must be above 0, not {route.deadline}"
-    if route.token_timeout <= 0:
-        yield f"{path}.token_timeout: must be above 0, not {route.token_timeout}"
-    if route.retry.max_attempts < 1:
-        yield f"{path}.retry.max_attempts: must be at least 1"
-    versions = {spec.version for spec in pools[route.pool].endpoints}
-    for version, weight in route.versions.items():
-        if weight < 0:
-            yield f"{path}.versions[{version!r}]: must not be negative: {weight}"
-        if weight > 0 and version not in versions:
-            yield f"{path}.versions: pool {route.pool!r} has no version {version!r}"
-
-
-def find_pool_problems(path: str, pool: Pool) -> Iterator[str]:
-    """
-    Yield the problems of one pool.
-
-    Parameters
-    ----------
-    path : str
-        Path of the pool in the document.
-    pool : Pool
-        The pool.
-    """
-    if pool.kind is PoolKind.SERVICE:
-        return
-    if pool.layer_count < 1:
-        yield f"{path}.layer_count: must be at least 1, not {pool.layer_count}"
-    for index, spec in enumerate(pool.endpoints):
-        place = f"{path}.endpoints[{index}]"
-        if spec.layers is None:
-            yield f"{place}.layers: required in a pool of engines"
-        elif spec.layers.stop > pool.layer_count:
-            yield f"{place}.layers: ends after layer {pool.layer_count}"
-        if spec.accelerator and spec.accelerator not in pool.accelerators:
-            yield f"{place}.accelerator: unknown kind {spec.accelerator!r}"
