Spread tables, membership and load between agents

Cause: every agent held its own watch, so that store calls grew with the fleet, nothing was in force while the store was down, a new VM served what it found, and nobody knew which VMs or endpoints were live. Change: three watchers per data centre by rendezvous hashing; a tree of long polls below them and one random peer; parts arrive ahead of their head through the watch; a joining agent asks ready peers first; heartbeats to three neighbours on a ring, suspicion by two monitors with incarnations; facts with one writer, a stamp and an age; endpoints polled by two agents; summaries between data centres. The view leaves out tables that the router holds and says whether the VM leaves (control.View.leaving, one new field). Ruled out: a lease for the watch (duplicates are harmless), full gossip of tables (bytes grow with the fan-out), suspicion by one monitor (one bad link would move duties).

--- a/lentilhaven/agent/__main__.py
+++ b/lentilhaven/agent/__main__.py
@@ -17,6 +17,9 @@
 from lentilhaven.core.settings import read_document
 from lentilhaven.platform.object_client import open_object_client
 
+#: Seconds in which the news that this VM leaves is sent.
+LEAVE_DELAY = 0.3
+
 app = cyclopts.App(name="lentilhaven-agent", help="The control process of a VM.")
 
 
@@ -59,10 +62,12 @@
     token = read_secret(settings.cluster_token_file)
     async with (
         open_object_client(settings.store_url) as client,
-        open_agent(settings, client, system_clock()) as agent,
+        open_agent(settings, client, system_clock(), token=token) as agent,
         serve_app(agent_app(agent, token), settings.host, settings.port),
     ):
         await stopping.wait()
+        agent.leave()
+        await asyncio.sleep(LEAVE_DELAY)
 
 
 def main() -> None:
--- a/lentilhaven/agent/agent.py
+++ b/lentilhaven/agent/agent.py
@@ -1,29 +1,40 @@
 """The state and the tasks of an agent."""
 
-import asyncio
+import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
+import aiohttp
 import attrs
 
 from lentilhaven.agent.agent_settings import AgentSettings
-from lentilhaven.control.view import EndpointState, EndpointView, View
+from lentilhaven.control.view import EndpointView, View
 from lentilhaven.core.clock import Clock
 from lentilhaven.core.ids import EndpointId
-from lentilhaven.core.invariants import ensure
 from lentilhaven.core.logs import get_logger
+from lentilhaven.core.settings import to_document
+from lentilhaven.core.signal import Signal
 from lentilhaven.core.tasks import running_tasks
-from lentilhaven.distribution.table_head import HEAD_NAME
-from lentilhaven.distribution.table_reader import read_head, read_tables
+from lentilhaven.distribution.joining import Joining
+from lentilhaven.distribution.spreader import Spreader
+from lentilhaven.distribution.store_watch import StoreWatch
+from lentilhaven.distribution.table_holder import TableHolder
 from lentilhaven.idempotency.journal import Journal
+from lentilhaven.load.load_digest import view_endpoints
+from lentilhaven.load.load_poller import LoadPoller
+from lentilhaven.membership.fact_table import Topic
+from lentilhaven.membership.gossip import Gossip, open_fact_tables
+from lentilhaven.membership.heartbeats import Heartbeats
+from lentilhaven.membership.members import Members
+from lentilhaven.membership.peer_client import PeerClient
 from lentilhaven.platform.object_client import ObjectClient
+from lentilhaven.platform.share import Share
+from lentilhaven.platform.vm import VmState
 from lentilhaven.tables.tables import Tables
 
-#: Seconds that a watch waits for a change.
-WATCH_TIMEOUT = 5.0
-
-#: Seconds before a failed read of the store is repeated.
-RETRY_DELAY = 0.5
+#: Seconds over which changes of load are gathered before the router is told.
+LOAD_DELAY = 0.25
 
 log = get_logger("agent")
 
@@ -43,9 +54,21 @@
         Source of time.
     journal : Journal
         Claims on non-idempotent calls.
-    view : View
-        What the router is told.
-    changed : asyncio.Condition
+    holder : TableHolder
+        The tables.
+    members : Members
+        The VMs.
+    gossip : Gossip
+        Facts of all VMs.
+    heartbeats : Heartbeats
+        Heartbeats to other VMs.
+    spreader : Spreader
+        Learns tables and the list of VMs.
+    poller : LoadPoller
+        Polls endpoints.
+    sequence : int
+        Rises with every change of the view.
+    changed : Signal
         Notified when the view changes.
     """
 
@@ -53,110 +76,158 @@
     client: ObjectClient
     clock: Clock
     journal: Journal
-    view: View = attrs.field(factory=lambda: View(0, Tables()))
-    changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
+    holder: TableHolder
+    members: Members
+    gossip: Gossip
+    heartbeats: Heartbeats
+    spreader: Spreader
+    poller: LoadPoller
+    sequence: int = 0
+    changed: Signal = attrs.field(factory=Signal)
 
     @property
     def ready(self) -> bool:
         """Return whether the agent has tables to serve."""
-        return self.view.tables.version > 0
+        return self.spreader.ready and self.holder.head.version > 0
 
-    async def adopt(self, tables: Tables) -> None:
-        """
-        Put newer tables in force.
+    @property
+    def tables(self) -> Tables:
+        """Return the tables to serve: none before the agent is ready."""
+        return self.holder.tables if self.ready else Tables()
 
-        Parameters
-        ----------
-        tables : Tables
-            Tables with a version above the one in force.
-        """
-        held = self.view.tables.version
-        ensure(tables.version > held, "version-rises", (held, tables.version))
-        endpoints = endpoint_views(tables, self.view.endpoints)
-        await self.publish(attrs.evolve(self.view, tables=tables, endpoints=endpoints))
-        log.info("tables are in force", version=tables.version)
+    @property
+    def view(self) -> View:
+        """Return what the router is told, with ages as of now."""
+        live = self.members.live_ids()
+        leaving = self.members.own_state is VmState.LEAVING
+        endpoints = self.view_endpoints()
+        return View(self.sequence, self.tables, endpoints, live, leaving)
+
+    def view_endpoints(self) -> dict[EndpointId, EndpointView]:
+        """Return what is known of every endpoint."""
+        about = self.gossip.about
+        return view_endpoints(
+            self.tables,
+            about(Topic.LOAD),
+            about(Topic.SUMMARY),
+            about(Topic.LEAVING),
+        )
 
-    async def publish(self, view: View) -> None:
+    def view_document(self, held_tables: int) -> dict[str, Any]:
         """
-        Replace the view and wake the routers that wait for it.
+        Return the view as JSON data, without tables that the router holds.
 
         Parameters
         ----------
-        view : View
-            The new view; its sequence is set here.
+        held_tables : int
+            Version of the tables that the router holds; -1 for none.
         """
-        async with self.changed:
-            self.view = attrs.evolve(view, sequence=self.view.sequence + 1)
-            self.changed.notify_all()
+        view = self.view
+        same = held_tables == view.tables.version
+        bare = to_document(attrs.evolve(view, tables=Tables()))
+        if not same and self.ready:
+            bare["tables"] = self.holder.document()
+        return bare
 
-    async def wait_for_view(self, after: int, timeout: float) -> View:
+    async def wait_for_view(self, after: int, timeout: float) -> None:
         """
-        Return the view once it is newer than a sequence number.
+        Wait until the view is newer than a sequence number.
 
         Parameters
         ----------
         after : int
             Sequence already seen; another run's number is never waited for.
         timeout : float
-            Seconds after which the view is returned anyway.
+            Seconds after which to return anyway.
         """
-        try:
-            async with asyncio.timeout(timeout), self.changed:
-                await self.changed.wait_for(lambda: self.view.sequence != after)
-        except TimeoutError:
-            pass
-        return self.view
+        await self.changed.wait_until(lambda: self.sequence != after, timeout)
 
     async def follow_tables(self) -> None:
-        """Adopt every new version of the tables, for ever."""
-        seen = 0
+        """Hand new tables on as soon as they are in force, for ever."""
+        await self.follow(self.holder.changed, 0.0)
+
+    async def follow_members(self) -> None:
+        """Hand changes of the VMs on, for ever."""
+        await self.follow(self.members.changed, 0.0)
+
+    async def follow_facts(self) -> None:
+        """Hand changes of load on, some together, for ever."""
+        await self.follow(self.gossip.changed, LOAD_DELAY)
+
+    async def follow(self, signal: Signal, delay: float) -> None:
+        """Raise the view's sequence after each change, for ever."""
         while True:
-            head = await read_head(self.client)
-            if head.is_error():
-                log.warning("object API did not answer", error=str(head.error))
-                await self.clock.sleep(RETRY_DELAY)
-                continue
-            seen = max(seen, head.ok.object_version)
-            if head.ok.version > self.view.tables.version:
-                tables = await read_tables(self.client, head.ok)
-                if tables.is_error():
-                    log.warning("tables can't be read", error=str(tables.error))
-                    await self.clock.sleep(RETRY_DELAY)
-                    continue
-                await self.adopt(tables.ok)
-            watched = await self.client.watch(HEAD_NAME, seen, WATCH_TIMEOUT)
-            if watched.is_error():
-                await self.clock.sleep(RETRY_DELAY)
-
-
-def endpoint_views(
-    tables: Tables, known: dict[EndpointId, EndpointView]
-) -> dict[EndpointId, EndpointView]:
+            event = signal.event
+            await event.wait()
+            if delay:
+                await self.clock.sleep(delay)
+            self.poller.tables = self.tables
+            self.poller.vm_leaving = self.members.own_state is VmState.LEAVING
+            self.sequence += 1
+            self.changed.notify()
+
+    def leave(self) -> None:
+        """Tell the other VMs that this one leaves."""
+        self.members.leaving.add(self.members.own)
+        self.poller.vm_leaving = True
+        self.poller.state_leaving()
+
+
+def make_agent(
+    settings: AgentSettings,
+    client: ObjectClient,
+    clock: Clock,
+    source: random.Random,
+    peers: PeerClient,
+) -> Agent:
     """
-    Return the views of all endpoints that the tables name.
+    Wire the parts of an agent together.
 
     Parameters
     ----------
-    tables : Tables
-        The tables in force.
-    known : dict
-        `EndpointView` by endpoint, before.
+    settings : AgentSettings
+        Settings.
+    client : ObjectClient
+        The platform's store.
+    clock : Clock
+        Source of time.
+    source : random.Random
+        Source of chance.
+    peers : PeerClient
+        Client of other agents; its session also reaches endpoints.
     """
-    views = {}
-    for pool in tables.pools:
-        for spec in pool.endpoints:
-            view = known.get(spec.id, EndpointView(EndpointState.LIVE))
-            if spec.leaving:
-                view = attrs.evolve(view, state=EndpointState.LEAVING)
-            elif view.state is EndpointState.LEAVING:
-                view = attrs.evolve(view, state=EndpointState.LIVE)
-            views[spec.id] = view
-    return views
+    holder = TableHolder()
+    members = Members(settings.vm, settings.data_centre)
+    incarnation = int(clock.wall() * 1000)
+    facts = open_fact_tables(clock)
+    gossip = Gossip(members, peers, clock, source, incarnation, facts)
+    configuration = client.for_share(Share.CONFIGURATION)
+    spreader = Spreader(holder, members, configuration, peers, clock, source)
+    heartbeats = Heartbeats(gossip, lambda: holder.head.version, spreader.catch_up)
+    poller = LoadPoller(gossip, peers.session, clock, source)
+    journal = Journal(client.for_share(Share.JOURNAL))
+    return Agent(
+        settings,
+        client,
+        clock,
+        journal,
+        holder,
+        members,
+        gossip,
+        heartbeats,
+        spreader,
+        poller,
+    )
 
 
 @asynccontextmanager
 async def open_agent(
-    settings: AgentSettings, client: ObjectClient, clock: Clock
+    settings: AgentSettings,
+    client: ObjectClient,
+    clock: Clock,
+    source: random.Random | None = None,
+    token: str = "",
+    connector: aiohttp.BaseConnector | None = None,
 ) -> AsyncIterator[Agent]:
     """
     Run an agent's tasks until the context ends.
@@ -169,7 +240,34 @@
         The platform's store.
     clock : Clock
         Source of time.
+    source : random.Random or None
+        Source of chance; None takes the system's.
+    token : str
+        The cluster's token.
+    connector : aiohttp.BaseConnector or None
+        Replaces the TCP connector, for virtual time.
     """
-    agent = Agent(settings, client, clock, Journal(client))
-    async with running_tasks(agent.follow_tables()):
-        yield agent
+    if connector is None:
+        connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        peers = PeerClient(session, token)
+        agent = make_agent(
+            settings, client, clock, source or random.SystemRandom(), peers
+        )
+        watch = StoreWatch(agent.spreader)
+        joining = Joining(agent.spreader, settings.seeds)
+        async with running_tasks(
+            joining.join(),
+            watch.watch_tables(),
+            watch.follow_list(),
+            agent.spreader.follow_parent(),
+            agent.spreader.follow_random(),
+            agent.heartbeats.monitor_subjects(),
+            agent.gossip.pull_facts(),
+            agent.poller.poll_endpoints(),
+            agent.poller.state_loads(),
+            agent.follow_tables(),
+            agent.follow_members(),
+            agent.follow_facts(),
+        ):
+            yield agent
--- a/lentilhaven/agent/agent_api.py
+++ b/lentilhaven/agent/agent_api.py
@@ -5,11 +5,13 @@
 from aiohttp import web
 
 from lentilhaven.agent.agent import Agent
+from lentilhaven.agent.app_keys import AGENT, TOKEN
+from lentilhaven.agent.peer_api import add_peer_routes
 from lentilhaven.control.claim import ClaimRequest, Settlement
 from lentilhaven.core.settings import CONVERTER, to_document
 
-AGENT: web.AppKey[Agent] = web.AppKey("agent", Agent)
-TOKEN: web.AppKey[str] = web.AppKey("token", str)
+#: Largest body of a message, in bytes.
+MAX_MESSAGE_BYTES = 4_000_000
 
 
 def agent_app(agent: Agent, cluster_token: str) -> web.Application:
@@ -23,13 +25,14 @@
     cluster_token : str
         Token that every caller must show.
     """
-    app = web.Application(middlewares=[authenticate])
+    app = web.Application(middlewares=[authenticate], client_max_size=MAX_MESSAGE_BYTES)
     app[AGENT] = agent
     app[TOKEN] = cluster_token
     app.router.add_get("/view", read_view)
     app.router.add_post("/claims", claim_call)
     app.router.add_post("/settlements", settle_call)
     app.router.add_get("/readyz", read_readiness)
+    add_peer_routes(app)
     return app
 
 
@@ -46,9 +49,11 @@
 async def read_view(request: web.Request) -> web.Response:
     """Answer the view once it is newer than the caller's."""
     after = int(request.query.get("after", "-1"))
+    held_tables = int(request.query.get("tables", "-1"))
     timeout = float(request.query.get("timeout", "0"))
-    view = await request.app[AGENT].wait_for_view(after, timeout)
-    return web.json_response(to_document(view))
+    agent = request.app[AGENT]
+    await agent.wait_for_view(after, timeout)
+    return web.json_response(agent.view_document(held_tables))
 
 
 async def claim_call(request: web.Request) -> web.Response:
--- a/lentilhaven/agent/agent_settings.py
+++ b/lentilhaven/agent/agent_settings.py
@@ -24,6 +24,8 @@
         Port to listen on.
     cluster_token_file : str
         File with the token that the system's processes share.
+    seeds : list of str
+        Base URLs of some agents, to join while the platform is down.
     log_level : str
         Least severe level to log.
     """
@@ -34,4 +36,5 @@
     host: str = "127.0.0.1"
     port: int = 7400
     cluster_token_file: str = ""
+    seeds: list[str] = attrs.field(factory=list)
     log_level: str = "info"
--- /dev/null
+++ b/lentilhaven/agent/app_keys.py
@@ -0,0 +1,8 @@
+"""Keys of what the agent's application holds."""
+
+from aiohttp import web
+
+from lentilhaven.agent.agent import Agent
+
+AGENT: web.AppKey[Agent] = web.AppKey("agent", Agent)
+TOKEN: web.AppKey[str] = web.AppKey("token", str)
--- a/lentilhaven/control/view.py
+++ b/lentilhaven/control/view.py
@@ -53,9 +53,12 @@
         has not reported.
     live_vms : list of str
         VMs believed to be live, in order of name.
+    leaving : bool
+        Whether this VM leaves, as the platform or its agent says.
     """
 
     sequence: int
     tables: Tables
     endpoints: dict[EndpointId, EndpointView] = attrs.field(factory=dict)
     live_vms: list[VmId] = attrs.field(factory=list)
+    leaving: bool = False
--- /dev/null
+++ b/lentilhaven/core/signal.py
@@ -0,0 +1,49 @@
+"""Waking of tasks that wait for a change of state."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+
+@attrs.define
+class Signal:
+    """
+    Wakes all waiting tasks at each change.
+
+    Attributes
+    ----------
+    event : asyncio.Event
+        Set at the next change, then replaced.
+    """
+
+    event: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def notify(self) -> None:
+        """Wake every task that waits now."""
+        event, self.event = self.event, asyncio.Event()
+        event.set()
+
+    async def wait_until(self, predicate: Callable[[], bool], timeout: float) -> bool:
+        """
+        Wait until a condition holds, and return whether it does.
+
+        Parameters
+        ----------
+        predicate : callable
+            The condition; it is evaluated again after each change.
+        timeout : float
+            Seconds after which to give up.
+
+        Examples
+        --------
+        >>> asyncio.run(Signal().wait_until(lambda: False, 0.01))
+        False
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                while not predicate():
+                    await self.event.wait()
+        except TimeoutError:
+            pass
+        return predicate()
--- a/lentilhaven/distribution/table_reader.py
+++ b/lentilhaven/distribution/table_reader.py
@@ -18,7 +18,7 @@
 )
 from lentilhaven.platform.object_client import ObjectClient
 from lentilhaven.platform.stored_object import StoredObject
-from lentilhaven.tables.parts import join_parts
+from lentilhaven.tables.parts import join_parts, parse_part
 from lentilhaven.tables.tables import Tables
 
 
@@ -96,13 +96,13 @@
     head : TableHead
         The head to follow.
     """
-    documents = []
+    parts = []
     for part in head.parts:
-        outcome = await read_part(client, part)
+        outcome = (await read_part(client, part)).bind(parse_part)
         if outcome.is_error():
             return Error(outcome.error)
-        documents.append(outcome.ok)
-    return join_parts(documents, head.version)
+        parts.append(outcome.ok)
+    return Ok(join_parts(parts, head.version))
 
 
 async def read_former_head(
--- a/lentilhaven/router/agent_client.py
+++ b/lentilhaven/router/agent_client.py
@@ -43,7 +43,7 @@
     session: aiohttp.ClientSession
     token: str
 
-    async def read_view(self, after: int) -> Result[View, Failure]:
+    async def read_view(self, after: int, tables: int = -1) -> Result[View, Failure]:
         """
         Wait for a view that differs from one already seen.
 
@@ -51,8 +51,15 @@
         ----------
         after : int
             Sequence already seen; -1 for none.
+        tables : int
+            Version of the tables already held, which the answer leaves out; the
+            view then carries tables of version 0.
         """
-        query = {"after": str(after), "timeout": str(VIEW_TIMEOUT)}
+        query = {
+            "after": str(after),
+            "tables": str(tables),
+            "timeout": str(VIEW_TIMEOUT),
+        }
         limit = aiohttp.ClientTimeout(total=VIEW_TIMEOUT + 2.0)
         try:
             async with self.session.get(
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -75,7 +75,8 @@
     @property
     def ready(self) -> bool:
         """Return whether the balancer should send new requests here."""
-        return self.view.tables.version > 0 and not self.leaving
+        leaving = self.leaving or self.view.leaving
+        return self.view.tables.version > 0 and not leaving
 
     def may_use(self, endpoint: EndpointId) -> bool:
         """
@@ -104,7 +105,9 @@
     async def follow_view(self) -> None:
         """Adopt every newer view of the agent, for ever."""
         while True:
-            outcome = await self.agent.read_view(self.view.sequence)
+            outcome = await self.agent.read_view(
+                self.view.sequence, self.view.tables.version
+            )
             if outcome.is_error():
                 log.warning("agent did not answer", error=str(outcome.error))
                 await self.clock.sleep(AGENT_RETRY_DELAY)
--- a/lentilhaven/tables/parts.py
+++ b/lentilhaven/tables/parts.py
@@ -11,7 +11,7 @@
 
 import attrs
 import xxhash
-from expression import Error, Ok, Result
+from expression import Result
 
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.hashing import content_hash
@@ -92,28 +92,37 @@
     return [bucket for bucket in buckets if bucket]
 
 
-def join_parts(documents: list[Any], version: int) -> Result[Tables, Failure]:
+def parse_part(document: Any) -> Result[TablePart, Failure]:
+    """
+    Return the part that a document holds.
+
+    Parameters
+    ----------
+    document : Any
+        As `split_tables` makes it.
+    """
+    return structure_document(document, TablePart)
+
+
+def join_parts(parts: list[TablePart], version: int) -> Tables:
     """
     Return the tables that some parts form.
 
     Parameters
     ----------
-    documents : list
-        Documents as `split_tables` makes them, in order.
+    parts : list of TablePart
+        All parts, in order.
     version : int
         Version of the tables.
     """
     joined = TablePart()
-    for document in documents:
-        parsed = structure_document(document, TablePart)
-        if parsed.is_error():
-            return Error(parsed.error)
-        add_part(joined, parsed.ok)
+    for part in parts:
+        add_part(joined, part)
     pools = [
         attrs.evolve(pool, endpoints=joined.endpoints.get(pool.name, []))
         for pool in joined.pools
     ]
-    return Ok(Tables(joined.routes, pools, joined.workspaces, version))
+    return Tables(joined.routes, pools, joined.workspaces, version)
 
 
 def add_part(joined: TablePart, part: TablePart) -> None:
--- a/lentilhaven/tables/tests/test_tables.py
+++ b/lentilhaven/tables/tests/test_tables.py
@@ -19,7 +19,7 @@
     validate_tables,
 )
 from lentilhaven.tables.matching import RequestTraits, match_completion
-from lentilhaven.tables.parts import join_parts, split_tables
+from lentilhaven.tables.parts import join_parts, parse_part, split_tables
 from lentilhaven.tables.pool import PoolKind
 
 
@@ -108,7 +108,8 @@
 class PartTests(unittest.TestCase):
     def test_parts_join_to_the_same_tables(self):
         tables = make_tables(workspaces=900, endpoints=500)
-        joined = join_parts(list(split_tables(tables).values()), 3).ok
+        parts = [parse_part(it).ok for it in split_tables(tables).values()]
+        joined = join_parts(parts, 3)
         self.assertEqual(diff_tables(tables, joined), [])
         self.assertEqual(joined.version, 3)
 
--- a/lentilhaven/testbed/testbed.py
+++ b/lentilhaven/testbed/testbed.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import attrs
+from yarl import URL
 
 from lentilhaven.agent.agent import Agent, open_agent
 from lentilhaven.agent.agent_api import agent_app
@@ -42,6 +43,7 @@
 from lentilhaven.tables.route import Route
 from lentilhaven.tables.tables import Tables
 from lentilhaven.tables.workspace import Workspace
+from lentilhaven.testbed.network import STORE, Network, PartitionConnector
 from lentilhaven.testbed.testbed_plan import TestbedPlan
 
 #: Token that the processes of a testbed share.
@@ -50,6 +52,9 @@
 #: Token of the testbed's workspace.
 WORKSPACE_TOKEN = "testbed-workspace-token"
 
+#: Number of agents that a joining agent knows from its settings.
+SEEDS = 2
+
 #: First port used in virtual time.
 FIRST_VIRTUAL_PORT = 10_000
 
@@ -61,6 +66,10 @@
 
     Attributes
     ----------
+    id : str
+        Its name.
+    data_centre : str
+        Where it stands.
     agent : Agent
         Its agent.
     router : Router
@@ -69,14 +78,19 @@
         Where its router answers callers.
     agent_url : str
         Where its agent answers.
+    stack : AsyncExitStack
+        Stops it.
     """
 
     __test__ = False
 
+    id: VmId
+    data_centre: DataCentre
     agent: Agent
     router: Router
     url: str
     agent_url: str
+    stack: AsyncExitStack
 
 
 @attrs.define
@@ -112,6 +126,8 @@
         Services as the pool table names them.
     ports : iterator of int
         Free ports in virtual time.
+    network : Network
+        Which VMs can't reach which.
     """
 
     __test__ = False
@@ -129,16 +145,24 @@
     vms: list[TestbedVm] = attrs.field(factory=list)
     endpoints: list[EndpointSpec] = attrs.field(factory=list)
     service_endpoints: list[EndpointSpec] = attrs.field(factory=list)
+    network: Network = attrs.field(factory=Network)
 
     @property
     def headers(self) -> dict[str, str]:
         """Return the headers that show the workspace's token."""
         return {"Authorization": f"Bearer {WORKSPACE_TOKEN}"}
 
-    def connector(self) -> aiohttp.BaseConnector:
-        """Return a connector for this testbed's kind of time."""
+    def connector(self, source: str = "") -> aiohttp.BaseConnector:
+        """
+        Return a connector for this testbed's kind of time.
+
+        Parameters
+        ----------
+        source : str
+            The VM that uses it, to which partitions apply.
+        """
         if self.plan.virtual:
-            return VirtualConnector(limit=0)
+            return PartitionConnector(self.network, source)
         return aiohttp.TCPConnector(limit=0)
 
     def next_port(self) -> int:
@@ -197,7 +221,24 @@
 
     async def add_vm(self, name: str, data_centre: DataCentre) -> TestbedVm:
         """
-        Start a VM's agent and router.
+        Start a VM's agent and router, and enter it into the platform's list.
+
+        Parameters
+        ----------
+        name : str
+            The VM.
+        data_centre : str
+            Where it stands.
+        """
+        vm = await self.start_vm(VmId(name), data_centre, self.next_port())
+        self.store.vms.append(ListedVm(vm.id, vm.agent_url, data_centre))
+        return vm
+
+    async def start_vm(
+        self, name: VmId, data_centre: DataCentre, agent_port: int
+    ) -> TestbedVm:
+        """
+        Start a VM's agent and router, at the address of an earlier run or a new one.
 
         Parameters
         ----------
@@ -205,35 +246,73 @@
             The VM.
         data_centre : str
             Where it stands.
+        agent_port : int
+            Port of its agent; 0 lets the system choose.
         """
-        vm = VmId(name)
-        client = await self.stack.enter_async_context(
-            open_object_client(self.store_url, self.connector())
+        stack = await self.stack.enter_async_context(AsyncExitStack())
+        client = await stack.enter_async_context(
+            open_object_client(self.store_url, self.connector(name), self.clock)
         )
-        agent_settings = AgentSettings(vm, data_centre, self.store_url)
-        agent = await self.stack.enter_async_context(
-            open_agent(agent_settings, client, self.clock)
+        agent = await stack.enter_async_context(
+            open_agent(
+                AgentSettings(name, data_centre, self.store_url, seeds=self.seeds),
+                client,
+                self.clock,
+                derive_random(self.plan.seed, "agent", name),
+                CLUSTER_TOKEN,
+                self.connector(name),
+            )
         )
-        agent_url = await self.stack.enter_async_context(
-            serve_app(agent_app(agent, CLUSTER_TOKEN), port=self.next_port())
+        agent_url = await stack.enter_async_context(
+            serve_app(agent_app(agent, CLUSTER_TOKEN), port=agent_port)
         )
-        self.store.vms.append(ListedVm(vm, agent_url, data_centre))
         router_settings = RouterSettings(
-            vm, data_centre, agent_url, drain_delay=self.plan.drain_delay
+            name, data_centre, agent_url, drain_delay=self.plan.drain_delay
         )
         source = derive_random(self.plan.seed, "router", name)
-        router = await self.stack.enter_async_context(
+        router = await stack.enter_async_context(
             open_router(
                 router_settings, self.clock, source, CLUSTER_TOKEN, self.connector()
             )
         )
-        url = await self.stack.enter_async_context(
+        url = await stack.enter_async_context(
             serve_app(router_app(router), port=self.next_port())
         )
-        added = TestbedVm(agent, router, url, agent_url)
+        self.network.name_address(name, agent_url)
+        added = TestbedVm(name, data_centre, agent, router, url, agent_url, stack)
         self.vms.append(added)
         return added
 
+    async def kill_vm(self, vm: TestbedVm) -> None:
+        """
+        Stop a VM without a word to anyone; the platform's list still names it.
+
+        Parameters
+        ----------
+        vm : TestbedVm
+            The VM.
+        """
+        self.vms.remove(vm)
+        await vm.stack.aclose()
+
+    async def restart_vm(self, vm: TestbedVm) -> TestbedVm:
+        """
+        Kill a VM and start another process at its address.
+
+        Parameters
+        ----------
+        vm : TestbedVm
+            The VM.
+        """
+        await self.kill_vm(vm)
+        port = URL(vm.agent_url).port or 0
+        return await self.start_vm(vm.id, vm.data_centre, port)
+
+    @property
+    def seeds(self) -> list[str]:
+        """Return the addresses that a joining agent finds in its settings."""
+        return [vm.agent_url for vm in self.vms[:SEEDS]]
+
     def initial_tables(self) -> Tables:
         """Return tables that name everything that runs."""
         pool = Pool(
@@ -335,7 +414,9 @@
         aiohttp.ClientSession(connector=connector())
     )
     clock = loop_clock()
-    return Testbed(plan, stack, clock, store, url, client, session, ports)
+    testbed = Testbed(plan, stack, clock, store, url, client, session, ports)
+    testbed.network.name_address(STORE, url)
+    return testbed
 
 
 async def start_endpoints(testbed: Testbed) -> None:
