--- a/lentilhaven/testbed/network.py
+++ b/lentilhaven/testbed/network.py
@@ -71,10 +71,12 @@
         The network.
     source : str
         The process that uses the connector.
+    fresh : bool
+        Whether it opens a connection for each request.
     """
 
-    def __init__(self, network: Network, source: str) -> None:
-        super().__init__(limit=0)
+    def __init__(self, network: Network, source: str, fresh: bool = False) -> None:
+        super().__init__(limit=0, force_close=fresh)
         self.network = network
         self.source = source
 
