--- a/lentilhaven/agent/__main__.py
+++ b/lentilhaven/agent/__main__.py
@@ -59,7 +59,7 @@
     token = read_secret(settings.cluster_token_file)
     async with (
         open_object_client(settings.store_url) as client,
-        open_agent(settings, client, system_clock()) as agent,
+        open_agent(settings, client, system_clock(), token) as agent,
         serve_app(agent_app(agent, token), settings.host, settings.port),
     ):
         await stopping.wait()
--- a/lentilhaven/agent/agent.py
+++ b/lentilhaven/agent/agent.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import aiohttp
 import attrs
 
 from lentilhaven.agent.agent_settings import AgentSettings
@@ -15,7 +16,7 @@
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.distribution.table_head import HEAD_NAME
 from lentilhaven.distribution.table_reader import read_head, read_tables
-from lentilhaven.idempotency.journal import Journal
+from lentilhaven.idempotency import JournalNode, open_journal_host
 from lentilhaven.platform.object_client import ObjectClient
 from lentilhaven.tables.tables import Tables
 
@@ -41,7 +42,7 @@
         The platform's store.
     clock : Clock
         Source of time.
-    journal : Journal
+    journal : JournalNode
         Claims on non-idempotent calls.
     view : View
         What the router is told.
@@ -52,7 +53,7 @@
     settings: AgentSettings
     client: ObjectClient
     clock: Clock
-    journal: Journal
+    journal: JournalNode
     view: View = attrs.field(factory=lambda: View(0, Tables()))
     changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
 
@@ -156,7 +157,11 @@
 
 @asynccontextmanager
 async def open_agent(
-    settings: AgentSettings, client: ObjectClient, clock: Clock
+    settings: AgentSettings,
+    client: ObjectClient,
+    clock: Clock,
+    token: str = "",
+    connector: aiohttp.BaseConnector | None = None,
 ) -> AsyncIterator[Agent]:
     """
     Run an agent's tasks until the context ends.
@@ -169,7 +174,14 @@
         The platform's store.
     clock : Clock
         Source of time.
+    token : str
+        The cluster's token.
+    connector : aiohttp.BaseConnector or None
+        Replaces the TCP connector towards other agents, for virtual time.
     """
-    agent = Agent(settings, client, clock, Journal(client))
-    async with running_tasks(agent.follow_tables()):
-        yield agent
+    async with open_journal_host(
+        settings.vm, client, clock, token, connector
+    ) as journal:
+        agent = Agent(settings, client, clock, journal)
+        async with running_tasks(agent.follow_tables()):
+            yield agent
--- a/lentilhaven/agent/agent_api.py
+++ b/lentilhaven/agent/agent_api.py
@@ -29,6 +29,8 @@
     app.router.add_get("/view", read_view)
     app.router.add_post("/claims", claim_call)
     app.router.add_post("/settlements", settle_call)
+    app.router.add_post("/journal/claims", commit_claim)
+    app.router.add_post("/journal/settlements", commit_settlement)
     app.router.add_get("/readyz", read_readiness)
     return app
 
@@ -54,15 +56,29 @@
 async def claim_call(request: web.Request) -> web.Response:
     """Answer a claim."""
     claim = CONVERTER.structure(await request.json(), ClaimRequest)
-    answer = await request.app[AGENT].journal.claim(claim)
+    answer = await request.app[AGENT].journal.submit(claim)
     return web.json_response(to_document(answer))
 
 
 async def settle_call(request: web.Request) -> web.Response:
     """Record a settlement."""
     settlement = CONVERTER.structure(await request.json(), Settlement)
-    confirmed = await request.app[AGENT].journal.settle(settlement)
-    return web.json_response({"confirmed": confirmed})
+    answer = await request.app[AGENT].journal.submit(settlement)
+    return web.json_response(to_document(answer))
+
+
+async def commit_claim(request: web.Request) -> web.Response:
+    """Commit a claim that another agent has forwarded."""
+    claim = CONVERTER.structure(await request.json(), ClaimRequest)
+    answer = await request.app[AGENT].journal.journal.submit(claim)
+    return web.json_response(to_document(answer))
+
+
+async def commit_settlement(request: web.Request) -> web.Response:
+    """Commit a settlement that another agent has forwarded."""
+    settlement = CONVERTER.structure(await request.json(), Settlement)
+    answer = await request.app[AGENT].journal.journal.submit(settlement)
+    return web.json_response(to_document(answer))
 
 
 async def read_readiness(request: web.Request) -> web.Response:
--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from lentilhaven.bench.journal_model import run_journal_model
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.smoke import run_smoke
@@ -9,5 +10,6 @@
 Scenario = Callable[[ScenarioOptions], Report]
 
 SCENARIOS: dict[str, Scenario] = {
+    "journal-model": run_journal_model,
     "smoke": run_smoke,
 }
--- a/lentilhaven/control/claim.py
+++ b/lentilhaven/control/claim.py
@@ -7,6 +7,9 @@
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.ids import RequestId, RouteName, WorkspaceId
 
+#: Seconds after which a claim without a settlement counts as unknown.
+IN_PROGRESS_LIMIT = 120.0
+
 
 @attrs.frozen
 class ClaimRequest:
@@ -21,6 +24,11 @@
         Hash of method, path and body; a key must not be reused with another.
     request : str
         The dispatching request, unique over all VMs and times.
+    in_progress_limit : float
+        Seconds after which a claim that was not settled counts as unknown.
+    rerun_unknown : bool
+        Whether the endpoints themselves run a key at most once, so that a call
+        whose outcome is unknown may be sent again.
     """
 
     workspace: WorkspaceId
@@ -28,6 +36,8 @@
     key: str
     fingerprint: str
     request: RequestId
+    in_progress_limit: float = IN_PROGRESS_LIMIT
+    rerun_unknown: bool = False
 
 
 class ClaimOutcome(enum.Enum):
@@ -78,11 +88,14 @@
         Set for ``REPLAY``.
     failure : Failure or None
         Set for ``UNAVAILABLE``.
+    holder : str or None
+        The request that holds the call, for ``UNKNOWN`` and ``IN_PROGRESS``.
     """
 
     outcome: ClaimOutcome
     response: RecordedResponse | None = None
     failure: Failure | None = None
+    holder: RequestId | None = None
 
 
 class SettleOutcome(enum.Enum):
@@ -103,7 +116,8 @@
     claim : ClaimRequest
         The claim that was granted.
     outcome : SettleOutcome
-        ``ABANDONED`` promises that nothing was sent.
+        ``ABANDONED`` promises that nothing was sent, or that what was sent was
+        proved not to have run, and that the request will send nothing more.
     response : RecordedResponse or None
         Set for ``DONE``.
     """
--- a/lentilhaven/idempotency/journal.py
+++ b/lentilhaven/idempotency/journal.py
@@ -1,165 +1,200 @@
-"""A journal with one object a shard and one conditional update a claim."""
+"""Commits claims and settlements in the platform's store."""
 
-from typing import Any
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import attrs
-import xxhash
 
 from lentilhaven.control.claim import (
     ClaimAnswer,
     ClaimOutcome,
     ClaimRequest,
-    RecordedResponse,
     Settlement,
-    SettleOutcome,
 )
+from lentilhaven.core.clock import Clock
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.settings import CONVERTER, to_document
+from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
-from lentilhaven.platform.object_client import ObjectClient
-from lentilhaven.platform.write_outcome import Ambiguous, Refused, Written
+from lentilhaven.idempotency.call_key import MAX_KEY_LENGTH, key_time
+from lentilhaven.idempotency.journal_layout import JournalLayout
+from lentilhaven.idempotency.operation import Answer, Operation
+from lentilhaven.idempotency.segment_store import SegmentStore
+from lentilhaven.idempotency.segment_writer import SegmentWriter, refusal
+from lentilhaven.idempotency.write_budget import WriteBudget
 
-#: Number of shards of the journal.
-SHARD_COUNT = 16
+#: Seconds by which a key may be ahead of this VM's clock.
+MAX_KEY_LEAD = 300.0
 
-#: Tries of one claim against other writers and lost answers.
-CLAIM_ATTEMPTS = 8
+#: Writers kept, with the segments that they hold.
+MAX_WRITERS = 512
 
-
-@attrs.frozen
-class JournalEntry:
-    """
-    What the journal holds of one call.
-
-    Attributes
-    ----------
-    fingerprint : str
-        Hash of method, path and body.
-    request : str
-        The request that was granted the dispatch.
-    state : str
-        ``"claimed"`` or the value of a `SettleOutcome`.
-    response : RecordedResponse or None
-        Set when the call is done.
-    """
-
-    fingerprint: str
-    request: str
-    state: str
-    response: RecordedResponse | None = None
+log = get_logger("idempotency")
 
 
 @attrs.define
 class Journal:
     """
-    Claims and settles calls in the platform's store.
+    The journal as one agent commits it.
+
+    Any number of journals may commit to the same objects; the conditional
+    update alone keeps them apart.
 
     Attributes
     ----------
-    client : ObjectClient
+    store : SegmentStore
         The platform's store.
+    clock : Clock
+        Source of time.
+    budget : WriteBudget
+        Limits the writes of this agent.
+    layout : JournalLayout
+        How keys map to objects.
+    writers : dict
+        `SegmentWriter` by object, the one used last at the end.
+    tasks : dict
+        The running task of each busy writer, by object.
     """
 
-    client: ObjectClient
+    store: SegmentStore
+    clock: Clock
+    budget: WriteBudget
+    layout: JournalLayout = attrs.field(factory=JournalLayout)
+    writers: dict[str, SegmentWriter] = attrs.field(factory=dict)
+    tasks: dict[str, asyncio.Task] = attrs.field(factory=dict)
 
-    async def claim(self, request: ClaimRequest) -> ClaimAnswer:
+    async def submit(self, message: ClaimRequest | Settlement) -> Answer:
         """
-        Claim the dispatch of a call.
+        Commit a claim or a settlement.
 
         Parameters
         ----------
-        request : ClaimRequest
-            The call.
+        message : ClaimRequest or Settlement
+            What is asked.
+
+        Returns
+        -------
+        ClaimAnswer or Settled
+            Confirmed in the store unless it says otherwise.
         """
-        name, key = shard_name(request), entry_key(request)
-        for _ in range(CLAIM_ATTEMPTS):
-            found = await self.client.read(name)
-            if found.is_error():
-                return unavailable(found.error)
-            version = found.ok.version if found.ok else 0
-            entries: dict[str, Any] = dict(found.ok.value) if found.ok else {}
-            if key in entries:
-                entry = CONVERTER.structure(entries[key], JournalEntry)
-                if entry.state != SettleOutcome.ABANDONED.value:
-                    return answer_of(entry, request)
-            claimed = JournalEntry(request.fingerprint, request.request, "claimed")
-            entries[key] = to_document(claimed)
-            outcome = await self.client.write(name, entries, version)
-            if isinstance(outcome, Written):
-                return ClaimAnswer(ClaimOutcome.GRANTED)
-            if isinstance(outcome, Refused):
-                return unavailable(outcome.failure)
-            if isinstance(outcome, Ambiguous):
-                continue
-        failure = Failure(Step.CLAIM, "object-api", "contended", "too many writers")
-        return unavailable(failure)
-
-    async def settle(self, settlement: Settlement) -> bool:
+        claim = message if isinstance(message, ClaimRequest) else message.claim
+        place = self.layout.place(claim)
+        operation = Operation(message, place.bucket)
+        failure = unfit_key(claim.key, self.clock.wall())
+        if failure is not None:
+            return refusal(operation, failure)
+        writer = self.writer(place.name)
+        answer = writer.add(operation)
+        if place.name not in self.tasks:
+            task = asyncio.create_task(self.drive(writer))
+            self.tasks[place.name] = task
+        return await answer
+
+    def writer(self, name: str) -> SegmentWriter:
         """
-        Record how a granted call ended.
+        Return the writer of an object, and forget writers long unused.
 
         Parameters
         ----------
-        settlement : Settlement
-            The call and its end.
-
-        Returns
-        -------
-        bool
-            Whether the record is confirmed.
+        name : str
+            Name of the object.
         """
-        claim = settlement.claim
-        name, key = shard_name(claim), entry_key(claim)
-        for _ in range(CLAIM_ATTEMPTS):
-            found = await self.client.read(name)
-            if found.is_error() or found.ok is None:
-                continue
-            entries = dict(found.ok.value)
-            entry = CONVERTER.structure(entries[key], JournalEntry)
-            if entry.state != "claimed" or entry.request != claim.request:
-                return entry.state == settlement.outcome.value
-            settled = attrs.evolve(
-                entry, state=settlement.outcome.value, response=settlement.response
-            )
-            entries[key] = to_document(settled)
-            outcome = await self.client.write(name, entries, found.ok.version)
-            if isinstance(outcome, Written):
-                return True
-        return False
-
-
-def entry_key(request: ClaimRequest) -> str:
-    """Return the text that identifies a call within its shard."""
-    return f"{request.workspace}\n{request.route}\n{request.key}"
-
-
-def shard_name(request: ClaimRequest) -> str:
-    """Return the name of the object that holds a call."""
-    shard = xxhash.xxh3_64_intdigest(entry_key(request).encode()) % SHARD_COUNT
-    return f"journal/{shard}"
-
-
-def answer_of(entry: JournalEntry, request: ClaimRequest) -> ClaimAnswer:
+        writer = self.writers.pop(name, None)
+        if writer is None:
+            writer = SegmentWriter(self.store, name, self.budget, self.clock)
+            self.forget_idle()
+        self.writers[name] = writer
+        return writer
+
+    def forget_idle(self) -> None:
+        """Drop the writers that were used least recently and are not busy."""
+        surplus = len(self.writers) - MAX_WRITERS
+        for name in list(self.writers)[: max(0, surplus)]:
+            if name not in self.tasks:
+                del self.writers[name]
+
+    async def drive(self, writer: SegmentWriter) -> None:
+        """Run a writer and answer what it leaves behind if it fails."""
+        failure = Failure(Step.CLAIM, "", "journal-stopped", "the agent is stopping")
+        try:
+            await writer.run()
+        except Exception as error:
+            # The base may be part of the fault.
+            writer.base = None
+            log.error("journal writer failed", name=writer.name, error=repr(error))
+            failure = Failure(Step.CLAIM, "", "journal-failed", repr(error))
+        finally:
+            del self.tasks[writer.name]
+            writer.give_up(list(writer.waiting), failure)
+
+    async def close(self) -> None:
+        """Cancel what is being committed; whoever waits is told so."""
+        tasks = list(self.tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def unfit_key(key: str, wall: float) -> Failure | None:
     """
-    Return the answer to a claim on a call that is already in the journal.
+    Return why a key can't be accepted, or None.
 
     Parameters
     ----------
-    entry : JournalEntry
-        What the journal holds.
-    request : ClaimRequest
-        The new claim.
+    key : str
+        The idempotency key.
+    wall : float
+        Time of day, in seconds since 1970.
+
+    Examples
+    --------
+    >>> unfit_key("issue-4711", 0.0) is None
+    True
+    >>> unfit_key("017f22e2-79b0-7cc3-98c4-dc0c0c07398f", 0.0).kind
+    'bad-key'
+    """
+    made = key_time(key)
+    if len(key) > MAX_KEY_LENGTH:
+        detail = f"an idempotency key has at most {MAX_KEY_LENGTH} characters"
+    elif made is not None and made > wall + MAX_KEY_LEAD:
+        detail = "the idempotency key was made in the future"
+    else:
+        return None
+    return Failure(Step.CLAIM, "", "bad-key", detail)
+
+
+def is_confirmed(answer: Answer) -> bool:
+    """
+    Return whether an answer came from the store.
+
+    Parameters
+    ----------
+    answer : ClaimAnswer or Settled
+        The answer.
+    """
+    if isinstance(answer, ClaimAnswer):
+        return answer.outcome is not ClaimOutcome.UNAVAILABLE
+    return answer.confirmed
+
+
+@asynccontextmanager
+async def open_journal(
+    store: SegmentStore, clock: Clock, budget: WriteBudget
+) -> AsyncIterator[Journal]:
+    """
+    Run a journal until the context ends.
+
+    Parameters
+    ----------
+    store : SegmentStore
+        The platform's store.
+    clock : Clock
+        Source of time.
+    budget : WriteBudget
+        Limits the writes.
     """
-    if entry.fingerprint != request.fingerprint:
-        return ClaimAnswer(ClaimOutcome.MISMATCH)
-    if entry.state == "claimed":
-        mine = entry.request == request.request
-        return ClaimAnswer(ClaimOutcome.GRANTED if mine else ClaimOutcome.IN_PROGRESS)
-    if entry.state == SettleOutcome.DONE.value:
-        return ClaimAnswer(ClaimOutcome.REPLAY, entry.response)
-    return ClaimAnswer(ClaimOutcome.UNKNOWN)
-
-
-def unavailable(failure: Failure) -> ClaimAnswer:
-    """Return the answer that grants nothing because the store is away."""
-    return ClaimAnswer(ClaimOutcome.UNAVAILABLE, failure=failure)
+    journal = Journal(store, clock, budget)
+    try:
+        yield journal
+    finally:
+        await journal.close()
--- /dev/null
+++ b/lentilhaven/idempotency/segment.py
@@ -0,0 +1,88 @@
+"""The content of one object of the journal."""
+
+from typing import Any
+
+import attrs
+
+from lentilhaven.core.hashing import canonical_json
+from lentilhaven.idempotency.journal_entry import (
+    JournalEntry,
+    decode_entry,
+    encode_entry,
+)
+
+#: Size above which an object takes no more claims, in bytes.
+CLAIM_BYTES = 700_000
+
+#: Size above which an object records no more responses, in bytes.
+RECORD_BYTES = 850_000
+
+
+@attrs.frozen
+class Segment:
+    """
+    The calls of one object.
+
+    Attributes
+    ----------
+    bucket : int
+        Newest bucket that has used the object; it only rises.
+    entries : dict
+        `JournalEntry` by the call's short key.
+    size : int
+        Approximate size of the JSON form, in bytes.
+    """
+
+    bucket: int = 0
+    entries: dict[str, JournalEntry] = attrs.field(factory=dict)
+    size: int = 0
+
+    def put(self, key: str, entry: JournalEntry) -> "Segment":
+        """
+        Return a segment with one entry set.
+
+        Parameters
+        ----------
+        key : str
+            The call's short key.
+        entry : JournalEntry
+            The entry.
+        """
+        before = self.entries.get(key)
+        size = self.size + entry_size(entry) - (entry_size(before) if before else 0)
+        return Segment(self.bucket, self.entries | {key: entry}, size)
+
+
+def entry_size(entry: JournalEntry) -> int:
+    """
+    Return the approximate size of an entry's JSON form, in bytes.
+
+    Examples
+    --------
+    >>> from lentilhaven.idempotency.journal_entry import EntryState
+    >>> entry_size(JournalEntry("f" * 32, "r" * 32, EntryState.DONE)) > 64
+    True
+    """
+    size = 110 + len(entry.fingerprint) + len(entry.request)
+    size += sum(len(request) + 3 for request in entry.withdrawn)
+    if entry.response is not None:
+        size += 20 + len(entry.response.body) + len(entry.response.content_type)
+    return size
+
+
+def encode_segment(segment: Segment) -> dict[str, Any]:
+    """Return the JSON form of a segment."""
+    entries = {key: encode_entry(entry) for key, entry in segment.entries.items()}
+    return {"bucket": segment.bucket, "entries": entries}
+
+
+def decode_segment(document: dict[str, Any]) -> Segment:
+    """Return the segment of a JSON form."""
+    entries = {key: decode_entry(it) for key, it in document["entries"].items()}
+    size = sum(entry_size(entry) for entry in entries.values())
+    return Segment(document["bucket"], entries, size)
+
+
+def segment_text(segment: Segment) -> str:
+    """Return equal text for equal segments, for comparisons in tests."""
+    return canonical_json(encode_segment(segment))
--- /dev/null
+++ b/lentilhaven/idempotency/segment_writer.py
@@ -0,0 +1,187 @@
+"""Commits the operations on one object of the journal."""
+
+import asyncio
+
+import attrs
+
+from lentilhaven.control.claim import ClaimAnswer, ClaimOutcome, ClaimRequest
+from lentilhaven.core.clock import Clock
+from lentilhaven.core.failure import Failure
+from lentilhaven.core.logs import get_logger
+from lentilhaven.core.step import Step
+from lentilhaven.idempotency.batch import (
+    Base,
+    Plan,
+    base_of,
+    conclude,
+    plan_batch,
+)
+from lentilhaven.idempotency.operation import Answer, Operation, Settled
+from lentilhaven.idempotency.segment import encode_segment
+from lentilhaven.idempotency.segment_store import SegmentStore
+from lentilhaven.idempotency.write_budget import WriteBudget
+
+#: Tries of one operation against other writers and lost answers.
+MAX_TRIES = 8
+
+#: Operations committed by one write.
+MAX_BATCH = 256
+
+log = get_logger("idempotency")
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """
+    An operation that waits for its answer.
+
+    Attributes
+    ----------
+    operation : Operation
+        What is asked.
+    answer : asyncio.Future
+        Receives the answer.
+    since : float
+        Monotonic time at which it came, in seconds.
+    tries : int
+        Writes that it was part of.
+    """
+
+    operation: Operation
+    answer: "asyncio.Future[Answer]"
+    since: float
+    tries: int = 0
+
+
+@attrs.define(eq=False)
+class SegmentWriter:
+    """
+    Collects operations while a write is in flight and commits them together.
+
+    Attributes
+    ----------
+    store : SegmentStore
+        The platform's store.
+    name : str
+        Name of the object.
+    budget : WriteBudget
+        Limits the writes.
+    clock : Clock
+        Source of time.
+    base : Base or None
+        The newest confirmed version that is known.
+    base_time : float
+        Monotonic time before which the base was the newest, in seconds.
+    waiting : list of Waiting
+        Operations without an answer, oldest first.
+    """
+
+    store: SegmentStore
+    name: str
+    budget: WriteBudget
+    clock: Clock
+    base: Base | None = None
+    base_time: float = 0.0
+    waiting: list[Waiting] = attrs.field(factory=list)
+
+    def add(self, operation: Operation) -> "asyncio.Future[Answer]":
+        """
+        Queue an operation and return the future of its answer.
+
+        Parameters
+        ----------
+        operation : Operation
+            What is asked.
+        """
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self.waiting.append(Waiting(operation, future, self.clock.monotonic()))
+        return future
+
+    async def run(self) -> None:
+        """Commit operations until none waits."""
+        while self.waiting:
+            if self.base is None and not await self.read_base():
+                continue
+            batch = self.waiting[:MAX_BATCH]
+            plan = self.plan(batch)
+            if plan.changed:
+                await self.commit()
+            elif plan.needs_fresh_base and self.base_time < batch[-1].since:
+                self.base = None
+            else:
+                self.finish(batch, plan)
+
+    async def read_base(self) -> bool:
+        """Read the object; give up what waits if the store does not answer."""
+        began = self.clock.monotonic()
+        found = await self.store.read(self.name)
+        if found.is_error():
+            self.give_up(list(self.waiting), found.error)
+            return False
+        self.base = base_of(found.ok)
+        self.base_time = began
+        return True
+
+    def plan(self, batch: list[Waiting]) -> Plan:
+        """Plan a batch on the base."""
+        operations = [it.operation for it in batch]
+        assert self.base is not None
+        return plan_batch(self.base, operations, self.clock.wall())
+
+    async def commit(self) -> None:
+        """Write one batch, of all that came while the budget was waited for."""
+        await self.budget.take()
+        batch = self.waiting[:MAX_BATCH]
+        base, plan, began = self.base, self.plan(batch), self.clock.monotonic()
+        assert base is not None
+        value = encode_segment(plan.segment)
+        outcome = await self.store.write(self.name, value, base.version)
+        conclusion = conclude(base, plan, outcome)
+        self.base, self.base_time = conclusion.base, began
+        if conclusion.confirmed:
+            self.finish(batch, plan)
+        elif conclusion.failure is not None:
+            self.give_up(batch, conclusion.failure)
+        else:
+            log.info("journal write was not confirmed; reading back", name=self.name)
+            self.count_tries(batch)
+
+    def count_tries(self, batch: list[Waiting]) -> None:
+        """Give up operations that were tried too often."""
+        for it in batch:
+            it.tries += 1
+        spent = [it for it in batch if it.tries >= MAX_TRIES]
+        failure = Failure(Step.CLAIM, "object-api", "contended", "too many writers")
+        self.give_up(spent, failure)
+
+    def finish(self, batch: list[Waiting], plan: Plan) -> None:
+        """Give a confirmed plan's answers."""
+        for it, answer in zip(batch, plan.answers, strict=True):
+            self.answer(it, answer)
+
+    def give_up(self, batch: list[Waiting], failure: Failure) -> None:
+        """Answer operations that nothing was granted and nothing is confirmed."""
+        for it in batch:
+            self.answer(it, refusal(it.operation, failure))
+
+    def answer(self, it: Waiting, answer: Answer) -> None:
+        """Answer one operation."""
+        self.waiting.remove(it)
+        if not it.answer.done():
+            it.answer.set_result(answer)
+
+
+def refusal(operation: Operation, failure: Failure) -> Answer:
+    """
+    Return the answer to an operation that the store did not confirm.
+
+    Parameters
+    ----------
+    operation : Operation
+        What was asked.
+    failure : Failure
+        Why.
+    """
+    if isinstance(operation.message, ClaimRequest):
+        return ClaimAnswer(ClaimOutcome.UNAVAILABLE, failure=failure)
+    return Settled(False)
--- a/lentilhaven/testbed/testbed.py
+++ b/lentilhaven/testbed/testbed.py
@@ -212,7 +212,9 @@
         )
         agent_settings = AgentSettings(vm, data_centre, self.store_url)
         agent = await self.stack.enter_async_context(
-            open_agent(agent_settings, client, self.clock)
+            open_agent(
+                agent_settings, client, self.clock, CLUSTER_TOKEN, self.connector()
+            )
         )
         agent_url = await self.stack.enter_async_context(
             serve_app(agent_app(agent, CLUSTER_TOKEN), port=self.next_port())
