Send a non-idempotent call once, and settle it whoever listens

Cause: the HTTP library itself repeats PUT and DELETE when a connection is lost, so that such a call ran twice; a caller that left cancelled the settlement; a claim whose answer was lost stayed in progress for ever; a dead idle connection made a call unknown that never left this VM. Change: a middleware lets a request out once; each send opens its own connection, and a refused one moves on to the next endpoint; settlements are repeated in the background and a shutdown waits for them; endpoints that check keys or tell a key's status are used for that, under a key that is unique over workspaces. Ruled out: taking "key not known" from an endpoint as proof that a call did not run, since it may still be under way.

--- a/lentilhaven/bench/journal_model.py
+++ b/lentilhaven/bench/journal_model.py
@@ -301,6 +301,8 @@
         yield with_call(state, index, moved(call, "lose"))
         trigger = "finish" if call.executed else "disprove"
         yield with_call(state, index, moved(call, trigger))
+    if call.state == "sent" and not call.executed:
+        yield with_call(state, index, moved(call, "take_back"))
 
 
 def moved(call: ModelCall, trigger: str) -> ModelCall:
@@ -308,6 +310,8 @@
     guarded = GuardedCall(call.claim, call.state, call.sends)
     if trigger == "let_out":
         guarded.let_out()
+    elif trigger == "take_back":
+        guarded.take_back()
     else:
         guarded.move(trigger)
     return attrs.evolve(call, state=guarded.state, sends=guarded.sends)
--- a/lentilhaven/control/claim.py
+++ b/lentilhaven/control/claim.py
@@ -90,12 +90,16 @@
         Set for ``UNAVAILABLE``.
     holder : str or None
         The request that holds the call, for ``UNKNOWN`` and ``IN_PROGRESS``.
+    may_stand : bool
+        Whether the claim may be in the store, or get there, without being
+        granted by this answer; the router then withdraws it.
     """
 
     outcome: ClaimOutcome
     response: RecordedResponse | None = None
     failure: Failure | None = None
     holder: RequestId | None = None
+    may_stand: bool = False
 
 
 class SettleOutcome(enum.Enum):
--- a/lentilhaven/idempotency/guarded_call.py
+++ b/lentilhaven/idempotency/guarded_call.py
@@ -20,7 +20,9 @@
 TRANSITIONS: list[Any] = [
     ["grant", "claiming", "granted"],
     ["give_up", ["claiming", "granted"], "not-run"],
+    ["trust_endpoints", "claiming", "granted"],
     ["send", "granted", "sent"],
+    ["take_back", "sent", "granted"],
     ["send_again", ["sent", "uncertain"], "sent"],
     ["finish", ["sent", "uncertain"], "done"],
     ["lose", "sent", "uncertain"],
@@ -109,6 +111,24 @@
         once = self.sends == 1 or self.claim.rerun_unknown
         ensure(once, "one-dispatch-a-claim", self.claim.request)
 
+    def take_back(self) -> None:
+        """Forget a dispatch of which it is proved that it did not and won't run."""
+        self.move("take_back")
+        self.sends -= 1
+
+    def trust_endpoints(self) -> None:
+        """
+        Go on without a claim, where the endpoints run a key at most once.
+
+        Raises
+        ------
+        InvariantError
+            If the endpoints do not check keys.
+        """
+        checked = self.claim.rerun_unknown
+        ensure(checked, "dispatch-after-claim", self.claim.request)
+        self.move("trust_endpoints")
+
     @property
     def ran(self) -> Ran:
         """Return what is known of the execution."""
--- a/lentilhaven/idempotency/journal_node.py
+++ b/lentilhaven/idempotency/journal_node.py
@@ -5,11 +5,17 @@
 import attrs
 from expression import Result
 
-from lentilhaven.control.claim import ClaimRequest, Settlement
+from lentilhaven.control.claim import (
+    ClaimAnswer,
+    ClaimOutcome,
+    ClaimRequest,
+    Settlement,
+)
 from lentilhaven.core.clock import Clock
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.ids import VmId
 from lentilhaven.core.logs import get_logger
+from lentilhaven.core.ran import Ran
 from lentilhaven.idempotency.journal import Journal
 from lentilhaven.idempotency.operation import Answer
 from lentilhaven.idempotency.ownership import owners
@@ -72,15 +78,17 @@
         """
         claim = message if isinstance(message, ClaimRequest) else message.claim
         shard = self.journal.layout.place(claim).shard
+        may_stand = False
         for vm in self.candidates(shard):
             if vm == self.vm:
                 break
             outcome = await self.forward(vm, message)
             if outcome.is_ok():
-                return outcome.ok
+                return mark_standing(outcome.ok, may_stand)
+            may_stand = may_stand or outcome.error.ran is not Ran.NO
             log.warning("owner of a shard did not answer", vm=vm, shard=shard)
             self.suspected[vm] = self.clock.monotonic() + SUSPICION
-        return await self.journal.submit(message)
+        return mark_standing(await self.journal.submit(message), may_stand)
 
     def candidates(self, shard: str) -> list[VmId]:
         """
@@ -95,3 +103,21 @@
         ordered = owners(shard, {*self.live_vms(), self.vm})
         unsuspected = [vm for vm in ordered if self.suspected.get(vm, 0.0) <= now]
         return unsuspected[:MAX_FORWARDS]
+
+
+def mark_standing(answer: Answer, may_stand: bool) -> Answer:
+    """
+    Note that another VM may still commit a claim that was not granted.
+
+    Parameters
+    ----------
+    answer : ClaimAnswer or Settled
+        The answer of the VM that did answer.
+    may_stand : bool
+        Whether a VM that did not answer may have the claim.
+    """
+    if not may_stand or not isinstance(answer, ClaimAnswer):
+        return answer
+    if answer.outcome is ClaimOutcome.GRANTED:
+        return answer
+    return attrs.evolve(answer, may_stand=True)
--- a/lentilhaven/idempotency/journal_peers.py
+++ b/lentilhaven/idempotency/journal_peers.py
@@ -9,6 +9,7 @@
 from lentilhaven.control.claim import ClaimAnswer, ClaimRequest, Settlement
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.ids import VmId
+from lentilhaven.core.ran import Ran
 from lentilhaven.core.settings import CONVERTER, to_document
 from lentilhaven.core.step import Step
 from lentilhaven.idempotency.operation import Answer, Settled
@@ -74,4 +75,6 @@
                 kind: Any = ClaimAnswer if is_claim else Settled
                 return Ok(CONVERTER.structure(body, kind))
         except (*LOST, KeyError) as error:
-            return Error(Failure(Step.CLAIM, vm, "agent-lost", repr(error)))
+            unsent = isinstance(error, (KeyError, aiohttp.ClientConnectorError))
+            ran = Ran.NO if unsent else Ran.UNKNOWN
+            return Error(Failure(Step.CLAIM, vm, "agent-lost", repr(error), ran))
--- a/lentilhaven/idempotency/segment_writer.py
+++ b/lentilhaven/idempotency/segment_writer.py
@@ -135,6 +135,8 @@
         base, plan, began = self.base, self.plan(batch), self.clock.monotonic()
         assert base is not None
         value = encode_segment(plan.segment)
+        for it in batch:
+            it.tries += 1
         outcome = await self.store.write(self.name, value, base.version)
         conclusion = conclude(base, plan, outcome)
         self.base, self.base_time = conclusion.base, began
@@ -144,12 +146,10 @@
             self.give_up(batch, conclusion.failure)
         else:
             log.info("journal write was not confirmed; reading back", name=self.name)
-            self.count_tries(batch)
+            self.drop_spent(batch)
 
-    def count_tries(self, batch: list[Waiting]) -> None:
+    def drop_spent(self, batch: list[Waiting]) -> None:
         """Give up operations that were tried too often."""
-        for it in batch:
-            it.tries += 1
         spent = [it for it in batch if it.tries >= MAX_TRIES]
         failure = Failure(Step.CLAIM, "object-api", "contended", "too many writers")
         self.give_up(spent, failure)
@@ -162,7 +162,7 @@
     def give_up(self, batch: list[Waiting], failure: Failure) -> None:
         """Answer operations that nothing was granted and nothing is confirmed."""
         for it in batch:
-            self.answer(it, refusal(it.operation, failure))
+            self.answer(it, refusal(it.operation, failure, may_stand=it.tries > 0))
 
     def answer(self, it: Waiting, answer: Answer) -> None:
         """Answer one operation."""
@@ -171,7 +171,9 @@
             it.answer.set_result(answer)
 
 
-def refusal(operation: Operation, failure: Failure) -> Answer:
+def refusal(
+    operation: Operation, failure: Failure, *, may_stand: bool = False
+) -> Answer:
     """
     Return the answer to an operation that the store did not confirm.
 
@@ -181,7 +183,10 @@
         What was asked.
     failure : Failure
         Why.
+    may_stand : bool
+        Whether a write that contains the operation may have taken effect.
     """
     if isinstance(operation.message, ClaimRequest):
-        return ClaimAnswer(ClaimOutcome.UNAVAILABLE, failure=failure)
+        outcome = ClaimOutcome.UNAVAILABLE
+        return ClaimAnswer(outcome, failure=failure, may_stand=may_stand)
     return Settled(False)
--- a/lentilhaven/router/problems.py
+++ b/lentilhaven/router/problems.py
@@ -22,7 +22,9 @@
     "unauthenticated": 401,
     "no-route": 404,
     "unknown-model": 404,
+    "bad-key": 400,
     "in-progress": 409,
+    "response-not-recorded": 409,
     "outcome-unknown": 409,
     "key-expired": 409,
     "too-large": 413,
@@ -33,6 +35,9 @@
     "not-ready": 503,
     "overloaded": 503,
     "claim-unavailable": 503,
+    "contended": 503,
+    "journal-full": 503,
+    "unsettled-calls": 503,
     "deadline": 504,
 }
 
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -15,6 +15,7 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.endpoints.engine_client import EngineClient
+from lentilhaven.idempotency.settler import Settler
 from lentilhaven.router.agent_client import AgentClient
 from lentilhaven.router.router_settings import RouterSettings
 from lentilhaven.tables.tables import Tables
@@ -56,6 +57,10 @@
         Set while nothing is in flight.
     counters : Counter
         Events by name, for the state dump.
+    fresh : aiohttp.ClientSession or None
+        Opens a connection for each request.
+    settler : Settler
+        Settles non-idempotent calls in the background.
     """
 
     settings: RouterSettings
@@ -71,6 +76,12 @@
     draining: bool = False
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     counters: Counter[str] = attrs.field(factory=Counter)
+    fresh: aiohttp.ClientSession | None = None
+    settler: Settler = attrs.field(
+        default=attrs.Factory(
+            lambda self: Settler(self.agent.settle, self.clock), takes_self=True
+        )
+    )
 
     @property
     def ready(self) -> bool:
@@ -101,6 +112,15 @@
             if self.in_flight == 0:
                 self.idle.set()
 
+    @contextmanager
+    def counted_service(self, endpoint: EndpointId) -> Iterator[None]:
+        """Count a call at a plain service while the context lasts."""
+        self.own_load[endpoint] += 1
+        try:
+            yield
+        finally:
+            self.own_load[endpoint] -= 1
+
     async def follow_view(self) -> None:
         """Adopt every newer view of the agent, for ever."""
         while True:
@@ -132,6 +152,7 @@
     random: random.Random,
     token: str,
     connector: aiohttp.BaseConnector | None = None,
+    fresh_connector: aiohttp.BaseConnector | None = None,
 ) -> AsyncIterator[Router]:
     """
     Run a router's tasks until the context ends.
@@ -148,13 +169,24 @@
         The cluster's token.
     connector : aiohttp.BaseConnector or None
         Replaces the TCP connector, for virtual time.
+    fresh_connector : aiohttp.BaseConnector or None
+        Replaces the TCP connector that opens a connection for each request.
     """
     if connector is None:
         connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    if fresh_connector is None:
+        fresh_connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        aiohttp.ClientSession(connector=fresh_connector) as fresh,
+    ):
         agent = AgentClient(settings.agent_url, session, token)
         engines = EngineClient(session)
         router = Router(settings, session, engines, agent, clock, random)
+        router.fresh = fresh
         router.idle.set()
         async with running_tasks(router.follow_view()):
-            yield router
+            try:
+                yield router
+            finally:
+                await router.settler.close()
--- a/lentilhaven/router/services.py
+++ b/lentilhaven/router/services.py
@@ -1,15 +1,16 @@
 """The handlers of plain services."""
 
-import base64
+import asyncio
 import uuid
+from urllib.parse import quote
 
+import attrs
 from aiohttp import web
 
 from lentilhaven.control.claim import (
     ClaimAnswer,
     ClaimOutcome,
     ClaimRequest,
-    RecordedResponse,
     Settlement,
     SettleOutcome,
 )
@@ -20,20 +21,33 @@
 from lentilhaven.core.step import Step
 from lentilhaven.endpoints.service_client import (
     ServiceCall,
-    ServiceResponse,
     call_service,
 )
+from lentilhaven.idempotency.call_key import MAX_KEY_LENGTH
+from lentilhaven.idempotency.dispatch import DispatchPorts, dispatch
+from lentilhaven.idempotency.guarded_call import GuardedCall
 from lentilhaven.router.app_keys import ROUTER, read_workspace
 from lentilhaven.router.problems import problem_response
 from lentilhaven.router.router import Router
+from lentilhaven.router.service_attempt import (
+    ServiceAttempt,
+    choose_endpoint,
+    no_endpoint,
+)
 from lentilhaven.router.service_headers import forwarded_headers
-from lentilhaven.tables.endpoint_spec import EndpointSpec
+from lentilhaven.router.service_records import (
+    record_response,
+    recorded_or_none,
+    relay,
+    replay,
+)
 from lentilhaven.tables.matching import RequestTraits, match_service
+from lentilhaven.tables.pool import Pool
 from lentilhaven.tables.route import Route
 from lentilhaven.tables.workspace import Workspace
 
-#: Largest response that is recorded for replay, in bytes.
-RECORD_LIMIT = 4096
+#: Seconds beyond a route's deadline after which a claim counts as unknown.
+SETTLE_SLACK = 30.0
 
 
 async def forward_call(request: web.Request) -> web.StreamResponse:
@@ -44,12 +58,39 @@
     call = await read_call(request)
     if request.method in route.idempotent_methods:
         return await forward_idempotent(router, route, call)
+    key = read_key(request)
+    if router.settler.overloaded:
+        detail = "too many calls wait for their settlement"
+        failure = Failure(Step.ADMIT, "", "unsettled-calls", detail, retry_after=1.0)
+        raise FailureError(failure)
+    claim = make_claim(router, workspace, route, key, call)
+    # A caller that goes away cancels this handler, but never the call itself.
+    task = router.settler.keep(forward_once(router, route, call, claim))
+    return await asyncio.shield(task)
+
+
+def read_key(request: web.Request) -> str:
+    """
+    Return a call's idempotency key.
+
+    Raises
+    ------
+    FailureError
+        If there is none, or it is too long.
+
+    References
+    ----------
+    IETF draft-ietf-httpapi-idempotency-key-header, "The Idempotency-Key HTTP
+    Header Field".
+    """
     key = request.headers.get("Idempotency-Key", "").strip().strip('"')
     if not key:
         detail = f"{request.method} is not idempotent here; send Idempotency-Key"
         raise FailureError(Failure(Step.PARSE, "", "key-required", detail))
-    claim = make_claim(router, workspace, route, key, call)
-    return await forward_once(router, route, call, claim)
+    if len(key) > MAX_KEY_LENGTH:
+        detail = f"an idempotency key has at most {MAX_KEY_LENGTH} characters"
+        raise FailureError(Failure(Step.PARSE, "", "bad-key", detail))
+    return key
 
 
 def find_route(router: Router, workspace: Workspace, request: web.Request) -> Route:
@@ -94,7 +135,16 @@
     """Return the claim that a non-idempotent call needs."""
     fingerprint = content_hash([call.method, call.path, call.body.hex()])
     request = RequestId(uuid.UUID(int=router.random.getrandbits(128), version=4).hex)
-    return ClaimRequest(workspace.id, RouteName(route.name), key, fingerprint, request)
+    pool = router.view.tables.pool(route.pool)
+    return ClaimRequest(
+        workspace.id,
+        RouteName(route.name),
+        key,
+        fingerprint,
+        request,
+        in_progress_limit=route.deadline + SETTLE_SLACK,
+        rerun_unknown=pool.checks_idempotency_keys,
+    )
 
 
 async def forward_idempotent(
@@ -103,11 +153,14 @@
     """Send a call to one endpoint after another until one answers."""
     tried: set[EndpointId] = set()
     failure = no_endpoint(route)
+    end = router.clock.monotonic() + route.deadline
     for _ in range(route.retry.max_attempts):
         endpoint = choose_endpoint(router, route, tried)
-        if endpoint is None:
+        left = end - router.clock.monotonic()
+        if endpoint is None or left <= 0:
             break
-        outcome = await call_service(router.session, endpoint, call, route.deadline)
+        with router.counted_service(endpoint.id):
+            outcome = await call_service(router.session, endpoint, call, left)
         if outcome.is_ok():
             return relay(outcome.ok)
         failure = outcome.error
@@ -120,85 +173,113 @@
     router: Router, route: Route, call: ServiceCall, claim: ClaimRequest
 ) -> web.StreamResponse:
     """Send a call at most once, under a claim."""
-    answer = await router.agent.claim(claim)
-    if answer.outcome is not ClaimOutcome.GRANTED:
-        return refuse_claim(answer)
-    endpoint = choose_endpoint(router, route, set())
-    if endpoint is None:
-        await router.agent.settle(Settlement(claim, SettleOutcome.ABANDONED))
-        return problem_response(no_endpoint(route))
-    outcome = await call_service(router.session, endpoint, call, route.deadline)
-    if outcome.is_ok():
-        recorded = record_response(outcome.ok)
-        await router.agent.settle(Settlement(claim, SettleOutcome.DONE, recorded))
-        return relay(outcome.ok)
-    abandoned = outcome.error.ran is Ran.NO
-    settled = SettleOutcome.ABANDONED if abandoned else SettleOutcome.UNKNOWN
-    await router.agent.settle(Settlement(claim, settled))
-    return problem_response(outcome.error)
-
-
-def choose_endpoint(
-    router: Router, route: Route, tried: set[EndpointId]
-) -> EndpointSpec | None:
-    """Return the endpoint with the fewest own calls in flight, or None."""
     pool = router.view.tables.pool(route.pool)
-    usable = [
-        spec
-        for spec in pool.endpoints
-        if router.may_use(spec.id) and spec.id not in tried
-    ]
-    if not usable:
-        return None
-    return min(usable, key=lambda it: (router.own_load[it.id], router.random.random()))
-
-
-def refuse_claim(answer: ClaimAnswer) -> web.StreamResponse:
-    """Return the response to a call whose claim was not granted."""
-    if answer.outcome is ClaimOutcome.REPLAY and answer.response is not None:
-        return replay(answer.response)
-    outcomes = {
-        ClaimOutcome.IN_PROGRESS: ("in-progress", Ran.UNKNOWN, 1.0),
-        ClaimOutcome.UNKNOWN: ("outcome-unknown", Ran.UNKNOWN, None),
-        ClaimOutcome.REPLAY: ("outcome-unknown", Ran.YES, None),
-        ClaimOutcome.MISMATCH: ("key-reused", Ran.NO, None),
-        ClaimOutcome.EXPIRED: ("key-expired", Ran.UNKNOWN, None),
-        ClaimOutcome.UNAVAILABLE: ("claim-unavailable", Ran.NO, 1.0),
-    }
-    kind, ran, retry_after = outcomes[answer.outcome]
-    detail = answer.failure.detail if answer.failure else answer.outcome.value
-    return problem_response(Failure(Step.CLAIM, "", kind, detail, ran, retry_after))
-
-
-def record_response(response: ServiceResponse) -> RecordedResponse:
-    """Return what the journal keeps of a response."""
-    truncated = len(response.body) > RECORD_LIMIT
-    body = b"" if truncated else response.body
-    return RecordedResponse(
-        status=response.status,
-        content_type=response.headers.get("Content-Type", "application/octet-stream"),
-        body=base64.b64encode(body).decode(),
-        truncated=truncated,
+    sent = scope_key(pool, call, claim)
+    attempt = ServiceAttempt(router, route, pool, sent)
+    ports = DispatchPorts(
+        router.agent.claim,
+        attempt.send,
+        router.settler.settle,
+        max_sends=max(1, route.retry.max_attempts),
     )
+    dispatched = await dispatch(GuardedCall(claim), ports)
+    if dispatched.refusal is not None:
+        return await answer_refusal(router, attempt, claim, dispatched.refusal)
+    if dispatched.failure is not None or attempt.response is None:
+        failure = dispatched.failure or no_endpoint(route)
+        return problem_response(attrs.evolve(failure, ran=dispatched.ran))
+    return relay(attempt.response)
+
 
+def scope_key(pool: Pool, call: ServiceCall, claim: ClaimRequest) -> ServiceCall:
+    """
+    Return a call whose key is unique over workspaces, where endpoints use keys.
 
-def replay(recorded: RecordedResponse) -> web.Response:
-    """Return a recorded response, marked as a replay."""
+    Without it an endpoint that checks keys would answer one workspace with the
+    response of another that chose the same key.
+    """
+    if not (pool.checks_idempotency_keys or pool.answers_status):
+        return call
+    parts = (quote(part, safe="") for part in (claim.workspace, claim.route, claim.key))
     headers = {
-        "Content-Type": recorded.content_type,
-        "Idempotency-Replayed": "true",
+        name: value
+        for name, value in call.headers.items()
+        if name.lower() != "idempotency-key"
     }
-    body = base64.b64decode(recorded.body)
-    return web.Response(status=recorded.status, headers=headers, body=body)
+    headers["Idempotency-Key"] = "/".join(parts)
+    return attrs.evolve(call, headers=headers)
 
 
-def relay(response: ServiceResponse) -> web.Response:
-    """Return a service's response to the caller."""
-    headers = forwarded_headers(response.headers.items())
-    return web.Response(status=response.status, headers=headers, body=response.body)
+async def answer_refusal(
+    router: Router, attempt: ServiceAttempt, claim: ClaimRequest, answer: ClaimAnswer
+) -> web.StreamResponse:
+    """Answer a call whose claim was not granted."""
+    if answer.outcome is ClaimOutcome.UNKNOWN and answer.holder is not None:
+        found = await attempt.ask_endpoints()
+        if found is not None:
+            held = attrs.evolve(claim, request=answer.holder)
+            recorded = record_response(found)
+            router.settler.settle(Settlement(held, SettleOutcome.DONE, recorded))
+            return replay(recorded) if not recorded.truncated else relay(found)
+    return refuse_claim(answer)
+
+
+def refuse_claim(answer: ClaimAnswer) -> web.StreamResponse:
+    """Return the response to a call whose claim was not granted."""
+    recorded = recorded_or_none(answer)
+    if recorded is not None:
+        return replay(recorded)
+    if answer.failure is not None:
+        failure = answer.failure
+        kind = "bad-key" if failure.kind == "bad-key" else "claim-unavailable"
+        retry_after = None if kind == "bad-key" else failure.retry_after or 1.0
+        detail = f"{failure.kind}: {failure.detail}"
+        refused = Failure(Step.CLAIM, failure.peer, kind, detail, Ran.NO, retry_after)
+        return problem_response(refused)
+    return problem_response(REFUSALS[answer.outcome])
 
 
-def no_endpoint(route: Route) -> Failure:
-    """Return the failure of a call that no endpoint is left for."""
-    detail = f"no endpoint of {route.pool!r} is live"
-    return Failure(Step.CHOOSE, "", "no-pipeline", detail, Ran.NO, retry_after=1.0)
+REFUSALS = {
+    ClaimOutcome.IN_PROGRESS: Failure(
+        Step.CLAIM,
+        "",
+        "in-progress",
+        "a call with this key is in progress",
+        Ran.UNKNOWN,
+        retry_after=1.0,
+    ),
+    ClaimOutcome.UNKNOWN: Failure(
+        Step.CLAIM,
+        "",
+        "outcome-unknown",
+        "a call with this key has an unknown outcome and won't run again",
+        Ran.UNKNOWN,
+    ),
+    ClaimOutcome.REPLAY: Failure(
+        Step.CLAIM,
+        "",
+        "response-not-recorded",
+        "a call with this key has run; its response was too large to record",
+        Ran.YES,
+    ),
+    ClaimOutcome.MISMATCH: Failure(
+        Step.CLAIM,
+        "",
+        "key-reused",
+        "the key was used with another method, path or body",
+    ),
+    ClaimOutcome.EXPIRED: Failure(
+        Step.CLAIM,
+        "",
+        "key-expired",
+        "the key is older than the journal keeps; a call with it may have run",
+        Ran.UNKNOWN,
+    ),
+    ClaimOutcome.UNAVAILABLE: Failure(
+        Step.CLAIM,
+        "",
+        "claim-unavailable",
+        "the journal did not answer",
+        retry_after=1.0,
+    ),
+}
--- a/lentilhaven/router/shutdown.py
+++ b/lentilhaven/router/shutdown.py
@@ -5,6 +5,9 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.router.router import Router
 
+#: Seconds for which a shutdown waits for settlements.
+SETTLE_LIMIT = 10.0
+
 log = get_logger("router")
 
 
@@ -33,6 +36,9 @@
             await wait_either(hurry, router.idle.wait())
     except TimeoutError:
         log.error("requests are still in flight at the drain limit", limit=limit)
+    unsettled = await router.settler.wait_settled(SETTLE_LIMIT)
+    if unsettled:
+        log.error("calls were left without a settlement", count=unsettled)
     if router.in_flight:
         log.error("requests were cut off", count=router.in_flight)
     return router.in_flight
--- a/lentilhaven/testbed/testbed.py
+++ b/lentilhaven/testbed/testbed.py
@@ -135,11 +135,18 @@
         """Return the headers that show the workspace's token."""
         return {"Authorization": f"Bearer {WORKSPACE_TOKEN}"}
 
-    def connector(self) -> aiohttp.BaseConnector:
-        """Return a connector for this testbed's kind of time."""
+    def connector(self, fresh: bool = False) -> aiohttp.BaseConnector:
+        """
+        Return a connector for this testbed's kind of time.
+
+        Parameters
+        ----------
+        fresh : bool
+            Whether it opens a connection for each request.
+        """
         if self.plan.virtual:
-            return VirtualConnector(limit=0)
-        return aiohttp.TCPConnector(limit=0)
+            return VirtualConnector(limit=0, force_close=fresh)
+        return aiohttp.TCPConnector(limit=0, force_close=fresh)
 
     def next_port(self) -> int:
         """Return the port for another server; 0 lets the system choose."""
@@ -226,7 +233,12 @@
         source = derive_random(self.plan.seed, "router", name)
         router = await self.stack.enter_async_context(
             open_router(
-                router_settings, self.clock, source, CLUSTER_TOKEN, self.connector()
+                router_settings,
+                self.clock,
+                source,
+                CLUSTER_TOKEN,
+                self.connector(),
+                self.connector(fresh=True),
             )
         )
         url = await self.stack.enter_async_context(
