--- a/lentilhaven/agent/agent.py
+++ b/lentilhaven/agent/agent.py
@@ -20,7 +20,8 @@
 from lentilhaven.distribution.spreader import Spreader
 from lentilhaven.distribution.store_watch import StoreWatch
 from lentilhaven.distribution.table_holder import TableHolder
-from lentilhaven.idempotency.journal import Journal
+from lentilhaven.idempotency import JournalNode, open_journal_host
+from lentilhaven.idempotency.journal_peers import JournalPeers
 from lentilhaven.load.load_digest import view_endpoints
 from lentilhaven.load.load_poller import LoadPoller
 from lentilhaven.membership.fact_table import Topic
@@ -52,7 +53,7 @@
         The platform's store.
     clock : Clock
         Source of time.
-    journal : Journal
+    journal : JournalNode
         Claims on non-idempotent calls.
     holder : TableHolder
         The tables.
@@ -75,7 +76,7 @@
     settings: AgentSettings
     client: ObjectClient
     clock: Clock
-    journal: Journal
+    journal: JournalNode
     holder: TableHolder
     members: Members
     gossip: Gossip
@@ -179,6 +180,8 @@
     clock: Clock,
     source: random.Random,
     peers: PeerClient,
+    members: Members,
+    journal: JournalNode,
 ) -> Agent:
     """
     Wire the parts of an agent together.
@@ -195,9 +198,12 @@
         Source of chance.
     peers : PeerClient
         Client of other agents; its session also reaches endpoints.
+    members : Members
+        The VMs.
+    journal : JournalNode
+        Claims on non-idempotent calls.
     """
     holder = TableHolder()
-    members = Members(settings.vm, settings.data_centre)
     incarnation = int(clock.wall() * 1000)
     facts = open_fact_tables(clock)
     gossip = Gossip(members, peers, clock, source, incarnation, facts)
@@ -205,7 +211,6 @@
     spreader = Spreader(holder, members, configuration, peers, clock, source)
     heartbeats = Heartbeats(gossip, lambda: holder.head.version, spreader.catch_up)
     poller = LoadPoller(gossip, peers.session, clock, source)
-    journal = Journal(client.for_share(Share.JOURNAL))
     return Agent(
         settings,
         client,
@@ -249,11 +254,19 @@
     """
     if connector is None:
         connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    chance = source or random.SystemRandom()
+    members = Members(settings.vm, settings.data_centre)
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        open_journal_host(
+            settings.vm,
+            client.for_share(Share.JOURNAL),
+            clock,
+            JournalPeers(session, token, members.live),
+        ) as journal,
+    ):
         peers = PeerClient(session, token)
-        agent = make_agent(
-            settings, client, clock, source or random.SystemRandom(), peers
-        )
+        agent = make_agent(settings, client, clock, chance, peers, members, journal)
         watch = StoreWatch(agent.spreader)
         joining = Joining(agent.spreader, settings.seeds)
         async with running_tasks(
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -16,6 +16,7 @@
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.endpoints.engine_client import EngineClient
 from lentilhaven.endpoints.stage import Stage
+from lentilhaven.idempotency.settler import Settler
 from lentilhaven.retries.circuit_board import CircuitBoard
 from lentilhaven.retries.retry_budget import RetryBudget
 from lentilhaven.router.agent_client import AgentClient
@@ -64,6 +65,10 @@
         Endpoints that have failed lately.
     budgets : dict
         `RetryBudget` by route.
+    fresh : aiohttp.ClientSession or None
+        Opens a connection for each request.
+    settler : Settler
+        Settles non-idempotent calls in the background.
     """
 
     settings: RouterSettings
@@ -83,6 +88,12 @@
         default=attrs.Factory(lambda self: CircuitBoard(self.random), takes_self=True)
     )
     budgets: dict[RouteName, RetryBudget] = attrs.field(factory=dict)
+    fresh: aiohttp.ClientSession | None = None
+    settler: Settler = attrs.field(
+        default=attrs.Factory(
+            lambda self: Settler(self.agent.settle, self.clock), takes_self=True
+        )
+    )
 
     @property
     def ready(self) -> bool:
@@ -140,6 +151,15 @@
             if self.in_flight == 0:
                 self.idle.set()
 
+    @contextmanager
+    def counted_service(self, endpoint: EndpointId) -> Iterator[None]:
+        """Count a call at a plain service while the context lasts."""
+        self.own_load[endpoint] += 1
+        try:
+            yield
+        finally:
+            self.own_load[endpoint] -= 1
+
     async def follow_view(self) -> None:
         """Adopt every newer view of the agent, for ever."""
         while True:
@@ -204,6 +224,10 @@
         agent = AgentClient(settings.agent_url, session, token)
         engines = EngineClient(session, fresh)
         router = Router(settings, session, engines, agent, clock, random)
+        router.fresh = fresh
         router.idle.set()
         async with running_tasks(router.follow_view()):
-            yield router
+            try:
+                yield router
+            finally:
+                await router.settler.close()
