Choose paths in proportion to the flow, corrected by load

The wiring drew a chain at random, weighted by own load only. Now a plan gives each endpoint and link its share of the maximum flow; a choice takes the least of (own requests + correction + exponential variable) / share. With nothing in flight that is a draw in proportion to the flow; with more it fills the shares evenly. Each router makes only its part of the correction that old reports call for, so that routers do not herd. A link is avoided when even its fastest recent token was slow. Baselines have the same interface.

Ruled out: a router-wide view of KV memory from reports, which lets routers promise the same memory twice. Router gains one field, paths.

--- /dev/null
+++ b/lentilhaven/balancing/tests/test_choice.py
@@ -0,0 +1,116 @@
+"""Tests of the choice of paths."""
+
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings, strategies as st
+
+from lentilhaven.balancing.corrections import find_corrections
+from lentilhaven.balancing.path_chooser import PathChooser
+from lentilhaven.balancing.path_policies import PATH_POLICIES
+from lentilhaven.core import InvariantError, derive_random
+from lentilhaven.core.ids import EndpointId
+from lentilhaven.pipelines.path_loads import PathLoads, PathRequest
+from lentilhaven.pipelines.range_group import LinkKey
+from lentilhaven.pipelines.tests.test_bound import CENTRES, KINDS, pools
+from lentilhaven.tables.endpoint_spec import EndpointSpec
+from lentilhaven.tables.layer_range import LayerRange, covers_once
+from lentilhaven.tables.pool import Pool, PoolKind
+
+SMALL = PathRequest(tokens=10.0)
+
+
+class ChoiceTests(unittest.TestCase):
+    @settings(derandomize=True, max_examples=40, deadline=None)
+    @given(pools(), st.sampled_from(sorted(PATH_POLICIES)))
+    def test_every_policy_covers_the_layers_once(self, pool, policy):
+        chooser = PathChooser(policy)
+        plan = chooser.plan(pool, None, (), 0.0)
+        path = chooser.choose(plan, SMALL, derive_random(1))
+        self.assertEqual(path is not None, plan.rate > 0)
+        if path is not None:
+            ranges = [it.layers for it in path]
+            self.assertTrue(covers_once(ranges, pool.layer_count))
+
+    @settings(derandomize=True, max_examples=25, deadline=None)
+    @given(pools())
+    def test_draws_follow_the_flow(self, pool):
+        chooser = PathChooser()
+        plan = chooser.plan(pool, None, (), 0.0)
+        if plan.rate == 0:
+            return
+        source, uses = derive_random(1), Counter()
+        for _ in range(400):
+            path = chooser.choose(plan, PathRequest(), source)
+            uses.update(it.endpoint for it in path)
+            chooser.loads.own.update(it.endpoint for it in path)
+        for member in plan.all_members():
+            expected = 400 * member.rate / plan.rate
+            self.assertAlmostEqual(uses[member.endpoint], expected, delta=20)
+
+    @settings(derandomize=True, max_examples=25, deadline=None)
+    @given(pools(), st.sampled_from(sorted(PATH_POLICIES)))
+    def test_routers_together_never_over_commit_kv_memory(self, pool, policy):
+        routers = [PathChooser(policy, loads=PathLoads(3)) for _ in range(3)]
+        source, held = derive_random(1), Counter()
+        size = PathRequest(tokens=1500.0)
+        for step in range(60):
+            router = routers[step % 3]
+            plan = router.plan(pool, None, (), 0.0)
+            path = router.choose(plan, size, source)
+            if path is None:
+                continue
+            router.loads.begin(path, size)
+            for member in path:
+                held[member.endpoint] += size.tokens * member.layers.size
+                self.assertLessEqual(held[member.endpoint], member.kv_capacity)
+
+    def test_reserving_too_much_breaks_an_invariant(self):
+        chooser = PathChooser()
+        pool = example_pool()
+        plan = chooser.plan(pool, None, (), 0.0)
+        path = chooser.choose(plan, SMALL, derive_random(1))
+        with self.assertRaises(InvariantError):
+            chooser.loads.begin(path, PathRequest(tokens=1e9))
+
+    def test_a_slow_link_is_left_out_and_tried_again_later(self):
+        chooser, pool = PathChooser(), example_pool()
+        slow = LinkKey(6, "a", "b")
+        chooser.timing.avoided[slow] = 5.0
+        during = chooser.plan(pool, None, (), 1.0)
+        self.assertNotIn("b", during.links.get((6, "a"), {}))
+        chooser.plan(pool, None, (), 6.0)
+        self.assertEqual(chooser.timing.slow_links(6.0), frozenset())
+
+    def test_repair_replaces_only_the_lost_range(self):
+        chooser, pool, source = PathChooser(), example_pool(), derive_random(1)
+        path = chooser.choose(chooser.plan(pool, None, (), 0.0), SMALL, source)
+        lost = {path[1].endpoint}
+        plan = chooser.plan(pool, None, lost, 0.0)
+        repaired = chooser.repair(plan, SMALL, path, lost, source)
+        self.assertEqual(repaired[0], path[0])
+        self.assertNotIn(repaired[1].endpoint, lost)
+        self.assertEqual(repaired[1].layers, path[1].layers)
+
+    def test_routers_share_a_correction(self):
+        plan = PathChooser().plan(example_pool(), None, (), 0.0)
+        reported = {it.endpoint: 1.0 for it in plan.all_members()}
+        reported[EndpointId("e0")] = 9.0
+        one = find_corrections(plan, reported, 1)["e0"]
+        many = find_corrections(plan, reported, 100)["e0"]
+        self.assertAlmostEqual(one, 100 * many)
+
+
+def example_pool():
+    """Return two holders of each half of a model, in two data centres."""
+    endpoints = [
+        EndpointSpec(
+            EndpointId(f"e{index}"),
+            "",
+            CENTRES[index % 2],
+            LayerRange(0, 6) if index < 2 else LayerRange(6, 12),
+            accelerator="new",
+        )
+        for index in range(4)
+    ]
+    return Pool("p", PoolKind.ENGINE, endpoints, layer_count=12, accelerators=KINDS)
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -11,11 +11,12 @@
 
 from lentilhaven.control.view import EndpointState, View
 from lentilhaven.core.clock import Clock
-from lentilhaven.core.ids import EndpointId
+from lentilhaven.core.ids import EndpointId, PoolName
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.endpoints.engine_client import EngineClient
 from lentilhaven.router.agent_client import AgentClient
+from lentilhaven.router.path_state import PathState
 from lentilhaven.router.router_settings import RouterSettings
 from lentilhaven.tables.tables import Tables
 
@@ -56,6 +57,8 @@
         Set while nothing is in flight.
     counters : Counter
         Events by name, for the state dump.
+    paths : dict
+        `PathState` by pool.
     """
 
     settings: RouterSettings
@@ -71,6 +74,7 @@
     draining: bool = False
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     counters: Counter[str] = attrs.field(factory=Counter)
+    paths: dict[PoolName, PathState] = attrs.field(factory=dict)
 
     @property
     def ready(self) -> bool:
