Admit by fair shares and deadlines, refuse on arrival only

Start-time fair queueing between workspaces, earliest deadline within each; a request whose predicted wait exceeds its time is refused when it arrives and never later. Quotas divide a workspace's limits between routers by spread demand, without a store call. The first-come queue is the baseline.

Ruled out: a queue over all workspaces by deadline alone, in which a flood refuses everybody; dropping from the queue later, which lets callers wait to be refused.

--- /dev/null
+++ b/lentilhaven/limits/admission_policies.py
@@ -0,0 +1,36 @@
+"""Admission policies by the name that the route table uses."""
+
+from collections.abc import Callable
+
+import attrs
+
+from lentilhaven.limits.admission_state import AdmissionState
+from lentilhaven.limits.deadline_admission import (
+    pick_fairly,
+    predict_fair_wait,
+)
+from lentilhaven.limits.first_come import pick_first, predict_no_wait
+from lentilhaven.limits.ticket import Ticket
+
+
+@attrs.frozen
+class AdmissionPolicy:
+    """
+    Decides on refusal and on the order of the queue.
+
+    Attributes
+    ----------
+    predict_wait : callable
+        Returns the seconds that a ticket would wait.
+    pick : callable
+        Returns the waiting ticket to start next, or None to start none now.
+    """
+
+    predict_wait: Callable[[AdmissionState, Ticket], float]
+    pick: Callable[[AdmissionState], Ticket | None]
+
+
+ADMISSION_POLICIES: dict[str, AdmissionPolicy] = {
+    "deadline": AdmissionPolicy(predict_fair_wait, pick_fairly),
+    "first-come": AdmissionPolicy(predict_no_wait, pick_first),
+}
--- /dev/null
+++ b/lentilhaven/limits/first_come.py
@@ -0,0 +1,17 @@
+"""The baseline: one queue in order of arrival, without refusal."""
+
+from lentilhaven.limits.admission_state import AdmissionState
+from lentilhaven.limits.ticket import Ticket
+
+
+def predict_no_wait(state: AdmissionState, ticket: Ticket) -> float:
+    """Return 0, so that nothing is refused."""
+    return 0.0
+
+
+def pick_first(state: AdmissionState) -> Ticket | None:
+    """Return the ticket that arrived first while the limit allows another."""
+    if len(state.running) >= int(state.limit.limit) or not state.queues:
+        return None
+    waiting = (it for queue in state.queues.values() for it in queue)
+    return min(waiting, key=lambda it: it.arrived)
--- /dev/null
+++ b/lentilhaven/limits/quota.py
@@ -0,0 +1,107 @@
+"""A workspace's limits, divided between routers."""
+
+import attrs
+
+from lentilhaven.core.ids import VmId
+
+#: Part of a limit that is divided evenly, so that a router without demand can
+#: admit a first request before its demand is known.
+EVEN_PART = 0.2
+
+#: Seconds of unused rate that may be saved up.
+BURST = 1.0
+
+
+def share_of_limit(limit: float, demands: dict[VmId, float], router: VmId) -> float:
+    """
+    Return a router's part of a limit; all parts together are the limit.
+
+    Demands are what each router was last asked for, spread between agents.
+    Every router computes all parts from the same demands, without a call to the
+    store.  While demands differ between routers the parts may add up to more
+    than the limit, at most by the part that follows demand.
+
+    Parameters
+    ----------
+    limit : float
+        Limit over all routers.
+    demands : dict
+        Demand by live router.
+    router : str
+        The router that asks.
+
+    Examples
+    --------
+    >>> share_of_limit(10.0, {"a": 3.0, "b": 1.0}, "a")
+    7.0
+    >>> share_of_limit(10.0, {"a": 0.0, "b": 0.0}, "a")
+    5.0
+    """
+    even = limit / len(demands)
+    total = sum(demands.values())
+    if total == 0:
+        return even
+    by_demand = limit * demands[router] / total
+    return EVEN_PART * even + (1.0 - EVEN_PART) * by_demand
+
+
+@attrs.define
+class Quota:
+    """
+    A router's part of one workspace's limits.
+
+    Attributes
+    ----------
+    rate : float
+        Requests per second; 0 for no limit.
+    concurrency : float
+        Requests in flight; 0 for no limit.
+    tokens : float
+        Requests that may start now.
+    refilled : float
+        Monotonic time of the last refill, in seconds.
+    running : int
+        Requests in flight.
+
+    Examples
+    --------
+    >>> quota = Quota(rate=2.0, concurrency=0.0, tokens=1.0)
+    >>> quota.try_start(0.0), quota.try_start(0.0), quota.try_start(0.5)
+    (None, 0.5, None)
+    """
+
+    rate: float
+    concurrency: float
+    tokens: float = 1.0
+    refilled: float = 0.0
+    running: int = 0
+
+    def try_start(self, now: float) -> float | None:
+        """
+        Start a request, or return the seconds after which to try again.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time, in seconds.
+        """
+        self.refill(now)
+        if self.concurrency and self.running + 1 > max(1.0, self.concurrency):
+            return 1.0
+        if self.rate:
+            if self.tokens < 1.0:
+                return (1.0 - self.tokens) / self.rate
+            self.tokens -= 1.0
+        self.running += 1
+        return None
+
+    def refill(self, now: float) -> None:
+        """Add what the rate has allowed since the last refill."""
+        most = max(1.0, self.rate * BURST)
+        earned = (now - self.refilled) * self.rate
+        self.tokens = min(most, self.tokens + earned)
+        self.refilled = now
+
+    def finish(self) -> None:
+        """Count a request out."""
+        self.running -= 1
