--- a/lentilhaven/limits/deadline_admission.py
+++ b/lentilhaven/limits/deadline_admission.py
@@ -79,4 +79,4 @@
     weights[ticket.workspace] = ticket.weight
     share = ticket.weight / sum(weights.values())
     own = state.running_by_workspace[ticket.workspace] + 1
-    return own <= min(share, 1.0 - RESERVE) * state.limit.limit
+    return own <= max(1.0, min(share, 1.0 - RESERVE) * state.limit.limit)
