--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -11,7 +11,7 @@
 
 from lentilhaven.control.view import EndpointState, View
 from lentilhaven.core.clock import Clock
-from lentilhaven.core.ids import EndpointId, RouteName
+from lentilhaven.core.ids import EndpointId, PoolName, RouteName
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.endpoints.engine_client import EngineClient
@@ -20,6 +20,7 @@
 from lentilhaven.retries.circuit_board import CircuitBoard
 from lentilhaven.retries.retry_budget import RetryBudget
 from lentilhaven.router.agent_client import AgentClient
+from lentilhaven.router.path_state import PathState
 from lentilhaven.router.router_settings import RouterSettings
 from lentilhaven.tables.route import Route
 from lentilhaven.tables.tables import Tables
@@ -69,6 +70,8 @@
         Opens a connection for each request.
     settler : Settler
         Settles non-idempotent calls in the background.
+    paths : dict
+        `PathState` by pool.
     """
 
     settings: RouterSettings
@@ -94,6 +97,7 @@
             lambda self: Settler(self.agent.settle, self.clock), takes_self=True
         )
     )
+    paths: dict[PoolName, PathState] = attrs.field(factory=dict)
 
     @property
     def ready(self) -> bool:
