Hold callers' limits from the start of a connection; problems on every path

Cause: errors of the HTTP parser, of unknown paths and of defects came as plain text; a sender could hold a connection for ever without a head; tokens were compared one by one with every workspace's hash.

Ruled out: a proxy protocol around aiohttp's, since the library's own RequestHandler may be subclassed and also renders the parser's errors; a keep-alive timeout as the only limit, since it can't differ for the first head.

The openai client works unchanged against the listener (test over loopback sockets).

Smallest edits in files of others: completions and services take the request's id from the context, router.py forwards traceparent and verifies endpoints.

--- a/lentilhaven/core/hashing.py
+++ b/lentilhaven/core/hashing.py
@@ -41,4 +41,7 @@
     >>> token_hash("secret")[:19]
     'sha256:2bb80d537b1d'
     """
-    return "sha256:" + hashlib.sha256(token.encode()).hexdigest()
+    # A header may hold bytes that are not UTF-8; they match no token.
+    return (
+        "sha256:" + hashlib.sha256(token.encode(errors="surrogateescape")).hexdigest()
+    )
--- /dev/null
+++ b/lentilhaven/core/ranges.py
@@ -0,0 +1,87 @@
+"""Validators of attrs fields that name the value they refuse."""
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+
+def within(low: float, high: float) -> Callable[[Any, Any, Any], None]:
+    """
+    Return a validator of numbers from `low` to `high`, both included.
+
+    Parameters
+    ----------
+    low, high : float
+        The bounds.
+
+    Examples
+    --------
+    >>> import attrs
+    >>> @attrs.frozen
+    ... class Listener:
+    ...     port: int = attrs.field(validator=within(0, 65535))
+    >>> Listener(70000)
+    Traceback (most recent call last):
+        ...
+    ValueError: must be from 0 to 65535, not 70000
+    """
+
+    def validate(_: object, __: object, value: float) -> None:
+        if not math.isfinite(value) or not low <= value <= high:
+            raise ValueError(f"must be from {low:g} to {high:g}, not {value!r}")
+
+    # The reference page of the settings shows the bounds.
+    validate.bounds = (low, high)  # type: ignore[attr-defined]
+    return validate
+
+
+def one_of(*allowed: str) -> Callable[[Any, Any, Any], None]:
+    """
+    Return a validator of strings from a list.
+
+    Examples
+    --------
+    >>> one_of("a", "b")(None, None, "c")
+    Traceback (most recent call last):
+        ...
+    ValueError: must be one of a, b, not 'c'
+    """
+
+    def validate(_: object, __: object, value: str) -> None:
+        if value not in allowed:
+            raise ValueError(f"must be one of {', '.join(allowed)}, not {value!r}")
+
+    validate.allowed = allowed  # type: ignore[attr-defined]
+    return validate
+
+
+def not_empty(_: object, __: object, value: Any) -> None:
+    """
+    Refuse an empty string.
+
+    Examples
+    --------
+    >>> not_empty(None, None, " ")
+    Traceback (most recent call last):
+        ...
+    ValueError: must not be empty
+    """
+    if not value.strip():
+        raise ValueError("must not be empty")
+
+
+def http_url(_: object, __: object, value: Any) -> None:
+    """
+    Refuse anything but an ``http`` or ``https`` URL with a host.
+
+    Examples
+    --------
+    >>> http_url(None, None, "10.0.0.7:80")
+    Traceback (most recent call last):
+        ...
+    ValueError: must be an http or https URL, not '10.0.0.7:80'
+    """
+    scheme, separator, rest = value.partition("://")
+    host = rest.partition("/")[0]
+    if scheme not in ("http", "https") or not separator or not host.strip(":"):
+        raise ValueError(f"must be an http or https URL, not {value!r}")
--- a/lentilhaven/core/step.py
+++ b/lentilhaven/core/step.py
@@ -25,3 +25,4 @@
     LIST_VMS = "list-vms"
     SPREAD = "spread"
     ORDER = "order"
+    INTERNAL = "internal"
--- a/lentilhaven/core/tasks.py
+++ b/lentilhaven/core/tasks.py
@@ -5,7 +5,7 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
-from lentilhaven.core.logs import get_logger
+from lentilhaven.core.logs import describe_defect, get_logger
 
 log = get_logger("core")
 
@@ -45,4 +45,5 @@
         return
     error = task.exception()
     if error is not None:
-        log.error("background task failed", task=task.get_name(), error=repr(error))
+        place = describe_defect(error)
+        log.error("background task failed", task=task.get_name(), **place)
--- a/lentilhaven/router/app_keys.py
+++ b/lentilhaven/router/app_keys.py
@@ -3,11 +3,12 @@
 from aiohttp import web
 
 from lentilhaven.core.failure import FailureError
-from lentilhaven.router.authentication import authenticate
+from lentilhaven.router.authentication import WorkspaceIndex
 from lentilhaven.router.router import Router
 from lentilhaven.tables.workspace import Workspace
 
 ROUTER: web.AppKey[Router] = web.AppKey("router", Router)
+INDEX: web.AppKey[WorkspaceIndex] = web.AppKey("index", WorkspaceIndex)
 
 
 def read_workspace(request: web.Request) -> Workspace:
@@ -20,7 +21,8 @@
         If the caller shows no valid token.
     """
     tables = request.app[ROUTER].view.tables
-    outcome = authenticate(tables, request.headers.get("Authorization", ""))
+    header = request.headers.get("Authorization", "")
+    outcome = request.app[INDEX].authenticate(tables, header)
     if outcome.is_error():
         raise FailureError(outcome.error)
     return outcome.ok
--- a/lentilhaven/router/authentication.py
+++ b/lentilhaven/router/authentication.py
@@ -1,7 +1,6 @@
 """Finds the workspace that a bearer token belongs to."""
 
-import hmac
-
+import attrs
 from expression import Error, Ok, Result
 
 from lentilhaven.core.failure import Failure
@@ -11,32 +10,59 @@
 from lentilhaven.tables.workspace import Workspace
 
 
-def authenticate(tables: Tables, header: str) -> Result[Workspace, Failure]:
+@attrs.define
+class WorkspaceIndex:
     """
-    Return the workspace whose token a caller shows.
+    Workspaces by the hash of their tokens, built once per version of the tables.
 
-    Every hash is compared, and each in constant time, so that the time taken
-    tells nothing of which one matched.
+    A lookup takes the same few microseconds for ten workspaces and for 20,000.
+    Its timing may tell something of the SHA-256 of the token that was shown,
+    compared with the hashes in the tables; that helps nobody, since a token
+    can't be chosen by its hash, nor be worked out from one.  The tables hold
+    only hashes, and no secret is compared byte by byte.
 
-    Parameters
+    Attributes
     ----------
     tables : Tables
-        Tables in force.
-    header : str
-        Value of the ``Authorization`` header.
+        What the index was built from.
+    workspaces : dict
+        `Workspace` by token hash.
     """
-    scheme, _, token = header.partition(" ")
-    if scheme.lower() != "bearer" or not token:
-        return Error(unauthenticated("a bearer token is required"))
-    shown = token_hash(token.strip()).encode()
-    found = None
-    for workspace in tables.workspaces:
-        for known in workspace.token_hashes:
-            if hmac.compare_digest(shown, known.encode()):
-                found = workspace
-    if found is None:
-        return Error(unauthenticated("the token is not known"))
-    return Ok(found)
+
+    tables: Tables = attrs.field(factory=Tables)
+    workspaces: dict[str, Workspace] = attrs.field(factory=dict)
+
+    def authenticate(self, tables: Tables, header: str) -> Result[Workspace, Failure]:
+        """
+        Return the workspace whose token a caller shows.
+
+        Parameters
+        ----------
+        tables : Tables
+            Tables in force.
+        header : str
+            Value of the ``Authorization`` header.
+        """
+        self.follow(tables)
+        scheme, _, token = header.partition(" ")
+        if scheme.lower() != "bearer" or not token.strip():
+            return Error(unauthenticated("a bearer token is required"))
+        found = self.workspaces.get(token_hash(token.strip()))
+        if found is None:
+            return Error(unauthenticated("the token is not known"))
+        return Ok(found)
+
+    def follow(self, tables: Tables) -> None:
+        """Build the index again if the version of the tables has changed."""
+        same = tables is self.tables
+        if same or 0 < tables.version == self.tables.version:
+            return
+        self.workspaces = {
+            known: workspace
+            for workspace in tables.workspaces
+            for known in workspace.token_hashes
+        }
+        self.tables = tables
 
 
 def unauthenticated(detail: str) -> Failure:
--- a/lentilhaven/router/completion_request.py
+++ b/lentilhaven/router/completion_request.py
@@ -8,17 +8,9 @@
 
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.ids import ModelName
+from lentilhaven.router.completion_fields import DEFAULT_MAX_TOKENS, find_problem
 from lentilhaven.router.problems import bad_request
 
-#: Length of an answer when the caller names none, in tokens.
-DEFAULT_MAX_TOKENS = 64
-
-#: Longest answer that a caller may ask for, in tokens.
-LONGEST_ANSWER = 32_768
-
-#: Fields that would change the answer and that the router can't honour.
-UNSUPPORTED = ("logprobs", "tools", "functions", "best_of", "suffix", "echo")
-
 
 @attrs.frozen
 class CompletionRequest:
@@ -53,7 +45,7 @@
     Parameters
     ----------
     body : bytes
-        JSON text.
+        JSON text in UTF-8.
     chat : bool
         Whether it came over the chat interface.
 
@@ -63,47 +55,25 @@
     ['a ', 'b']
     >>> parse_completion(b'[]', chat=False).error.detail
     'the body must be a JSON object'
+    >>> parse_completion(b'{"model": "m", "seed": NaN}', chat=False).error.detail
+    'the body is not JSON: NaN is no JSON number'
     """
     try:
-        document = json.loads(body)
+        document = json.loads(body.decode(), parse_constant=refuse_constant)
     except (ValueError, RecursionError) as error:
         return Error(bad_request(f"the body is not JSON: {error}"))
     if not isinstance(document, dict):
         return Error(bad_request("the body must be a JSON object"))
-    problem = find_problem(document)
+    problem = find_problem(document, chat)
     if problem:
         return Error(bad_request(problem))
     text = read_chat(document) if chat else read_prompt(document)
     return text.map(lambda it: build_request(document, it, chat))
 
 
-def find_problem(document: dict) -> str:
-    """Return what is wrong with the plain fields, or an empty string."""
-    model = document.get("model")
-    if not isinstance(model, str) or not model:
-        return "model: a non-empty string is required"
-    stream = document.get("stream", False)
-    if not isinstance(stream, bool):
-        return f"stream: must be true or false, not {stream!r}"
-    if document.get("n", 1) != 1:
-        return "n: only 1 answer can be asked for"
-    limit = read_limit(document)
-    if isinstance(limit, bool) or not isinstance(limit, int):
-        return f"max_tokens: must be an integer, not {limit!r}"
-    if not 1 <= limit <= LONGEST_ANSWER:
-        return f"max_tokens: must be from 1 to {LONGEST_ANSWER}, not {limit}"
-    for name in UNSUPPORTED:
-        if document.get(name):
-            return f"{name}: not supported"
-    return ""
-
-
-def read_limit(document: dict) -> object:
-    """Return the length limit under either of its names."""
-    for name in ("max_completion_tokens", "max_tokens"):
-        if document.get(name) is not None:
-            return document[name]
-    return DEFAULT_MAX_TOKENS
+def refuse_constant(name: str) -> float:
+    """Refuse the numbers that Python's JSON has beyond the standard."""
+    raise ValueError(f"{name} is no JSON number")
 
 
 def read_prompt(document: dict) -> Result[str, Failure]:
@@ -113,6 +83,8 @@
         prompt = prompt[0]
     if not isinstance(prompt, str) or not prompt.strip():
         return Error(bad_request("prompt: a non-empty string is required"))
+    if not is_unicode(prompt):
+        return Error(bad_request("prompt: holds half of a surrogate pair"))
     return Ok(prompt)
 
 
@@ -125,22 +97,61 @@
     for index, message in enumerate(messages):
         if not isinstance(message, dict):
             return Error(bad_request(f"messages[{index}]: must be an object"))
-        role, content = message.get("role"), message.get("content")
-        if not isinstance(role, str) or not isinstance(content, str):
-            detail = f"messages[{index}]: role and content must be strings"
+        role, content = message.get("role"), read_content(message)
+        if not isinstance(role, str) or content is None:
+            detail = f"messages[{index}]: role and content must be text"
+            return Error(bad_request(detail))
+        if not is_unicode(role + content):
+            detail = f"messages[{index}]: holds half of a surrogate pair"
             return Error(bad_request(detail))
         lines.append(f"{role}: {content}\n")
     return Ok("".join(lines) + "assistant:")
 
 
+def read_content(message: dict) -> str | None:
+    """
+    Return the text of a message, given whole or in parts; None if it has none.
+
+    Examples
+    --------
+    >>> read_content({"content": [{"type": "text", "text": "a"}]})
+    'a'
+    >>> read_content({"content": [{"type": "image_url", "image_url": {}}]})
+    """
+    content = message.get("content")
+    if isinstance(content, str):
+        return content
+    if not isinstance(content, list) or not content:
+        return None
+    texts = [part.get("text") if isinstance(part, dict) else None for part in content]
+    known = [text for text in texts if isinstance(text, str)]
+    return "".join(known) if len(known) == len(texts) else None
+
+
+def is_unicode(text: str) -> bool:
+    """
+    Return whether text can be encoded.
+
+    Examples
+    --------
+    >>> is_unicode("meter"), is_unicode(chr(0xD800))
+    (True, False)
+    """
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def build_request(document: dict, text: str, chat: bool) -> CompletionRequest:
     """Return the request that a checked document stands for."""
-    limit = read_limit(document)
+    limit = document.get("max_completion_tokens") or document.get("max_tokens")
     return CompletionRequest(
         model=ModelName(document["model"]),
         prompt=split_tokens(text),
-        max_tokens=limit if isinstance(limit, int) else DEFAULT_MAX_TOKENS,
-        stream=document.get("stream", False),
+        max_tokens=limit or DEFAULT_MAX_TOKENS,
+        stream=bool(document.get("stream")),
         chat=chat,
     )
 
--- a/lentilhaven/router/completions.py
+++ b/lentilhaven/router/completions.py
@@ -1,14 +1,13 @@
 """The handlers of completion requests."""
 
 import json
-import uuid
 from contextlib import aclosing
 
 from aiohttp import web
 
 from lentilhaven.answers.answer_ledger import AnswerLedger
 from lentilhaven.core.failure import Failure, FailureError
-from lentilhaven.core.ids import RequestId
+from lentilhaven.core.request_context import current_request
 from lentilhaven.core.step import Step
 from lentilhaven.endpoints.piece import Piece
 from lentilhaven.router.answer import Answer
@@ -87,7 +86,7 @@
         raise FailureError(Failure(Step.ROUTE, "", "unknown-model", detail))
     pool = tables.pool(route.pool)
     version = draw_version(route, pool, router.random)
-    request = RequestId(uuid.UUID(int=router.random.getrandbits(128), version=4).hex)
+    request = current_request(router.random)
     return Answer(
         request=request,
         workspace=workspace.id,
--- /dev/null
+++ b/lentilhaven/router/idempotency_key.py
@@ -0,0 +1,53 @@
+"""
+The key that a caller sends with a non-idempotent call.
+
+References
+----------
+IETF draft-ietf-httpapi-idempotency-key-header, "The Idempotency-Key HTTP Header
+Field".
+"""
+
+import re
+
+from multidict import CIMultiDictProxy
+
+from lentilhaven.core.failure import Failure
+from lentilhaven.core.step import Step
+
+HEADER = "Idempotency-Key"
+
+#: Printable ASCII without blanks, quotes and backslashes, bare or quoted.
+KEY_FORM = re.compile(r'("?)[!#-\[\]-~]{1,255}\1')
+
+
+def find_bad_key(headers: CIMultiDictProxy[str]) -> Failure | None:
+    """
+    Return what is wrong with the key among some headers, if anything is.
+
+    Parameters
+    ----------
+    headers : CIMultiDictProxy
+        Headers of a request; a request without a key is well formed.
+
+    Examples
+    --------
+    >>> from multidict import CIMultiDict, CIMultiDictProxy
+    >>> def check(*keys):
+    ...     pairs = [(HEADER, key) for key in keys]
+    ...     return find_bad_key(CIMultiDictProxy(CIMultiDict(pairs)))
+    >>> check(), check("issue-4711"), check('"issue-4711"')
+    (None, None, None)
+    >>> check("a b").kind, check("a", "a").kind, check('"a').kind
+    ('bad-key', 'bad-key', 'bad-key')
+    """
+    keys = headers.getall(HEADER, [])
+    if len(keys) > 1:
+        return bad_key(f"{HEADER} was sent {len(keys)} times")
+    if keys and not KEY_FORM.fullmatch(keys[0].strip()):
+        return bad_key(f"{HEADER} must be 1 to 255 printable ASCII characters")
+    return None
+
+
+def bad_key(detail: str) -> Failure:
+    """Return the failure of a malformed key."""
+    return Failure(Step.PARSE, "", "bad-key", detail)
--- a/lentilhaven/router/problems.py
+++ b/lentilhaven/router/problems.py
@@ -1,87 +1,9 @@
-"""
-Errors as RFC 9457 problem documents.
+"""Problem documents, under the name by which the router's modules know them."""
 
-References
-----------
-RFC 9457, "Problem Details for HTTP APIs".
-"""
+from lentilhaven.serving.problems import (
+    bad_request,
+    problem_document,
+    problem_response,
+)
 
-from aiohttp import web
-
-from lentilhaven.core.failure import Failure
-from lentilhaven.core.ran import Ran
-from lentilhaven.core.step import Step
-
-#: Prefix of the stable type of every problem.
-TYPE_PREFIX = "urn:lentilhaven:problem:"
-
-#: HTTP status by kind of failure; any other kind is a 502.
-STATUS = {
-    "bad-request": 400,
-    "key-required": 400,
-    "unauthenticated": 401,
-    "no-route": 404,
-    "unknown-model": 404,
-    "in-progress": 409,
-    "outcome-unknown": 409,
-    "key-expired": 409,
-    "too-large": 413,
-    "key-reused": 422,
-    "rate-limited": 429,
-    "leaving": 503,
-    "no-pipeline": 503,
-    "not-ready": 503,
-    "overloaded": 503,
-    "claim-unavailable": 503,
-    "deadline": 504,
-}
-
-
-def problem_document(failure: Failure) -> dict:
-    """
-    Return the body of a problem response.
-
-    Examples
-    --------
-    >>> failure = Failure(Step.ROUTE, "", "no-route", "nothing is called 'x'")
-    >>> problem_document(failure)["type"], problem_document(failure)["ran"]
-    ('urn:lentilhaven:problem:no-route', 'no')
-    """
-    document = {
-        "type": TYPE_PREFIX + failure.kind,
-        "title": failure.kind.replace("-", " "),
-        "status": STATUS.get(failure.kind, 502),
-        "detail": failure.detail,
-        "step": failure.step.value,
-        "ran": failure.ran.value,
-    }
-    # The OpenAI client libraries show the text that stands here.
-    document["error"] = {"message": str(failure), "type": failure.kind}
-    return document
-
-
-def problem_response(failure: Failure) -> web.Response:
-    """
-    Return the response that tells a caller of a failure.
-
-    Parameters
-    ----------
-    failure : Failure
-        What went wrong.
-    """
-    headers = {}
-    if failure.retry_after is not None:
-        headers["Retry-After"] = str(max(1, round(failure.retry_after)))
-    if failure.kind == "unauthenticated":
-        headers["WWW-Authenticate"] = "Bearer"
-    return web.json_response(
-        problem_document(failure),
-        status=STATUS.get(failure.kind, 502),
-        headers=headers,
-        content_type="application/problem+json",
-    )
-
-
-def bad_request(detail: str) -> Failure:
-    """Return the failure of a request that is malformed."""
-    return Failure(Step.PARSE, "", "bad-request", detail, Ran.NO)
+__all__ = ["bad_request", "problem_document", "problem_response"]
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -14,7 +14,9 @@
 from lentilhaven.core.ids import EndpointId
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
+from lentilhaven.core.tls import client_context
 from lentilhaven.endpoints.engine_client import EngineClient
+from lentilhaven.endpoints.trace_forwarding import trace_forwarding
 from lentilhaven.router.agent_client import AgentClient
 from lentilhaven.router.router_settings import RouterSettings
 from lentilhaven.tables.tables import Tables
@@ -150,8 +152,12 @@
         Replaces the TCP connector, for virtual time.
     """
     if connector is None:
-        connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
+        ssl = client_context(settings.endpoint_ca_file)
+        connector = aiohttp.TCPConnector(limit=0, ssl=ssl)
+    trace = [trace_forwarding()]
+    async with aiohttp.ClientSession(
+        connector=connector, trace_configs=trace
+    ) as session:
         agent = AgentClient(settings.agent_url, session, token)
         engines = EngineClient(session)
         router = Router(settings, session, engines, agent, clock, random)
--- a/lentilhaven/router/router_settings.py
+++ b/lentilhaven/router/router_settings.py
@@ -3,6 +3,10 @@
 import attrs
 
 from lentilhaven.core.ids import DataCentre, VmId
+from lentilhaven.core.ranges import http_url, not_empty, one_of, within
+from lentilhaven.core.tls import TlsSettings
+from lentilhaven.serving.operator_settings import OperatorSettings
+from lentilhaven.serving.server_limits import ServerLimits
 
 
 @attrs.frozen
@@ -19,28 +23,48 @@
     agent_url : str
         Base URL of this VM's agent.
     host : str
-        Address to listen on.
+        Address on which callers are served.
     port : int
-        Port to listen on.
+        Port on which callers are served; 0 takes a free one.
     cluster_token_file : str
         File with the token that the system's processes share.
     max_body_bytes : int
-        Largest request body.
+        Largest request body, in bytes.
     drain_delay : float
         Seconds between saying not ready and refusing new work.
     drain_limit : float
         Seconds after which a shutdown cuts off what is left.
     log_level : str
         Least severe level to log.
+    limits : ServerLimits
+        Limits of the callers' listener.
+    tls : TlsSettings
+        Certificate of the callers' listener.
+    endpoint_ca_file : str
+        PEM file of the authorities that sign the endpoints' certificates; empty
+        for those of the system.
+    operators : OperatorSettings
+        The operators' listener.
     """
 
-    vm: VmId
-    data_centre: DataCentre
-    agent_url: str = "http://127.0.0.1:7400"
-    host: str = "127.0.0.1"
-    port: int = 7300
+    vm: VmId = attrs.field(validator=not_empty)
+    data_centre: DataCentre = attrs.field(validator=not_empty)
+    agent_url: str = attrs.field(default="http://127.0.0.1:7400", validator=http_url)
+    host: str = attrs.field(default="127.0.0.1", validator=not_empty)
+    port: int = attrs.field(default=7300, validator=within(0, 65535))
     cluster_token_file: str = ""
-    max_body_bytes: int = 1_000_000
-    drain_delay: float = 2.0
-    drain_limit: float = 120.0
-    log_level: str = "info"
+    max_body_bytes: int = attrs.field(
+        default=1_000_000, validator=within(1, 1_000_000_000)
+    )
+    drain_delay: float = attrs.field(default=2.0, validator=within(0, 600))
+    drain_limit: float = attrs.field(default=120.0, validator=within(0, 86_400))
+    log_level: str = attrs.field(
+        default="info",
+        validator=one_of("debug", "info", "warning", "error", "critical"),
+    )
+    limits: ServerLimits = attrs.field(factory=ServerLimits)
+    tls: TlsSettings = attrs.field(factory=TlsSettings)
+    endpoint_ca_file: str = ""
+    operators: OperatorSettings = attrs.field(
+        factory=lambda: OperatorSettings(port=7301)
+    )
--- a/lentilhaven/router/services.py
+++ b/lentilhaven/router/services.py
@@ -1,7 +1,6 @@
 """The handlers of plain services."""
 
 import base64
-import uuid
 
 from aiohttp import web
 
@@ -15,8 +14,9 @@
 )
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.hashing import content_hash
-from lentilhaven.core.ids import EndpointId, RequestId, RouteName
+from lentilhaven.core.ids import EndpointId, RouteName
 from lentilhaven.core.ran import Ran
+from lentilhaven.core.request_context import current_request
 from lentilhaven.core.step import Step
 from lentilhaven.endpoints.service_client import (
     ServiceCall,
@@ -93,7 +93,7 @@
 ) -> ClaimRequest:
     """Return the claim that a non-idempotent call needs."""
     fingerprint = content_hash([call.method, call.path, call.body.hex()])
-    request = RequestId(uuid.UUID(int=router.random.getrandbits(128), version=4).hex)
+    request = current_request(router.random)
     return ClaimRequest(workspace.id, RouteName(route.name), key, fingerprint, request)
 
 
--- /dev/null
+++ b/lentilhaven/serving/guarded_connection.py
@@ -0,0 +1,142 @@
+"""Connections that hold a listener's limits."""
+
+import asyncio
+
+from aiohttp import web
+from aiohttp.web_request import BaseRequest
+
+from lentilhaven.core.failure import Failure
+from lentilhaven.core.logs import describe_defect, get_logger
+from lentilhaven.core.ran import Ran
+from lentilhaven.core.step import Step
+from lentilhaven.serving.problems import problem_bytes, problem_response
+from lentilhaven.serving.server_limits import ServerLimits
+
+log = get_logger("serving")
+
+#: What ends the head of a request.
+HEAD_END = b"\r\n\r\n"
+
+#: What the parser says of a head that is too large.
+TOO_LARGE = ("bytes when reading", "Too many headers")
+
+
+class GuardedConnection(web.RequestHandler):
+    """
+    One connection, with problem documents for what never reaches a handler.
+
+    Parameters
+    ----------
+    server : aiohttp.web.Server
+        Knows the open connections.
+    limits : ServerLimits
+        The listener's limits.
+    loop : asyncio.AbstractEventLoop
+        The running loop.
+    """
+
+    __slots__ = ("limits", "head_timer", "head_tail", "refused")
+
+    def __init__(
+        self,
+        server: web.Server,
+        limits: ServerLimits,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        super().__init__(
+            server,
+            loop=loop,
+            access_log=None,  # type: ignore[arg-type]
+            keepalive_timeout=limits.idle_timeout,
+            max_line_size=limits.max_head_line,
+            max_field_size=limits.max_head_line,
+            max_headers=limits.max_headers,
+            lingering_time=0,
+        )
+        self.limits = limits
+        self.head_timer: asyncio.TimerHandle | None = None
+        self.head_tail = b""
+        self.refused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Accept a connection, or refuse it when too many are open."""
+        server = self._manager
+        if server and len(server.connections) >= self.limits.max_connections:
+            self.refuse(transport)
+            return
+        super().connection_made(transport)
+        loop = asyncio.get_running_loop()
+        self.head_timer = loop.call_later(self.limits.head_timeout, self.give_up)
+
+    def refuse(self, transport: asyncio.BaseTransport) -> None:
+        """Answer 503 without reading anything."""
+        self.refused = True
+        detail = "too many connections are open"
+        failure = Failure(Step.ADMIT, "", "overloaded", detail, retry_after=1.0)
+        transport.write(problem_bytes(failure))  # type: ignore[attr-defined]
+        transport.close()
+
+    def give_up(self) -> None:
+        """Close the connection of a sender that is too slow."""
+        if self.transport is None:
+            return
+        detail = f"the head took more than {self.limits.head_timeout:g} s"
+        self.transport.write(problem_bytes(Failure(Step.PARSE, "", "slow", detail)))
+        self.transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes on, and stop the timer at the end of the first head."""
+        if self.refused:
+            return
+        if self.head_timer is not None:
+            self.watch_head(data)
+        super().data_received(data)
+
+    def watch_head(self, data: bytes) -> None:
+        """Look for the end of the first head."""
+        # Blank lines before the request line are no head.
+        seen = (self.head_tail + data).lstrip(b"\r\n")
+        if HEAD_END in seen:
+            self.stop_timer()
+        else:
+            self.head_tail = seen[-len(HEAD_END) :]
+
+    def stop_timer(self) -> None:
+        """Stop waiting for the first head."""
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+        self.head_timer = None
+        self.head_tail = b""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection."""
+        self.stop_timer()
+        if not self.refused:
+            super().connection_lost(exc)
+
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer what the HTTP parser refused, or what no middleware caught."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("a response has already begun")
+        if status < 500:
+            detail = " ".join((message or "malformed request").split())[:200]
+            large = any(word in detail for word in TOO_LARGE)
+            kind = "head-too-large" if large else "bad-request"
+            response = problem_response(Failure(Step.PARSE, "", kind, detail))
+        else:
+            log.error("unhandled error", **describe_defect(exc))
+            response = problem_response(internal_failure())
+        response.force_close()
+        return response
+
+
+def internal_failure() -> Failure:
+    """Return the failure that stands for a defect of the program."""
+    detail = "an unexpected error; the log has more under the request's id"
+    return Failure(Step.INTERNAL, "", "internal", detail, Ran.UNKNOWN)
