Read settings strictly, all errors at once; give operators a listener

Cause: of two values out of range only the first was reported, NaN passed as a number, a key named twice kept its last value, an empty or unreadable secret file ended in a traceback or in an empty cluster token, and a port in use in a traceback.

Ruled out: validators run by attrs itself, since the first one ends the check; they now run over the parsed document, beside the check of types. json5 alone for large tables: plain JSON is tried first.

Router and agent serve operators on a listener of their own with tokens of their own: /status, /debug/state, /metrics, /drain, and /explain on the router. SIGUSR1 writes the dump. A ring keeps the newest 256 attempts with the alternatives of each stage.

Edits in files of others: agent_api answers problem documents and 4xx for bad queries; answering records each attempt; agent settings have validators.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONHASHSEED := 0
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: demo test check
+.PHONY: demo test check docs
 
 $(VENV)/.installed: requirements.lock
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -22,3 +22,6 @@
 	$(VENV)/bin/ruff check lentilhaven
 	$(VENV)/bin/mypy
 	$(VENV)/bin/lint-imports
+
+docs: $(VENV)/.installed
+	$(PY) -m lentilhaven.settings_reference > docs/settings.md
--- a/lentilhaven/agent/__main__.py
+++ b/lentilhaven/agent/__main__.py
@@ -1,21 +1,24 @@
 """The program ``lentilhaven-agent``."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
+import aiohttp
 import cyclopts
 
-from lentilhaven.agent.agent import open_agent
+from lentilhaven.agent.agent import Agent, open_agent
 from lentilhaven.agent.agent_api import agent_app
 from lentilhaven.agent.agent_settings import AgentSettings
+from lentilhaven.agent.agent_state import agent_source, register_agent_metrics
+from lentilhaven.agent.preparation import AgentFiles, prepare_agent
 from lentilhaven.core.clock import system_clock
-from lentilhaven.core.logs import configure_logs
-from lentilhaven.core.secrets import read_secret
-from lentilhaven.core.serving import serve_app
-from lentilhaven.core.settings import read_document
 from lentilhaven.platform.object_client import open_object_client
+from lentilhaven.serving.daemon import run_daemon
+from lentilhaven.serving.guarded_serving import serve_guarded
+from lentilhaven.serving.metrics import make_metrics
+from lentilhaven.serving.operators_app import OperatorSource, operators_app
+from lentilhaven.serving.process_signals import follow_signals
 
 #: Seconds in which the news that this VM leaves is sent.
 LEAVE_DELAY = 0.3
@@ -33,37 +36,56 @@
     settings
         File of settings, JSON with comments.
     check
-        Only check the settings.
+        Only check the settings and the files that they name.
     """
-    parsed = read_document(settings, AgentSettings)
-    if parsed.is_error():
-        print(parsed.error, file=sys.stderr)
-        return 2
-    if check:
-        return 0
-    configure_logs(parsed.ok.log_level)
-    asyncio.run(serve(parsed.ok))
-    return 0
+    return run_daemon(settings, AgentSettings, prepare_agent, serve, check)
 
 
-async def serve(settings: AgentSettings) -> None:
+async def serve(settings: AgentSettings, files: AgentFiles) -> int:
     """
-    Serve until SIGTERM or SIGINT.
+    Serve until SIGTERM or SIGINT; return the exit code.
 
     Parameters
     ----------
     settings : AgentSettings
         Settings.
+    files : AgentFiles
+        What the files that they name hold.
     """
     stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    token = read_secret(settings.cluster_token_file)
+    metrics = make_metrics("lentilhaven-agent", settings.vm, settings.data_centre)
+    connector = aiohttp.TCPConnector(ssl=files.store_tls)
+    async with (
+        open_object_client(settings.store_url, connector) as client,
+        open_agent(
+            settings, client, system_clock(), token=files.cluster_token
+        ) as agent,
+    ):
+        register_agent_metrics(agent, metrics)
+        source = agent_source(agent, metrics, stopping.set)
+        follow_signals(stopping, stopping, source)
+        await serve_listeners(settings, files, agent, source, stopping)
+    return 0
+
+
+async def serve_listeners(
+    settings: AgentSettings,
+    files: AgentFiles,
+    agent: Agent,
+    source: OperatorSource,
+    stopping: asyncio.Event,
+) -> None:
+    """Serve the other processes and the operators until told to stop."""
+    processes = agent_app(agent, files.cluster_token)
+    operators = settings.operators
     async with (
-        open_object_client(settings.store_url) as client,
-        open_agent(settings, client, system_clock(), token=token) as agent,
-        serve_app(agent_app(agent, token), settings.host, settings.port),
+        serve_guarded(processes, settings.host, settings.port, settings.limits),
+        serve_guarded(
+            operators_app(source, files.operator_hashes),
+            operators.host,
+            operators.port,
+            tls=files.operators_tls,
+        ),
     ):
         await stopping.wait()
         agent.leave()
--- a/lentilhaven/agent/agent_api.py
+++ b/lentilhaven/agent/agent_api.py
@@ -6,9 +6,10 @@
 
 from lentilhaven.agent.agent import Agent
 from lentilhaven.agent.app_keys import AGENT, TOKEN
-from lentilhaven.agent.peer_api import add_peer_routes
+from lentilhaven.agent.peer_api import add_peer_routes, read_message
 from lentilhaven.control.claim import ClaimRequest, Settlement
-from lentilhaven.core.settings import CONVERTER, to_document
+from lentilhaven.core.settings import to_document
+from lentilhaven.serving.problem_guard import guard_problems
 
 #: Largest body of a message, in bytes.
 MAX_MESSAGE_BYTES = 4_000_000
@@ -25,7 +26,9 @@
     cluster_token : str
         Token that every caller must show.
     """
-    app = web.Application(middlewares=[authenticate], client_max_size=MAX_MESSAGE_BYTES)
+    app = web.Application(
+        middlewares=[guard_problems, authenticate], client_max_size=MAX_MESSAGE_BYTES
+    )
     app[AGENT] = agent
     app[TOKEN] = cluster_token
     app.router.add_get("/view", read_view)
@@ -41,16 +44,20 @@
     """Refuse callers that do not show the cluster's token."""
     shown = request.headers.get("Authorization", "")
     expected = f"Bearer {request.app[TOKEN]}"
-    if not hmac.compare_digest(shown.encode(), expected.encode()):
-        return web.json_response({"error": "cluster token required"}, status=401)
+    encoded = shown.encode(errors="surrogateescape")
+    if not hmac.compare_digest(encoded, expected.encode()):
+        raise web.HTTPUnauthorized(text="the cluster's token is required")
     return await handler(request)
 
 
 async def read_view(request: web.Request) -> web.Response:
     """Answer the view once it is newer than the caller's."""
-    after = int(request.query.get("after", "-1"))
-    held_tables = int(request.query.get("tables", "-1"))
-    timeout = float(request.query.get("timeout", "0"))
+    try:
+        after = int(request.query.get("after", "-1"))
+        held_tables = int(request.query.get("tables", "-1"))
+        timeout = float(request.query.get("timeout", "0"))
+    except ValueError as error:
+        raise web.HTTPBadRequest(text="the query must hold numbers") from error
     agent = request.app[AGENT]
     await agent.wait_for_view(after, timeout)
     return web.json_response(agent.view_document(held_tables))
@@ -58,14 +65,14 @@
 
 async def claim_call(request: web.Request) -> web.Response:
     """Answer a claim."""
-    claim = CONVERTER.structure(await request.json(), ClaimRequest)
+    claim = await read_message(request, ClaimRequest)
     answer = await request.app[AGENT].journal.claim(claim)
     return web.json_response(to_document(answer))
 
 
 async def settle_call(request: web.Request) -> web.Response:
     """Record a settlement."""
-    settlement = CONVERTER.structure(await request.json(), Settlement)
+    settlement = await read_message(request, Settlement)
     confirmed = await request.app[AGENT].journal.settle(settlement)
     return web.json_response({"confirmed": confirmed})
 
--- a/lentilhaven/agent/agent_settings.py
+++ b/lentilhaven/agent/agent_settings.py
@@ -3,6 +3,10 @@
 import attrs
 
 from lentilhaven.core.ids import DataCentre, VmId
+from lentilhaven.core.logs import LEVELS
+from lentilhaven.core.ranges import each, http_url, not_empty, one_of, within
+from lentilhaven.serving.operator_settings import OperatorSettings
+from lentilhaven.serving.server_limits import ServerLimits
 
 
 @attrs.frozen
@@ -28,13 +32,25 @@
         Base URLs of some agents, to join while the platform is down.
     log_level : str
         Least severe level to log.
+    limits : ServerLimits
+        Limits of the listener for the system's other processes.
+    store_ca_file : str
+        PEM file of the authorities that sign the platform's certificate; empty
+        for those of the system.
+    operators : OperatorSettings
+        The operators' listener.
     """
 
-    vm: VmId
-    data_centre: DataCentre
-    store_url: str
-    host: str = "127.0.0.1"
-    port: int = 7400
+    vm: VmId = attrs.field(validator=not_empty)
+    data_centre: DataCentre = attrs.field(validator=not_empty)
+    store_url: str = attrs.field(validator=http_url)
+    host: str = attrs.field(default="127.0.0.1", validator=not_empty)
+    port: int = attrs.field(default=7400, validator=within(0, 65535))
     cluster_token_file: str = ""
-    seeds: list[str] = attrs.field(factory=list)
-    log_level: str = "info"
+    seeds: list[str] = attrs.field(factory=list, validator=each(http_url))
+    log_level: str = attrs.field(default="info", validator=one_of(*LEVELS))
+    limits: ServerLimits = attrs.field(factory=ServerLimits)
+    store_ca_file: str = ""
+    operators: OperatorSettings = attrs.field(
+        factory=lambda: OperatorSettings(port=7401)
+    )
--- a/lentilhaven/core/failure.py
+++ b/lentilhaven/core/failure.py
@@ -1,6 +1,7 @@
 """Failures as values."""
 
 import attrs
+from expression import Result
 
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
@@ -58,3 +59,26 @@
     def __init__(self, failure: Failure) -> None:
         super().__init__(str(failure))
         self.failure = failure
+
+
+def join_failures(results: list[Result]) -> Failure | None:
+    """
+    Return one failure with the details of all that failed, or None.
+
+    Parameters
+    ----------
+    results : list of Result
+        Results of independent steps.
+
+    Examples
+    --------
+    >>> from expression import Error, Ok
+    >>> bad = [Error(Failure(Step.SETTINGS, "", "bad", text)) for text in "ab"]
+    >>> join_failures([Ok(1), *bad]).detail
+    'a; b'
+    """
+    failures = [result.error for result in results if result.is_error()]
+    if not failures:
+        return None
+    detail = "; ".join(failure.detail for failure in failures)
+    return attrs.evolve(failures[0], detail=detail)
--- a/lentilhaven/core/logs.py
+++ b/lentilhaven/core/logs.py
@@ -18,6 +18,9 @@
 from lentilhaven.core.log_limit import LogLimit
 from lentilhaven.core.redaction import redact
 
+#: Levels by rising severity.
+LEVELS = ("debug", "info", "warning", "error", "critical")
+
 #: Innermost frames that are logged of a defect.
 FRAMES_LOGGED = 6
 
--- a/lentilhaven/core/ranges.py
+++ b/lentilhaven/core/ranges.py
@@ -85,3 +85,30 @@
     host = rest.partition("/")[0]
     if scheme not in ("http", "https") or not separator or not host.strip(":"):
         raise ValueError(f"must be an http or https URL, not {value!r}")
+
+
+def each(validate: Callable[[Any, Any, Any], None]) -> Callable[[Any, Any, Any], None]:
+    """
+    Return a validator of lists that applies another one to each item.
+
+    Parameters
+    ----------
+    validate : callable
+        Validator of one item.
+
+    Examples
+    --------
+    >>> each(http_url)(None, None, ["http://a", "b"])
+    Traceback (most recent call last):
+        ...
+    ValueError: item 1 must be an http or https URL, not 'b'
+    """
+
+    def validate_items(instance: Any, field: Any, value: Any) -> None:
+        for index, item in enumerate(value):
+            try:
+                validate(instance, field, item)
+            except ValueError as error:
+                raise ValueError(f"item {index} {error}") from error
+
+    return validate_items
--- a/lentilhaven/core/redaction.py
+++ b/lentilhaven/core/redaction.py
@@ -34,3 +34,29 @@
         elif isinstance(value, str):
             event[name] = BEARER.sub(rf"\1{MASK}", value)
     return event
+
+
+def hide_secrets(value: Any) -> Any:
+    """
+    Return plain data with secrets and payloads masked, at any depth.
+
+    Examples
+    --------
+    >>> hide_secrets({"workspaces": [{"id": "w", "token_hashes": ["sha256:1"]}]})
+    {'workspaces': [{'id': 'w', 'token_hashes': '[hidden]'}]}
+    """
+    if isinstance(value, dict):
+        return {name: hide_field(str(name), inner) for name, inner in value.items()}
+    if isinstance(value, list | tuple):
+        return [hide_secrets(inner) for inner in value]
+    if isinstance(value, str):
+        return BEARER.sub(rf"\1{MASK}", value)
+    return value
+
+
+def hide_field(name: str, value: Any) -> Any:
+    """Return the value of a field, or a mask if its name marks a secret."""
+    number = isinstance(value, int | float)
+    if HIDDEN.search(name) and not number and value is not None:
+        return MASK
+    return hide_secrets(value)
--- a/lentilhaven/core/settings.py
+++ b/lentilhaven/core/settings.py
@@ -9,6 +9,11 @@
 lentilhaven.tables : The tables that are read in this way.
 """
 
+import functools
+import json
+import math
+import typing
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -37,12 +42,15 @@
         One of ``int``, ``float``, ``str`` and ``bool``.
     """
 
-    def structure(value: object, _: object) -> object:
+    def structure(value: Any, _: object) -> object:
+        number: Any = value
         accepted = (int, float) if kind is float else (kind,)
         if isinstance(value, bool) and kind is not bool:
             raise TypeError(f"expected {kind.__name__}, not {value!r}")
         if not isinstance(value, accepted):
-            raise TypeError(f"expected {kind.__name__}, not {value!r}")
+            raise TypeError(f"expected {kind.__name__}, not {repr(value)[:80]}")
+        if kind is float and not math.isfinite(number):
+            raise ValueError(f"expected a finite number, not {value!r}")
         return kind(value)
 
     return structure
@@ -97,13 +105,74 @@
     >>> structure_document({"host": 1, "prot": 2}, Listener).error.detail
     "$.host: expected str, not 1; $: unknown keys ['prot']"
     """
+    messages = set(find_range_errors(document, kind, "$"))
+    structured = None
     try:
-        return Ok(CONVERTER.structure(document, kind))
+        with attrs.validators.disabled():
+            structured = CONVERTER.structure(document, kind)
     except Exception as error:  # Every hook may raise an exception of its own.
         lines = cattrs.transform_error(error, path="$", format_exception=describe_error)
-        messages = sorted(move_path_first(line) for line in lines)
-        detail = "; ".join(messages)
-        return Error(Failure(Step.SETTINGS, "", "invalid-document", detail))
+        messages.update(move_path_first(line) for line in lines)
+    if structured is not None and not messages:
+        return Ok(structured)
+    detail = "; ".join(sorted(messages))
+    return Error(Failure(Step.SETTINGS, "", "invalid-document", detail))
+
+
+def find_range_errors(document: object, kind: Any, path: str) -> Iterator[str]:
+    """
+    Yield what the validators of an attrs class refuse in parsed JSON.
+
+    The validators are run on the parsed values, so that one pass finds values
+    out of range also beside values of a wrong type.
+
+    Parameters
+    ----------
+    document : object
+        Parsed JSON.
+    kind : type
+        The type that it stands for.
+    path : str
+        Path of the value.
+    """
+    if not has_validators(kind):
+        return
+    if isinstance(document, list):
+        inner = typing.get_args(kind)[-1:]
+        for index, item in enumerate(document):
+            for item_kind in inner:
+                yield from find_range_errors(item, item_kind, f"{path}[{index}]")
+    if isinstance(document, dict) and attrs.has(kind):
+        for field in attrs.fields(kind):
+            if field.name in document:
+                place = f"{path}.{field.name}"
+                yield from judge_value(field, document[field.name], place)
+
+
+def judge_value(field: attrs.Attribute, value: object, path: str) -> Iterator[str]:
+    """Yield what the validators of a field, and those within, say of a value."""
+    yield from find_range_errors(value, field.type, path)
+    if field.validator is None:
+        return
+    try:
+        field.validator(None, field, value)
+    except ValueError as error:
+        yield f"{path}: {error}"
+    except (TypeError, AttributeError):
+        # The value's type is wrong, which structuring reports.
+        return
+
+
+@functools.cache
+def has_validators(kind: Any) -> bool:
+    """Return whether a type, or a type within it, has validators."""
+    inner = [it for it in typing.get_args(kind) if it is not kind]
+    if any(has_validators(it) for it in inner):
+        return True
+    if not isinstance(kind, type) or not attrs.has(kind):
+        return False
+    fields = attrs.fields(kind)
+    return any(it.validator is not None or has_validators(it.type) for it in fields)
 
 
 def move_path_first(message: str) -> str:
@@ -131,12 +200,53 @@
         An attrs class.
     """
     try:
-        document = json5.loads(text)
+        document = load_json(text)
     except (ValueError, RecursionError) as error:
-        return Error(Failure(Step.SETTINGS, "", "invalid-json", str(error)))
+        detail = f"{type(error).__name__}: {error}"
+        return Error(Failure(Step.SETTINGS, "", "invalid-json", detail))
     return structure_document(document, kind)
 
 
+def load_json(text: str) -> Any:
+    """
+    Parse JSON, with comments or without.
+
+    Plain JSON is tried first, because the parser for it is far faster and
+    tables with many workspaces are large.
+
+    Parameters
+    ----------
+    text : str
+        JSON5.
+
+    Raises
+    ------
+    ValueError
+        If it is not JSON, or if an object names a key twice.
+
+    Examples
+    --------
+    >>> load_json("{a: 1, /* one */ }")
+    {'a': 1}
+    >>> load_json('{"a": 1, "a": 2}')
+    Traceback (most recent call last):
+        ...
+    ValueError: Duplicate key "a" found in object
+    """
+    try:
+        return json.loads(text, object_pairs_hook=join_pairs)
+    except ValueError:
+        return json5.loads(text, allow_duplicate_keys=False)
+
+
+def join_pairs(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Return the object of some pairs, or refuse a key that stands twice."""
+    joined = dict(pairs)
+    if len(joined) < len(pairs):
+        raise ValueError("a key stands twice")
+    return joined
+
+
 def read_document(path: Path, kind: type[T]) -> Result[T, Failure]:
     """
     Build an instance of `kind` from a file of JSON with comments.
--- a/lentilhaven/core/tls.py
+++ b/lentilhaven/core/tls.py
@@ -4,6 +4,10 @@
 from pathlib import Path
 
 import attrs
+from expression import Error, Ok, Result
+
+from lentilhaven.core.failure import Failure
+from lentilhaven.core.step import Step
 
 
 @attrs.frozen
@@ -22,11 +26,6 @@
     certificate_file: str = ""
     key_file: str = ""
 
-    def __attrs_post_init__(self) -> None:
-        """Refuse one file without the other."""
-        if bool(self.certificate_file) != bool(self.key_file):
-            raise ValueError("certificate_file and key_file go together")
-
 
 def server_context(tls: TlsSettings) -> ssl.SSLContext | None:
     """
@@ -71,3 +70,49 @@
     context = ssl.create_default_context(cafile=ca_file or None)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     return context
+
+
+def load_server_context(
+    tls: TlsSettings, setting: str
+) -> Result[ssl.SSLContext | None, Failure]:
+    """
+    Return the context of a listener, or a failure that names the setting.
+
+    Parameters
+    ----------
+    tls : TlsSettings
+        The files.
+    setting : str
+        Path of the setting.
+    """
+    if bool(tls.certificate_file) != bool(tls.key_file):
+        detail = f"{setting}: certificate_file and key_file go together"
+        return Error(Failure(Step.SETTINGS, "", "bad-certificate", detail))
+    try:
+        return Ok(server_context(tls))
+    except OSError as error:
+        return Error(bad_certificate(setting, error))
+
+
+def load_client_context(ca_file: str, setting: str) -> Result[ssl.SSLContext, Failure]:
+    """
+    Return the context of a client, or a failure that names the setting.
+
+    Parameters
+    ----------
+    ca_file : str
+        PEM file of trusted authorities; empty for those of the system.
+    setting : str
+        Path of the setting.
+    """
+    try:
+        return Ok(client_context(ca_file))
+    except OSError as error:
+        return Error(bad_certificate(setting, error))
+
+
+def bad_certificate(setting: str, error: OSError) -> Failure:
+    """Return the failure of a certificate that can't be loaded."""
+    name = f" {error.filename!r}" if error.filename else ""
+    detail = f"{setting}:{name} can't be loaded: {error.strerror or error}"
+    return Failure(Step.SETTINGS, "", "bad-certificate", detail)
--- a/lentilhaven/router/__main__.py
+++ b/lentilhaven/router/__main__.py
@@ -2,21 +2,23 @@
 
 import asyncio
 import random
-import signal
 import sys
 from pathlib import Path
 
 import cyclopts
 
 from lentilhaven.core.clock import system_clock
-from lentilhaven.core.logs import configure_logs
-from lentilhaven.core.secrets import read_secret
-from lentilhaven.core.serving import serve_app
-from lentilhaven.core.settings import read_document
+from lentilhaven.router.preparation import RouterFiles, prepare_router
 from lentilhaven.router.router import open_router
 from lentilhaven.router.router_api import router_app
 from lentilhaven.router.router_settings import RouterSettings
+from lentilhaven.router.router_state import register_router_metrics, router_source
 from lentilhaven.router.shutdown import drain
+from lentilhaven.serving.daemon import run_daemon
+from lentilhaven.serving.guarded_serving import serve_guarded
+from lentilhaven.serving.metrics import make_metrics
+from lentilhaven.serving.operators_app import operators_app
+from lentilhaven.serving.process_signals import follow_signals
 
 app = cyclopts.App(name="lentilhaven-router", help="The data path of a VM.")
 
@@ -31,19 +33,12 @@
     settings
         File of settings, JSON with comments.
     check
-        Only check the settings.
+        Only check the settings and the files that they name.
     """
-    parsed = read_document(settings, RouterSettings)
-    if parsed.is_error():
-        print(parsed.error, file=sys.stderr)
-        return 2
-    if check:
-        return 0
-    configure_logs(parsed.ok.log_level)
-    return 1 if asyncio.run(serve(parsed.ok)) else 0
+    return run_daemon(settings, RouterSettings, prepare_router, serve, check)
 
 
-async def serve(settings: RouterSettings) -> int:
+async def serve(settings: RouterSettings, files: RouterFiles) -> int:
     """
     Serve until SIGTERM or SIGINT, then drain; a second signal ends the drain.
 
@@ -51,30 +46,39 @@
     ----------
     settings : RouterSettings
         Settings.
+    files : RouterFiles
+        What the files that they name hold.
 
     Returns
     -------
     int
-        Number of requests that were cut off.
+        1 if requests were cut off.
     """
     stopping, hurry = asyncio.Event(), asyncio.Event()
-
-    def stop() -> None:
-        if stopping.is_set():
-            hurry.set()
-        stopping.set()
-
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop)
-    token = read_secret(settings.cluster_token_file)
-    source = random.SystemRandom()
-    async with (
-        open_router(settings, system_clock(), source, token) as router,
-        serve_app(router_app(router), settings.host, settings.port),
-    ):
-        await stopping.wait()
-        return await drain(router, hurry)
+    clock, chance = system_clock(), random.SystemRandom()
+    metrics = make_metrics("lentilhaven-router", settings.vm, settings.data_centre)
+    async with open_router(settings, clock, chance, files.cluster_token) as router:
+        register_router_metrics(router, metrics)
+        source = router_source(router, metrics, stopping.set)
+        follow_signals(stopping, hurry, source)
+        callers, operators = router_app(router, metrics), settings.operators
+        async with (
+            serve_guarded(
+                callers,
+                settings.host,
+                settings.port,
+                settings.limits,
+                files.callers_tls,
+            ),
+            serve_guarded(
+                operators_app(source, files.operator_hashes),
+                operators.host,
+                operators.port,
+                tls=files.operators_tls,
+            ),
+        ):
+            await stopping.wait()
+            return 1 if await drain(router, hurry) else 0
 
 
 def main() -> None:
--- a/lentilhaven/router/answering.py
+++ b/lentilhaven/router/answering.py
@@ -19,6 +19,7 @@
 from lentilhaven.endpoints.stage_loss import StageLoss
 from lentilhaven.router.answer import Answer
 from lentilhaven.router.chain_choice import choose_chain, repair_chain
+from lentilhaven.router.decisions import record_attempt
 from lentilhaven.router.router import Router
 
 #: Seconds of silence allowed before the first token of an attempt.
@@ -77,6 +78,7 @@
         If the attempt fails before the answer is complete.
     """
     order = answer.next_order(router.clock.monotonic())
+    record_attempt(router, answer)
     used = [stage.endpoint for stage in order.chain]
     router.own_load.update(used)
     silence = FIRST_TOKEN_TIMEOUT
--- /dev/null
+++ b/lentilhaven/router/explanation.py
@@ -0,0 +1,174 @@
+"""How a request would be routed, and why."""
+
+import random
+from collections import Counter
+from typing import Any
+
+import attrs
+
+from lentilhaven.answers.answer_ledger import AnswerLedger
+from lentilhaven.core.failure import FailureError
+from lentilhaven.core.ids import ModelName, RequestId, WorkspaceId
+from lentilhaven.router.answer import Answer
+from lentilhaven.router.chain_choice import choose_chain
+from lentilhaven.router.completion_request import CompletionRequest, split_tokens
+from lentilhaven.router.decisions import describe_stage
+from lentilhaven.router.problems import bad_request
+from lentilhaven.router.router import Router
+from lentilhaven.tables.matching import (
+    RequestTraits,
+    draw_version,
+    matches_traits,
+    path_has_prefix,
+)
+from lentilhaven.tables.pool import Pool, PoolKind
+from lentilhaven.tables.route import Route
+
+#: Seed of the draws that an explanation makes, so that it can be repeated.
+EXPLANATION_SEED = 1
+
+FIELDS = ("workspace", "model", "service", "method", "path", "priority", "prompt")
+
+
+def explain_request(router: Router, document: dict[str, Any]) -> dict[str, Any]:
+    """
+    Return which route, pool and pipeline would answer a request, and why.
+
+    Nothing is sent, and no random number of the router's own is used up.
+
+    Parameters
+    ----------
+    router : Router
+        The router.
+    document : dict
+        ``workspace``, and either ``model`` (with ``prompt``) or ``service``
+        (with ``method`` and ``path``).
+
+    Raises
+    ------
+    FailureError
+        If a field is unknown or not text.
+    """
+    for name, value in document.items():
+        if name not in FIELDS or not isinstance(value, str):
+            detail = f"{name[:40]}: unknown, or not text; known: {', '.join(FIELDS)}"
+            raise FailureError(bad_request(detail))
+    traits = read_traits(router, document)
+    service = document.get("service", "")
+    considered = []
+    for route in router.view.tables.routes:
+        reason = find_mismatch(router, route, traits, service)
+        considered.append({"route": route.name, "verdict": reason or "matches"})
+        if not reason:
+            account = explain_route(router, route, traits, document)
+            return {"considered": considered} | account
+    return {"considered": considered, "route": None, "why": "no route matches"}
+
+
+def read_traits(router: Router, document: dict[str, str]) -> RequestTraits:
+    """Return what the routes are matched against."""
+    workspace = document.get("workspace", "")
+    known = {it.id: it for it in router.view.tables.workspaces}
+    found = known.get(WorkspaceId(workspace))
+    priority = document.get("priority", found.priority if found else "normal")
+    return RequestTraits(
+        WorkspaceId(workspace),
+        method=document.get("method", "GET" if "service" in document else "POST"),
+        path=document.get("path", "/") if "service" in document else "",
+        model=ModelName(document.get("model", "")),
+        priority=priority,
+    )
+
+
+def find_mismatch(
+    router: Router, route: Route, traits: RequestTraits, service: str
+) -> str:
+    """Return why a route does not answer a request, or an empty string."""
+    pool = router.view.tables.pool(route.pool)
+    if service:
+        if pool.kind is not PoolKind.SERVICE:
+            return "its pool holds model engines"
+        if route.name != service:
+            return "another service"
+    elif pool.kind is not PoolKind.ENGINE:
+        return "its pool holds plain services"
+    elif traits.model not in (route.match.models or [pool.model]):
+        return f"answers models {route.match.models or [pool.model]}"
+    if matches_traits(route, traits):
+        return ""
+    return name_mismatch(route, traits)
+
+
+def name_mismatch(route: Route, traits: RequestTraits) -> str:
+    """Return which rule of a route a request does not meet."""
+    match = route.match
+    if match.methods and traits.method not in match.methods:
+        return f"answers methods {match.methods}"
+    if match.workspaces and traits.workspace not in match.workspaces:
+        return f"answers workspaces {match.workspaces[:5]}"
+    if match.priorities and traits.priority not in match.priorities:
+        return f"answers priorities {match.priorities}"
+    if not any(path_has_prefix(traits.path, it) for it in match.paths):
+        return f"answers paths {match.paths}"
+    return "does not match"
+
+
+def explain_route(
+    router: Router, route: Route, traits: RequestTraits, document: dict[str, str]
+) -> dict[str, Any]:
+    """Return the account of a route that matches."""
+    pool = router.view.tables.pool(route.pool)
+    account: dict[str, Any] = {
+        "route": route.name,
+        "pool": pool.name,
+        "tables_version": router.view.tables.version,
+        "deadline": route.deadline,
+        "endpoints": count_endpoints(router, pool),
+    }
+    if pool.kind is PoolKind.SERVICE:
+        usable = [it.id for it in pool.endpoints if router.may_use(it.id)]
+        why = "the endpoint with the fewest own calls in flight gets the call"
+        return account | {"usable": usable, "why": why}
+    return account | explain_pipeline(router, route, pool, traits, document)
+
+
+def count_endpoints(router: Router, pool: Pool) -> dict[str, int]:
+    """Return the number of a pool's endpoints by state."""
+    counts: Counter[str] = Counter()
+    for spec in pool.endpoints:
+        view = router.view.endpoints.get(spec.id)
+        counts[view.state.value if view else "live"] += 1
+    return dict(sorted(counts.items()))
+
+
+def explain_pipeline(
+    router: Router,
+    route: Route,
+    pool: Pool,
+    traits: RequestTraits,
+    document: dict[str, str],
+) -> dict[str, Any]:
+    """Return the pipeline that would be chosen now."""
+    source = random.Random(EXPLANATION_SEED)
+    version = draw_version(route, pool, source)
+    request = RequestId("explanation")
+    answer = Answer(
+        request=request,
+        workspace=traits.workspace,
+        wanted=CompletionRequest(
+            traits.model, split_tokens(document.get("prompt", "a")), 1, False, False
+        ),
+        route=route,
+        pool=pool,
+        version=version,
+        deadline=router.clock.monotonic() + route.deadline,
+        ledger=AnswerLedger(request, version, pool.layer_count),
+    )
+    chain = choose_chain(attrs.evolve(router, random=source), answer)
+    if chain is None:
+        why = f"no chain of live endpoints of version {version!r} covers all layers"
+        return {"version": version, "pipeline": None, "why": why}
+    answer.chain = chain
+    stages = [attrs.asdict(describe_stage(router, answer, it)) for it in chain]
+    why = "a chain that covers all layers once; own load stands beside each stage"
+    return {"version": version, "pipeline": stages, "why": why}
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
 
@@ -24,6 +24,9 @@
 #: Seconds before the view is asked for again after the agent was lost.
 AGENT_RETRY_DELAY = 0.2
 
+#: Routing decisions that are kept for the state dump.
+DECISIONS_KEPT = 256
+
 log = get_logger("router")
 
 
@@ -58,6 +61,8 @@
         Set while nothing is in flight.
     counters : Counter
         Events by name, for the state dump.
+    decisions : deque
+        Newest routing decisions, for the state dump.
     """
 
     settings: RouterSettings
@@ -73,6 +78,7 @@
     draining: bool = False
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     counters: Counter[str] = attrs.field(factory=Counter)
+    decisions: deque = attrs.field(factory=lambda: deque(maxlen=DECISIONS_KEPT))
 
     @property
     def ready(self) -> bool:
--- a/lentilhaven/router/router_api.py
+++ b/lentilhaven/router/router_api.py
@@ -16,6 +16,8 @@
 from lentilhaven.router.router import Router
 from lentilhaven.router.services import forward_call
 from lentilhaven.serving.guarded_connection import internal_failure
+from lentilhaven.serving.metrics import Metrics
+from lentilhaven.serving.request_metrics import measure_requests
 
 #: Paths that need no token.
 OPEN_PATHS = frozenset({"/healthz", "/readyz"})
@@ -26,7 +28,7 @@
 log = get_logger("router")
 
 
-def router_app(router: Router) -> web.Application:
+def router_app(router: Router, metrics: Metrics | None = None) -> web.Application:
     """
     Return the application that serves callers.
 
@@ -34,9 +36,12 @@
     ----------
     router : Router
         The router.
+    metrics : Metrics or None
+        Instruments; None measures nothing.
     """
+    middlewares = [measure_requests(metrics), guard] if metrics else [guard]
     app = web.Application(
-        client_max_size=router.settings.max_body_bytes, middlewares=[guard]
+        client_max_size=router.settings.max_body_bytes, middlewares=middlewares
     )
     app[ROUTER] = router
     app[INDEX] = WorkspaceIndex()
--- a/lentilhaven/router/router_settings.py
+++ b/lentilhaven/router/router_settings.py
@@ -3,6 +3,7 @@
 import attrs
 
 from lentilhaven.core.ids import DataCentre, VmId
+from lentilhaven.core.logs import LEVELS
 from lentilhaven.core.ranges import http_url, not_empty, one_of, within
 from lentilhaven.core.tls import TlsSettings
 from lentilhaven.serving.operator_settings import OperatorSettings
@@ -58,10 +59,7 @@
     )
     drain_delay: float = attrs.field(default=2.0, validator=within(0, 600))
     drain_limit: float = attrs.field(default=120.0, validator=within(0, 86_400))
-    log_level: str = attrs.field(
-        default="info",
-        validator=one_of("debug", "info", "warning", "error", "critical"),
-    )
+    log_level: str = attrs.field(default="info", validator=one_of(*LEVELS))
     limits: ServerLimits = attrs.field(factory=ServerLimits)
     tls: TlsSettings = attrs.field(factory=TlsSettings)
     endpoint_ca_file: str = ""
--- /dev/null
+++ b/lentilhaven/router/router_state.py
@@ -0,0 +1,151 @@
+"""What the router tells operators."""
+
+from collections import Counter
+from typing import Any
+
+from lentilhaven.core.invariants import VIOLATIONS
+from lentilhaven.core.settings import to_document
+from lentilhaven.router.explanation import explain_request
+from lentilhaven.router.router import Router
+from lentilhaven.serving.metrics import Metrics
+from lentilhaven.serving.operators_app import OperatorSource
+
+
+def router_source(router: Router, metrics: Metrics, drain: Any) -> OperatorSource:
+    """
+    Return what the operators' listener of a router serves.
+
+    Parameters
+    ----------
+    router : Router
+        The router.
+    metrics : Metrics
+        Its instruments.
+    drain : callable
+        Begins its shutdown.
+    """
+    return OperatorSource(
+        read_status=lambda: router_status(router),
+        read_state=lambda: router_state(router),
+        drain=drain,
+        metrics=metrics,
+        explain=lambda document: explain_request(router, document),
+    )
+
+
+def router_status(router: Router) -> dict[str, Any]:
+    """
+    Return a short account of a router.
+
+    Parameters
+    ----------
+    router : Router
+        The router.
+    """
+    return {
+        "role": "router",
+        "vm": router.settings.vm,
+        "data_centre": router.settings.data_centre,
+        "tables_version": router.view.tables.version,
+        "ready": router.ready,
+        "leaving": router.leaving,
+        "draining": router.draining,
+        "in_flight": router.in_flight,
+        "live_vms": list(router.view.live_vms),
+        "pools": [pool_status(router, pool) for pool in router.view.tables.pools],
+        "violations": sum(VIOLATIONS.values()),
+    }
+
+
+def pool_status(router: Router, pool) -> dict[str, Any]:
+    """Return the endpoints of a pool by state, and their load."""
+    states: Counter[str] = Counter()
+    running = waiting = reported = 0
+    ages = []
+    for spec in pool.endpoints:
+        view = router.view.endpoints.get(spec.id)
+        states[view.state.value if view else "live"] += 1
+        if view is not None and view.report is not None:
+            reported += 1
+            running += view.report.running
+            waiting += view.report.waiting
+            ages.append(view.age)
+    return {
+        "name": pool.name,
+        "kind": pool.kind.value,
+        "model": pool.model,
+        "endpoints": dict(sorted(states.items())),
+        "running": running,
+        "waiting": waiting,
+        "reporting": reported,
+        "oldest_report": max(ages, default=0.0),
+        "own_load": sum(router.own_load[spec.id] for spec in pool.endpoints),
+    }
+
+
+def router_state(router: Router) -> dict[str, Any]:
+    """
+    Return everything that a router's decisions rest on.
+
+    Parameters
+    ----------
+    router : Router
+        The router.
+    """
+    view = router.view
+    return router_status(router) | {
+        "settings": to_document(router.settings),
+        "at": router.clock.wall(),
+        "view_sequence": view.sequence,
+        "routes": to_document(view.tables.routes),
+        "pool_tables": to_document(view.tables.pools),
+        "workspace_count": len(view.tables.workspaces),
+        "endpoints": to_document(view.endpoints),
+        "own_load": {name: load for name, load in router.own_load.items() if load},
+        "counters": dict(router.counters),
+        "invariant_violations": dict(VIOLATIONS),
+        "decisions": to_document(list(router.decisions)),
+    }
+
+
+def register_router_metrics(router: Router, metrics: Metrics) -> None:
+    """
+    Add the instruments that are read at each scrape.
+
+    Parameters
+    ----------
+    router : Router
+        The router.
+    metrics : Metrics
+        Its instruments.
+    """
+    metrics.observe_gauge(
+        "http.server.active_requests",
+        "{request}",
+        "Requests of callers in flight.",
+        lambda: router.in_flight,
+    )
+    metrics.observe_gauge(
+        "lentilhaven.tables.version",
+        "1",
+        "Version of the tables in force.",
+        lambda: router.view.tables.version,
+    )
+    metrics.observe_gauge(
+        "lentilhaven.ready",
+        "1",
+        "Whether the balancer should send new requests here.",
+        lambda: float(router.ready),
+    )
+    metrics.observe_counts(
+        "lentilhaven.router.events",
+        "lentilhaven.event",
+        "Events of the data path by name.",
+        lambda: router.counters,
+    )
+    metrics.observe_counts(
+        "lentilhaven.invariant.violations",
+        "lentilhaven.invariant",
+        "Broken invariants by name.",
+        lambda: VIOLATIONS,
+    )
--- a/lentilhaven/serving/guarded_serving.py
+++ b/lentilhaven/serving/guarded_serving.py
@@ -7,7 +7,9 @@
 
 from aiohttp import web
 
+from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.invariants import ensure
+from lentilhaven.core.step import Step
 from lentilhaven.serving.guarded_connection import GuardedConnection
 from lentilhaven.serving.server_limits import ServerLimits
 
@@ -44,7 +46,7 @@
 
     Raises
     ------
-    OSError
+    FailureError
         If the address can't be listened on.
     """
     chosen = limits or ServerLimits()
@@ -58,9 +60,12 @@
         return GuardedConnection(server, chosen, loop)  # type: ignore[arg-type]
 
     try:
-        listener = await loop.create_server(
-            connect, host, port, ssl=tls, backlog=BACKLOG
-        )
+        try:
+            listener = await loop.create_server(
+                connect, host, port, ssl=tls, backlog=BACKLOG
+            )
+        except (OSError, OverflowError) as error:
+            raise FailureError(unusable_address(host, port, error)) from error
         try:
             bound = listener.sockets[0].getsockname()[1]
             name = f"[{host}]" if ":" in host else host
@@ -69,3 +74,9 @@
             listener.close()
     finally:
         await runner.cleanup()
+
+
+def unusable_address(host: str, port: int, error: Exception) -> Failure:
+    """Return the failure of an address that can't be listened on."""
+    detail = f"can't listen on {host}:{port}: {error}"
+    return Failure(Step.SETTINGS, "", "address-unavailable", detail)
