--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -11,14 +11,18 @@
 
 from lentilhaven.control.view import EndpointState, View
 from lentilhaven.core.clock import Clock
-from lentilhaven.core.ids import EndpointId
+from lentilhaven.core.ids import EndpointId, RouteName
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.core.tls import client_context
 from lentilhaven.endpoints.engine_client import EngineClient
+from lentilhaven.endpoints.stage import Stage
 from lentilhaven.endpoints.trace_forwarding import trace_forwarding
+from lentilhaven.retries.circuit_board import CircuitBoard
+from lentilhaven.retries.retry_budget import RetryBudget
 from lentilhaven.router.agent_client import AgentClient
 from lentilhaven.router.router_settings import RouterSettings
+from lentilhaven.tables.route import Route
 from lentilhaven.tables.tables import Tables
 
 #: Seconds before the view is asked for again after the agent was lost.
@@ -63,6 +67,10 @@
         Events by name, for the state dump.
     decisions : deque
         Newest routing decisions, for the state dump.
+    circuits : CircuitBoard
+        Endpoints that have failed lately.
+    budgets : dict
+        `RetryBudget` by route.
     """
 
     settings: RouterSettings
@@ -79,6 +87,10 @@
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     counters: Counter[str] = attrs.field(factory=Counter)
     decisions: deque = attrs.field(factory=lambda: deque(maxlen=DECISIONS_KEPT))
+    circuits: CircuitBoard = attrs.field(
+        default=attrs.Factory(lambda self: CircuitBoard(self.random), takes_self=True)
+    )
+    budgets: dict[RouteName, RetryBudget] = attrs.field(factory=dict)
 
     @property
     def ready(self) -> bool:
@@ -96,7 +108,33 @@
             The endpoint.
         """
         view = self.view.endpoints.get(endpoint)
-        return view is None or view.state is EndpointState.LIVE
+        if view is not None and view.state is not EndpointState.LIVE:
+            return False
+        in_flight = self.own_load[endpoint]
+        return self.circuits.allows(endpoint, self.clock.monotonic(), in_flight)
+
+    def budget(self, route: Route) -> RetryBudget:
+        """
+        Return the retry budget of a route.
+
+        Parameters
+        ----------
+        route : Route
+            The route, with the ratio in force.
+        """
+        budget = self.budgets.setdefault(route.name, RetryBudget(route.retry.budget))
+        budget.ratio = route.retry.budget
+        return budget
+
+    @contextmanager
+    def counted_use(self, chain: list[Stage]) -> Iterator[None]:
+        """Count a request at every stage of a chain while the context lasts."""
+        names = [stage.endpoint for stage in chain]
+        self.own_load.update(names)
+        try:
+            yield
+        finally:
+            self.own_load.subtract(names)
 
     @contextmanager
     def counted_request(self) -> Iterator[None]:
@@ -143,6 +181,7 @@
     random: random.Random,
     token: str,
     connector: aiohttp.BaseConnector | None = None,
+    fresh_connector: aiohttp.BaseConnector | None = None,
 ) -> AsyncIterator[Router]:
     """
     Run a router's tasks until the context ends.
@@ -159,16 +198,22 @@
         The cluster's token.
     connector : aiohttp.BaseConnector or None
         Replaces the TCP connector, for virtual time.
+    fresh_connector : aiohttp.BaseConnector or None
+        Replaces the TCP connector that opens a connection for each request.
     """
     if connector is None:
         ssl = client_context(settings.endpoint_ca_file)
         connector = aiohttp.TCPConnector(limit=0, ssl=ssl)
+    if fresh_connector is None:
+        ssl = client_context(settings.endpoint_ca_file)
+        fresh_connector = aiohttp.TCPConnector(limit=0, force_close=True, ssl=ssl)
     trace = [trace_forwarding()]
-    async with aiohttp.ClientSession(
-        connector=connector, trace_configs=trace
-    ) as session:
+    async with (
+        aiohttp.ClientSession(connector=connector, trace_configs=trace) as session,
+        aiohttp.ClientSession(connector=fresh_connector, trace_configs=trace) as fresh,
+    ):
         agent = AgentClient(settings.agent_url, session, token)
-        engines = EngineClient(session)
+        engines = EngineClient(session, fresh)
         router = Router(settings, session, engines, agent, clock, random)
         router.idle.set()
         async with running_tasks(router.follow_view()):
--- a/lentilhaven/testbed/testbed.py
+++ b/lentilhaven/testbed/testbed.py
@@ -152,7 +152,7 @@
         """Return the headers that show the workspace's token."""
         return {"Authorization": f"Bearer {WORKSPACE_TOKEN}"}
 
-    def connector(self, source: str = "") -> aiohttp.BaseConnector:
+    def connector(self, source: str = "", fresh: bool = False) -> aiohttp.BaseConnector:
         """
         Return a connector for this testbed's kind of time.
 
@@ -160,10 +160,12 @@
         ----------
         source : str
             The VM that uses it, to which partitions apply.
+        fresh : bool
+            Whether it opens a connection for each request.
         """
         if self.plan.virtual:
-            return PartitionConnector(self.network, source)
-        return aiohttp.TCPConnector(limit=0)
+            return PartitionConnector(self.network, source, fresh)
+        return aiohttp.TCPConnector(limit=0, force_close=fresh)
 
     def next_port(self) -> int:
         """Return the port for another server; 0 lets the system choose."""
@@ -272,7 +274,12 @@
         source = derive_random(self.plan.seed, "router", name)
         router = await stack.enter_async_context(
             open_router(
-                router_settings, self.clock, source, CLUSTER_TOKEN, self.connector()
+                router_settings,
+                self.clock,
+                source,
+                CLUSTER_TOKEN,
+                self.connector(name),
+                self.connector(name, fresh=True),
             )
         )
         url = await stack.enter_async_context(
