--- a/lentilhaven/router/answering.py
+++ b/lentilhaven/router/answering.py
@@ -18,6 +18,7 @@
 from lentilhaven.endpoints.stream_feed import StreamFeed
 from lentilhaven.router.answer import Answer
 from lentilhaven.router.chain_choice import choose_chain
+from lentilhaven.router.decisions import record_attempt
 from lentilhaven.router.recovery import deadline_passed, no_pipeline, plan_next_attempt
 from lentilhaven.router.router import Router
 from lentilhaven.router.silence_watch import SilenceWatch
@@ -106,6 +107,7 @@
 def start(router: Router, answer: Answer) -> AbstractAsyncContextManager[StreamFeed]:
     """Begin another attempt."""
     order = answer.next_order(router.clock.monotonic())
+    record_attempt(router, answer)
     # After a failure a pooled connection may be a silent one.
     return router.engines.start_stream(order, fresh=answer.failures > 0)
 
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
 
@@ -14,8 +14,10 @@
 from lentilhaven.core.ids import EndpointId, PoolName, RouteName
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
+from lentilhaven.core.tls import client_context
 from lentilhaven.endpoints.engine_client import EngineClient
 from lentilhaven.endpoints.stage import Stage
+from lentilhaven.endpoints.trace_forwarding import trace_forwarding
 from lentilhaven.idempotency.settler import Settler
 from lentilhaven.retries.circuit_board import CircuitBoard
 from lentilhaven.retries.retry_budget import RetryBudget
@@ -28,6 +30,9 @@
 #: Seconds before the view is asked for again after the agent was lost.
 AGENT_RETRY_DELAY = 0.2
 
+#: Routing decisions that are kept for the state dump.
+DECISIONS_KEPT = 256
+
 log = get_logger("router")
 
 
@@ -62,6 +67,8 @@
         Set while nothing is in flight.
     counters : Counter
         Events by name, for the state dump.
+    decisions : deque
+        Newest routing decisions, for the state dump.
     circuits : CircuitBoard
         Endpoints that have failed lately.
     budgets : dict
@@ -87,6 +94,7 @@
     draining: bool = False
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     counters: Counter[str] = attrs.field(factory=Counter)
+    decisions: deque = attrs.field(factory=lambda: deque(maxlen=DECISIONS_KEPT))
     circuits: CircuitBoard = attrs.field(
         default=attrs.Factory(lambda self: CircuitBoard(self.random), takes_self=True)
     )
@@ -218,12 +226,15 @@
         Replaces the TCP connector that opens a connection for each request.
     """
     if connector is None:
-        connector = aiohttp.TCPConnector(limit=0)
+        ssl = client_context(settings.endpoint_ca_file)
+        connector = aiohttp.TCPConnector(limit=0, ssl=ssl)
     if fresh_connector is None:
-        fresh_connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        ssl = client_context(settings.endpoint_ca_file)
+        fresh_connector = aiohttp.TCPConnector(limit=0, force_close=True, ssl=ssl)
+    trace = [trace_forwarding()]
     async with (
-        aiohttp.ClientSession(connector=connector) as session,
-        aiohttp.ClientSession(connector=fresh_connector) as fresh,
+        aiohttp.ClientSession(connector=connector, trace_configs=trace) as session,
+        aiohttp.ClientSession(connector=fresh_connector, trace_configs=trace) as fresh,
     ):
         agent = AgentClient(settings.agent_url, session, token)
         engines = EngineClient(session, fresh)
