--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from lentilhaven.bench.integrity import run_integrity
+from lentilhaven.bench.journal_model import run_journal_model
 from lentilhaven.bench.recovery import run_recovery
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
@@ -13,5 +14,6 @@
 SCENARIOS: dict[str, Scenario] = {
     "integrity": run_integrity,
     "recovery": run_recovery,
+    "journal-model": run_journal_model,
     "smoke": run_smoke,
 }
--- a/lentilhaven/router/completions.py
+++ b/lentilhaven/router/completions.py
@@ -1,13 +1,12 @@
 """The handlers of completion requests."""
 
-import uuid
 from contextlib import aclosing
 
 from aiohttp import web
 
 from lentilhaven.answers.answer_ledger import AnswerLedger
 from lentilhaven.core.failure import Failure, FailureError
-from lentilhaven.core.ids import RequestId
+from lentilhaven.core.request_context import current_request
 from lentilhaven.core.step import Step
 from lentilhaven.router.answer import Answer
 from lentilhaven.router.answering import generate
@@ -142,7 +141,7 @@
     pool = router.view.tables.pool(route.pool)
     router.budget(route).record_request(router.clock.monotonic())
     version = draw_version(route, pool, router.random)
-    request = RequestId(uuid.UUID(int=router.random.getrandbits(128), version=4).hex)
+    request = current_request(router.random)
     return Answer(
         request=request,
         workspace=workspace.id,
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import weakref
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import AsyncIterator, Coroutine, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from typing import Any
@@ -15,14 +15,18 @@
 from lentilhaven.answers.event_id import derive_key
 from lentilhaven.control.view import EndpointState, View
 from lentilhaven.core.clock import Clock
-from lentilhaven.core.ids import EndpointId, RouteName
+from lentilhaven.core.ids import EndpointId, PoolName, RouteName
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import report_task_failure, running_tasks
+from lentilhaven.core.tls import client_context
 from lentilhaven.endpoints.engine_client import EngineClient
 from lentilhaven.endpoints.stage import Stage
+from lentilhaven.endpoints.trace_forwarding import trace_forwarding
+from lentilhaven.idempotency.settler import Settler
 from lentilhaven.retries.circuit_board import CircuitBoard
 from lentilhaven.retries.retry_budget import RetryBudget
 from lentilhaven.router.agent_client import AgentClient
+from lentilhaven.router.path_state import PathState
 from lentilhaven.router.request_record import RequestRecord
 from lentilhaven.router.router_settings import RouterSettings
 from lentilhaven.tables.route import Route
@@ -31,6 +35,9 @@
 #: Seconds before the view is asked for again after the agent was lost.
 AGENT_RETRY_DELAY = 0.2
 
+#: Routing decisions that are kept for the state dump.
+DECISIONS_KEPT = 256
+
 log = get_logger("router")
 
 
@@ -71,6 +78,8 @@
         Set while nothing is in flight.
     counters : Counter
         Events by name, for the state dump.
+    decisions : deque
+        Newest routing decisions, for the state dump.
     circuits : CircuitBoard
         Endpoints that have failed lately.
     budgets : dict
@@ -79,6 +88,12 @@
         Signs event ids.
     background : set of asyncio.Task
         Work that outlives its request.
+    fresh : aiohttp.ClientSession or None
+        Opens a connection for each request.
+    settler : Settler
+        Settles non-idempotent calls in the background.
+    paths : dict
+        `PathState` by pool.
     """
 
     settings: RouterSettings
@@ -99,17 +114,26 @@
     )
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     counters: Counter[str] = attrs.field(factory=Counter)
+    decisions: deque = attrs.field(factory=lambda: deque(maxlen=DECISIONS_KEPT))
     circuits: CircuitBoard = attrs.field(
         default=attrs.Factory(lambda self: CircuitBoard(self.random), takes_self=True)
     )
     budgets: dict[RouteName, RetryBudget] = attrs.field(factory=dict)
     event_key: bytes = b""
     background: set[asyncio.Task] = attrs.field(factory=set)
+    fresh: aiohttp.ClientSession | None = None
+    settler: Settler = attrs.field(
+        default=attrs.Factory(
+            lambda self: Settler(self.agent.settle, self.clock), takes_self=True
+        )
+    )
+    paths: dict[PoolName, PathState] = attrs.field(factory=dict)
 
     @property
     def ready(self) -> bool:
         """Return whether the balancer should send new requests here."""
-        return self.view.tables.version > 0 and not self.leaving
+        leaving = self.leaving or self.view.leaving
+        return self.view.tables.version > 0 and not leaving
 
     def may_use(self, endpoint: EndpointId) -> bool:
         """
@@ -197,10 +221,21 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    @contextmanager
+    def counted_service(self, endpoint: EndpointId) -> Iterator[None]:
+        """Count a call at a plain service while the context lasts."""
+        self.own_load[endpoint] += 1
+        try:
+            yield
+        finally:
+            self.own_load[endpoint] -= 1
+
     async def follow_view(self) -> None:
         """Adopt every newer view of the agent, for ever."""
         while True:
-            outcome = await self.agent.read_view(self.view.sequence)
+            outcome = await self.agent.read_view(
+                self.view.sequence, self.view.tables.version
+            )
             if outcome.is_error():
                 log.warning("agent did not answer", error=str(outcome.error))
                 await self.clock.sleep(AGENT_RETRY_DELAY)
@@ -249,16 +284,20 @@
         Replaces the TCP connector that opens a connection for each request.
     """
     if connector is None:
-        connector = aiohttp.TCPConnector(limit=0)
+        ssl = client_context(settings.endpoint_ca_file)
+        connector = aiohttp.TCPConnector(limit=0, ssl=ssl)
     if fresh_connector is None:
-        fresh_connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        ssl = client_context(settings.endpoint_ca_file)
+        fresh_connector = aiohttp.TCPConnector(limit=0, force_close=True, ssl=ssl)
+    trace = [trace_forwarding()]
     async with (
-        aiohttp.ClientSession(connector=connector) as session,
-        aiohttp.ClientSession(connector=fresh_connector) as fresh,
+        aiohttp.ClientSession(connector=connector, trace_configs=trace) as session,
+        aiohttp.ClientSession(connector=fresh_connector, trace_configs=trace) as fresh,
     ):
         agent = AgentClient(settings.agent_url, session, token)
         engines = EngineClient(session, fresh)
         router = Router(settings, session, engines, agent, clock, random)
+        router.fresh = fresh
         router.idle.set()
         # Without a shared token, ids are good at this process only.
         shared = token or secrets.token_hex()
@@ -268,3 +307,4 @@
                 yield router
             finally:
                 await router.close()
+                await router.settler.close()
--- a/lentilhaven/router/shutdown.py
+++ b/lentilhaven/router/shutdown.py
@@ -17,6 +17,9 @@
 #: Seconds for which requests that are cut off may send their last error.
 CUT_OFF_TIME = 1.0
 
+#: Seconds for which a shutdown waits for settlements.
+SETTLE_LIMIT = 10.0
+
 log = get_logger("router")
 
 
@@ -47,6 +50,9 @@
     except TimeoutError:
         log.error("requests are still in flight at the drain limit", limit=limit)
     cut = await cut_off_rest(router)
+    unsettled = await router.settler.wait_settled(SETTLE_LIMIT)
+    if unsettled:
+        log.error("calls were left without a settlement", count=unsettled)
     log.info("shutdown is complete", cut_off=cut)
     return cut
 
