Bound buffers to slow callers, cancel by attempt

A caller that took nothing let the router read ahead eight chunks of up to 128 KiB; now one chunk of at most 32 KiB waits in it, the engine pauses, and after write_timeout the caller is disconnected and its stream left for the window. A cancellation names the newest attempt to drop, so that a router whose caller left can't drop what another one works on; before, stages behind a head that had dropped the stream itself were left.

--- a/lentilhaven/bench/engine_chaos.py
+++ b/lentilhaven/bench/engine_chaos.py
@@ -78,9 +78,11 @@
         self.injected["kill"] += 1
         self.faulty.add(engine.id)
         engine.kill()
-        await asyncio.sleep(self.random.uniform(*FAULT_LENGTH))
-        engine.revive()
-        self.faulty.discard(engine.id)
+        try:
+            await asyncio.sleep(self.random.uniform(*FAULT_LENGTH))
+        finally:
+            engine.revive()
+            self.faulty.discard(engine.id)
 
     async def pause(self) -> None:
         """Let an engine fall silent and then go on where it was."""
@@ -90,9 +92,11 @@
         self.injected["pause"] += 1
         self.faulty.add(engine.id)
         engine.faults.running.clear()
-        await asyncio.sleep(self.random.uniform(*FAULT_LENGTH))
-        engine.faults.running.set()
-        self.faulty.discard(engine.id)
+        try:
+            await asyncio.sleep(self.random.uniform(*FAULT_LENGTH))
+        finally:
+            engine.faults.running.set()
+            self.faulty.discard(engine.id)
 
     async def mute(self) -> None:
         """Let all open connections of an engine fall silent for good."""
--- a/lentilhaven/bench/recovery_trial.py
+++ b/lentilhaven/bench/recovery_trial.py
@@ -256,7 +256,7 @@
 ) -> None:
     """Tell every stage to forget a request."""
     for stage in chain:
-        await engines.cancel(stage, request)
+        await engines.cancel(stage, request, attempt=2)
 
 
 def replica_stage(testbed: Testbed, index: int, replica: int) -> Stage:
--- a/lentilhaven/endpoints/engine_client.py
+++ b/lentilhaven/endpoints/engine_client.py
@@ -31,6 +31,9 @@
 #: Seconds for opening a connection to an engine.
 CONNECT_TIMEOUT = 0.2
 
+#: Bytes of a stream that are read ahead of the caller; reading stops at twice it.
+STREAM_BUFFER = 16_384
+
 LOST = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 Response = aiohttp.ClientResponse
@@ -73,7 +76,10 @@
         head = order.chain[0]
         limit = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT)
         opening = self.pick_session(fresh).post(
-            f"{head.url}/streams", json=to_document(order), timeout=limit
+            f"{head.url}/streams",
+            json=to_document(order),
+            timeout=limit,
+            read_bufsize=STREAM_BUFFER,
         )
         return open_feed(head, checked_response(Step.CONNECT, head, opening))
 
@@ -97,6 +103,7 @@
             f"{head.url}/streams/{request}/pieces",
             params={"position": str(position)},
             timeout=limit,
+            read_bufsize=STREAM_BUFFER,
         )
         return open_feed(head, checked_response(Step.RESUME, head, opening))
 
@@ -156,7 +163,11 @@
             return None
 
     async def cancel(
-        self, stage: Stage, request: RequestId, unread_only: bool = False
+        self,
+        stage: Stage,
+        request: RequestId,
+        attempt: int,
+        unread_only: bool = False,
     ) -> bool:
         """
         Tell a stage to drop a stream; a stage that can't be told times out.
@@ -167,21 +178,23 @@
             The stage to tell.
         request : str
             The request to drop.
+        attempt : int
+            Newest attempt to drop; a newer one belongs to another router.
         unread_only : bool
             Whether to leave a stream that somebody reads.
 
         Returns
         -------
         bool
-            Whether the stage had the stream and has dropped it.
+            Whether the stage is known not to hold the stream any more.
         """
         limit = aiohttp.ClientTimeout(total=PROBE_TIMEOUT)
         url = f"{stage.url}/streams/{request}"
-        query = {"unread_only": "1"} if unread_only else {}
+        query = {"attempt": str(attempt), "unread_only": str(int(unread_only))}
         session = self.pick_session(fresh=True)
         try:
             async with session.delete(url, params=query, timeout=limit) as response:
-                return bool((await response.json())["cancelled"])
+                return bool((await response.json())["gone"])
         except (*LOST, KeyError, TypeError):
             return False
 
--- a/lentilhaven/endpoints/stream_feed.py
+++ b/lentilhaven/endpoints/stream_feed.py
@@ -15,7 +15,7 @@
 from lentilhaven.endpoints.stage import Stage
 
 #: Chunks read ahead of the consumer; a full queue stops reading from the socket.
-READ_AHEAD = 8
+READ_AHEAD = 1
 
 #: Largest line of a stream, in bytes.
 LARGEST_LINE = 1_000_000
--- a/lentilhaven/router/completions.py
+++ b/lentilhaven/router/completions.py
@@ -183,8 +183,10 @@
 async def leave_answer(router: Router, answer: Answer) -> None:
     """Cancel an answer unless its caller has come back, here or elsewhere."""
     await router.clock.sleep(router.settings.resume_window)
-    head = answer.chain[0]
-    if await router.engines.cancel(head, answer.request, unread_only=True):
+    if not answer.chain:
+        return
+    head, attempt = answer.chain[0], answer.ledger.attempt
+    if await router.engines.cancel(head, answer.request, attempt, unread_only=True):
         router.counters["answers_abandoned"] += 1
         await cancel_answer(router, answer)
 
@@ -192,4 +194,4 @@
 async def cancel_answer(router: Router, answer: Answer) -> None:
     """Tell every stage to drop an answer that will not be finished."""
     for stage in answer.chain:
-        await router.engines.cancel(stage, answer.request)
+        await router.engines.cancel(stage, answer.request, answer.ledger.attempt)
--- a/lentilhaven/standins/engine.py
+++ b/lentilhaven/standins/engine.py
@@ -156,11 +156,18 @@
         stream.notify()
         if stream.task is not None:
             stream.task.cancel()
-        task = stream.task = asyncio.create_task(self.generate(stream, order))
+        work = asyncio.wait_for(self.generate(stream, order), order.remaining)
+        task = stream.task = asyncio.create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self.forget_task)
         return stream
 
+    def forget_task(self, task: asyncio.Task) -> None:
+        """Forget a task that has ended, at the latest at its order's deadline."""
+        self.tasks.discard(task)
+        if not task.cancelled():
+            task.exception()
+
     def check_stage(self, version: ModelVersion, stage: Stage) -> None:
         """Refuse a stage that this engine does not hold."""
         if version != self.version:
@@ -222,12 +229,14 @@
             What to generate.
         """
         tokens = order.prompt + order.generated
+        activations = [embed(order.version, token) for token in tokens]
         start = 0 if order.attempt == 1 else len(tokens) - 1
         try:
             while stream.attempt == order.attempt:
-                advanced = await self.advance_head(order, tokens, start)
+                advanced = await self.advance_head(order, activations, start)
                 piece = make_piece(order, len(tokens) - len(order.prompt), advanced)
                 tokens.append(piece.token)
+                activations.append(embed(order.version, piece.token))
                 start = len(tokens) - 1
                 if stream.attempt != order.attempt:
                     return
@@ -256,10 +265,9 @@
                     self.cancel(order.request)
 
     async def advance_head(
-        self, order: StreamOrder, tokens: list[str], start: int
+        self, order: StreamOrder, activations: list[int], start: int
     ) -> Advanced:
-        """Embed the tokens from a position on and run them through the chain."""
-        activations = [embed(order.version, token) for token in tokens]
+        """Run the tokens from a position on through the chain."""
         advance = Advance(
             request=order.request,
             attempt=order.attempt,
@@ -402,7 +410,7 @@
         """Stop all generation."""
         for task in list(self.tasks):
             task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
+            with contextlib.suppress(asyncio.CancelledError, TimeoutError):
                 await task
 
 
--- a/lentilhaven/standins/engine_api.py
+++ b/lentilhaven/standins/engine_api.py
@@ -59,7 +59,7 @@
     await suffer_faults(engine, request)
     try:
         response = await handler(request)
-    except ConnectionResetError:
+    except ConnectionError:
         response = web.Response(status=499)
     except SupersededError as error:
         response = web.json_response({"error": str(error)}, status=410)
@@ -128,7 +128,7 @@
         await send_pieces(request, response, stream, order.attempt, position)
         await suffer_faults(request.app[ENGINE], request)
         await response.write_eof()
-    except ConnectionResetError:
+    except ConnectionError:
         # The reader has gone; another may read the stream on.
         response.force_close()
     finally:
@@ -216,10 +216,13 @@
     engine = request.app[ENGINE]
     name = RequestId(request.match_info["id"])
     stream = engine.streams.get(name)
-    if stream is None or (stream.readers and request.query.get("unread_only")):
-        return web.json_response({"cancelled": False})
+    if stream is None:
+        return web.json_response({"gone": True})
+    read = bool(stream.readers) and request.query["unread_only"] == "1"
+    if read or stream.attempt > int(request.query["attempt"]):
+        return web.json_response({"gone": False})
     engine.cancel(name)
-    return web.json_response({"cancelled": True})
+    return web.json_response({"gone": True})
 
 
 async def read_outputs(request: web.Request) -> web.Response:
