--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -2,18 +2,22 @@
 
 import asyncio
 import random
+import secrets
+import weakref
 from collections import Counter, deque
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Coroutine, Iterator
 from contextlib import asynccontextmanager, contextmanager
+from typing import Any
 
 import aiohttp
 import attrs
 
+from lentilhaven.answers.event_id import derive_key
 from lentilhaven.control.view import EndpointState, View
 from lentilhaven.core.clock import Clock
 from lentilhaven.core.ids import EndpointId, PoolName, RouteName
 from lentilhaven.core.logs import get_logger
-from lentilhaven.core.tasks import running_tasks
+from lentilhaven.core.tasks import report_task_failure, running_tasks
 from lentilhaven.core.tls import client_context
 from lentilhaven.endpoints.engine_client import EngineClient
 from lentilhaven.endpoints.stage import Stage
@@ -23,6 +27,7 @@
 from lentilhaven.retries.retry_budget import RetryBudget
 from lentilhaven.router.agent_client import AgentClient
 from lentilhaven.router.path_state import PathState
+from lentilhaven.router.request_record import RequestRecord
 from lentilhaven.router.router_settings import RouterSettings
 from lentilhaven.router.view_holder import ViewHolder
 from lentilhaven.tables.route import Route
@@ -66,6 +71,12 @@
         Requests of this router in flight, by endpoint.
     draining : bool
         Whether new requests are refused.
+    cutting : bool
+        Whether the requests in flight are being cut off.
+    requests : dict
+        `RequestRecord` of each request in flight, by its task.
+    transports : set of asyncio.Transport
+        Connections of callers.
     idle : asyncio.Event
         Set while nothing is in flight.
     counters : Counter
@@ -76,6 +87,10 @@
         Endpoints that have failed lately.
     budgets : dict
         `RetryBudget` by route.
+    event_key : bytes
+        Signs event ids.
+    background : set of asyncio.Task
+        Work that outlives its request.
     fresh : aiohttp.ClientSession or None
         Opens a connection for each request.
     settler : Settler
@@ -96,6 +111,11 @@
     own_load: Counter[EndpointId] = attrs.field(factory=Counter)
     leaving: bool = False
     draining: bool = False
+    cutting: bool = False
+    requests: dict[asyncio.Task, RequestRecord] = attrs.field(factory=dict)
+    transports: weakref.WeakSet[asyncio.Transport] = attrs.field(
+        factory=weakref.WeakSet
+    )
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     counters: Counter[str] = attrs.field(factory=Counter)
     decisions: deque = attrs.field(factory=lambda: deque(maxlen=DECISIONS_KEPT))
@@ -103,6 +123,8 @@
         default=attrs.Factory(lambda self: CircuitBoard(self.random), takes_self=True)
     )
     budgets: dict[RouteName, RetryBudget] = attrs.field(factory=dict)
+    event_key: bytes = b""
+    background: set[asyncio.Task] = attrs.field(factory=set)
     fresh: aiohttp.ClientSession | None = None
     settler: Settler = attrs.field(
         default=attrs.Factory(
@@ -156,17 +178,53 @@
             self.own_load.subtract(names)
 
     @contextmanager
-    def counted_request(self) -> Iterator[None]:
-        """Count a request as in flight while the context lasts."""
+    def counted_request(self, method: str = "", path: str = "") -> Iterator[None]:
+        """
+        Count a request as in flight while the context lasts.
+
+        Parameters
+        ----------
+        method : str
+            Its HTTP method.
+        path : str
+            Its path.
+        """
+        task = asyncio.current_task()
         self.in_flight += 1
         self.idle.clear()
+        if task is not None:
+            began = self.clock.monotonic()
+            self.requests[task] = RequestRecord(method, path, began)
         try:
             yield
         finally:
+            if task is not None:
+                del self.requests[task]
             self.in_flight -= 1
             if self.in_flight == 0:
                 self.idle.set()
 
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """
+        Run something after its request has been answered.
+
+        Parameters
+        ----------
+        work : coroutine
+            What to run; it is cancelled when the router closes.
+        """
+        task = asyncio.create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+        task.add_done_callback(report_task_failure)
+
+    async def close(self) -> None:
+        """Cancel what runs in the background."""
+        tasks = list(self.background)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     @contextmanager
     def counted_service(self, endpoint: EndpointId) -> Iterator[None]:
         """Count a call at a plain service while the context lasts."""
@@ -237,8 +295,12 @@
         router = Router(settings, session, engines, agent, clock, random)
         router.fresh = fresh
         router.idle.set()
+        # Without a shared token, ids are good at this process only.
+        shared = token or secrets.token_hex()
+        router.event_key = derive_key(shared)
         async with running_tasks(router.follow_view()):
             try:
                 yield router
             finally:
+                await router.close()
                 await router.settler.close()
