--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from lentilhaven.bench.config_spread import run_config_spread
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.smoke import run_smoke
@@ -9,5 +10,6 @@
 Scenario = Callable[[ScenarioOptions], Report]
 
 SCENARIOS: dict[str, Scenario] = {
+    "config-spread": run_config_spread,
     "smoke": run_smoke,
 }
--- a/lentilhaven/distribution/commit.py
+++ b/lentilhaven/distribution/commit.py
@@ -13,6 +13,7 @@
 from lentilhaven.core.backoff import Backoff
 from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.failure import Failure
+from lentilhaven.core.hashing import canonical_json
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.randomness import derive_random
 from lentilhaven.core.settings import to_document
@@ -29,6 +30,9 @@
 from lentilhaven.tables.parts import split_tables
 from lentilhaven.tables.tables import Tables
 
+#: Largest parts of an edit that its head carries as well, in characters.
+INLINE_LIMIT = 300_000
+
 #: Tries of one write, and of learning what became of the edit.
 WRITE_ATTEMPTS = 6
 
@@ -119,12 +123,13 @@
         base, head : TableHead
             The head before, and the one to write.
         """
-        document = head_document(head)
+        document = to_document(attrs.evolve(head, object_version=0))
         sent = False
         for _ in range(WRITE_ATTEMPTS):
             outcome = await self.client.write(HEAD_NAME, document, base.object_version)
             if isinstance(outcome, Written):
-                written = attrs.evolve(head, object_version=outcome.version)
+                version = outcome.version
+                written = attrs.evolve(head, object_version=version, inline={})
                 return Ok(Committed(written))
             if isinstance(outcome, Conflict):
                 return await self.resolve(head)
@@ -189,9 +194,8 @@
     backoff = Backoff(derive_random(0, "commit", edit))
     committer = Committer(client, clock or system_clock(), backoff)
     parts = split_tables(tables)
-    for name, document in parts.items():
-        if name in base.parts:
-            continue
+    made = {name: parts[name] for name in parts if name not in base.parts}
+    for name, document in made.items():
         failure = await committer.write_fixed(PART_PREFIX + name, document)
         if failure is not None:
             return Error(failure)
@@ -200,13 +204,14 @@
         failure = await committer.write_fixed(name, head_document(base))
         if failure is not None:
             return Error(failure)
-    head = TableHead(base.version + 1, edit, author, list(parts))
+    inline = made if len(canonical_json(made)) <= INLINE_LIMIT else {}
+    head = TableHead(base.version + 1, edit, author, list(parts), inline=inline)
     return await committer.write_head(base, head)
 
 
 def head_document(head: TableHead) -> dict:
-    """Return what the store holds of a head."""
-    return to_document(attrs.evolve(head, object_version=0))
+    """Return what the history holds of a head."""
+    return to_document(attrs.evolve(head, object_version=0, inline={}))
 
 
 def unknown_edit() -> Failure:
--- a/lentilhaven/distribution/editing.py
+++ b/lentilhaven/distribution/editing.py
@@ -5,8 +5,11 @@
 import attrs
 from expression import Error, Ok, Result
 
-from lentilhaven.core.clock import Clock
+from lentilhaven.core.backoff import Backoff
+from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.failure import Failure
+from lentilhaven.core.ran import Ran
+from lentilhaven.core.randomness import derive_random
 from lentilhaven.distribution.commit import CommitConflict, Committed, commit_tables
 from lentilhaven.distribution.table_head import TableHead
 from lentilhaven.distribution.table_reader import (
@@ -66,20 +69,26 @@
     clock : Clock or None
         Replaces the system's clock.
     """
-    outcome: Result[Committed | CommitConflict, Failure] | None = None
+    ticking = clock or system_clock()
+    backoff = Backoff(derive_random(0, "edit", edit))
+    outcome: Result[Committed | CommitConflict, Failure]
     for attempt in range(EDIT_ATTEMPTS):
         current = await read_current(client)
         if current.is_error():
-            return Error(current.error)
+            outcome = Error(current.error)
+            await ticking.sleep(backoff.next_delay())
+            continue
         head, tables = current.ok
         changed = change(tables).bind(validate_tables)
         if changed.is_error():
             return Error(changed.error)
         name = f"{edit}.{attempt}"
         outcome = await commit_tables(client, head, changed.ok, name, author, clock)
-        if outcome.is_error() or isinstance(outcome.ok, Committed):
+        if outcome.is_ok() and isinstance(outcome.ok, Committed):
             return outcome
-    assert outcome is not None
+        if outcome.is_error() and outcome.error.ran is not Ran.NO:
+            return outcome
+        await ticking.sleep(backoff.next_delay())
     return outcome
 
 
--- a/lentilhaven/distribution/spreader.py
+++ b/lentilhaven/distribution/spreader.py
@@ -151,6 +151,10 @@
         address : str or None
             The agent that told of it; None for the store.
         """
+        for part, document in head.inline.items():
+            if check_part(part, document).is_ok():
+                self.holder.keep_part(part, document)
+        head = attrs.evolve(head, inline={})
         if head.version <= self.holder.head.version:
             return self.holder.adopt(head, {})
         async with self.fetching:
--- a/lentilhaven/distribution/store_watch.py
+++ b/lentilhaven/distribution/store_watch.py
@@ -5,8 +5,8 @@
 from lentilhaven.core.backoff import Backoff
 from lentilhaven.core.logs import get_logger
 from lentilhaven.distribution.spreader import Spreader
-from lentilhaven.distribution.table_head import HEAD_NAME, PART_PREFIX, TABLES_PREFIX
-from lentilhaven.distribution.table_reader import check_part, parse_head
+from lentilhaven.distribution.table_head import HEAD_NAME
+from lentilhaven.distribution.table_reader import parse_head
 from lentilhaven.distribution.tree import WATCHERS, watch_key
 from lentilhaven.platform.listing import Listing
 from lentilhaven.platform.stored_object import StoredObject
@@ -54,9 +54,8 @@
         """
         Adopt every change of the tables while on duty, for ever.
 
-        The watch covers the parts, which are written before the head that
-        names them, so that an edit can be adopted though the store goes down
-        as soon as it has accepted it.
+        The head carries the parts of its edit, so that the edit can be adopted
+        though the store goes down as soon as it has accepted it.
         """
         backoff = Backoff(self.spreader.random, first=0.1, longest=2.0)
         while True:
@@ -72,7 +71,7 @@
         if self.after is None:
             outcome = await client.list_at(HEAD_NAME)
         else:
-            outcome = await client.watch_from(TABLES_PREFIX, self.after, WATCH_TIMEOUT)
+            outcome = await client.watch_from(HEAD_NAME, self.after, WATCH_TIMEOUT)
         if outcome.is_error():
             log.warning("object API did not answer", error=str(outcome.error))
             # After a failure and after compaction alike the head is read again.
@@ -81,10 +80,7 @@
         return await self.take_listing(outcome.ok)
 
     async def take_listing(self, listing: Listing) -> bool:
-        """Keep the parts and adopt the head of a listing."""
-        for stored in listing.objects:
-            if stored.name.startswith(PART_PREFIX):
-                self.keep_part(stored)
+        """Adopt the head of a listing and go on from its version."""
         for stored in listing.objects:
             if stored.name == HEAD_NAME and not await self.adopt_head(stored):
                 self.after = None
@@ -92,13 +88,6 @@
         self.after = listing.version
         return True
 
-    def keep_part(self, stored: StoredObject) -> None:
-        """Keep a part that arrived ahead of its head."""
-        part = stored.name.removeprefix(PART_PREFIX)
-        checked = check_part(part, stored.value)
-        if checked.is_ok():
-            self.spreader.holder.keep_part(part, checked.ok)
-
     async def adopt_head(self, stored: StoredObject) -> bool:
         """Adopt a head that the store holds; return whether that succeeded."""
         head = parse_head(stored)
--- a/lentilhaven/distribution/table_head.py
+++ b/lentilhaven/distribution/table_head.py
@@ -1,5 +1,7 @@
 """The object that names the tables in force."""
 
+from typing import Any
+
 import attrs
 
 #: Name of the head object.
@@ -11,9 +13,6 @@
 #: Prefix of the names of former heads.
 HISTORY_PREFIX = "tables/history/"
 
-#: Prefix of everything above.
-TABLES_PREFIX = "tables/"
-
 
 @attrs.frozen
 class TableHead:
@@ -32,6 +31,9 @@
         Content hashes of the parts.
     object_version : int
         Version of the head object as the platform counts it.
+    inline : dict
+        Documents of the parts that the edit made, by content hash, if they are
+        small: whoever sees the head needs no further call to the store.
     """
 
     version: int = 0
@@ -39,6 +41,7 @@
     author: str = ""
     parts: list[str] = attrs.field(factory=list)
     object_version: int = 0
+    inline: dict[str, Any] = attrs.field(factory=dict)
 
 
 def history_name(version: int) -> str:
--- a/lentilhaven/testbed/network.py
+++ b/lentilhaven/testbed/network.py
@@ -10,6 +10,9 @@
 #: Name of the platform in a network.
 STORE = "store"
 
+#: Name of operators and callers in a network.
+OPERATOR = "operator"
+
 
 @attrs.define
 class Network:
@@ -22,10 +25,13 @@
         Name of the process at each port.
     blocked : set
         Pairs of source and target whose requests are lost without an answer.
+    latency : float
+        Seconds that each request between VMs takes.
     """
 
     names: dict[int, str] = attrs.field(factory=dict)
     blocked: set[tuple[str, str]] = attrs.field(factory=set)
+    latency: float = 0.002
 
     def name_address(self, name: str, url: str) -> None:
         """
@@ -82,4 +88,6 @@
         """Wait for ever instead of connecting across a cut."""
         if self.network.blocks(self.source, req.url.port):
             await asyncio.Event().wait()
+        if self.source:
+            await asyncio.sleep(self.network.latency)
         return await super().connect(req, traces, timeout)
--- a/lentilhaven/testbed/testbed.py
+++ b/lentilhaven/testbed/testbed.py
@@ -36,14 +36,13 @@
 from lentilhaven.standins.object_api import object_api_app
 from lentilhaven.standins.object_store import ObjectStore
 from lentilhaven.standins.service import Service, service_app
-from lentilhaven.standins.virtual import VirtualConnector
 from lentilhaven.tables.endpoint_spec import EndpointSpec
 from lentilhaven.tables.layer_range import LayerRange
 from lentilhaven.tables.pool import Pool, PoolKind
 from lentilhaven.tables.route import Route
 from lentilhaven.tables.tables import Tables
 from lentilhaven.tables.workspace import Workspace
-from lentilhaven.testbed.network import STORE, Network, PartitionConnector
+from lentilhaven.testbed.network import OPERATOR, STORE, Network, PartitionConnector
 from lentilhaven.testbed.testbed_plan import TestbedPlan
 
 #: Token that the processes of a testbed share.
@@ -404,9 +403,11 @@
     port = next(ports) if plan.virtual else 0
     url = await stack.enter_async_context(serve_app(object_api_app(store), port=port))
 
+    network = Network()
+
     def connector() -> aiohttp.BaseConnector:
         if plan.virtual:
-            return VirtualConnector(limit=0)
+            return PartitionConnector(network, OPERATOR)
         return aiohttp.TCPConnector(limit=0)
 
     client = await stack.enter_async_context(open_object_client(url, connector()))
@@ -415,6 +416,7 @@
     )
     clock = loop_clock()
     testbed = Testbed(plan, stack, clock, store, url, client, session, ports)
+    testbed.network = network
     testbed.network.name_address(STORE, url)
     return testbed
 
