--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from lentilhaven.bench.config_spread import run_config_spread
+from lentilhaven.bench.integrity import run_integrity
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.smoke import run_smoke
@@ -11,5 +12,6 @@
 
 SCENARIOS: dict[str, Scenario] = {
     "config-spread": run_config_spread,
+    "integrity": run_integrity,
     "smoke": run_smoke,
 }
