--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from lentilhaven.bench.config_spread import run_config_spread
 from lentilhaven.bench.integrity import run_integrity
 from lentilhaven.bench.journal_model import run_journal_model
 from lentilhaven.bench.recovery import run_recovery
@@ -13,6 +14,7 @@
 Scenario = Callable[[ScenarioOptions], Report]
 
 SCENARIOS: dict[str, Scenario] = {
+    "config-spread": run_config_spread,
     "integrity": run_integrity,
     "recovery": run_recovery,
     "journal-model": run_journal_model,
