--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from lentilhaven.bench.journal_model import run_journal_model
+from lentilhaven.bench.journal_random import run_journal_random
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.smoke import run_smoke
@@ -11,5 +12,6 @@
 
 SCENARIOS: dict[str, Scenario] = {
     "journal-model": run_journal_model,
+    "journal-random": run_journal_random,
     "smoke": run_smoke,
 }
--- /dev/null
+++ b/lentilhaven/bench/tests/test_journal_random.py
@@ -0,0 +1,36 @@
+import unittest
+from unittest import mock
+
+from lentilhaven.bench.journal_random import WRONG, run_seeds
+from lentilhaven.bench.tests.test_journal_model import (
+    trusts_conflicts,
+    trusts_lost_answers,
+)
+from lentilhaven.core.logs import configure_logs
+
+CONCLUDE = "lentilhaven.idempotency.segment_writer.conclude"
+
+
+class JournalRandomTests(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        configure_logs("critical")
+        cls.addClassCleanup(configure_logs, "info")
+
+    def test_no_key_runs_twice_and_none_that_ran_is_denied(self):
+        counts = run_seeds(5_000, 20).counts
+        self.assertEqual(
+            {name: counts[name] for name in WRONG}, dict.fromkeys(WRONG, 0)
+        )
+        self.assertGreater(counts["run once"], 0)
+
+    def test_same_seed_gives_the_same_run(self):
+        self.assertEqual(run_seeds(7, 1).counts, run_seeds(7, 1).counts)
+
+    def test_finds_a_writer_that_trusts_lost_answers(self):
+        with mock.patch(CONCLUDE, trusts_lost_answers):
+            self.assertGreater(run_seeds(1_000_009, 8).counts["run twice"], 0)
+
+    def test_finds_a_writer_that_trusts_conflicts(self):
+        with mock.patch(CONCLUDE, trusts_conflicts):
+            self.assertGreater(run_seeds(1_000_005, 1).counts["run twice"], 0)
--- a/lentilhaven/idempotency/operation.py
+++ b/lentilhaven/idempotency/operation.py
@@ -10,14 +10,7 @@
 )
 
 #: Outcomes of a claim that no later write can change.
-FINAL = frozenset(
-    {
-        ClaimOutcome.GRANTED,
-        ClaimOutcome.REPLAY,
-        ClaimOutcome.MISMATCH,
-        ClaimOutcome.EXPIRED,
-    }
-)
+FINAL = frozenset({ClaimOutcome.REPLAY, ClaimOutcome.MISMATCH, ClaimOutcome.EXPIRED})
 
 
 @attrs.frozen
--- a/lentilhaven/idempotency/segment_writer.py
+++ b/lentilhaven/idempotency/segment_writer.py
@@ -41,15 +41,15 @@
         What is asked.
     answer : asyncio.Future
         Receives the answer.
-    since : float
-        Monotonic time at which it came, in seconds.
+    arrival : int
+        Its number among the operations of the writer.
     tries : int
         Writes that it was part of.
     """
 
     operation: Operation
     answer: "asyncio.Future[Answer]"
-    since: float
+    arrival: int
     tries: int = 0
 
 
@@ -70,8 +70,10 @@
         Source of time.
     base : Base or None
         The newest confirmed version that is known.
-    base_time : float
-        Monotonic time before which the base was the newest, in seconds.
+    arrivals : int
+        Number of operations that have come.
+    base_arrivals : int
+        Number that had come when the base was certainly the newest.
     waiting : list of Waiting
         Operations without an answer, oldest first.
     """
@@ -81,7 +83,8 @@
     budget: WriteBudget
     clock: Clock
     base: Base | None = None
-    base_time: float = 0.0
+    arrivals: int = 0
+    base_arrivals: int = 0
     waiting: list[Waiting] = attrs.field(factory=list)
 
     def add(self, operation: Operation) -> "asyncio.Future[Answer]":
@@ -94,7 +97,8 @@
             What is asked.
         """
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self.waiting.append(Waiting(operation, future, self.clock.monotonic()))
+        self.arrivals += 1
+        self.waiting.append(Waiting(operation, future, self.arrivals))
         return future
 
     async def run(self) -> None:
@@ -106,20 +110,20 @@
             plan = self.plan(batch)
             if plan.changed:
                 await self.commit()
-            elif plan.needs_fresh_base and self.base_time < batch[-1].since:
+            elif plan.needs_fresh_base and self.base_arrivals < batch[-1].arrival:
                 self.base = None
             else:
                 self.finish(batch, plan)
 
     async def read_base(self) -> bool:
         """Read the object; give up what waits if the store does not answer."""
-        began = self.clock.monotonic()
+        arrivals = self.arrivals
         found = await self.store.read(self.name)
         if found.is_error():
             self.give_up(list(self.waiting), found.error)
             return False
         self.base = base_of(found.ok)
-        self.base_time = began
+        self.base_arrivals = arrivals
         return True
 
     def plan(self, batch: list[Waiting]) -> Plan:
@@ -132,14 +136,14 @@
         """Write one batch, of all that came while the budget was waited for."""
         await self.budget.take()
         batch = self.waiting[:MAX_BATCH]
-        base, plan, began = self.base, self.plan(batch), self.clock.monotonic()
+        base, plan, arrivals = self.base, self.plan(batch), self.arrivals
         assert base is not None
         value = encode_segment(plan.segment)
         for it in batch:
             it.tries += 1
         outcome = await self.store.write(self.name, value, base.version)
         conclusion = conclude(base, plan, outcome)
-        self.base, self.base_time = conclusion.base, began
+        self.base, self.base_arrivals = conclusion.base, arrivals
         if conclusion.confirmed:
             self.finish(batch, plan)
         elif conclusion.failure is not None:
--- a/lentilhaven/router/agent_client.py
+++ b/lentilhaven/router/agent_client.py
@@ -82,7 +82,9 @@
             failure = Failure(
                 Step.CLAIM, "agent", "agent-lost", repr(error), retry_after=1.0
             )
-            return ClaimAnswer(ClaimOutcome.UNAVAILABLE, failure=failure)
+            unsent = isinstance(error, aiohttp.ClientConnectorError)
+            outcome = ClaimOutcome.UNAVAILABLE
+            return ClaimAnswer(outcome, failure=failure, may_stand=not unsent)
 
     async def settle(self, settlement: Settlement) -> bool:
         """
