--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from lentilhaven.bench.integrity import run_integrity
 from lentilhaven.bench.journal_model import run_journal_model
 from lentilhaven.bench.journal_random import run_journal_random
 from lentilhaven.bench.report import Report
@@ -11,6 +12,7 @@
 Scenario = Callable[[ScenarioOptions], Report]
 
 SCENARIOS: dict[str, Scenario] = {
+    "integrity": run_integrity,
     "journal-model": run_journal_model,
     "journal-random": run_journal_random,
     "smoke": run_smoke,
--- a/lentilhaven/idempotency/journal_peers.py
+++ b/lentilhaven/idempotency/journal_peers.py
@@ -1,5 +1,6 @@
 """The client with which agents forward claims and settlements to each other."""
 
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -13,6 +14,7 @@
 from lentilhaven.core.settings import CONVERTER, to_document
 from lentilhaven.core.step import Step
 from lentilhaven.idempotency.operation import Answer, Settled
+from lentilhaven.platform.vm import ListedVm
 
 #: Seconds for a forwarded message.
 FORWARD_TIMEOUT = 1.5
@@ -34,17 +36,31 @@
         Connections; owned by the caller.
     token : str
         The cluster's token.
-    addresses : dict
-        Base URL of each VM's agent.
+    list_live : callable
+        Returns the VMs believed to be live.
     """
 
     session: aiohttp.ClientSession
     token: str
-    addresses: dict[VmId, str] = attrs.field(factory=dict)
+    list_live: Callable[[], list[ListedVm]]
 
     def live_vms(self) -> list[VmId]:
         """Return the VMs whose agents can be asked, in order of name."""
-        return sorted(self.addresses)
+        return sorted(vm.id for vm in self.list_live())
+
+    def address(self, vm: VmId) -> str:
+        """
+        Return the base URL of a VM's agent.
+
+        Raises
+        ------
+        KeyError
+            If the VM is not believed to be live.
+        """
+        for listed in self.list_live():
+            if listed.id == vm:
+                return listed.address
+        raise KeyError(vm)
 
     async def forward(
         self, vm: VmId, message: ClaimRequest | Settlement
@@ -66,7 +82,7 @@
         )
         headers = {"Authorization": f"Bearer {self.token}"}
         try:
-            url = self.addresses[vm] + path
+            url = self.address(vm) + path
             async with self.session.post(
                 url, json=to_document(message), timeout=limit, headers=headers
             ) as response:
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -11,13 +11,18 @@
 
 from lentilhaven.control.view import EndpointState, View
 from lentilhaven.core.clock import Clock
-from lentilhaven.core.ids import EndpointId
+from lentilhaven.core.ids import EndpointId, PoolName, RouteName
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.endpoints.engine_client import EngineClient
+from lentilhaven.endpoints.stage import Stage
 from lentilhaven.idempotency.settler import Settler
+from lentilhaven.retries.circuit_board import CircuitBoard
+from lentilhaven.retries.retry_budget import RetryBudget
 from lentilhaven.router.agent_client import AgentClient
+from lentilhaven.router.path_state import PathState
 from lentilhaven.router.router_settings import RouterSettings
+from lentilhaven.tables.route import Route
 from lentilhaven.tables.tables import Tables
 
 #: Seconds before the view is asked for again after the agent was lost.
@@ -57,10 +62,16 @@
         Set while nothing is in flight.
     counters : Counter
         Events by name, for the state dump.
+    circuits : CircuitBoard
+        Endpoints that have failed lately.
+    budgets : dict
+        `RetryBudget` by route.
     fresh : aiohttp.ClientSession or None
         Opens a connection for each request.
     settler : Settler
         Settles non-idempotent calls in the background.
+    paths : dict
+        `PathState` by pool.
     """
 
     settings: RouterSettings
@@ -76,17 +87,23 @@
     draining: bool = False
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     counters: Counter[str] = attrs.field(factory=Counter)
+    circuits: CircuitBoard = attrs.field(
+        default=attrs.Factory(lambda self: CircuitBoard(self.random), takes_self=True)
+    )
+    budgets: dict[RouteName, RetryBudget] = attrs.field(factory=dict)
     fresh: aiohttp.ClientSession | None = None
     settler: Settler = attrs.field(
         default=attrs.Factory(
             lambda self: Settler(self.agent.settle, self.clock), takes_self=True
         )
     )
+    paths: dict[PoolName, PathState] = attrs.field(factory=dict)
 
     @property
     def ready(self) -> bool:
         """Return whether the balancer should send new requests here."""
-        return self.view.tables.version > 0 and not self.leaving
+        leaving = self.leaving or self.view.leaving
+        return self.view.tables.version > 0 and not leaving
 
     def may_use(self, endpoint: EndpointId) -> bool:
         """
@@ -98,7 +115,33 @@
             The endpoint.
         """
         view = self.view.endpoints.get(endpoint)
-        return view is None or view.state is EndpointState.LIVE
+        if view is not None and view.state is not EndpointState.LIVE:
+            return False
+        in_flight = self.own_load[endpoint]
+        return self.circuits.allows(endpoint, self.clock.monotonic(), in_flight)
+
+    def budget(self, route: Route) -> RetryBudget:
+        """
+        Return the retry budget of a route.
+
+        Parameters
+        ----------
+        route : Route
+            The route, with the ratio in force.
+        """
+        budget = self.budgets.setdefault(route.name, RetryBudget(route.retry.budget))
+        budget.ratio = route.retry.budget
+        return budget
+
+    @contextmanager
+    def counted_use(self, chain: list[Stage]) -> Iterator[None]:
+        """Count a request at every stage of a chain while the context lasts."""
+        names = [stage.endpoint for stage in chain]
+        self.own_load.update(names)
+        try:
+            yield
+        finally:
+            self.own_load.subtract(names)
 
     @contextmanager
     def counted_request(self) -> Iterator[None]:
@@ -124,7 +167,9 @@
     async def follow_view(self) -> None:
         """Adopt every newer view of the agent, for ever."""
         while True:
-            outcome = await self.agent.read_view(self.view.sequence)
+            outcome = await self.agent.read_view(
+                self.view.sequence, self.view.tables.version
+            )
             if outcome.is_error():
                 log.warning("agent did not answer", error=str(outcome.error))
                 await self.clock.sleep(AGENT_RETRY_DELAY)
@@ -181,7 +226,7 @@
         aiohttp.ClientSession(connector=fresh_connector) as fresh,
     ):
         agent = AgentClient(settings.agent_url, session, token)
-        engines = EngineClient(session)
+        engines = EngineClient(session, fresh)
         router = Router(settings, session, engines, agent, clock, random)
         router.fresh = fresh
         router.idle.set()
