--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -5,6 +5,7 @@
 from lentilhaven.bench.config_spread import run_config_spread
 from lentilhaven.bench.integrity import run_integrity
 from lentilhaven.bench.journal_model import run_journal_model
+from lentilhaven.bench.journal_random import run_journal_random
 from lentilhaven.bench.recovery import run_recovery
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
@@ -18,6 +19,7 @@
     "integrity": run_integrity,
     "recovery": run_recovery,
     "journal-model": run_journal_model,
+    "journal-random": run_journal_random,
     "smoke": run_smoke,
     "view-cost": run_view_cost,
 }
