Measure policies against a service-time model in virtual time

Engines step with overhead, decode and prefill rates and KV memory; links have latency and rate; load reports come late. The router model wires the product's PathChooser and Gate.

--- a/lentilhaven/balancing/path_chooser.py
+++ b/lentilhaven/balancing/path_chooser.py
@@ -6,9 +6,10 @@
 import attrs
 
 from lentilhaven.balancing.corrections import find_corrections
-from lentilhaven.balancing.link_timing import LinkTiming
+from lentilhaven.balancing.link_timing import LinkTiming, links_of
 from lentilhaven.balancing.path_policies import PATH_POLICIES
 from lentilhaven.balancing.path_repair import repair_path
+from lentilhaven.balancing.suspects import Suspects
 from lentilhaven.core.ids import EndpointId, ModelVersion
 from lentilhaven.pipelines.path_loads import PathLoads, PathRequest
 from lentilhaven.pipelines.path_plan import PathPlan, plan_paths
@@ -61,6 +62,8 @@
         `PathPlan` by `PlanKey`.
     corrected_for : PlanKey or None
         Plan that the corrections were made for.
+    suspects : Suspects
+        Endpoints that failed lately.
     """
 
     policy: str = "flow"
@@ -70,6 +73,7 @@
     pool: Pool | None = None
     plans: dict[PlanKey, PathPlan] = attrs.field(factory=dict)
     corrected_for: PlanKey | None = None
+    suspects: Suspects = attrs.field(factory=Suspects)
 
     def plan(
         self,
@@ -81,7 +85,7 @@
         """
         Return the plan in force; it is made anew only when its input changes.
 
-        A slow link is used after all if there is no flow without it.
+        A slow link or a suspect is used after all if there is no flow without it.
 
         Parameters
         ----------
@@ -98,9 +102,10 @@
             self.pool = pool
             self.plans.clear()
         left_out = frozenset(unusable)
-        key = PlanKey(version, left_out, self.timing.slow_links(now))
+        suspected = left_out | self.suspects.current(now)
+        key = PlanKey(version, suspected, self.timing.slow_links(now))
         plan = self.find_plan(pool, key)
-        if plan.rate == 0 and key.unusable_links:
+        if plan.rate == 0:
             key = PlanKey(version, left_out)
             plan = self.find_plan(pool, key)
         if key != self.corrected_for:
@@ -187,3 +192,38 @@
         """
         repaired = repair_path(plan, self.loads, request, path, lost, random)
         return repaired or self.choose(plan, request, random)
+
+    def leave_links(
+        self,
+        plan: PathPlan,
+        request: PathRequest,
+        path: list[Member],
+        now: float,
+        random: random.Random,
+    ) -> list[Member] | None:
+        """
+        Return a path round the slow links of a path; None if there is no need.
+
+        Parameters
+        ----------
+        plan : PathPlan
+            The plan in force.
+        request : PathRequest
+            Size of the request.
+        path : list of Member
+            Its path so far.
+        now : float
+            Monotonic time, in seconds.
+        random : random.Random
+            Source of chance.
+        """
+        slow = self.timing.slow_links(now)
+        taken = [link for link in links_of(path) if link in slow]
+        if not taken:
+            return None
+        starts = {link.boundary for link in taken}
+        behind = {it.endpoint for it in path if it.layers.start in starts}
+        moved = repair_path(plan, self.loads, request, path, behind, random)
+        if moved is None or any(link in slow for link in links_of(moved)):
+            return None
+        return moved
--- a/lentilhaven/balancing/path_repair.py
+++ b/lentilhaven/balancing/path_repair.py
@@ -35,9 +35,12 @@
         Source of chance.
     """
     repaired: list[Member] = []
-    for member in path:
+    for index, member in enumerate(path):
         if member.endpoint in lost:
-            replacement = replace_member(plan, loads, request, repaired, member, random)
+            later = path[index + 1] if index + 1 < len(path) else None
+            holders = find_holders(plan, loads, request, member)
+            near = [it for it in holders if is_joined(plan, repaired, it, later)]
+            replacement = least_busy(loads, near or holders, random)
             if replacement is None:
                 return None
             member = replacement
@@ -45,16 +48,11 @@
     return repaired
 
 
-def replace_member(
-    plan: PathPlan,
-    loads: PathLoads,
-    request: PathRequest,
-    earlier: list[Member],
-    member: Member,
-    random: random.Random,
-) -> Member | None:
-    """Return the least busy other holder of a member's range, close ones first."""
-    holders = [
+def find_holders(
+    plan: PathPlan, loads: PathLoads, request: PathRequest, member: Member
+) -> list[Member]:
+    """Return the other members that hold a member's range and have KV memory."""
+    return [
         it
         for (boundary, _), members in plan.members.items()
         for it in members
@@ -63,21 +61,29 @@
         and it.endpoint != member.endpoint
         and loads.fits(it, request)
     ]
-    if not holders:
-        return None
+
+
+def least_busy(
+    loads: PathLoads, holders: list[Member], random: random.Random
+) -> Member | None:
+    """Return the holder with the least load for its flow; None if there is none."""
 
     def score(holder: Member) -> float:
         load = loads.own[holder.endpoint] + random.expovariate(1.0)
         return load / holder.rate
 
-    near = [it for it in holders if is_linked(plan, earlier, it)]
-    return min(near or holders, key=score)
+    return min(holders, key=score, default=None)
+
+
+def is_joined(
+    plan: PathPlan, earlier: list[Member], member: Member, later: Member | None
+) -> bool:
+    """Return whether the flow joins a member to both its neighbours."""
+    before = not earlier or is_linked(plan, earlier[-1], member)
+    return before and (later is None or is_linked(plan, member, later))
 
 
-def is_linked(plan: PathPlan, earlier: list[Member], member: Member) -> bool:
-    """Return whether the flow goes from the last of `earlier` to a member."""
-    if not earlier:
-        return True
-    previous = earlier[-1]
-    flows = plan.links.get((previous.layers.stop, previous.data_centre), {})
-    return member.data_centre in flows
+def is_linked(plan: PathPlan, member: Member, later: Member) -> bool:
+    """Return whether the flow goes from one member's data centre to another's."""
+    flows = plan.links.get((member.layers.stop, member.data_centre), {})
+    return later.data_centre in flows
--- /dev/null
+++ b/lentilhaven/bench/policy/policy_run.py
@@ -0,0 +1,190 @@
+"""A run of routers, engines and a workload."""
+
+import attrs
+
+from lentilhaven.balancing.path_chooser import PathChooser
+from lentilhaven.bench.policy.answer_record import AnswerRecord
+from lentilhaven.bench.policy.router_model import SCAN_PERIOD, RouterModel
+from lentilhaven.bench.policy.run_plan import BETWEEN_TOKENS_TARGET, RunPlan
+from lentilhaven.bench.policy.workload import Load, Workload
+from lentilhaven.core.ids import EndpointId, WorkspaceId
+from lentilhaven.core.randomness import derive_random
+from lentilhaven.limits.adaptive_limit import AdaptiveLimit
+from lentilhaven.limits.admission_state import AdmissionState
+from lentilhaven.limits.drain_rate import DrainRate
+from lentilhaven.limits.gate import Gate
+from lentilhaven.pipelines.bound import bound_of
+from lentilhaven.pipelines.path_loads import PathLoads
+from lentilhaven.standins.service_model import Cluster, EventQueue
+from lentilhaven.testbed.deployments import Deployment
+
+#: Seconds from an endpoint's death until the agents have marked it.
+MARK_DELAY = 2.0
+
+
+@attrs.define(eq=False)
+class PolicyRun:
+    """
+    Everything of one run.
+
+    Attributes
+    ----------
+    plan : RunPlan
+        Policies, sizes and seed.
+    deployment : Deployment
+        Shape of the pool.
+    events : EventQueue
+        Virtual time.
+    cluster : Cluster
+        Engines and links.
+    routers : list of RouterModel
+        Routers; a balancer sends each request to a random one.
+    records : list of AnswerRecord
+        All requests offered.
+    bound : float
+        Generated tokens per second that the pool allows.
+    """
+
+    plan: RunPlan
+    deployment: Deployment
+    events: EventQueue
+    cluster: Cluster
+    routers: list[RouterModel]
+    bound: float
+    records: list[AnswerRecord] = attrs.field(factory=list)
+    queue_spread: list[float] = attrs.field(factory=list)
+
+    def weights(self) -> dict[WorkspaceId, float]:
+        """Return the weight of each workspace of the tables."""
+        return {it.id: it.weight for it in self.deployment.tables.workspaces}
+
+    def offer(
+        self,
+        load: Load,
+        peak: float,
+        until: float,
+        weights: dict[WorkspaceId, float] | None = None,
+        name: str = "r",
+    ) -> None:
+        """
+        Let requests arrive.
+
+        Parameters
+        ----------
+        load : callable
+            Offered load in generated tokens per second, by time.
+        peak : float
+            Its greatest value.
+        until : float
+            Time of the last arrival, in seconds.
+        weights : dict or None
+            Part of the requests by workspace; None for the tables' weights.
+        name : str
+            Prefix of request ids; each workload needs its own.
+        """
+        plan = self.plan
+        source = derive_random(plan.seed, "workload", name)
+        workload = Workload(
+            load,
+            peak,
+            weights or self.weights(),
+            plan.mix,
+            source,
+            plan.prefix_count,
+            name,
+        )
+        balancer = derive_random(plan.seed, "balancer", name)
+        arrivals = workload.arrivals(until)
+
+        def next_arrival() -> None:
+            record = next(arrivals, None)
+            if record is None:
+                return
+            router = balancer.choice(self.routers)
+
+            def arrive() -> None:
+                self.records.append(record)
+                router.arrive(record)
+                next_arrival()
+
+            self.events.at(record.arrived, arrive)
+
+        next_arrival()
+
+    def run(self, until: float) -> None:
+        """Run up to a time, in seconds."""
+        self.events.run(until)
+
+    def kill(self, endpoints: list[EndpointId], silent: bool) -> None:
+        """Kill endpoints; the agents mark them after a while."""
+        for endpoint in endpoints:
+            self.cluster.kill(endpoint, silent)
+
+        def mark() -> None:
+            for router in self.routers:
+                router.unusable |= set(endpoints)
+
+        self.events.after(MARK_DELAY, mark)
+
+    def report_loads(self) -> None:
+        """Send load reports, which arrive late, for ever."""
+        loads = self.cluster.loads()
+
+        def arrive() -> None:
+            for router in self.routers:
+                router.chooser.adopt_reports(loads, len(self.routers))
+
+        self.events.after(self.plan.report_delay, arrive)
+        self.events.after(self.plan.report_period, self.report_loads)
+
+    def scan(self) -> None:
+        """Let every router look for silent streams, for ever."""
+        for router in self.routers:
+            router.scan()
+        self.events.after(SCAN_PERIOD, self.scan)
+
+
+def open_run(plan: RunPlan) -> PolicyRun:
+    """
+    Return a run at time 0.
+
+    Parameters
+    ----------
+    plan : RunPlan
+        Policies, sizes and seed.
+    """
+    deployment = plan.build_deployment()
+    events = EventQueue()
+    cluster = Cluster(deployment.pool, events, deployment.client_latency)
+    bound = bound_of(deployment.pool, plan.mix).rate
+    routers = [
+        open_router_model(plan, deployment, cluster, index, bound)
+        for index in range(deployment.router_count)
+    ]
+    run = PolicyRun(plan, deployment, events, cluster, routers, bound)
+    run.report_loads()
+    events.after(SCAN_PERIOD, run.scan)
+    return run
+
+
+def open_router_model(
+    plan: RunPlan, deployment: Deployment, cluster: Cluster, index: int, bound: float
+) -> RouterModel:
+    """Return one router."""
+    count = deployment.router_count
+    weights = {it.id: it.weight for it in deployment.tables.workspaces}
+    expected = plan.mix.generated_tokens * BETWEEN_TOKENS_TARGET
+    drain = DrainRate(plan.mix.total_tokens, expected)
+    if plan.fixed_limit:
+        limit = AdaptiveLimit(float("inf"), plan.fixed_limit, plan.fixed_limit)
+        limit.greatest = plan.fixed_limit
+    else:
+        limit = AdaptiveLimit(plan.between_tokens, bound * plan.between_tokens / count)
+    return RouterModel(
+        cluster,
+        PathChooser(plan.path, plan.mix, PathLoads(count)),
+        Gate(AdmissionState(limit, drain), plan.admission),
+        derive_random(plan.seed, "router", str(index)),
+        lambda workspace: weights.get(workspace, 1.0),
+        plan.recovery == "restart",
+    )
--- a/lentilhaven/limits/adaptive_limit.py
+++ b/lentilhaven/limits/adaptive_limit.py
@@ -14,8 +14,12 @@
 #: Part of the target that the limit steers at.
 MARGIN = 0.94
 
-#: Least and greatest factor of one adjustment.
-LEAST_FACTOR, GREATEST_FACTOR = 0.9, 1.05
+#: Least factor of one adjustment downwards.
+LEAST_FACTOR = 0.9
+
+#: Most requests by which one adjustment raises the limit, and the relative
+#: distance from the target at which it does.
+GREATEST_RISE, FULL_RISE_AT = 1.0, 0.1
 
 #: Part of the limit that must be in use before it grows.
 BUSY_SHARE = 0.9
@@ -26,8 +30,9 @@
     """
     Most requests in flight, adjusted so that tokens come in time.
 
-    The limit moves by the ratio of target and measured time between tokens, and
-    grows only while it is what holds requests back.
+    The limit falls by a factor and rises by a number of requests, so that the
+    limits of routers before the same engines converge.  It rises only while it
+    is what holds requests back.
 
     Attributes
     ----------
@@ -50,6 +55,11 @@
     >>> limit.adjust(in_flight=100, now=1.0)
     >>> limit.limit
     90.0
+
+    References
+    ----------
+    D.-M. Chiu, R. Jain, "Analysis of the Increase and Decrease Algorithms for
+    Congestion Avoidance in Computer Networks", 1989.
     """
 
     target: float
@@ -77,15 +87,16 @@
         if now - self.adjusted < PERIOD or len(self.gaps) < MIN_SAMPLES:
             return
         self.adjusted = now
-        factor = self.find_factor()
+        ratio = self.find_ratio()
         self.gaps.clear()
-        if factor < 1.0 or in_flight >= BUSY_SHARE * self.limit:
-            wanted = self.limit * factor
-            self.limit = min(self.greatest, max(self.least, wanted))
-
-    def find_factor(self) -> float:
-        """Return the factor by which to move the limit."""
+        if ratio < 1.0:
+            self.limit = max(self.least, self.limit * max(LEAST_FACTOR, ratio))
+        elif in_flight >= BUSY_SHARE * self.limit:
+            rise = GREATEST_RISE * min(1.0, (ratio - 1.0) / FULL_RISE_AT)
+            self.limit = min(self.greatest, self.limit + rise)
+
+    def find_ratio(self) -> float:
+        """Return how far tokens are within the target; below 1 they are late."""
         self.gaps.sort()
         measured = self.gaps[int(SHARE_IN_TIME * (len(self.gaps) - 1))]
-        ratio = MARGIN * self.target / max(measured, 1e-9)
-        return min(GREATEST_FACTOR, max(LEAST_FACTOR, ratio))
+        return MARGIN * self.target / max(measured, 1e-9)
--- a/lentilhaven/limits/admission_state.py
+++ b/lentilhaven/limits/admission_state.py
@@ -24,6 +24,8 @@
         Rate at which the queue drains.
     running : dict
         `Ticket` by request in flight.
+    started : dict
+        Monotonic time at which each of them started, in seconds.
     running_by_workspace : Counter
         Their number by workspace.
     queues : dict
@@ -39,6 +41,7 @@
     limit: AdaptiveLimit
     drain: DrainRate
     running: dict[RequestId, Ticket] = attrs.field(factory=dict)
+    started: dict[RequestId, float] = attrs.field(factory=dict)
     running_by_workspace: Counter[WorkspaceId] = attrs.field(factory=Counter)
     queues: dict[WorkspaceId, list[Ticket]] = attrs.field(factory=dict)
     queued_tokens: dict[WorkspaceId, float] = attrs.field(
@@ -68,10 +71,17 @@
             del self.queues[ticket.workspace]
             del self.queued_tokens[ticket.workspace]
 
-    def start(self, ticket: Ticket) -> None:
+    def drain_rate(self) -> float:
+        """Return the tokens per second at which the queue drains."""
+        # Fewer run than the limit allows when KV memory holds requests back.
+        running = len(self.running) if self.queues else self.limit.limit
+        return self.drain.rate(min(running, self.limit.limit))
+
+    def start(self, ticket: Ticket, now: float) -> None:
         """Count a ticket as running and charge its workspace."""
         ensure(ticket.request not in self.running, "started-twice", ticket)
         self.running[ticket.request] = ticket
+        self.started[ticket.request] = now
         self.running_by_workspace[ticket.workspace] += 1
         begin = self.start_tag(ticket.workspace)
         self.virtual_time = max(self.virtual_time, begin)
@@ -98,4 +108,4 @@
             del self.running_by_workspace[ticket.workspace]
             if self.tags.get(ticket.workspace, 0.0) <= self.virtual_time:
                 self.tags.pop(ticket.workspace, None)
-        self.drain.finish(ticket.tokens, now, bool(self.queues))
+        self.drain.observe(ticket.tokens, now - self.started.pop(ticket.request))
--- a/lentilhaven/limits/deadline_admission.py
+++ b/lentilhaven/limits/deadline_admission.py
@@ -33,7 +33,7 @@
     own = state.queued_tokens.get(ticket.workspace, 0.0) + ticket.tokens
     everyone = sum(state.queued_tokens.values()) + ticket.tokens
     share = ticket.weight / backlogged_weight(state, ticket)
-    rate = max(state.drain.rate, 1e-9)
+    rate = state.drain_rate()
     return min(own / (share * rate), everyone / rate)
 
 
--- a/lentilhaven/limits/drain_rate.py
+++ b/lentilhaven/limits/drain_rate.py
@@ -3,52 +3,59 @@
 import attrs
 
 #: Weight of a new measurement.
-WEIGHT = 0.2
-
-#: Seconds of one measurement.
-PERIOD = 0.5
+WEIGHT = 0.05
 
 
 @attrs.define
 class DrainRate:
     """
-    Completed tokens per second while requests were held back.
+    Mean cost and duration of requests.
+
+    By Little's law a router that runs n requests completes n per mean duration.
+    That follows a change of its limit at once, where counting completions would
+    show it only after a request's whole duration.
 
     Attributes
     ----------
-    rate : float
-        Tokens per second; begins with this router's part of the pool's bound.
-    began : float
-        Monotonic time at which the current measurement began, in seconds.
-    done : float
-        Tokens completed since then.
-    busy : bool
-        Whether requests were held back all the while.
+    cost : float
+        Mean tokens of a request, prompt and longest answer together.
+    duration : float
+        Mean seconds from a request's start to its end.
+
+    Examples
+    --------
+    >>> DrainRate(cost=200.0, duration=2.0).rate(running=10)
+    1000.0
+
+    References
+    ----------
+    J. D. C. Little, "A Proof for the Queuing Formula: L = λW", 1961.
     """
 
-    rate: float
-    began: float = 0.0
-    done: float = 0.0
-    busy: bool = False
+    cost: float
+    duration: float
+
+    def observe(self, cost: float, duration: float) -> None:
+        """
+        Take in a completed request.
+
+        Parameters
+        ----------
+        cost : float
+            Its tokens.
+        duration : float
+            Seconds from its start to its end.
+        """
+        self.cost += WEIGHT * (cost - self.cost)
+        self.duration += WEIGHT * (duration - self.duration)
 
-    def finish(self, tokens: float, now: float, held_back: bool) -> None:
+    def rate(self, running: float) -> float:
         """
-        Count a completed request.
+        Return the tokens per second that complete.
 
         Parameters
         ----------
-        tokens : float
-            Its cost.
-        now : float
-            Monotonic time, in seconds.
-        held_back : bool
-            Whether requests wait in the queue.
+        running : float
+            Requests in flight.
         """
-        self.done += tokens
-        self.busy = self.busy and held_back
-        passed = now - self.began
-        if passed < PERIOD:
-            return
-        if self.busy:
-            self.rate += WEIGHT * (self.done / passed - self.rate)
-        self.began, self.done, self.busy = now, 0.0, held_back
+        return max(1.0, running) * self.cost / max(self.duration, 1e-9)
--- a/lentilhaven/limits/gate.py
+++ b/lentilhaven/limits/gate.py
@@ -7,6 +7,13 @@
 from lentilhaven.limits.brown_out import BrownOut
 from lentilhaven.limits.ticket import Ticket
 
+#: Seconds to the first token before any was seen.
+FIRST_TOKEN_GUESS = 0.3
+
+#: Weights of a new time to the first token, above and below the estimate; their
+#: ratio makes the estimate settle near the 95th percentile.
+RISE_WEIGHT, FALL_WEIGHT = 0.19, 0.01
+
 
 @attrs.define
 class Gate:
@@ -23,11 +30,14 @@
         Name in `ADMISSION_POLICIES`.
     brown_out : BrownOut
         Steps taken under lasting overload.
+    first_token : float
+        Seconds that a started request takes to its first token, generously.
     """
 
     state: AdmissionState
     policy: str = "deadline"
     brown_out: BrownOut = attrs.field(factory=BrownOut)
+    first_token: float = FIRST_TOKEN_GUESS
 
     def offer(self, ticket: Ticket, now: float) -> float | None:
         """
@@ -59,15 +69,31 @@
         """Return the ticket to start next, which stays in queue."""
         return ADMISSION_POLICIES[self.policy].pick(self.state)
 
-    def start(self, ticket: Ticket) -> None:
+    def start(self, ticket: Ticket, now: float) -> None:
         """Move a ticket from the queue to those in flight."""
         self.state.dequeue(ticket)
-        self.state.start(ticket)
+        self.state.start(ticket, now)
 
     def finish(self, ticket: Ticket, now: float) -> None:
         """Count a ticket out once its request has ended."""
         self.state.finish(ticket, now)
 
+    def start_by(self, due: float) -> float:
+        """
+        Return the time by which a request has to start.
+
+        Parameters
+        ----------
+        due : float
+            Monotonic time at which its first token is due, in seconds.
+        """
+        return due - self.first_token
+
+    def observe_first(self, seconds: float) -> None:
+        """Take in the seconds from a request's start to its first token."""
+        weight = RISE_WEIGHT if seconds > self.first_token else FALL_WEIGHT
+        self.first_token += weight * (seconds - self.first_token)
+
     def observe(self, gap: float, now: float) -> None:
         """
         Take in the seconds between two tokens of any request.
--- a/lentilhaven/limits/tests/test_gate.py
+++ b/lentilhaven/limits/tests/test_gate.py
@@ -13,8 +13,9 @@
 from lentilhaven.limits.ticket import Ticket
 
 
-def make_gate(limit=10.0, rate=100.0, policy="deadline"):
-    return Gate(AdmissionState(AdaptiveLimit(0.05, limit), DrainRate(rate)), policy)
+def make_gate(limit=10.0, duration=0.1, policy="deadline"):
+    drain = DrainRate(10.0, duration)
+    return Gate(AdmissionState(AdaptiveLimit(0.05, limit), drain), policy)
 
 
 def ticket(name, workspace="w", weight=1.0, tokens=10.0, start_by=1.0):
@@ -24,7 +25,7 @@
 def start_all(gate):
     started = []
     while (picked := gate.pick()) is not None:
-        gate.start(picked)
+        gate.start(picked, 0.0)
         started.append(picked)
     return started
 
@@ -66,7 +67,7 @@
     @settings(derandomize=True, max_examples=30, deadline=None)
     @given(st.lists(st.sampled_from([0.5, 1.0, 2.0, 5.0]), min_size=2, max_size=6))
     def test_shares_follow_weights_while_all_are_backlogged(self, weights):
-        gate = make_gate(limit=1.0, rate=1e9)
+        gate = make_gate(limit=1.0, duration=1e-6)
         served: Counter = Counter()
         for index in range(400):
             for place, weight in enumerate(weights):
--- a/lentilhaven/router/chain_choice.py
+++ b/lentilhaven/router/chain_choice.py
@@ -56,6 +56,7 @@
     if not lost:
         return answer.chain
     state = state_of(router, answer)
+    state.chooser.suspects.add(lost, router.clock.monotonic())
     plan = current_plan(router, answer, state)
     size = size_of(answer)
     path = members_of(answer)
--- /dev/null
+++ b/lentilhaven/standins/service_model/cluster.py
@@ -0,0 +1,235 @@
+"""All engines and links of a pool."""
+
+from collections import defaultdict
+
+import attrs
+
+from lentilhaven.core.ids import DataCentre, EndpointId
+from lentilhaven.pipelines.endpoint_rate import accelerator_of
+from lentilhaven.pipelines.range_group import LinkKey, Member
+from lentilhaven.standins.service_model.engine_model import EngineModel
+from lentilhaven.standins.service_model.event_queue import EventQueue
+from lentilhaven.standins.service_model.link_model import LinkModel
+from lentilhaven.standins.service_model.model_stream import ModelStream
+from lentilhaven.standins.service_model.work_item import WorkItem
+from lentilhaven.tables.pool import Pool
+
+#: Rate of a link that the tables don't limit, in activations per second.
+FREE_RATE = 1e9
+
+
+@attrs.define(eq=False)
+class Cluster:
+    """
+    Engines and links that serve streams in virtual time.
+
+    Attributes
+    ----------
+    pool : Pool
+        What it consists of.
+    events : EventQueue
+        Virtual time.
+    client_latency : float
+        Seconds, one way, between engines and a router's callers.
+    engines : dict
+        `EngineModel` by endpoint.
+    links : dict
+        `LinkModel` by `LinkKey`, made at first use.
+    slowed : dict
+        Factor by which a pair of data centres is slowed.
+    silent : set of str
+        Dead endpoints whose peers are not told.
+    """
+
+    pool: Pool
+    events: EventQueue
+    client_latency: float = 0.001
+    engines: dict[EndpointId, EngineModel] = attrs.field(factory=dict)
+    links: dict[LinkKey, LinkModel] = attrs.field(factory=dict)
+    slowed: dict[tuple[DataCentre, DataCentre], float] = attrs.field(factory=dict)
+    silent: set[EndpointId] = attrs.field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the engines."""
+        for spec in self.pool.endpoints:
+            if spec.layers is None:
+                continue
+            kind = accelerator_of(self.pool, spec)
+            member = Member(spec.id, spec.layers, spec.data_centre, 1.0)
+            self.engines[spec.id] = EngineModel(member, kind, self.events, self.forward)
+
+    def open(self, stream: ModelStream) -> None:
+        """Start a stream at its first stage."""
+        stream.rebuilding = {it.endpoint for it in stream.path}
+        self.events.after(self.client_latency, lambda: self.begin_token(stream))
+
+    def move(self, stream: ModelStream, path: list[Member]) -> None:
+        """
+        Continue a stream on another path; new stages run the whole context.
+
+        Parameters
+        ----------
+        stream : ModelStream
+            The stream.
+        path : list of Member
+            Its new path.
+        """
+        kept = {it.endpoint for it in path} & {it.endpoint for it in stream.path}
+        for member in stream.path:
+            if member.endpoint not in kept:
+                self.engines[member.endpoint].release(stream.request)
+        fresh = {it.endpoint for it in path} - kept
+        stream.rebuilding = (stream.rebuilding & kept) | fresh
+        stream.path = path
+        stream.made = stream.received
+        stream.attempt += 1
+        self.events.after(self.client_latency, lambda: self.begin_token(stream))
+
+    def forget(self, stream: ModelStream) -> None:
+        """Discard all that a stream has generated."""
+        self.close(stream)
+        stream.path = []
+        stream.received = 0
+
+    def close(self, stream: ModelStream) -> None:
+        """Free what a stream holds."""
+        stream.attempt += 1
+        for member in stream.path:
+            self.engines[member.endpoint].release(stream.request)
+
+    def begin_token(self, stream: ModelStream) -> None:
+        """Submit the next token to the first stage."""
+        self.submit_stage(stream, stream.attempt, 0)
+
+    def submit_stage(self, stream: ModelStream, attempt: int, index: int) -> None:
+        """Submit a stage's work unless the stream has moved on."""
+        if attempt != stream.attempt:
+            return
+        engine = self.engines[stream.path[index].endpoint]
+        if not engine.alive:
+            self.report_loss(stream, attempt, engine.id)
+            return
+        tokens = 1
+        if engine.id in stream.rebuilding:
+            tokens = max(2, stream.prompt + stream.made)
+        engine.submit(WorkItem(stream, attempt, index, tokens))
+
+    def forward(self, engine: EngineModel, items: list[WorkItem]) -> None:
+        """Send finished work to the next stages, together for each of them."""
+        outgoing: dict[tuple[EndpointId, int], list[ModelStream]] = defaultdict(list)
+        for item in items:
+            stream = item.stream
+            if item.index + 1 == len(stream.path):
+                self.finish_token(engine, stream)
+                continue
+            later = stream.path[item.index + 1].endpoint
+            outgoing[(later, item.index + 1)].append(stream)
+        for (endpoint, index), streams in outgoing.items():
+            self.send(engine, endpoint, index, streams)
+        for item in items:
+            item.stream.rebuilding.discard(engine.id)
+
+    def send(
+        self,
+        engine: EngineModel,
+        endpoint: EndpointId,
+        index: int,
+        streams: list[ModelStream],
+    ) -> None:
+        """Send activations of some streams to their next stage."""
+        target = self.engines[endpoint]
+        activations = 0
+        for stream in streams:
+            whole = endpoint in stream.rebuilding
+            activations += stream.prompt + stream.made if whole else 1
+        link = self.link_between(engine, target)
+        arrival = link.send(activations, self.events.now)
+        numbered = [(stream, stream.attempt) for stream in streams]
+
+        def arrive() -> None:
+            for stream, attempt in numbered:
+                self.submit_stage(stream, attempt, index)
+
+        self.events.at(arrival, arrive)
+
+    def link_between(self, engine: EngineModel, target: EngineModel) -> LinkModel:
+        """Return the link between two engines."""
+        source, sink = engine.member.data_centre, target.member.data_centre
+        key = LinkKey(target.member.layers.start, source, sink)
+        if key not in self.links:
+            self.links[key] = self.make_link(key)
+        return self.links[key]
+
+    def make_link(self, key: LinkKey) -> LinkModel:
+        """Return a link as the tables and the faults in force have it."""
+        made = LinkModel(0.0001, FREE_RATE)
+        for link in self.pool.links:
+            if (link.source, link.target) == (key.source, key.target):
+                made = LinkModel(link.latency, link.rate)
+        made.slow_down(self.slowed.get((key.source, key.target), 1.0))
+        return made
+
+    def finish_token(self, engine: EngineModel, stream: ModelStream) -> None:
+        """Send a token to the router and begin the next one."""
+        stream.made += 1
+        attempt = stream.attempt
+
+        def arrive() -> None:
+            if attempt == stream.attempt:
+                stream.received += 1
+                stream.on_token(stream)
+
+        self.events.after(self.client_latency, arrive)
+        if stream.done:
+            return
+        head = self.engines[stream.path[0].endpoint]
+        back = self.latency_between(engine, head)
+        self.events.after(back, lambda: self.submit_stage(stream, attempt, 0))
+
+    def latency_between(self, engine: EngineModel, head: EngineModel) -> float:
+        """Return the latency of a token's way back to the first stage."""
+        pair = (engine.member.data_centre, head.member.data_centre)
+        for link in self.pool.links:
+            if (link.source, link.target) == pair:
+                return link.latency
+        return 0.0001
+
+    def report_loss(
+        self, stream: ModelStream, attempt: int, endpoint: EndpointId
+    ) -> None:
+        """Tell the router of a dead stage, unless its death is silent."""
+        if endpoint in self.silent:
+            return
+
+        def arrive() -> None:
+            if attempt == stream.attempt:
+                stream.on_loss(stream, endpoint)
+
+        self.events.after(self.client_latency, arrive)
+
+    def kill(self, endpoint: EndpointId, silent: bool = False) -> None:
+        """
+        Kill an engine.
+
+        Parameters
+        ----------
+        endpoint : str
+            The engine.
+        silent : bool
+            Whether connections to it go silent instead of breaking.
+        """
+        if silent:
+            self.silent.add(endpoint)
+        for item in self.engines[endpoint].die():
+            self.report_loss(item.stream, item.attempt, endpoint)
+
+    def slow_link(self, source: DataCentre, target: DataCentre, factor: float) -> None:
+        """Slow down every boundary's link between two data centres."""
+        self.slowed[(source, target)] = factor
+        for key, link in self.links.items():
+            if (key.source, key.target) == (source, target):
+                link.slow_down(factor)
+
+    def loads(self) -> dict[EndpointId, float]:
+        """Return the number of streams at each live engine."""
+        return {it.id: float(it.load) for it in self.engines.values() if it.alive}
