--- a/lentilhaven/balancing/path_chooser.py
+++ b/lentilhaven/balancing/path_chooser.py
@@ -6,6 +6,7 @@
 import attrs
 
 from lentilhaven.balancing.corrections import find_corrections
+from lentilhaven.balancing.demand_level import STEPS, DemandLevel
 from lentilhaven.balancing.link_timing import LinkTiming, links_of
 from lentilhaven.balancing.path_policies import PATH_POLICIES
 from lentilhaven.balancing.path_repair import repair_path
@@ -34,11 +35,14 @@
         Endpoints left out.
     unusable_links : frozenset of LinkKey
         Links left out.
+    level : int
+        Part of the bound that is in demand, in tenths.
     """
 
     version: ModelVersion | None
     unusable: frozenset[EndpointId] = frozenset()
     unusable_links: frozenset[LinkKey] = frozenset()
+    level: int = STEPS
 
 
 @attrs.define
@@ -64,6 +68,8 @@
         Plan that the corrections were made for.
     suspects : Suspects
         Endpoints that failed lately.
+    demand : DemandLevel
+        Part of the bound that is in demand.
     """
 
     policy: str = "flow"
@@ -74,6 +80,7 @@
     plans: dict[PlanKey, PathPlan] = attrs.field(factory=dict)
     corrected_for: PlanKey | None = None
     suspects: Suspects = attrs.field(factory=Suspects)
+    demand: DemandLevel = attrs.field(factory=DemandLevel)
 
     def plan(
         self,
@@ -103,7 +110,8 @@
             self.plans.clear()
         left_out = frozenset(unusable)
         suspected = left_out | self.suspects.current(now)
-        key = PlanKey(version, suspected, self.timing.slow_links(now))
+        slow = self.timing.slow_links(now)
+        key = PlanKey(version, suspected, slow, self.demand.step)
         plan = self.find_plan(pool, key)
         if plan.rate == 0:
             key = PlanKey(version, left_out)
@@ -119,7 +127,12 @@
             if len(self.plans) >= MAX_PLANS:
                 self.plans.clear()
             self.plans[key] = plan_paths(
-                pool, key.version, self.mix, key.unusable, key.unusable_links
+                pool,
+                key.version,
+                self.mix,
+                key.unusable,
+                key.unusable_links,
+                key.level / STEPS,
             )
         return self.plans[key]
 
@@ -144,6 +157,20 @@
         self.loads.routers = max(1, routers)
         self.corrected_for = None
 
+    def count_demand(self, plan: PathPlan, now: float) -> None:
+        """
+        Count a request that is about to start.
+
+        Parameters
+        ----------
+        plan : PathPlan
+            The plan in force.
+        now : float
+            Monotonic time, in seconds.
+        """
+        full_rate = plan.rate / self.mix.generated_tokens / self.loads.routers
+        self.demand.observe(full_rate, now)
+
     def choose(
         self, plan: PathPlan, request: PathRequest, random: random.Random
     ) -> list[Member] | None:
--- a/lentilhaven/bench/policy/router_model.py
+++ b/lentilhaven/bench/policy/router_model.py
@@ -98,9 +98,11 @@
         while (ticket := self.gate.pick()) is not None:
             record = self.records[ticket.request]
             size = PathRequest(record.prompt + record.length, record.prefix)
-            path = self.chooser.choose(self.plan(), size, self.random)
+            plan = self.plan()
+            path = self.chooser.choose(plan, size, self.random)
             if path is None:
                 return
+            self.chooser.count_demand(plan, self.now)
             self.gate.start(ticket, self.now)
             self.start(record, size, path)
 
--- a/lentilhaven/limits/gate.py
+++ b/lentilhaven/limits/gate.py
@@ -10,6 +10,10 @@
 #: Seconds to the first token before any was seen.
 FIRST_TOKEN_GUESS = 0.3
 
+#: Part of the time until a request has to start that it may wait by prediction;
+#: the rest covers a limit that falls after it was admitted.
+QUEUE_SHARE = 0.5
+
 #: Weights of a new time to the first token, above and below the estimate; their
 #: ratio makes the estimate settle near the 95th percentile.
 RISE_WEIGHT, FALL_WEIGHT = 0.19, 0.01
@@ -57,7 +61,11 @@
             help.
         """
         wait = ADMISSION_POLICIES[self.policy].predict_wait(self.state, ticket)
-        budget = (ticket.start_by - now) * self.brown_out.budget_factor(ticket.priority)
+        budget = (
+            QUEUE_SHARE
+            * (ticket.start_by - now)
+            * self.brown_out.budget_factor(ticket.priority)
+        )
         refused = wait > max(0.0, budget)
         self.brown_out.observe(refused, now)
         if refused:
--- a/lentilhaven/pipelines/range_graph.py
+++ b/lentilhaven/pipelines/range_graph.py
@@ -14,6 +14,7 @@
 )
 from lentilhaven.pipelines.range_group import GroupKey, LinkKey, Member
 from lentilhaven.pipelines.traffic_mix import TrafficMix
+from lentilhaven.tables.accelerator import Accelerator
 from lentilhaven.tables.endpoint_spec import EndpointSpec
 from lentilhaven.tables.pool import Pool
 
@@ -57,11 +58,14 @@
         List of `Member` by `GroupKey`; a member's rate is its capacity.
     links : dict
         `LinkRate` by `LinkKey`.
+    accelerators : dict
+        `Accelerator` by name; a missing one is unknown.
     """
 
     layer_count: int
     groups: dict[GroupKey, list[Member]]
     links: dict[LinkKey, LinkRate]
+    accelerators: dict[str, Accelerator] = attrs.field(factory=dict)
 
     def capacity(self, key: GroupKey) -> float:
         """Return the tokens per second of a whole group."""
@@ -110,7 +114,7 @@
         key: [make_member(pool, spec, key, mix, round_trip) for spec in grouped[key]]
         for key in sorted(grouped)
     }
-    return RangeGraph(pool.layer_count, groups, links)
+    return RangeGraph(pool.layer_count, groups, links, pool.accelerators)
 
 
 def make_member(
@@ -119,7 +123,14 @@
     """Return a member with its capacity."""
     kind = accelerator_of(pool, spec)
     rate = endpoint_rate(kind, key.layers.size, mix, round_trip)
-    return Member(spec.id, key.layers, key.data_centre, rate, kind.kv_capacity)
+    return Member(
+        spec.id,
+        key.layers,
+        key.data_centre,
+        rate,
+        kind.kv_capacity,
+        spec.accelerator,
+    )
 
 
 def find_links(
--- a/lentilhaven/pipelines/range_group.py
+++ b/lentilhaven/pipelines/range_group.py
@@ -58,6 +58,8 @@
         Tokens per second that it should get, at the pool's bound.
     kv_capacity : float
         Layers times tokens that its KV cache holds.
+    accelerator : str
+        Kind of accelerator.
     """
 
     endpoint: EndpointId
@@ -65,3 +67,4 @@
     data_centre: DataCentre
     rate: float
     kv_capacity: float = float("inf")
+    accelerator: str = ""
--- a/lentilhaven/router/chain_choice.py
+++ b/lentilhaven/router/chain_choice.py
@@ -26,6 +26,7 @@
     """
     state = state_of(router, answer)
     plan = current_plan(router, answer, state)
+    state.chooser.count_demand(plan, router.clock.monotonic())
     size = size_of(answer)
     path = state.chooser.choose(plan, size, router.random)
     return take_path(state, answer, path, size)
