--- a/lentilhaven/balancing/path_chooser.py
+++ b/lentilhaven/balancing/path_chooser.py
@@ -7,8 +7,9 @@
 
 from lentilhaven.balancing.corrections import find_corrections
 from lentilhaven.balancing.demand_level import STEPS, DemandLevel
+from lentilhaven.balancing.flow_choice import choose_by_flow
 from lentilhaven.balancing.link_timing import LinkTiming, links_of
-from lentilhaven.balancing.path_policies import PATH_POLICIES
+from lentilhaven.balancing.path_policies import PathPolicy
 from lentilhaven.balancing.path_repair import repair_path
 from lentilhaven.balancing.suspects import Suspects
 from lentilhaven.core.ids import EndpointId, ModelVersion
@@ -52,8 +53,8 @@
 
     Attributes
     ----------
-    policy : str
-        Name in `PATH_POLICIES`.
+    policy : callable
+        One of `PATH_POLICIES`.
     mix : TrafficMix
         Mean request.
     loads : PathLoads
@@ -72,7 +73,7 @@
         Part of the bound that is in demand.
     """
 
-    policy: str = "flow"
+    policy: PathPolicy = choose_by_flow
     mix: TrafficMix = attrs.field(factory=TrafficMix)
     loads: PathLoads = attrs.field(factory=PathLoads)
     timing: LinkTiming = attrs.field(factory=LinkTiming)
@@ -188,7 +189,7 @@
         """
         if plan.rate == 0:
             return None
-        path = PATH_POLICIES[self.policy](plan, self.loads, request, random)
+        path = self.policy(plan, self.loads, request, random)
         if path is None or not all(self.loads.fits(it, request) for it in path):
             return None
         return path
--- a/lentilhaven/balancing/tests/test_choice.py
+++ b/lentilhaven/balancing/tests/test_choice.py
@@ -24,7 +24,7 @@
     @settings(derandomize=True, max_examples=40, deadline=None)
     @given(pools(), st.sampled_from(sorted(PATH_POLICIES)))
     def test_every_policy_covers_the_layers_once(self, pool, policy):
-        chooser = PathChooser(policy)
+        chooser = PathChooser(PATH_POLICIES[policy])
         plan = chooser.plan(pool, None, (), 0.0)
         path = chooser.choose(plan, SMALL, derive_random(1))
         self.assertEqual(path is not None, plan.rate > 0)
@@ -51,7 +51,9 @@
     @settings(derandomize=True, max_examples=25, deadline=None)
     @given(pools(), st.sampled_from(sorted(PATH_POLICIES)))
     def test_routers_together_never_over_commit_kv_memory(self, pool, policy):
-        routers = [PathChooser(policy, loads=PathLoads(3)) for _ in range(3)]
+        routers = [
+            PathChooser(PATH_POLICIES[policy], loads=PathLoads(3)) for _ in range(3)
+        ]
         source, held = derive_random(1), Counter()
         size = PathRequest(tokens=1500.0)
         for step in range(60):
--- a/lentilhaven/bench/policy/policy_run.py
+++ b/lentilhaven/bench/policy/policy_run.py
@@ -3,7 +3,9 @@
 import attrs
 
 from lentilhaven.balancing.path_chooser import PathChooser
+from lentilhaven.balancing.path_policies import PATH_POLICIES, PathPolicy
 from lentilhaven.bench.policy.answer_record import AnswerRecord
+from lentilhaven.bench.policy.omniscient import omniscient
 from lentilhaven.bench.policy.router_model import SCAN_PERIOD, RouterModel
 from lentilhaven.bench.policy.run_plan import BETWEEN_TOKENS_TARGET, RunPlan
 from lentilhaven.bench.policy.workload import Load, Workload
@@ -52,11 +54,10 @@
     routers: list[RouterModel]
     bound: float
     records: list[AnswerRecord] = attrs.field(factory=list)
-    queue_spread: list[float] = attrs.field(factory=list)
 
     def weights(self) -> dict[WorkspaceId, float]:
         """Return the weight of each workspace of the tables."""
-        return {it.id: it.weight for it in self.deployment.tables.workspaces}
+        return dict(self.plan.workspaces) or weights_of(self.deployment)
 
     def offer(
         self,
@@ -172,7 +173,7 @@
 ) -> RouterModel:
     """Return one router."""
     count = deployment.router_count
-    weights = {it.id: it.weight for it in deployment.tables.workspaces}
+    weights = dict(plan.workspaces) or weights_of(deployment)
     expected = plan.mix.generated_tokens * BETWEEN_TOKENS_TARGET
     drain = DrainRate(plan.mix.total_tokens, expected)
     if plan.fixed_limit:
@@ -182,9 +183,21 @@
         limit = AdaptiveLimit(plan.between_tokens, bound * plan.between_tokens / count)
     return RouterModel(
         cluster,
-        PathChooser(plan.path, plan.mix, PathLoads(count)),
+        PathChooser(find_policy(plan, cluster), plan.mix, PathLoads(count)),
         Gate(AdmissionState(limit, drain), plan.admission),
         derive_random(plan.seed, "router", str(index)),
         lambda workspace: weights.get(workspace, 1.0),
         plan.recovery == "restart",
     )
+
+
+def weights_of(deployment: Deployment) -> dict[WorkspaceId, float]:
+    """Return the weight of each workspace of a deployment's tables."""
+    return {it.id: it.weight for it in deployment.tables.workspaces}
+
+
+def find_policy(plan: RunPlan, cluster: Cluster) -> PathPolicy:
+    """Return the path policy that a plan names, or the omniscient one."""
+    if plan.path == "omniscient":
+        return omniscient(cluster)
+    return PATH_POLICIES[plan.path]
--- a/lentilhaven/bench/policy/run_plan.py
+++ b/lentilhaven/bench/policy/run_plan.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from lentilhaven.core.ids import WorkspaceId
 from lentilhaven.pipelines.traffic_mix import TrafficMix
 from lentilhaven.testbed.deployments import Deployment, find_deployment
 
@@ -36,6 +37,10 @@
         Seconds between load reports, and until one arrives.
     recovery : str
         ``"replace-range"``, or ``"restart"`` from zero on failure.
+    workspaces : dict
+        Weight by workspace; empty takes the deployment's own.
+    mix : TrafficMix
+        Mean request.
     """
 
     seed: int = 1
@@ -50,6 +55,7 @@
     report_period: float = 1.0
     report_delay: float = 0.5
     recovery: str = "replace-range"
+    workspaces: dict[WorkspaceId, float] = attrs.field(factory=dict)
     mix: TrafficMix = attrs.field(factory=TrafficMix)
 
     def build_deployment(self) -> Deployment:
--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -3,11 +3,15 @@
 from collections.abc import Callable
 
 from lentilhaven.bench.report import Report
+from lentilhaven.bench.rush import run_rush
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.smoke import run_smoke
+from lentilhaven.bench.throughput import run_throughput
 
 Scenario = Callable[[ScenarioOptions], Report]
 
 SCENARIOS: dict[str, Scenario] = {
+    "rush": run_rush,
     "smoke": run_smoke,
+    "throughput": run_throughput,
 }
--- a/lentilhaven/router/path_state.py
+++ b/lentilhaven/router/path_state.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from lentilhaven.balancing.flow_choice import choose_by_flow
 from lentilhaven.balancing.path_chooser import PathChooser
 from lentilhaven.balancing.path_policies import PATH_POLICIES
 from lentilhaven.control.view import View
@@ -48,7 +49,7 @@
             The pool.
         """
         wanted = route.policies.path
-        self.chooser.policy = wanted if wanted in PATH_POLICIES else "flow"
+        self.chooser.policy = PATH_POLICIES.get(wanted, choose_by_flow)
         if view.sequence == self.sequence:
             return
         self.sequence = view.sequence
--- a/lentilhaven/standins/service_model/cluster.py
+++ b/lentilhaven/standins/service_model/cluster.py
@@ -1,6 +1,6 @@
 """All engines and links of a pool."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 import attrs
 
@@ -39,6 +39,8 @@
         Factor by which a pair of data centres is slowed.
     silent : set of str
         Dead endpoints whose peers are not told.
+    assigned : Counter
+        Open streams whose path has an endpoint, by endpoint.
     """
 
     pool: Pool
@@ -48,6 +50,7 @@
     links: dict[LinkKey, LinkModel] = attrs.field(factory=dict)
     slowed: dict[tuple[DataCentre, DataCentre], float] = attrs.field(factory=dict)
     silent: set[EndpointId] = attrs.field(factory=set)
+    assigned: Counter[EndpointId] = attrs.field(factory=Counter)
 
     def __attrs_post_init__(self) -> None:
         """Make the engines."""
@@ -61,6 +64,7 @@
     def open(self, stream: ModelStream) -> None:
         """Start a stream at its first stage."""
         stream.rebuilding = {it.endpoint for it in stream.path}
+        self.assigned.update(it.endpoint for it in stream.path)
         self.events.after(self.client_latency, lambda: self.begin_token(stream))
 
     def move(self, stream: ModelStream, path: list[Member]) -> None:
@@ -78,6 +82,8 @@
         for member in stream.path:
             if member.endpoint not in kept:
                 self.engines[member.endpoint].release(stream.request)
+        self.assigned.subtract(it.endpoint for it in stream.path)
+        self.assigned.update(it.endpoint for it in path)
         fresh = {it.endpoint for it in path} - kept
         stream.rebuilding = (stream.rebuilding & kept) | fresh
         stream.path = path
@@ -94,6 +100,7 @@
     def close(self, stream: ModelStream) -> None:
         """Free what a stream holds."""
         stream.attempt += 1
+        self.assigned.subtract(it.endpoint for it in stream.path)
         for member in stream.path:
             self.engines[member.endpoint].release(stream.request)
 
