--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -8,8 +8,10 @@
 from lentilhaven.bench.journal_random import run_journal_random
 from lentilhaven.bench.recovery import run_recovery
 from lentilhaven.bench.report import Report
+from lentilhaven.bench.rush import run_rush
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.smoke import run_smoke
+from lentilhaven.bench.throughput import run_throughput
 from lentilhaven.bench.view_cost import run_view_cost
 
 Scenario = Callable[[ScenarioOptions], Report]
@@ -17,9 +19,11 @@
 SCENARIOS: dict[str, Scenario] = {
     "config-spread": run_config_spread,
     "integrity": run_integrity,
-    "recovery": run_recovery,
     "journal-model": run_journal_model,
     "journal-random": run_journal_random,
+    "recovery": run_recovery,
+    "rush": run_rush,
     "smoke": run_smoke,
+    "throughput": run_throughput,
     "view-cost": run_view_cost,
 }
