--- a/lentilhaven/bench/policy/measures.py
+++ b/lentilhaven/bench/policy/measures.py
@@ -70,7 +70,9 @@
     width: float,
 ) -> list[float]:
     """
-    Return the tokens per second of wanted answers by time of completion.
+    Return the tokens per second of wanted answers.
+
+    An answer's tokens count evenly between its first and its last.
 
     Parameters
     ----------
@@ -87,9 +89,13 @@
     for record in run.records:
         if record.finished is None or not wanted(record):
             continue
-        place = int(record.finished / width)
-        if place < len(values):
-            values[place] += record.length / width
+        begin = record.first_token or 0.0
+        span = max(record.finished - begin, 1e-9)
+        for place in range(int(begin / width), int(record.finished / width) + 1):
+            low, high = max(begin, place * width), (place + 1) * width
+            part = max(0.0, min(record.finished, high) - low) / span
+            if place < len(values):
+                values[place] += part * record.length / width
     return values
 
 
--- a/lentilhaven/bench/policy/policy_run.py
+++ b/lentilhaven/bench/policy/policy_run.py
@@ -11,7 +11,7 @@
 from lentilhaven.bench.policy.workload import Load, Workload
 from lentilhaven.core.ids import EndpointId, WorkspaceId
 from lentilhaven.core.randomness import derive_random
-from lentilhaven.limits.adaptive_limit import AdaptiveLimit
+from lentilhaven.limits.adaptive_limit import AdaptiveLimit, first_limit
 from lentilhaven.limits.admission_state import AdmissionState
 from lentilhaven.limits.drain_rate import DrainRate
 from lentilhaven.limits.gate import Gate
@@ -180,7 +180,9 @@
         limit = AdaptiveLimit(float("inf"), plan.fixed_limit, plan.fixed_limit)
         limit.greatest = plan.fixed_limit
     else:
-        limit = AdaptiveLimit(plan.between_tokens, bound * plan.between_tokens / count)
+        limit = AdaptiveLimit(
+            plan.between_tokens, first_limit(bound, plan.between_tokens, count)
+        )
     return RouterModel(
         cluster,
         PathChooser(find_policy(plan, cluster), plan.mix, PathLoads(count)),
--- a/lentilhaven/bench/rush.py
+++ b/lentilhaven/bench/rush.py
@@ -21,11 +21,12 @@
 #: Seconds of one value of goodput.
 WIDTH = 2.0
 
-#: Seconds of one value of the time to the first token after the rush.
-RECOVERY_WIDTH = 0.5
+#: Seconds of one value of the time to the first token, and between two values.
+RECOVERY_WIDTH, RECOVERY_STEP = 2.0, 0.5
 
-#: Times to the first token within this factor of the normal one are normal.
-NORMAL_FACTOR = 1.2
+#: A time to the first token is normal if it is at most this factor above the
+#: largest before the rush.
+NORMAL_FACTOR = 1.05
 
 
 def run_rush(options: ScenarioOptions) -> Report:
@@ -115,18 +116,38 @@
 
 
 def recovery_time(run: PolicyRun, seconds: float) -> float:
-    """Return the seconds from the end of the rush to normal first tokens."""
-    normal = wait_quantile(run.records, 0.05 * seconds, 0.2 * seconds)
-    ended = 0.7 * seconds
-    windows = int((seconds - ended) / RECOVERY_WIDTH)
-    late = 0
-    for index in range(windows - 4):
-        begin = ended + index * RECOVERY_WIDTH
-        arrived = [
-            it.wait
-            for it in run.records
-            if begin <= it.arrived < begin + RECOVERY_WIDTH and it.refused is None
-        ]
-        if quantile_or_zero(arrived) > NORMAL_FACTOR * normal:
-            late = index + 1
-    return late * RECOVERY_WIDTH
+    """
+    Return the seconds from the end of the rush to normal first tokens.
+
+    Parameters
+    ----------
+    run : PolicyRun
+        The run.
+    seconds : float
+        Its length.
+    """
+    normal = max(first_tokens(run, 0.04 * seconds, 0.2 * seconds).values())
+    after = first_tokens(run, 0.7 * seconds, 0.95 * seconds)
+    late = [time for time, wait in after.items() if wait > NORMAL_FACTOR * normal]
+    return (
+        max(late, default=0.7 * seconds - RECOVERY_STEP)
+        + RECOVERY_STEP
+        - (0.7 * seconds)
+    )
+
+
+def first_tokens(run: PolicyRun, begin: float, end: float) -> dict[float, float]:
+    """Return 95th percentiles of the time to the first token, by arrival."""
+    steps = max(1, int((end - begin - RECOVERY_WIDTH) / RECOVERY_STEP) + 1)
+    times = [begin + index * RECOVERY_STEP for index in range(steps)]
+    return {it: window_quantile(run, it, it + RECOVERY_WIDTH) for it in times}
+
+
+def window_quantile(run: PolicyRun, begin: float, end: float) -> float:
+    """Return the 95th percentile of a window; a late answer has no end."""
+    waits = [
+        it.wait
+        for it in run.records
+        if begin <= it.arrived < end and it.refused is None
+    ]
+    return quantile_or_zero(waits)
--- a/lentilhaven/bench/throughput.py
+++ b/lentilhaven/bench/throughput.py
@@ -45,12 +45,14 @@
     Parameters
     ----------
     options : ScenarioOptions
-        Seed, deployment and seconds of virtual time.
+        Seed, deployment and seconds of virtual time; the baselines run only
+        without a size.
     """
     seconds = float(options.size or DEFAULT_SECONDS)
     figures: dict[str, Figure] = {}
     loads: list[float] = []
-    for policy in POLICIES:
+    policies = POLICIES[:1] if options.size else POLICIES
+    for policy in policies:
         share = share_at_saturation(options, policy, seconds)
         name = f"share-of-bound.{policy}"
         figures[name] = (
@@ -63,8 +65,8 @@
         loads.append(highest)
     bound = open_run(RunPlan(options.seed, options.deployment)).bound
     figures["bound"] = observed(bound, "tokens/s")
-    places = [float(index) for index in range(len(POLICIES))]
-    label = ", ".join(POLICIES)
+    places = [float(index) for index in range(len(policies))]
+    label = ", ".join(policies)
     plot_lines(options.plot, {label: (places, loads)}, "policy", "load / bound")
     return Report("throughput", options.seed, figures)
 
--- a/lentilhaven/limits/adaptive_limit.py
+++ b/lentilhaven/limits/adaptive_limit.py
@@ -1,12 +1,14 @@
 """A limit on requests in flight that follows measured latency."""
 
+import math
+
 import attrs
 
 #: Seconds of measurements behind one adjustment.
-PERIOD = 0.25
+PERIOD = 0.5
 
 #: Fewest tokens behind one adjustment.
-MIN_SAMPLES = 20
+MIN_SAMPLES = 40
 
 #: Part of the tokens that has to meet the target.
 SHARE_IN_TIME = 0.95
@@ -19,11 +21,14 @@
 
 #: Most requests by which one adjustment raises the limit, and the relative
 #: distance from the target at which it does.
-GREATEST_RISE, FULL_RISE_AT = 1.0, 0.1
+GREATEST_RISE, FULL_RISE_AT = 0.5, 0.1
 
 #: Part of the limit that must be in use before it grows.
 BUSY_SHARE = 0.9
 
+#: Part of the streams at the bound with which a router begins.
+FIRST_PART = 0.5
+
 
 @attrs.define
 class AdaptiveLimit:
@@ -50,7 +55,7 @@
     Examples
     --------
     >>> limit = AdaptiveLimit(target=0.05, limit=100.0)
-    >>> for step in range(40):
+    >>> for step in range(50):
     ...     limit.observe(0.08)
     >>> limit.adjust(in_flight=100, now=1.0)
     >>> limit.limit
@@ -90,7 +95,10 @@
         ratio = self.find_ratio()
         self.gaps.clear()
         if ratio < 1.0:
-            self.limit = max(self.least, self.limit * max(LEAST_FACTOR, ratio))
+            # An earlier cut that has not taken effect yet must not be repeated.
+            if in_flight <= self.limit:
+                cut = max(LEAST_FACTOR, math.sqrt(ratio))
+                self.limit = max(self.least, self.limit * cut)
         elif in_flight >= BUSY_SHARE * self.limit:
             rise = GREATEST_RISE * min(1.0, (ratio - 1.0) / FULL_RISE_AT)
             self.limit = min(self.greatest, self.limit + rise)
@@ -100,3 +108,27 @@
         self.gaps.sort()
         measured = self.gaps[int(SHARE_IN_TIME * (len(self.gaps) - 1))]
         return MARGIN * self.target / max(measured, 1e-9)
+
+
+def first_limit(bound: float, between_tokens: float, routers: int) -> float:
+    """
+    Return the limit that a router begins with.
+
+    Little's law gives the streams that a pool runs at its bound if each token
+    takes the target; half of them is where engines still answer well in time.
+
+    Parameters
+    ----------
+    bound : float
+        Generated tokens per second of the pool.
+    between_tokens : float
+        Target, in seconds.
+    routers : int
+        Routers that share the pool.
+
+    Examples
+    --------
+    >>> first_limit(9000.0, 0.05, 9)
+    25.0
+    """
+    return FIRST_PART * bound * between_tokens / routers
