--- /dev/null
+++ b/lentilhaven/limits/adaptive_limit.py
@@ -0,0 +1,102 @@
+"""A limit on requests in flight that follows measured latency."""
+
+import attrs
+
+#: Seconds of measurements behind one adjustment.
+PERIOD = 0.25
+
+#: Fewest tokens behind one adjustment.
+MIN_SAMPLES = 20
+
+#: Part of the tokens that has to meet the target.
+SHARE_IN_TIME = 0.95
+
+#: Part of the target that the limit steers at.
+MARGIN = 0.94
+
+#: Least factor of one adjustment downwards.
+LEAST_FACTOR = 0.9
+
+#: Most requests by which one adjustment raises the limit, and the relative
+#: distance from the target at which it does.
+GREATEST_RISE, FULL_RISE_AT = 1.0, 0.1
+
+#: Part of the limit that must be in use before it grows.
+BUSY_SHARE = 0.9
+
+
+@attrs.define
+class AdaptiveLimit:
+    """
+    Most requests in flight, adjusted so that tokens come in time.
+
+    The limit falls by a factor and rises by a number of requests, so that the
+    limits of routers before the same engines converge.  It rises only while it
+    is what holds requests back.
+
+    Attributes
+    ----------
+    target : float
+        Seconds between tokens for 95 of 100 tokens.
+    limit : float
+        Most requests in flight.
+    least, greatest : float
+        Bounds of the limit.
+    gaps : list of float
+        Seconds between tokens since the last adjustment.
+    adjusted : float
+        Monotonic time of the last adjustment, in seconds.
+
+    Examples
+    --------
+    >>> limit = AdaptiveLimit(target=0.05, limit=100.0)
+    >>> for step in range(40):
+    ...     limit.observe(0.08)
+    >>> limit.adjust(in_flight=100, now=1.0)
+    >>> limit.limit
+    90.0
+
+    References
+    ----------
+    D.-M. Chiu, R. Jain, "Analysis of the Increase and Decrease Algorithms for
+    Congestion Avoidance in Computer Networks", 1989.
+    """
+
+    target: float
+    limit: float = 32.0
+    least: float = 2.0
+    greatest: float = 10_000.0
+    gaps: list[float] = attrs.field(factory=list)
+    adjusted: float = 0.0
+
+    def observe(self, gap: float) -> None:
+        """Take in the seconds between two tokens."""
+        self.gaps.append(gap)
+
+    def adjust(self, in_flight: int, now: float) -> None:
+        """
+        Adjust the limit if a period is over.
+
+        Parameters
+        ----------
+        in_flight : int
+            Requests in flight.
+        now : float
+            Monotonic time, in seconds.
+        """
+        if now - self.adjusted < PERIOD or len(self.gaps) < MIN_SAMPLES:
+            return
+        self.adjusted = now
+        ratio = self.find_ratio()
+        self.gaps.clear()
+        if ratio < 1.0:
+            self.limit = max(self.least, self.limit * max(LEAST_FACTOR, ratio))
+        elif in_flight >= BUSY_SHARE * self.limit:
+            rise = GREATEST_RISE * min(1.0, (ratio - 1.0) / FULL_RISE_AT)
+            self.limit = min(self.greatest, self.limit + rise)
+
+    def find_ratio(self) -> float:
+        """Return how far tokens are within the target; below 1 they are late."""
+        self.gaps.sort()
+        measured = self.gaps[int(SHARE_IN_TIME * (len(self.gaps) - 1))]
+        return MARGIN * self.target / max(measured, 1e-9)
--- a/lentilhaven/router/explanation.py
+++ b/lentilhaven/router/explanation.py
@@ -1,5 +1,6 @@
 """How a request would be routed, and why."""
 
+import copy
 import random
 from collections import Counter
 from typing import Any
@@ -164,7 +165,9 @@
         deadline=router.clock.monotonic() + route.deadline,
         ledger=AnswerLedger(request, version, pool.layer_count),
     )
-    chain = choose_chain(attrs.evolve(router, random=source), answer)
+    # What the choice remembers must not change by being explained.
+    paths = copy.deepcopy(router.paths)
+    chain = choose_chain(attrs.evolve(router, random=source, paths=paths), answer)
     if chain is None:
         why = f"no chain of live endpoints of version {version!r} covers all layers"
         return {"version": version, "pipeline": None, "why": why}
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -11,7 +11,7 @@
 
 from lentilhaven.control.view import EndpointState, View
 from lentilhaven.core.clock import Clock
-from lentilhaven.core.ids import EndpointId, RouteName
+from lentilhaven.core.ids import EndpointId, PoolName, RouteName
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.core.tls import client_context
@@ -21,6 +21,7 @@
 from lentilhaven.retries.circuit_board import CircuitBoard
 from lentilhaven.retries.retry_budget import RetryBudget
 from lentilhaven.router.agent_client import AgentClient
+from lentilhaven.router.path_state import PathState
 from lentilhaven.router.router_settings import RouterSettings
 from lentilhaven.tables.route import Route
 from lentilhaven.tables.tables import Tables
@@ -71,6 +72,8 @@
         Endpoints that have failed lately.
     budgets : dict
         `RetryBudget` by route.
+    paths : dict
+        `PathState` by pool.
     """
 
     settings: RouterSettings
@@ -91,6 +94,7 @@
         default=attrs.Factory(lambda self: CircuitBoard(self.random), takes_self=True)
     )
     budgets: dict[RouteName, RetryBudget] = attrs.field(factory=dict)
+    paths: dict[PoolName, PathState] = attrs.field(factory=dict)
 
     @property
     def ready(self) -> bool:
