Split the operators' client into commands, and add what it lacked

Cause: the client could only get, check and apply; an operator had no way to learn why requests to a route are slow.

Ruled out: working out the pipeline in the client, which would be a second copy of the router's decision; explain route asks a router.

--- /dev/null
+++ b/lentilhaven/cli/history.py
@@ -0,0 +1,30 @@
+"""The command ``history``."""
+
+from lentilhaven.cli.common_options import DEFAULTS, Common
+from lentilhaven.cli.connection import Connection, run_command, unwrap
+from lentilhaven.cli.exit_codes import ExitCode
+from lentilhaven.cli.output import print_json, print_table
+from lentilhaven.core.settings import to_document
+from lentilhaven.distribution.table_reader import read_history
+
+
+def history(*, limit: int = 20, common: Common = DEFAULTS) -> int:
+    """
+    Print the newest versions of the tables, and who made them.
+
+    Parameters
+    ----------
+    limit
+        Most versions to print.
+    """
+
+    async def run(connection: Connection) -> int:
+        heads = unwrap(await read_history(connection.store))[-limit:]
+        if common.json:
+            print_json(to_document(heads))
+            return ExitCode.OK
+        rows = [(it.version, it.author, it.edit) for it in reversed(heads)]
+        print_table(["VERSION", "AUTHOR", "EDIT"], rows)
+        return ExitCode.OK
+
+    return run_command(common, run)
--- /dev/null
+++ b/lentilhaven/cli/tests/operated_testbed.py
@@ -0,0 +1,93 @@
+"""A testbed with operators' listeners, and the operators' client beside it."""
+
+import asyncio
+import contextlib
+import io
+import json
+import tempfile
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import attrs
+
+from lentilhaven.agent.agent_state import agent_source, register_agent_metrics
+from lentilhaven.cli.__main__ import app
+from lentilhaven.core.hashing import token_hash
+from lentilhaven.router.router_api import router_app
+from lentilhaven.router.router_state import register_router_metrics, router_source
+from lentilhaven.serving.guarded_serving import serve_guarded
+from lentilhaven.serving.metrics import make_metrics
+from lentilhaven.serving.operators_app import operators_app
+from lentilhaven.testbed import TestbedPlan, open_testbed
+
+OPERATOR_TOKEN = "operator-token-of-the-tests"
+HASHES = frozenset({token_hash(OPERATOR_TOKEN)})
+
+
+@attrs.define
+class Operated:
+    """The running system and the folder of the client's files."""
+
+    testbed: object
+    folder: Path
+    agent_urls: dict = attrs.field(factory=dict)
+    router_urls: dict = attrs.field(factory=dict)
+    caller_urls: dict = attrs.field(factory=dict)
+    drained: list = attrs.field(factory=list)
+
+    def write(self, name, document):
+        """Write a file and return its path."""
+        path = self.folder / name
+        path.write_text(json.dumps(document), encoding="utf-8")
+        return str(path)
+
+    async def run(self, *words):
+        """Run the operators' client; return the exit code and both outputs."""
+        settings = {
+            "store_url": self.testbed.store_url,
+            "token_file": str(self.folder / "token"),
+            "agent_urls": self.agent_urls,
+            "router_urls": self.router_urls,
+        }
+        # The command "check" reaches nothing, and takes no settings.
+        common = ["--settings", self.write("client.json", settings)]
+        common = [] if words[0] == "check" else common
+        return await asyncio.to_thread(run_client, [*words, *common])
+
+
+def run_client(words):
+    """Run the operators' client in this process."""
+    out, errors = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(errors):
+        code = app(words, result_action="return_value")
+    return int(code), out.getvalue(), errors.getvalue()
+
+
+async def serve_operators(operated, vm, stack):
+    """Serve the listeners of one VM."""
+    name = vm.router.settings.vm
+    metrics = make_metrics("lentilhaven-router", name, "mty-a")
+    register_router_metrics(vm.router, metrics)
+    router = router_source(vm.router, metrics, lambda: operated.drained.append(name))
+    agent_metrics = make_metrics("lentilhaven-agent", name, "mty-a")
+    register_agent_metrics(vm.agent, agent_metrics)
+    agent = agent_source(vm.agent, agent_metrics, lambda: None)
+    for source, urls in ((router, operated.router_urls), (agent, operated.agent_urls)):
+        serving = serve_guarded(operators_app(source, HASHES), "127.0.0.1", 0)
+        urls[name] = await stack.enter_async_context(serving)
+    callers = serve_guarded(router_app(vm.router, metrics), "127.0.0.1", 0)
+    operated.caller_urls[name] = await stack.enter_async_context(callers)
+
+
+@asynccontextmanager
+async def open_operated(vm_count=2):
+    """Start a testbed over loopback with operators' listeners."""
+    plan = TestbedPlan(virtual=False, vm_count=vm_count, replica_count=2)
+    async with AsyncExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        (folder / "token").write_text(OPERATOR_TOKEN + "\n")
+        testbed = await stack.enter_async_context(open_testbed(plan))
+        operated = Operated(testbed, folder)
+        for vm in testbed.vms:
+            await serve_operators(operated, vm, stack)
+        yield operated
--- a/lentilhaven/router/explanation.py
+++ b/lentilhaven/router/explanation.py
@@ -10,6 +10,7 @@
 from lentilhaven.answers.answer_ledger import AnswerLedger
 from lentilhaven.core.failure import FailureError
 from lentilhaven.core.ids import ModelName, RequestId, WorkspaceId
+from lentilhaven.endpoints.stage import Stage
 from lentilhaven.router.answer import Answer
 from lentilhaven.router.chain_choice import choose_chain
 from lentilhaven.router.completion_request import CompletionRequest, split_tokens
@@ -172,6 +173,19 @@
         why = f"no chain of live endpoints of version {version!r} covers all layers"
         return {"version": version, "pipeline": None, "why": why}
     answer.chain = chain
-    stages = [attrs.asdict(describe_stage(router, answer, it)) for it in chain]
+    stages = [
+        attrs.asdict(describe_stage(router, answer, it))
+        | {"report": read_report(router, it)}
+        for it in chain
+    ]
     why = "a chain that covers all layers once; own load stands beside each stage"
     return {"version": version, "pipeline": stages, "why": why}
+
+
+def read_report(router: Router, stage: Stage) -> dict[str, Any] | None:
+    """Return what an endpoint last said of its load, and how old that is."""
+    view = router.view.endpoints.get(stage.endpoint)
+    if view is None or view.report is None:
+        return None
+    report = view.report
+    return {"running": report.running, "waiting": report.waiting, "age": view.age}
--- a/lentilhaven/router/router_state.py
+++ b/lentilhaven/router/router_state.py
@@ -53,6 +53,7 @@
         "in_flight": router.in_flight,
         "live_vms": list(router.view.live_vms),
         "pools": [pool_status(router, pool) for pool in router.view.tables.pools],
+        "counters": dict(router.counters),
         "violations": sum(VIOLATIONS.values()),
     }
 
@@ -102,7 +103,6 @@
         "workspace_count": len(view.tables.workspaces),
         "endpoints": to_document(view.endpoints),
         "own_load": {name: load for name, load in router.own_load.items() if load},
-        "counters": dict(router.counters),
         "invariant_violations": dict(VIOLATIONS),
         "decisions": to_document(list(router.decisions)),
     }
