--- a/lentilhaven/serving/problems.py
+++ b/lentilhaven/serving/problems.py
@@ -30,6 +30,7 @@
     "unknown-model": 404,
     "in-progress": 409,
     "outcome-unknown": 409,
+    "response-not-recorded": 409,
     "key-expired": 409,
     "too-large": 413,
     "key-reused": 422,
@@ -41,6 +42,9 @@
     "not-ready": 503,
     "overloaded": 503,
     "claim-unavailable": 503,
+    "contended": 503,
+    "journal-full": 503,
+    "unsettled-calls": 503,
     "deadline": 504,
 }
 
