Correct the expected step in the demand level's example

The first window of 0.5 s counts six requests, a rate of 12 a second, and the step it sets, 7, falls only when the demand is 1.5 steps below; 7 is what the class documents. The example had been written as if it fell at once.

--- a/lentilhaven/balancing/demand_level.py
+++ b/lentilhaven/balancing/demand_level.py
@@ -42,7 +42,7 @@
     >>> for tenth in range(100):
     ...     level.observe(full_rate=20.0, now=tenth / 10)
     >>> level.step
-    6
+    7
     """
 
     step: int = STEPS
