--- a/lentilhaven/endpoints/engine_client.py
+++ b/lentilhaven/endpoints/engine_client.py
@@ -28,6 +28,9 @@
 #: Seconds for a probe, a cancellation or a load report.
 PROBE_TIMEOUT = 0.1
 
+#: Seconds for reading the order of a stream that is resumed.
+ORDER_TIMEOUT = 1.0
+
 #: Seconds for opening a connection to an engine.
 CONNECT_TIMEOUT = 0.2
 
@@ -120,7 +123,7 @@
         request : str
             The request.
         """
-        limit = aiohttp.ClientTimeout(total=PROBE_TIMEOUT)
+        limit = aiohttp.ClientTimeout(total=ORDER_TIMEOUT)
         url = f"{head.url}/streams/{request}"
         session = self.pick_session(fresh=True)
         try:
