--- /dev/null
+++ b/lentilhaven/bench/cost/__main__.py
@@ -0,0 +1,9 @@
+"""Runs the emitter: ``python -m lentilhaven.bench.cost PORT GAP``."""
+
+import asyncio
+import sys
+
+from lentilhaven.bench.cost.emitter import serve_emitter
+
+if __name__ == "__main__":
+    asyncio.run(serve_emitter(int(sys.argv[1]), float(sys.argv[2])))
--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -9,6 +9,7 @@
 from lentilhaven.bench.recovery import run_recovery
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.resume import run_resume
+from lentilhaven.bench.router_cost import run_router_cost
 from lentilhaven.bench.rush import run_rush
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.shutdown import run_shutdown
@@ -26,6 +27,7 @@
     "shutdown": run_shutdown,
     "journal-random": run_journal_random,
     "recovery": run_recovery,
+    "router-cost": run_router_cost,
     "rush": run_rush,
     "smoke": run_smoke,
     "throughput": run_throughput,
