--- a/lentilhaven/answers/answer_ledger.py
+++ b/lentilhaven/answers/answer_ledger.py
@@ -49,7 +49,8 @@
     furthest : int
         One past the highest position that the current attempt has shown.
     checked_trail : list of TrailEntry or None
-        The newest trail of the current attempt that held.
+        The newest trail of the current attempt that held; whoever hands in a
+        trail does not change it afterwards.
     """
 
     request: RequestId
@@ -140,11 +141,17 @@
         piece : Piece
             A piece of the current attempt.
         """
-        if [entry.endpoint for entry in piece.trail] != self.chain:
+        trail = piece.trail
+        if trail is self.checked_trail:
+            return True
+        if [entry.endpoint for entry in trail] != self.chain:
             return False
-        if any(entry.attempt != self.attempt for entry in piece.trail):
+        if any(entry.attempt != self.attempt for entry in trail):
             return False
-        return covers_once([entry.layers for entry in piece.trail], self.layer_count)
+        if not covers_once([entry.layers for entry in trail], self.layer_count):
+            return False
+        self.checked_trail = trail
+        return True
 
     def accept(self, piece: Piece) -> DropReason | None:
         """
--- a/lentilhaven/bench/recovery.py
+++ b/lentilhaven/bench/recovery.py
@@ -96,7 +96,7 @@
     for number, trial in enumerate(trials):
         limits.append(await run_limit(testbed, trial, f"{name}-{number}"))
         await testbed.clock.sleep(PAUSE)
-    naive = await measure_naive(testbed, trials)
+    naive = await measure_naive(testbed.plan, trials)
     bound = LIMIT_FACTOR * quantile(limits, 0.95) + DETECTION
     figures = {f"{name}-incomplete": at_most(incomplete, 0, "answers")}
     figures |= spread(f"{name}-recovery", waits)
@@ -105,16 +105,18 @@
     return figures | spread(f"{name}-naive", naive)
 
 
-async def measure_naive(testbed: Testbed, trials: list[RecoveryTrial]) -> list[float]:
+async def measure_naive(plan: TestbedPlan, trials: list[RecoveryTrial]) -> list[float]:
     """Return the waits of a caller whose router does not recover."""
-    tables = testbed.vms[0].router.view.tables
-    routes = [attrs.evolve(it, retry=RetryRule(max_attempts=0)) for it in tables.routes]
-    version = await testbed.apply(attrs.evolve(tables, routes=routes), "naive")
-    await testbed.wait_in_force(version)
     waits = []
-    for trial in trials:
-        waits += (await run_naive(testbed, trial)).waits
-        await testbed.clock.sleep(PAUSE)
+    async with open_testbed(plan) as testbed:
+        tables = testbed.vms[0].router.view.tables
+        never = RetryRule(max_attempts=0)
+        routes = [attrs.evolve(route, retry=never) for route in tables.routes]
+        version = await testbed.apply(attrs.evolve(tables, routes=routes), "naive")
+        await testbed.wait_in_force(version)
+        for trial in trials:
+            waits += (await run_naive(testbed, trial)).waits
+            await testbed.clock.sleep(PAUSE)
     return waits
 
 
--- a/lentilhaven/endpoints/piece_wire.py
+++ b/lentilhaven/endpoints/piece_wire.py
@@ -7,6 +7,8 @@
 
 from typing import Any
 
+import attrs
+
 from lentilhaven.endpoints.piece import Piece, TrailEntry
 from lentilhaven.endpoints.stage_loss import StageLoss
 from lentilhaven.tables.layer_range import LayerRange
@@ -14,38 +16,64 @@
 StreamEvent = Piece | StageLoss
 
 
-def decode_event(document: dict) -> StreamEvent:
+@attrs.define
+class EventDecoder:
     """
-    Return the event that a JSON object stands for.
+    Decodes the events of one stream.
 
-    Parameters
-    ----------
-    document : dict
-        One parsed line of a stream.
+    The trail is the same for all pieces of an attempt, so that the last one is
+    kept: decoded lists are identical where their JSON is equal.
 
-    Raises
-    ------
-    KeyError, TypeError, ValueError
-        If it is not an event.
+    Attributes
+    ----------
+    raw_trail : list
+        JSON of the last trail.
+    trail : list of TrailEntry
+        What it stands for.
 
     Examples
     --------
-    >>> decode_event({"lost": {"endpoint": "e2", "detail": "refused"}})
+    >>> EventDecoder().decode({"lost": {"endpoint": "e2", "detail": "refused"}})
     StageLoss(endpoint='e2', detail='refused')
     """
-    if "lost" in document:
-        loss = document["lost"]
-        return StageLoss(text(loss["endpoint"]), text(loss["detail"]))
-    piece = document["piece"]
-    return Piece(
-        text(piece["request"]),
-        integer(piece["attempt"]),
-        integer(piece["position"]),
-        text(piece["version"]),
-        text(piece["token"]),
-        [decode_entry(entry) for entry in piece["trail"]],
-        text(piece["finish_reason"]),
-    )
+
+    raw_trail: list | None = None
+    trail: list[TrailEntry] = attrs.field(factory=list)
+
+    def decode(self, document: dict) -> StreamEvent:
+        """
+        Return the event that a JSON object stands for.
+
+        Parameters
+        ----------
+        document : dict
+            One parsed line of a stream.
+
+        Raises
+        ------
+        KeyError, TypeError, ValueError
+            If it is not an event.
+        """
+        if "lost" in document:
+            loss = document["lost"]
+            return StageLoss(text(loss["endpoint"]), text(loss["detail"]))
+        piece = document["piece"]
+        return Piece(
+            text(piece["request"]),
+            integer(piece["attempt"]),
+            integer(piece["position"]),
+            text(piece["version"]),
+            text(piece["token"]),
+            self.decode_trail(piece["trail"]),
+            text(piece["finish_reason"]),
+        )
+
+    def decode_trail(self, raw: list) -> list[TrailEntry]:
+        """Return the trail that a JSON array stands for."""
+        if raw != self.raw_trail:
+            self.trail = [decode_entry(entry) for entry in raw]
+            self.raw_trail = raw
+        return self.trail
 
 
 def decode_entry(entry: dict) -> TrailEntry:
@@ -80,7 +108,7 @@
     --------
     >>> trail = [TrailEntry("e", LayerRange(0, 2), 1)]
     >>> piece = Piece("r", 1, 0, "v1", "a ", trail)
-    >>> decode_event({"piece": encode_piece(piece)}) == piece
+    >>> EventDecoder().decode({"piece": encode_piece(piece)}) == piece
     True
     """
     return {
--- a/lentilhaven/router/answering.py
+++ b/lentilhaven/router/answering.py
@@ -140,7 +140,7 @@
         if events is None:
             reason = await examine_silence(router, answer, watch)
             # Tokens may have come while the stages were asked.
-            if reason is not None and feed.chunks.empty():
+            if reason is not None and feed.empty:
                 raise reason
             continue
         accepted, failure = accept_events(router, answer, events)
--- a/lentilhaven/router/caller_stream.py
+++ b/lentilhaven/router/caller_stream.py
@@ -16,6 +16,9 @@
 
 EVENT_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
 
+#: Bytes that an empty connection takes without blocking.
+SMALL_WRITE = 32_768
+
 log = get_logger("router")
 
 
@@ -44,7 +47,7 @@
     response = web.StreamResponse(headers=EVENT_HEADERS)
     try:
         await send_pieces(request, response, router, answer)
-        await write(router, response, DONE)
+        await write(router, request, response, DONE)
     except FailureError as error:
         answer.ended_by = error.failure
     except asyncio.CancelledError:
@@ -82,7 +85,7 @@
             request.transport.abort()
         return
     with contextlib.suppress(FailureError):
-        await write(router, response, error_event(failure))
+        await write(router, request, response, error_event(failure))
 
 
 async def send_pieces(
@@ -106,7 +109,7 @@
             ]
             if not response.prepared:
                 await response.prepare(request)
-            await write(router, response, b"".join(events))
+            await write(router, request, response, b"".join(events))
 
 
 async def send_missed(
@@ -121,10 +124,12 @@
     missed = range(answer.forward_from, len(tokens))
     await response.prepare(request)
     events = [encode(position, tokens[position], "") for position in missed]
-    await write(router, response, b"".join(events))
+    await write(router, request, response, b"".join(events))
 
 
-async def write(router: Router, response: web.StreamResponse, data: bytes) -> None:
+async def write(
+    router: Router, request: web.Request, response: web.StreamResponse, data: bytes
+) -> None:
     """
     Write to the caller, for as long as it takes something now and then.
 
@@ -136,6 +141,10 @@
     if not data:
         return
     try:
+        if is_free(request) and len(data) < SMALL_WRITE:
+            # This can't block, and a timer for each token is dear.
+            await response.write(data)
+            return
         async with asyncio.timeout(router.settings.write_timeout):
             await response.write(data)
     except (ConnectionError, TimeoutError) as error:
@@ -144,6 +153,12 @@
         raise FailureError(Failure(Step.SEND, "", "caller-gone", detail)) from error
 
 
+def is_free(request: web.Request) -> bool:
+    """Return whether the caller has taken everything that was sent to it."""
+    transport = request.transport
+    return transport is not None and transport.get_write_buffer_size() == 0
+
+
 def cut_off(answer: Answer) -> Failure:
     """Return the failure of an answer that a shutdown has cut off."""
     detail = "this VM is leaving; send the request again with Last-Event-ID"
