--- a/lentilhaven/bench/cost/processes.py
+++ b/lentilhaven/bench/cost/processes.py
@@ -23,34 +23,41 @@
 
     Attributes
     ----------
-    pid : int
-        Its process id.
+    process : asyncio.subprocess.Process
+        Its process.
     port : int
         Where it answers callers.
     """
 
-    pid: int
+    process: asyncio.subprocess.Process
     port: int
 
     def cpu_seconds(self) -> float:
         """Return the processor time that it has used."""
-        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(") ")[2].split()
+        fields = (
+            Path(f"/proc/{self.process.pid}/stat")
+            .read_text()
+            .rpartition(") ")[2]
+            .split()
+        )
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
     def peak_memory(self) -> int:
         """Return its largest resident set, in bytes."""
-        for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
+        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
             if line.startswith("VmHWM:"):
                 return int(line.split()[1]) * 1024
         return 0
 
 
 @asynccontextmanager
-async def running_process(*words: str) -> AsyncIterator[int]:
-    """Run a Python module in a process of its own and yield its id."""
+async def running_process(
+    *words: str,
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """Run a Python module in a process of its own."""
     process = await asyncio.create_subprocess_exec(sys.executable, "-m", *words)
     try:
-        yield process.pid
+        yield process
     finally:
         if process.returncode is None:
             process.kill()
@@ -58,7 +65,9 @@
 
 
 @asynccontextmanager
-async def running_router(folder: Path, gap: float) -> AsyncIterator[RouterProcess]:
+async def running_router(
+    folder: Path, gap: float, **changes: float
+) -> AsyncIterator[RouterProcess]:
     """
     Run an emitter and a router before it.
 
@@ -68,6 +77,8 @@
         Where the router's settings are written.
     gap : float
         Seconds between two tokens of an answer.
+    **changes : float
+        Settings of the router that differ.
     """
     emitter_port, port, operators_port = free_ports(3)
     token = folder / "cluster-token"
@@ -82,16 +93,16 @@
         "operators": {"port": operators_port},
     }
     path = folder / "router.json"
-    path.write_text(json.dumps(settings), encoding="utf-8")
+    path.write_text(json.dumps(settings | changes), encoding="utf-8")
     async with AsyncExitStack() as stack:
         emitter = ("lentilhaven.bench.cost", str(emitter_port), str(gap))
         await stack.enter_async_context(running_process(*emitter))
         await wait_for_port(emitter_port)
         words = ("lentilhaven.router", str(path))
-        pid = await stack.enter_async_context(running_process(*words))
+        process = await stack.enter_async_context(running_process(*words))
         await wait_for_port(port)
         await asyncio.sleep(0.5)
-        yield RouterProcess(pid, port)
+        yield RouterProcess(process, port)
 
 
 def free_ports(count: int) -> list[int]:
--- /dev/null
+++ b/lentilhaven/router/tests/test_signals.py
@@ -0,0 +1,60 @@
+import asyncio
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+
+import aiohttp
+
+from lentilhaven.bench.cost.emitter import TOKEN
+from lentilhaven.bench.cost.processes import running_router
+from lentilhaven.testbed.caller import ask
+
+LENGTH = 40
+
+
+async def stop_router(signals):
+    """Return an answer during which a router gets signals, and its exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with (
+            running_router(Path(folder), gap=0.02, drain_delay=0.1) as router,
+            aiohttp.ClientSession() as session,
+        ):
+            url = f"http://127.0.0.1:{router.port}"
+
+            async def on_token(answer):
+                if len(answer.tokens) == 5:
+                    for _ in range(signals):
+                        router.process.send_signal(signal.SIGTERM)
+                        # Two signals at the same moment would be one.
+                        await asyncio.sleep(0.05)
+
+            answer = await ask(
+                session,
+                url,
+                {"Authorization": f"Bearer {TOKEN}"},
+                {
+                    "model": "lentil-12",
+                    "prompt": "count",
+                    "max_tokens": LENGTH,
+                    "stream": True,
+                },
+                on_token=on_token,
+            )
+            code = await asyncio.wait_for(router.process.wait(), 20.0)
+            return answer, code
+
+
+class SignalTests(unittest.IsolatedAsyncioTestCase):
+    async def test_one_signal_cuts_nothing_off(self):
+        answer, code = await stop_router(signals=1)
+        self.assertTrue(answer.done, answer)
+        self.assertEqual(len(answer.tokens), LENGTH)
+        self.assertEqual(code, 0)
+
+    async def test_a_second_signal_is_told_to_the_caller(self):
+        answer, code = await stop_router(signals=2)
+        self.assertFalse(answer.done)
+        self.assertIsNotNone(answer.error, answer)
+        self.assertEqual(answer.error["type"], "urn:lentilhaven:problem:leaving")
+        self.assertEqual(code, 1)
