Count the first try among a route's attempts, as the table says

Cause: an answer gave up only after max_attempts + 1 attempts in a row had failed, and the recovery scenario relied on it with max_attempts 0, which the tables refuse, so that its edit never came into force once agents validated what they adopt.

--- a/lentilhaven/bench/recovery.py
+++ b/lentilhaven/bench/recovery.py
@@ -108,7 +108,7 @@
 async def measure_naive(testbed: Testbed, trials: list[RecoveryTrial]) -> list[float]:
     """Return the waits of a caller whose router does not recover."""
     tables = testbed.vms[0].router.view.tables
-    routes = [attrs.evolve(it, retry=RetryRule(max_attempts=0)) for it in tables.routes]
+    routes = [attrs.evolve(it, retry=RetryRule(max_attempts=1)) for it in tables.routes]
     version = await testbed.apply(attrs.evolve(tables, routes=routes), "naive")
     await testbed.wait_in_force(version)
     waits = []
--- a/lentilhaven/router/recovery.py
+++ b/lentilhaven/router/recovery.py
@@ -133,7 +133,7 @@
     if now >= answer.deadline:
         raise FailureError(deadline_passed(answer))
     answer.failures += 1
-    if answer.failures > answer.route.retry.max_attempts:
+    if answer.failures >= answer.route.retry.max_attempts:
         detail = f"{answer.failures} attempts in a row failed at position {position}"
         raise FailureError(given_up("attempts-exhausted", answer, detail, failure))
 
