--- /dev/null
+++ b/lentilhaven/bench/failover.py
@@ -0,0 +1,233 @@
+"""The scenario ``failover``: how soon others take over what a dead agent did."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+
+from lentilhaven.bench.figure import Figure, at_least, at_most, observed
+from lentilhaven.bench.quantiles import quantile
+from lentilhaven.bench.report import Report
+from lentilhaven.bench.scenario_options import ScenarioOptions
+from lentilhaven.core.ids import EndpointId, VmId
+from lentilhaven.core.invariants import VIOLATIONS
+from lentilhaven.distribution.tree import WATCHERS, watch_key
+from lentilhaven.load.load_poller import POLLERS, SUMMARISERS
+from lentilhaven.membership.rendezvous import choose_owners
+from lentilhaven.standins.virtual import run_virtual
+from lentilhaven.testbed import Testbed, TestbedPlan, open_testbed
+from lentilhaven.testbed.testbed import TestbedVm, seeded
+
+#: Agents killed when no size is given.
+DEFAULT_SIZE = 30
+
+#: Seconds between two looks.
+LOOK_INTERVAL = 0.02
+
+#: Seconds after which a duty counts as not taken over.
+GIVE_UP = 20.0
+
+VM_COUNT = 18
+
+
+@attrs.frozen
+class Duty:
+    """
+    A duty that some VMs have.
+
+    Attributes
+    ----------
+    kind : str
+        What it is.
+    owners : callable
+        Returns the names of the living VMs that do it now.
+    count : int
+        Number of VMs that should do it.
+    """
+
+    kind: str
+    owners: Callable[[], set[VmId]]
+    count: int
+
+
+@attrs.define
+class Failover:
+    """
+    What a run has seen.
+
+    Attributes
+    ----------
+    testbed : Testbed
+        The system.
+    random : random.Random
+        Source of chance.
+    seconds : dict
+        Seconds until each duty worked again, by kind.
+    """
+
+    testbed: Testbed
+    random: random.Random
+    seconds: dict[str, list[float]] = attrs.field(factory=dict)
+
+    def duties_of(self, vm: TestbedVm) -> list[Duty]:
+        """
+        Return the duties that a VM has now.
+
+        Duties of other subjects, such as shards and leases, are added here.
+
+        Parameters
+        ----------
+        vm : TestbedVm
+            The VM.
+        """
+        duties = [self.watch_duty(vm), self.summary_duty(vm)]
+        duties += [self.poll_duty(endpoint) for endpoint in vm.agent.poller.specs]
+        return [duty for duty in duties if vm.id in duty.owners()]
+
+    def watch_duty(self, vm: TestbedVm) -> Duty:
+        """Return the duty of watching the store for a VM's data centre."""
+        place = vm.data_centre
+
+        def owners() -> set[VmId]:
+            return {
+                it.id
+                for it in self.testbed.vms
+                if it.data_centre == place
+                and it.agent.members.owns(watch_key(place), WATCHERS, place)
+            }
+
+        return Duty("watch", owners, WATCHERS)
+
+    def summary_duty(self, vm: TestbedVm) -> Duty:
+        """Return the duty of writing the summary of a VM's data centre."""
+        place = vm.data_centre
+
+        def owners() -> set[VmId]:
+            return {
+                it.id
+                for it in self.testbed.vms
+                if it.data_centre == place
+                and it.agent.members.owns(f"summary/{place}", SUMMARISERS, place)
+            }
+
+        return Duty("summary", owners, SUMMARISERS)
+
+    def poll_duty(self, endpoint: EndpointId) -> Duty:
+        """Return the duty of polling an endpoint."""
+
+        def owners() -> set[VmId]:
+            return {
+                it.id for it in self.testbed.vms if endpoint in it.agent.poller.specs
+            }
+
+        return Duty("poll", owners, POLLERS)
+
+    async def kill(self, vm: TestbedVm, silent: bool) -> None:
+        """
+        Kill a VM and time until each of its duties is done again.
+
+        Parameters
+        ----------
+        vm : TestbedVm
+            The VM.
+        silent : bool
+            Whether its connections fall silent instead of breaking.
+        """
+        duties = self.duties_of(vm)
+        clock = self.testbed.clock
+        network = self.testbed.network
+        if silent:
+            others = {it.id for it in self.testbed.vms if it is not vm} | {"store"}
+            network.cut({vm.id}, others)
+            self.testbed.vms.remove(vm)
+        else:
+            await self.testbed.kill_vm(vm)
+        began = clock.monotonic()
+        waiting = list(duties)
+        while waiting and clock.monotonic() - began < GIVE_UP:
+            await clock.sleep(LOOK_INTERVAL)
+            taken = clock.monotonic() - began
+            for duty in [it for it in waiting if len(it.owners()) >= it.count]:
+                self.seconds.setdefault(duty.kind, []).append(taken)
+                waiting.remove(duty)
+        for duty in waiting:
+            self.seconds.setdefault(duty.kind, []).append(GIVE_UP)
+        await self.bring_back(vm, silent)
+
+    async def bring_back(self, vm: TestbedVm, silent: bool) -> None:
+        """Start another process at the address of a dead one."""
+        if silent:
+            self.testbed.network.heal()
+            self.testbed.vms.append(vm)
+            await self.testbed.kill_vm(vm)
+        port = int(vm.agent_url.rpartition(":")[2])
+        await self.testbed.start_vm(vm.id, vm.data_centre, port)
+        await self.testbed.clock.sleep(self.random.uniform(5.0, 8.0))
+
+    def count_unsettled(self) -> int:
+        """Return the number of VMs that do not see all of them live."""
+        everyone = len(self.testbed.vms)
+        return sum(
+            len(vm.agent.members.live_ids()) != everyone for vm in self.testbed.vms
+        )
+
+
+def moved_share(members: list[VmId], keys: int) -> float:
+    """
+    Return the share of duties that change owner though their owner stays.
+
+    Parameters
+    ----------
+    members : list of str
+        VMs; the first one leaves.
+    keys : int
+        Number of duties.
+    """
+    moved = 0
+    for key in range(keys):
+        before = choose_owners(f"key/{key}", members, 1)
+        after = choose_owners(f"key/{key}", members[1:], 1)
+        moved += before != after and before[0] != members[0]
+    return moved / keys
+
+
+def run_failover(options: ScenarioOptions) -> Report:
+    """
+    Kill agents that own watches, polls and summaries.
+
+    Parameters
+    ----------
+    options : ScenarioOptions
+        Seed and number of agents killed.
+    """
+    VIOLATIONS.clear()
+    figures = run_virtual(kill_agents(options.seed, options.size or DEFAULT_SIZE))
+    figures["violations"] = at_most(sum(VIOLATIONS.values()), 0, "invariants")
+    return Report("failover", options.seed, figures)
+
+
+async def kill_agents(seed: int, size: int) -> dict[str, Figure]:
+    """Kill agents, every second one silently, and return the figures."""
+    plan = TestbedPlan(seed=seed, vm_count=VM_COUNT)
+    async with open_testbed(plan) as testbed:
+        failover = Failover(testbed, seeded(testbed, "failover"))
+        await asyncio.sleep(8.0)
+        for index in range(size):
+            busy = [vm for vm in testbed.vms if failover.duties_of(vm)]
+            vm = failover.random.choice(busy)
+            await failover.kill(vm, silent=index % 2 == 1)
+        await asyncio.sleep(5.0)
+        unsettled = failover.count_unsettled()
+    every = [it for seconds in failover.seconds.values() for it in seconds]
+    figures = {
+        f"{kind}_p95": at_most(quantile(seconds, 0.95), 3.0, "s")
+        for kind, seconds in sorted(failover.seconds.items())
+    }
+    figures["any_p50"] = observed(quantile(every, 0.5), "s")
+    figures["any_max"] = observed(max(every), "s")
+    figures["duties"] = at_least(len(every), size, "duties")
+    figures["unsettled"] = at_most(unsettled, 0, "VMs")
+    names = [VmId(f"vm-{index}") for index in range(VM_COUNT)]
+    figures["moved_needlessly"] = at_most(moved_share(names, 1000), 0, "ratio")
+    return figures
--- a/lentilhaven/distribution/tree.py
+++ b/lentilhaven/distribution/tree.py
@@ -4,7 +4,7 @@
 from lentilhaven.membership.rendezvous import rank_members
 
 #: VMs in each data centre that watch the store.
-WATCHERS = 3
+WATCHERS = 2
 
 #: VMs that learn from one other.
 CHILDREN = 4
@@ -36,7 +36,7 @@
     >>> live = [f"vm-{i}" for i in range(30)]
     >>> parents = [find_parent(vm, "ruwi", live) for vm in live]
     >>> parents.count(None), max(parents.count(vm) for vm in live)
-    (3, 4)
+    (2, 4)
     """
     ranked = rank_members(watch_key(data_centre), live)
     if own not in ranked:
--- a/lentilhaven/standins/engine.py
+++ b/lentilhaven/standins/engine.py
@@ -93,6 +93,8 @@
         Whether it refuses new streams.
     new_streams : int
         Number of streams that began here.
+    refused_streams : int
+        Number of streams refused because it leaves.
     imports : int
         Number of caches copied from other engines.
     tasks : set of asyncio.Task
@@ -110,6 +112,7 @@
     faults: EngineFaults = attrs.field(factory=EngineFaults)
     leaving: bool = False
     new_streams: int = 0
+    refused_streams: int = 0
     imports: int = 0
     tasks: set[asyncio.Task] = attrs.field(factory=set)
 
@@ -188,6 +191,7 @@
         stream = self.streams.get(request)
         if stream is None:
             if self.leaving:
+                self.refused_streams += 1
                 raise EngineRefusalError("leaving")
             self.new_streams += 1
             stream = self.streams[request] = EngineStream(layers)
