--- a/lentilhaven/agent/agent.py
+++ b/lentilhaven/agent/agent.py
@@ -3,24 +3,25 @@
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any
 
 import aiohttp
 import attrs
 
 from lentilhaven.agent.agent_settings import AgentSettings
+from lentilhaven.agent.view_feed import ViewFeed
 from lentilhaven.control.view import EndpointView, View
+from lentilhaven.control.view_update import ViewUpdate
 from lentilhaven.core.clock import Clock
 from lentilhaven.core.ids import EndpointId
 from lentilhaven.core.logs import get_logger
-from lentilhaven.core.settings import to_document
 from lentilhaven.core.signal import Signal
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.distribution.joining import Joining
 from lentilhaven.distribution.spreader import Spreader
 from lentilhaven.distribution.store_watch import StoreWatch
 from lentilhaven.distribution.table_holder import TableHolder
-from lentilhaven.idempotency.journal import Journal
+from lentilhaven.idempotency import JournalNode, open_journal_host
+from lentilhaven.idempotency.journal_peers import JournalPeers
 from lentilhaven.load.load_digest import view_endpoints
 from lentilhaven.load.load_poller import LoadPoller
 from lentilhaven.membership.fact_table import Topic
@@ -52,7 +53,7 @@
         The platform's store.
     clock : Clock
         Source of time.
-    journal : Journal
+    journal : JournalNode
         Claims on non-idempotent calls.
     holder : TableHolder
         The tables.
@@ -66,6 +67,8 @@
         Learns tables and the list of VMs.
     poller : LoadPoller
         Polls endpoints.
+    feed : ViewFeed
+        What the router has been told.
     sequence : int
         Rises with every change of the view.
     changed : Signal
@@ -75,13 +78,14 @@
     settings: AgentSettings
     client: ObjectClient
     clock: Clock
-    journal: Journal
+    journal: JournalNode
     holder: TableHolder
     members: Members
     gossip: Gossip
     heartbeats: Heartbeats
     spreader: Spreader
     poller: LoadPoller
+    feed: ViewFeed
     sequence: int = 0
     changed: Signal = attrs.field(factory=Signal)
 
@@ -113,21 +117,18 @@
             about(Topic.LEAVING),
         )
 
-    def view_document(self, held_tables: int) -> dict[str, Any]:
+    def view_update(self, run: int, after: int, version: int) -> ViewUpdate:
         """
-        Return the view as JSON data, without tables that the router holds.
+        Return what a router must be told.
 
         Parameters
         ----------
-        held_tables : int
+        run, after : int
+            Run and sequence of the view that the router holds.
+        version : int
             Version of the tables that the router holds; -1 for none.
         """
-        view = self.view
-        same = held_tables == view.tables.version
-        bare = to_document(attrs.evolve(view, tables=Tables()))
-        if not same and self.ready:
-            bare["tables"] = self.holder.document()
-        return bare
+        return self.feed.update(self.view, self.holder, run, after, version)
 
     async def wait_for_view(self, after: int, timeout: float) -> None:
         """
@@ -179,6 +180,8 @@
     clock: Clock,
     source: random.Random,
     peers: PeerClient,
+    members: Members,
+    journal: JournalNode,
 ) -> Agent:
     """
     Wire the parts of an agent together.
@@ -195,9 +198,12 @@
         Source of chance.
     peers : PeerClient
         Client of other agents; its session also reaches endpoints.
+    members : Members
+        The VMs.
+    journal : JournalNode
+        Claims on non-idempotent calls.
     """
     holder = TableHolder()
-    members = Members(settings.vm, settings.data_centre)
     incarnation = int(clock.wall() * 1000)
     facts = open_fact_tables(clock)
     gossip = Gossip(members, peers, clock, source, incarnation, facts)
@@ -205,7 +211,6 @@
     spreader = Spreader(holder, members, configuration, peers, clock, source)
     heartbeats = Heartbeats(gossip, lambda: holder.head.version, spreader.catch_up)
     poller = LoadPoller(gossip, peers.session, clock, source)
-    journal = Journal(client.for_share(Share.JOURNAL))
     return Agent(
         settings,
         client,
@@ -217,6 +222,7 @@
         heartbeats,
         spreader,
         poller,
+        ViewFeed(incarnation),
     )
 
 
@@ -249,11 +255,19 @@
     """
     if connector is None:
         connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    chance = source or random.SystemRandom()
+    members = Members(settings.vm, settings.data_centre)
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        open_journal_host(
+            settings.vm,
+            client.for_share(Share.JOURNAL),
+            clock,
+            JournalPeers(session, token, members.live),
+        ) as journal,
+    ):
         peers = PeerClient(session, token)
-        agent = make_agent(
-            settings, client, clock, source or random.SystemRandom(), peers
-        )
+        agent = make_agent(settings, client, clock, chance, peers, members, journal)
         watch = StoreWatch(agent.spreader)
         joining = Joining(agent.spreader, settings.seeds)
         async with running_tasks(
