--- a/lentilhaven/distribution/table_holder.py
+++ b/lentilhaven/distribution/table_holder.py
@@ -59,23 +59,6 @@
         for old in spare[:-SPARE_PARTS]:
             del self.documents[old]
 
-    def document(self) -> dict[str, Any]:
-        """Return the tables in force as JSON data, without structuring them."""
-        joined: dict[str, Any] = {"routes": [], "pools": [], "workspaces": []}
-        endpoints: dict[str, list] = {}
-        for part in self.head.parts:
-            for kind, entries in self.documents[part].items():
-                if kind != "endpoints":
-                    joined[kind] = joined[kind] + entries
-                    continue
-                for pool, specs in entries.items():
-                    endpoints.setdefault(pool, []).extend(specs)
-        joined["pools"] = [
-            {**pool, "endpoints": endpoints.get(pool["name"], [])}
-            for pool in joined["pools"]
-        ]
-        return {**joined, "version": self.head.version}
-
     def missing_parts(self, head: TableHead) -> list[str]:
         """Return the parts of a head that are not held."""
         return [part for part in head.parts if part not in self.documents]
