--- a/lentilhaven/bench/control_random.py
+++ b/lentilhaven/bench/control_random.py
@@ -30,6 +30,9 @@
 #: Seconds within which all agents agree once every fault is mended.
 SETTLE_TIME = 6.0
 
+#: Seconds for which watches are silent before their history is compacted.
+SILENCE = 3.0
+
 #: Seconds between two looks at the versions.
 LOOK_INTERVAL = 0.05
 
@@ -95,6 +98,7 @@
             self.toggle_outage,
             self.toggle_lost_answers,
             self.toggle_silent_watches,
+            self.toggle_stale_reads,
             self.cut,
             self.heal,
             self.compact,
@@ -159,6 +163,11 @@
         faults = self.testbed.store.faults
         faults.silent_watches = not faults.silent_watches
 
+    async def toggle_stale_reads(self) -> None:
+        """Begin or end reads that answer with what was before the last write."""
+        faults = self.testbed.store.faults
+        faults.stale_reads = not faults.stale_reads
+
     async def cut(self) -> None:
         """Cut some VMs off from the others, and sometimes from the store."""
         names = [vm.id for vm in self.testbed.vms]
@@ -174,8 +183,13 @@
         self.testbed.network.heal()
 
     async def compact(self) -> None:
-        """Compact the store's whole watch history away."""
-        self.testbed.store.compacted_before = self.testbed.store.version
+        """Compact the history away that silent watches have missed."""
+        store = self.testbed.store
+        store.faults.silent_watches = True
+        await self.testbed.clock.sleep(SILENCE)
+        await self.edit()
+        store.compacted_before = store.version
+        store.faults.silent_watches = False
 
     async def settle(self) -> None:
         """Mend everything, and compare all tables with a naive reader's."""
@@ -187,6 +201,7 @@
             lost_answer_rate=0.0,
             lost_request_rate=0.0,
             silent_watches=False,
+            stale_reads=False,
         )
         while self.down:
             await self.restart()
--- a/lentilhaven/standins/object_api.py
+++ b/lentilhaven/standins/object_api.py
@@ -49,15 +49,15 @@
     """Answer all objects below a prefix."""
     store = request.app[STORE]
     store.reads += 1
-    found = store.below(request.query.get("prefix", ""))
-    return web.json_response({"version": store.version, "objects": to_document(found)})
+    listing = store.list_at(request.query.get("prefix", ""))
+    return web.json_response(to_document(listing))
 
 
 async def read_object(request: web.Request) -> web.Response:
     """Answer one object."""
     store = request.app[STORE]
     store.reads += 1
-    stored = store.objects.get(request.match_info["name"])
+    stored = store.read(request.match_info["name"])
     if stored is None:
         return web.json_response({"error": "not found"}, status=404)
     return web.json_response(to_document(stored))
--- a/lentilhaven/standins/object_store.py
+++ b/lentilhaven/standins/object_store.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from lentilhaven.platform.listing import Listing
 from lentilhaven.platform.stored_object import StoredObject
 from lentilhaven.platform.vm import ListedVm
 from lentilhaven.platform.vm_list import VmList
@@ -39,6 +40,8 @@
         Share of calls refused with 429.
     silent_watches : bool
         Watches never answer.
+    stale_reads : bool
+        Reads and lists answer as of before the last write of each object.
     vms_outage : bool
         Reads of the list of VMs fail.
     vms_lag : float
@@ -51,6 +54,7 @@
     lost_request_rate: float = 0.0
     refusal_rate: float = 0.0
     silent_watches: bool = False
+    stale_reads: bool = False
     vms_outage: bool = False
     vms_lag: float = 0.0
 
@@ -82,6 +86,8 @@
         Faults met so far, by name.
     vm_history : list of tuple
         Times at which the list of VMs was seen to change, with the list.
+    former : dict
+        What each object held before its last write.
     changes : list of tuple
         Version and name of each write, oldest first.
     changed : asyncio.Condition
@@ -99,6 +105,7 @@
     waiting: int = 0
     counters: Counter[str] = attrs.field(factory=Counter)
     vm_history: list[tuple[float, list[ListedVm]]] = attrs.field(factory=list)
+    former: dict[str, StoredObject] = attrs.field(factory=dict)
     changes: list[tuple[int, str]] = attrs.field(factory=list)
     changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
 
@@ -120,6 +127,8 @@
         if current_version != expected_version:
             return None
         self.version += 1
+        if current is not None:
+            self.former[name] = current
         self.objects[name] = StoredObject(name, self.version, value)
         self.changes.append((self.version, name))
         async with self.changed:
@@ -141,6 +150,31 @@
         names = {name for _, name in self.changes[first:] if name.startswith(prefix)}
         return [self.objects[name] for name in sorted(names)]
 
+    def read(self, name: str) -> StoredObject | None:
+        """
+        Return an object, or what it was before, as the faults say.
+
+        Parameters
+        ----------
+        name : str
+            Name of the object.
+        """
+        stored = self.objects.get(name)
+        return self.former.get(name, stored) if self.faults.stale_reads else stored
+
+    def list_at(self, prefix: str) -> Listing:
+        """
+        Return the objects below a prefix, and the version as of which they are.
+
+        Parameters
+        ----------
+        prefix : str
+            Common start of the names.
+        """
+        found = [self.read(stored.name) or stored for stored in self.below(prefix)]
+        oldest = min((stored.version for stored in found), default=0)
+        return Listing(oldest if self.faults.stale_reads else self.version, found)
+
     def now(self) -> float:
         """Return the event loop's time, and note a change of the list of VMs."""
         now = asyncio.get_running_loop().time()
--- a/lentilhaven/testbed/network.py
+++ b/lentilhaven/testbed/network.py
@@ -27,11 +27,14 @@
         Pairs of source and target whose requests are lost without an answer.
     latency : float
         Seconds that each request between VMs takes.
+    connectors : list of PartitionConnector
+        Connectors whose open connections a cut silences.
     """
 
     names: dict[int, str] = attrs.field(factory=dict)
     blocked: set[tuple[str, str]] = attrs.field(factory=set)
     latency: float = 0.002
+    connectors: "list[PartitionConnector]" = attrs.field(factory=list)
 
     def name_address(self, name: str, url: str) -> None:
         """
@@ -57,6 +60,8 @@
         """
         pairs = {(one, other) for one in inside for other in outside}
         self.blocked |= pairs | {(other, one) for one, other in pairs}
+        for connector in self.connectors:
+            connector.silence_blocked()
 
     def heal(self) -> None:
         """Let every request through again."""
@@ -85,6 +90,17 @@
         super().__init__(limit=0, force_close=fresh)
         self.network = network
         self.source = source
+        network.connectors.append(self)
+
+    def silence_blocked(self) -> None:
+        """Lose what is under way on connections that the network blocks."""
+        for protocol in list(self._acquired):
+            transport: Any = protocol.transport
+            if transport is None:
+                continue
+            port = transport.get_extra_info("peername")[1]
+            if self.network.blocks(self.source, port):
+                transport.pause_reading()
 
     async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
         """Wait for ever instead of connecting across a cut."""
