--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -3,9 +3,12 @@
 from collections.abc import Callable
 
 from lentilhaven.bench.config_spread import run_config_spread
+from lentilhaven.bench.control_random import run_control_random
+from lentilhaven.bench.failover import run_failover
 from lentilhaven.bench.integrity import run_integrity
 from lentilhaven.bench.journal_model import run_journal_model
 from lentilhaven.bench.journal_random import run_journal_random
+from lentilhaven.bench.leaving import run_leaving
 from lentilhaven.bench.recovery import run_recovery
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.rush import run_rush
@@ -18,7 +21,10 @@
 
 SCENARIOS: dict[str, Scenario] = {
     "config-spread": run_config_spread,
+    "control-random": run_control_random,
+    "failover": run_failover,
     "integrity": run_integrity,
+    "leaving": run_leaving,
     "journal-model": run_journal_model,
     "journal-random": run_journal_random,
     "recovery": run_recovery,
