--- /dev/null
+++ b/lentilhaven/leases/lease_store.py
@@ -0,0 +1,19 @@
+"""What a lease needs of the platform's store."""
+
+from typing import Any, Protocol
+
+from expression import Result
+
+from lentilhaven.core.failure import Failure
+from lentilhaven.platform.stored_object import StoredObject
+from lentilhaven.platform.write_outcome import WriteOutcome
+
+
+class LeaseStore(Protocol):
+    """Reads and conditional updates, as `ObjectClient` offers them."""
+
+    async def read(self, name: str) -> Result[StoredObject | None, Failure]:
+        """Read one object; None when it does not exist."""
+
+    async def write(self, name: str, value: Any, expected_version: int) -> WriteOutcome:
+        """Replace an object if it still has `expected_version`."""
--- /dev/null
+++ b/lentilhaven/leases/tests/test_lease.py
@@ -0,0 +1,86 @@
+import asyncio
+import random
+import unittest
+
+import attrs
+
+from lentilhaven.bench.faulty_store import FaultyStore
+from lentilhaven.core.clock import Clock
+from lentilhaven.leases import Lease, LeaseSettings
+from lentilhaven.standins.object_store import ObjectStore
+from lentilhaven.standins.virtual import run_virtual
+
+
+@attrs.define
+class ManualTime:
+    now: float = 0.0
+
+    def clock(self):
+        return Clock(lambda: self.now, lambda: self.now, asyncio.sleep)
+
+
+class LeaseTests(unittest.TestCase):
+    def setUp(self):
+        source = random.Random(1)
+        self.store = FaultyStore(ObjectStore(source), source, lost_rate=0.0)
+        self.time = ManualTime()
+        self.first = self.make_lease("a")
+        self.second = self.make_lease("b")
+
+    def make_lease(self, name):
+        clock = self.time.clock()
+        return Lease(self.store, "leases/orders", name, f"run-{name}", clock)
+
+    def step(self, lease):
+        run_virtual(lease.step())
+
+    def test_only_one_of_two_takes_a_free_lease(self):
+        self.step(self.first)
+        self.step(self.second)
+        self.assertEqual((self.first.fence(), self.second.fence()), (1, None))
+
+    def test_paused_holder_finds_its_hold_over(self):
+        self.step(self.first)
+        self.time.now = LeaseSettings().duration
+        self.assertIsNone(self.first.fence())
+        self.step(self.first)
+        self.assertEqual(self.first.fence(), 2)
+
+    def test_observer_waits_from_its_own_sighting(self):
+        self.step(self.first)
+        self.time.now = 1.9
+        self.step(self.second)
+        self.time.now = 4.0
+        self.step(self.second)
+        self.assertIsNone(self.second.fence())
+        self.time.now = 4.2
+        self.step(self.second)
+        self.assertEqual(self.second.fence(), 2)
+
+    def test_holder_learns_that_it_was_replaced(self):
+        self.step(self.first)
+        self.step(self.second)
+        self.time.now = 2.5
+        self.step(self.second)
+        self.assertEqual((self.first.fence(), self.second.fence()), (None, 2))
+        self.step(self.first)
+        self.assertIsNone(self.first.fence())
+
+    def test_renewal_that_is_not_confirmed_does_not_extend_the_hold(self):
+        self.step(self.first)
+        self.time.now = 1.0
+        self.store.lost_rate = 1.0
+        self.step(self.first)
+        self.assertEqual(self.first.fence(0.9), 1)
+        self.assertIsNone(self.first.fence(1.0))
+
+    def test_span_must_fit_into_the_hold(self):
+        self.step(self.first)
+        self.assertEqual(self.first.fence(1.9), 1)
+        self.assertIsNone(self.first.fence(2.0))
+
+    def test_lease_given_back_is_taken_at_once_under_a_higher_number(self):
+        self.step(self.first)
+        run_virtual(self.first.give_back())
+        self.step(self.second)
+        self.assertEqual((self.first.fence(), self.second.fence()), (None, 2))
