--- a/lentilhaven/balancing/path_chooser.py
+++ b/lentilhaven/balancing/path_chooser.py
@@ -6,9 +6,12 @@
 import attrs
 
 from lentilhaven.balancing.corrections import find_corrections
-from lentilhaven.balancing.link_timing import LinkTiming
-from lentilhaven.balancing.path_policies import PATH_POLICIES
+from lentilhaven.balancing.demand_level import STEPS, DemandLevel
+from lentilhaven.balancing.flow_choice import choose_by_flow
+from lentilhaven.balancing.link_timing import LinkTiming, links_of
+from lentilhaven.balancing.path_policies import PathPolicy
 from lentilhaven.balancing.path_repair import repair_path
+from lentilhaven.balancing.suspects import Suspects
 from lentilhaven.core.ids import EndpointId, ModelVersion
 from lentilhaven.pipelines.path_loads import PathLoads, PathRequest
 from lentilhaven.pipelines.path_plan import PathPlan, plan_paths
@@ -33,11 +36,14 @@
         Endpoints left out.
     unusable_links : frozenset of LinkKey
         Links left out.
+    level : int
+        Part of the bound that is in demand, in tenths.
     """
 
     version: ModelVersion | None
     unusable: frozenset[EndpointId] = frozenset()
     unusable_links: frozenset[LinkKey] = frozenset()
+    level: int = STEPS
 
 
 @attrs.define
@@ -47,8 +53,8 @@
 
     Attributes
     ----------
-    policy : str
-        Name in `PATH_POLICIES`.
+    policy : callable
+        One of `PATH_POLICIES`.
     mix : TrafficMix
         Mean request.
     loads : PathLoads
@@ -61,15 +67,21 @@
         `PathPlan` by `PlanKey`.
     corrected_for : PlanKey or None
         Plan that the corrections were made for.
+    suspects : Suspects
+        Endpoints that failed lately.
+    demand : DemandLevel
+        Part of the bound that is in demand.
     """
 
-    policy: str = "flow"
+    policy: PathPolicy = choose_by_flow
     mix: TrafficMix = attrs.field(factory=TrafficMix)
     loads: PathLoads = attrs.field(factory=PathLoads)
     timing: LinkTiming = attrs.field(factory=LinkTiming)
     pool: Pool | None = None
     plans: dict[PlanKey, PathPlan] = attrs.field(factory=dict)
     corrected_for: PlanKey | None = None
+    suspects: Suspects = attrs.field(factory=Suspects)
+    demand: DemandLevel = attrs.field(factory=DemandLevel)
 
     def plan(
         self,
@@ -81,7 +93,7 @@
         """
         Return the plan in force; it is made anew only when its input changes.
 
-        A slow link is used after all if there is no flow without it.
+        A slow link or a suspect is used after all if there is no flow without it.
 
         Parameters
         ----------
@@ -98,9 +110,11 @@
             self.pool = pool
             self.plans.clear()
         left_out = frozenset(unusable)
-        key = PlanKey(version, left_out, self.timing.slow_links(now))
+        suspected = left_out | self.suspects.current(now)
+        slow = self.timing.slow_links(now)
+        key = PlanKey(version, suspected, slow, self.demand.step)
         plan = self.find_plan(pool, key)
-        if plan.rate == 0 and key.unusable_links:
+        if plan.rate == 0:
             key = PlanKey(version, left_out)
             plan = self.find_plan(pool, key)
         if key != self.corrected_for:
@@ -114,7 +128,12 @@
             if len(self.plans) >= MAX_PLANS:
                 self.plans.clear()
             self.plans[key] = plan_paths(
-                pool, key.version, self.mix, key.unusable, key.unusable_links
+                pool,
+                key.version,
+                self.mix,
+                key.unusable,
+                key.unusable_links,
+                key.level / STEPS,
             )
         return self.plans[key]
 
@@ -139,6 +158,20 @@
         self.loads.routers = max(1, routers)
         self.corrected_for = None
 
+    def count_demand(self, plan: PathPlan, now: float) -> None:
+        """
+        Count a request that is about to start.
+
+        Parameters
+        ----------
+        plan : PathPlan
+            The plan in force.
+        now : float
+            Monotonic time, in seconds.
+        """
+        full_rate = plan.rate / self.mix.generated_tokens / self.loads.routers
+        self.demand.observe(full_rate, now)
+
     def choose(
         self, plan: PathPlan, request: PathRequest, random: random.Random
     ) -> list[Member] | None:
@@ -156,7 +189,7 @@
         """
         if plan.rate == 0:
             return None
-        path = PATH_POLICIES[self.policy](plan, self.loads, request, random)
+        path = self.policy(plan, self.loads, request, random)
         if path is None or not all(self.loads.fits(it, request) for it in path):
             return None
         return path
@@ -187,3 +220,38 @@
         """
         repaired = repair_path(plan, self.loads, request, path, lost, random)
         return repaired or self.choose(plan, request, random)
+
+    def leave_links(
+        self,
+        plan: PathPlan,
+        request: PathRequest,
+        path: list[Member],
+        now: float,
+        random: random.Random,
+    ) -> list[Member] | None:
+        """
+        Return a path round the slow links of a path; None if there is no need.
+
+        Parameters
+        ----------
+        plan : PathPlan
+            The plan in force.
+        request : PathRequest
+            Size of the request.
+        path : list of Member
+            Its path so far.
+        now : float
+            Monotonic time, in seconds.
+        random : random.Random
+            Source of chance.
+        """
+        slow = self.timing.slow_links(now)
+        taken = [link for link in links_of(path) if link in slow]
+        if not taken:
+            return None
+        starts = {link.boundary for link in taken}
+        behind = {it.endpoint for it in path if it.layers.start in starts}
+        moved = repair_path(plan, self.loads, request, path, behind, random)
+        if moved is None or any(link in slow for link in links_of(moved)):
+            return None
+        return moved
--- a/lentilhaven/router/answer.py
+++ b/lentilhaven/router/answer.py
@@ -3,14 +3,18 @@
 import attrs
 
 from lentilhaven.answers.answer_ledger import AnswerLedger
+from lentilhaven.core.failure import Failure
 from lentilhaven.core.ids import EndpointId, ModelVersion, RequestId, WorkspaceId
 from lentilhaven.core.ran import Ran
 from lentilhaven.endpoints.stage import Stage
+from lentilhaven.endpoints.stage_progress import StageProgress
 from lentilhaven.endpoints.stream_order import StreamOrder
 from lentilhaven.router.completion_request import CompletionRequest
 from lentilhaven.tables.pool import Pool
 from lentilhaven.tables.route import Route
 
+Progress = dict[EndpointId, StageProgress | None]
+
 
 @attrs.define
 class Answer:
@@ -45,6 +49,12 @@
         By how much the number of the next attempt rises.
     maybe_ran : bool
         Whether an engine may have begun to work on it.
+    ended_by : Failure or None
+        Why it ended early.
+    forward_from : int
+        First position that the caller does not have, when it came back.
+    progress : dict
+        What each stage answered at the last examination; None for silence.
     """
 
     request: RequestId
@@ -60,6 +70,9 @@
     failures: int = 0
     attempt_step: int = 1
     maybe_ran: bool = False
+    ended_by: Failure | None = None
+    forward_from: int = 0
+    progress: Progress = attrs.field(factory=dict)
 
     @property
     def ran(self) -> Ran:
--- a/lentilhaven/router/chain_choice.py
+++ b/lentilhaven/router/chain_choice.py
@@ -26,6 +26,7 @@
     """
     state = state_of(router, answer)
     plan = current_plan(router, answer, state)
+    state.chooser.count_demand(plan, router.clock.monotonic())
     size = size_of(answer)
     path = state.chooser.choose(plan, size, router.random)
     return take_path(state, answer, path, size)
@@ -56,6 +57,7 @@
     if not lost:
         return answer.chain
     state = state_of(router, answer)
+    state.chooser.suspects.add(lost, router.clock.monotonic())
     plan = current_plan(router, answer, state)
     size = size_of(answer)
     path = members_of(answer)
