Measure fail-over of shards and leases; forget old responses before calls

Cause: an object of untimed keys would have refused new keys for ever once full of recorded responses; fail-over had no figure.

--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from lentilhaven.bench.config_spread import run_config_spread
+from lentilhaven.bench.failover_journal import run_failover_journal
 from lentilhaven.bench.idempotency import run_idempotency
 from lentilhaven.bench.integrity import run_integrity
 from lentilhaven.bench.journal_model import run_journal_model
@@ -21,6 +22,7 @@
 SCENARIOS: dict[str, Scenario] = {
     "config-spread": run_config_spread,
     "integrity": run_integrity,
+    "failover-journal": run_failover_journal,
     "idempotency": run_idempotency,
     "journal-model": run_journal_model,
     "journal-random": run_journal_random,
--- a/lentilhaven/idempotency/claiming.py
+++ b/lentilhaven/idempotency/claiming.py
@@ -8,7 +8,7 @@
 from lentilhaven.idempotency.entry_machine import next_state
 from lentilhaven.idempotency.journal_entry import EntryState, JournalEntry
 from lentilhaven.idempotency.journal_layout import entry_key
-from lentilhaven.idempotency.segment import CLAIM_BYTES, Segment
+from lentilhaven.idempotency.segment import CLAIM_BYTES, Segment, drop_old_responses
 
 Claimed = tuple[Segment, ClaimAnswer]
 
@@ -78,6 +78,8 @@
     segment: Segment, opened: Segment, claim: ClaimRequest, wall: float
 ) -> Claimed:
     """Grant a call that the journal does not know, if there is room."""
+    if opened.size > CLAIM_BYTES:
+        opened = drop_old_responses(opened, wall)
     if opened.size > CLAIM_BYTES:
         detail = "the journal's object for this key is full; use a new key"
         failure = Failure(Step.CLAIM, "", "journal-full", detail, retry_after=60.0)
--- a/lentilhaven/idempotency/segment.py
+++ b/lentilhaven/idempotency/segment.py
@@ -17,6 +17,9 @@
 #: Size above which an object records no more responses, in bytes.
 RECORD_BYTES = 850_000
 
+#: Seconds for which responses are kept in an object that runs full.
+RESPONSE_RETENTION = 86_400.0
+
 
 @attrs.frozen
 class Segment:
@@ -53,6 +56,31 @@
         return Segment(self.bucket, self.entries | {key: entry}, size)
 
 
+def drop_old_responses(segment: Segment, wall: float) -> Segment:
+    """
+    Return a segment without the recorded responses of calls long done.
+
+    The calls themselves stay known: a repeat is told that the call has run and
+    that its response is not kept any more.
+
+    Parameters
+    ----------
+    segment : Segment
+        The segment.
+    wall : float
+        Time of day, in seconds since 1970.
+    """
+    oldest = wall - RESPONSE_RETENTION
+    entries = {
+        key: attrs.evolve(entry, response=None)
+        if entry.response is not None and entry.claimed_at < oldest
+        else entry
+        for key, entry in segment.entries.items()
+    }
+    size = sum(entry_size(entry) for entry in entries.values())
+    return Segment(segment.bucket, entries, size)
+
+
 def entry_size(entry: JournalEntry) -> int:
     """
     Return the approximate size of an entry's JSON form, in bytes.
--- a/lentilhaven/idempotency/tests/test_journal.py
+++ b/lentilhaven/idempotency/tests/test_journal.py
@@ -22,7 +22,7 @@
 from lentilhaven.core.clock import Clock
 from lentilhaven.core.logs import configure_logs
 from lentilhaven.idempotency import Journal, WriteBudget, time_ordered_key
-from lentilhaven.idempotency.segment import CLAIM_BYTES
+from lentilhaven.idempotency.segment import CLAIM_BYTES, RESPONSE_RETENTION
 from lentilhaven.idempotency.tests.naive_journal import NaiveJournal
 from lentilhaven.standins.object_store import ObjectStore
 from lentilhaven.standins.virtual import run_virtual
@@ -213,6 +213,10 @@
         self.assertIs(outcomes[-1], ClaimOutcome.UNAVAILABLE)
         self.assertLess(writer.base.segment.size, 1_000_000)
         self.assertGreater(writer.base.segment.size, CLAIM_BYTES)
+        self.time.now = RESPONSE_RETENTION + 1
+        self.assertIs(self.outcome(make_claim("new")), ClaimOutcome.GRANTED)
+        answer = self.submit(make_claim("issue-0", "again"))[0]
+        self.assertEqual((answer.outcome, answer.response), (ClaimOutcome.REPLAY, None))
 
     def test_outage_grants_nothing(self):
         self.store.outage = True
