Let an operation that breaks an invariant fail alone

Cause: one impossible settlement failed the whole batch it was committed with, again at each of its repetitions. Change: the batch is planned without company then, and its first operation refused if that alone breaks the invariant. A test holds that a shutdown waits for settlements through an outage of the store.

--- a/lentilhaven/idempotency/segment_writer.py
+++ b/lentilhaven/idempotency/segment_writer.py
@@ -7,6 +7,7 @@
 from lentilhaven.control.claim import ClaimAnswer, ClaimOutcome, ClaimRequest
 from lentilhaven.core.clock import Clock
 from lentilhaven.core.failure import Failure
+from lentilhaven.core.invariants import InvariantError
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
 from lentilhaven.idempotency.batch import (
@@ -114,8 +115,7 @@
         while self.waiting:
             if self.base is None and not await self.read_base():
                 continue
-            batch = self.waiting[:MAX_BATCH]
-            plan = self.plan(batch)
+            batch, plan = self.plan()
             if plan.changed:
                 await self.commit()
             elif plan.needs_fresh_base and self.base_arrivals < batch[-1].arrival:
@@ -134,19 +134,33 @@
         self.base_arrivals = arrivals
         return True
 
-    def plan(self, batch: list[Waiting]) -> Plan:
-        """Plan a batch on the base."""
-        operations = [it.operation for it in batch]
+    def plan(self) -> tuple[list[Waiting], Plan]:
+        """
+        Plan what waits on the base.
+
+        An operation that breaks an invariant is a defect of its sender; it is
+        refused, and the others go on.
+        """
         assert self.base is not None
-        return plan_batch(self.base, operations, self.clock.wall())
+        for count in (MAX_BATCH, 1):
+            batch = self.waiting[:count]
+            operations = [it.operation for it in batch]
+            try:
+                return batch, plan_batch(self.base, operations, self.clock.wall())
+            except InvariantError as error:
+                log.error("journal refused an operation", error=str(error))
+                failure = Failure(Step.SETTLE, "", "broken-invariant", str(error))
+        self.give_up(batch, failure)
+        return [], Plan(self.base.segment, [], False)
 
     async def commit(self) -> None:
         """Write one batch, of all that came while the budget was waited for."""
         await self.wait_for_claim()
         await self.budget.take()
-        batch = self.waiting[:MAX_BATCH]
-        base, plan, arrivals = self.base, self.plan(batch), self.arrivals
-        assert base is not None
+        base, arrivals = self.base, self.arrivals
+        batch, plan = self.plan()
+        if base is None or not plan.changed:
+            return
         value = encode_segment(plan.segment)
         for it in batch:
             it.tries += 1
--- a/lentilhaven/idempotency/tests/test_journal.py
+++ b/lentilhaven/idempotency/tests/test_journal.py
@@ -20,6 +20,7 @@
     SettleOutcome,
 )
 from lentilhaven.core.clock import Clock
+from lentilhaven.core.invariants import VIOLATIONS
 from lentilhaven.core.logs import configure_logs
 from lentilhaven.idempotency import Journal, WriteBudget, time_ordered_key
 from lentilhaven.idempotency.segment import CLAIM_BYTES, RESPONSE_RETENTION
@@ -218,6 +219,19 @@
         answer = self.submit(make_claim("issue-0", "again"))[0]
         self.assertEqual((answer.outcome, answer.response), (ClaimOutcome.REPLAY, None))
 
+    def test_operation_that_breaks_an_invariant_fails_alone(self):
+        before = VIOLATIONS.copy()
+        self.addCleanup(VIOLATIONS.update, before)
+        self.addCleanup(VIOLATIONS.clear)
+        self.outcome(make_claim())
+        abandoned = Settlement(make_claim(), SettleOutcome.ABANDONED)
+        done = Settlement(make_claim(), SettleOutcome.DONE, RESPONSE)
+        again = make_claim(request="q2")
+        answers = self.submit(abandoned, done, again)
+        self.assertTrue(answers[0].confirmed)
+        self.assertFalse(answers[1].confirmed)
+        self.assertIs(answers[2].outcome, ClaimOutcome.GRANTED)
+
     def test_outage_grants_nothing(self):
         self.store.outage = True
         self.assertIs(self.outcome(make_claim()), ClaimOutcome.UNAVAILABLE)
--- a/lentilhaven/router/tests/test_services.py
+++ b/lentilhaven/router/tests/test_services.py
@@ -4,6 +4,7 @@
 import attrs
 
 from lentilhaven.idempotency import time_ordered_key
+from lentilhaven.router.shutdown import drain
 from lentilhaven.standins.virtual import run_virtual
 from lentilhaven.testbed import TestbedPlan, open_testbed
 from lentilhaven.testbed.testbed import seeded
@@ -166,6 +167,20 @@
 
         run_with_testbed(scenario)
 
+    def test_shutdown_waits_for_settlements(self):
+        async def scenario(testbed):
+            router = testbed.vms[0].router
+            self.assertEqual((await post(testbed, "issue-1"))[0], 200)
+            testbed.store.faults.outage = True
+            running = asyncio.create_task(drain(router, asyncio.Event()))
+            await asyncio.sleep(3.0)
+            self.assertFalse(running.done())
+            testbed.store.faults.outage = False
+            self.assertEqual(await running, 0)
+            self.assertEqual(router.settler.tasks, set())
+
+        run_with_testbed(scenario)
+
     def test_key_made_in_the_future_is_refused(self):
         async def scenario(testbed):
             key = time_ordered_key(1e6, seeded(testbed, "key"))
