--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -5,10 +5,13 @@
 from lentilhaven.bench.config_spread import run_config_spread
 from lentilhaven.bench.control_random import run_control_random
 from lentilhaven.bench.failover import run_failover
+from lentilhaven.bench.failover_journal import run_failover_journal
+from lentilhaven.bench.idempotency import run_idempotency
 from lentilhaven.bench.integrity import run_integrity
 from lentilhaven.bench.journal_model import run_journal_model
 from lentilhaven.bench.journal_random import run_journal_random
 from lentilhaven.bench.leaving import run_leaving
+from lentilhaven.bench.orders_random import run_orders_random
 from lentilhaven.bench.recovery import run_recovery
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.rush import run_rush
@@ -24,9 +27,12 @@
     "control-random": run_control_random,
     "failover": run_failover,
     "integrity": run_integrity,
+    "failover-journal": run_failover_journal,
+    "idempotency": run_idempotency,
     "leaving": run_leaving,
     "journal-model": run_journal_model,
     "journal-random": run_journal_random,
+    "orders-random": run_orders_random,
     "recovery": run_recovery,
     "rush": run_rush,
     "smoke": run_smoke,
--- a/lentilhaven/idempotency/segment_writer.py
+++ b/lentilhaven/idempotency/segment_writer.py
@@ -7,6 +7,7 @@
 from lentilhaven.control.claim import ClaimAnswer, ClaimOutcome, ClaimRequest
 from lentilhaven.core.clock import Clock
 from lentilhaven.core.failure import Failure
+from lentilhaven.core.invariants import InvariantError
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
 from lentilhaven.idempotency.batch import (
@@ -74,6 +75,10 @@
         Number of operations that have come.
     base_arrivals : int
         Number that had come when the base was certainly the newest.
+    settle_delay : float
+        Seconds for which settlements wait for a claim to be written with.
+    claimed : asyncio.Event
+        Set when a claim comes.
     waiting : list of Waiting
         Operations without an answer, oldest first.
     """
@@ -85,6 +90,8 @@
     base: Base | None = None
     arrivals: int = 0
     base_arrivals: int = 0
+    settle_delay: float = 0.0
+    claimed: asyncio.Event = attrs.field(factory=asyncio.Event)
     waiting: list[Waiting] = attrs.field(factory=list)
 
     def add(self, operation: Operation) -> "asyncio.Future[Answer]":
@@ -98,6 +105,8 @@
         """
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self.arrivals += 1
+        if isinstance(operation.message, ClaimRequest):
+            self.claimed.set()
         self.waiting.append(Waiting(operation, future, self.arrivals))
         return future
 
@@ -106,8 +115,7 @@
         while self.waiting:
             if self.base is None and not await self.read_base():
                 continue
-            batch = self.waiting[:MAX_BATCH]
-            plan = self.plan(batch)
+            batch, plan = self.plan()
             if plan.changed:
                 await self.commit()
             elif plan.needs_fresh_base and self.base_arrivals < batch[-1].arrival:
@@ -126,18 +134,33 @@
         self.base_arrivals = arrivals
         return True
 
-    def plan(self, batch: list[Waiting]) -> Plan:
-        """Plan a batch on the base."""
-        operations = [it.operation for it in batch]
+    def plan(self) -> tuple[list[Waiting], Plan]:
+        """
+        Plan what waits on the base.
+
+        An operation that breaks an invariant is a defect of its sender; it is
+        refused, and the others go on.
+        """
         assert self.base is not None
-        return plan_batch(self.base, operations, self.clock.wall())
+        for count in (MAX_BATCH, 1):
+            batch = self.waiting[:count]
+            operations = [it.operation for it in batch]
+            try:
+                return batch, plan_batch(self.base, operations, self.clock.wall())
+            except InvariantError as error:
+                log.error("journal refused an operation", error=str(error))
+                failure = Failure(Step.SETTLE, "", "broken-invariant", str(error))
+        self.give_up(batch, failure)
+        return [], Plan(self.base.segment, [], False)
 
     async def commit(self) -> None:
         """Write one batch, of all that came while the budget was waited for."""
+        await self.wait_for_claim()
         await self.budget.take()
-        batch = self.waiting[:MAX_BATCH]
-        base, plan, arrivals = self.base, self.plan(batch), self.arrivals
-        assert base is not None
+        base, arrivals = self.base, self.arrivals
+        batch, plan = self.plan()
+        if base is None or not plan.changed:
+            return
         value = encode_segment(plan.segment)
         for it in batch:
             it.tries += 1
@@ -152,6 +175,19 @@
             log.info("journal write was not confirmed; reading back", name=self.name)
             self.drop_spent(batch)
 
+    async def wait_for_claim(self) -> None:
+        """Let settlements wait for a claim, whose caller can't wait."""
+        messages = (it.operation.message for it in self.waiting)
+        claims = any(isinstance(message, ClaimRequest) for message in messages)
+        if claims or self.settle_delay == 0:
+            return
+        self.claimed.clear()
+        try:
+            async with asyncio.timeout(self.settle_delay):
+                await self.claimed.wait()
+        except TimeoutError:
+            return
+
     def drop_spent(self, batch: list[Waiting]) -> None:
         """Give up operations that were tried too often."""
         spent = [it for it in batch if it.tries >= MAX_TRIES]
--- a/lentilhaven/idempotency/tests/test_journal.py
+++ b/lentilhaven/idempotency/tests/test_journal.py
@@ -20,9 +20,10 @@
     SettleOutcome,
 )
 from lentilhaven.core.clock import Clock
+from lentilhaven.core.invariants import VIOLATIONS
 from lentilhaven.core.logs import configure_logs
 from lentilhaven.idempotency import Journal, WriteBudget, time_ordered_key
-from lentilhaven.idempotency.segment import CLAIM_BYTES
+from lentilhaven.idempotency.segment import CLAIM_BYTES, RESPONSE_RETENTION
 from lentilhaven.idempotency.tests.naive_journal import NaiveJournal
 from lentilhaven.standins.object_store import ObjectStore
 from lentilhaven.standins.virtual import run_virtual
@@ -213,6 +214,23 @@
         self.assertIs(outcomes[-1], ClaimOutcome.UNAVAILABLE)
         self.assertLess(writer.base.segment.size, 1_000_000)
         self.assertGreater(writer.base.segment.size, CLAIM_BYTES)
+        self.time.now = RESPONSE_RETENTION + 1
+        self.assertIs(self.outcome(make_claim("new")), ClaimOutcome.GRANTED)
+        answer = self.submit(make_claim("issue-0", "again"))[0]
+        self.assertEqual((answer.outcome, answer.response), (ClaimOutcome.REPLAY, None))
+
+    def test_operation_that_breaks_an_invariant_fails_alone(self):
+        before = VIOLATIONS.copy()
+        self.addCleanup(VIOLATIONS.update, before)
+        self.addCleanup(VIOLATIONS.clear)
+        self.outcome(make_claim())
+        abandoned = Settlement(make_claim(), SettleOutcome.ABANDONED)
+        done = Settlement(make_claim(), SettleOutcome.DONE, RESPONSE)
+        again = make_claim(request="q2")
+        answers = self.submit(abandoned, done, again)
+        self.assertTrue(answers[0].confirmed)
+        self.assertFalse(answers[1].confirmed)
+        self.assertIs(answers[2].outcome, ClaimOutcome.GRANTED)
 
     def test_outage_grants_nothing(self):
         self.store.outage = True
