--- a/lentilhaven/balancing/path_chooser.py
+++ b/lentilhaven/balancing/path_chooser.py
@@ -6,8 +6,10 @@
 import attrs
 
 from lentilhaven.balancing.corrections import find_corrections
+from lentilhaven.balancing.demand_level import STEPS, DemandLevel
+from lentilhaven.balancing.flow_choice import choose_by_flow
 from lentilhaven.balancing.link_timing import LinkTiming, links_of
-from lentilhaven.balancing.path_policies import PATH_POLICIES
+from lentilhaven.balancing.path_policies import PathPolicy
 from lentilhaven.balancing.path_repair import repair_path
 from lentilhaven.balancing.suspects import Suspects
 from lentilhaven.core.ids import EndpointId, ModelVersion
@@ -34,11 +36,14 @@
         Endpoints left out.
     unusable_links : frozenset of LinkKey
         Links left out.
+    level : int
+        Part of the bound that is in demand, in tenths.
     """
 
     version: ModelVersion | None
     unusable: frozenset[EndpointId] = frozenset()
     unusable_links: frozenset[LinkKey] = frozenset()
+    level: int = STEPS
 
 
 @attrs.define
@@ -48,8 +53,8 @@
 
     Attributes
     ----------
-    policy : str
-        Name in `PATH_POLICIES`.
+    policy : callable
+        One of `PATH_POLICIES`.
     mix : TrafficMix
         Mean request.
     loads : PathLoads
@@ -64,9 +69,11 @@
         Plan that the corrections were made for.
     suspects : Suspects
         Endpoints that failed lately.
+    demand : DemandLevel
+        Part of the bound that is in demand.
     """
 
-    policy: str = "flow"
+    policy: PathPolicy = choose_by_flow
     mix: TrafficMix = attrs.field(factory=TrafficMix)
     loads: PathLoads = attrs.field(factory=PathLoads)
     timing: LinkTiming = attrs.field(factory=LinkTiming)
@@ -74,6 +81,7 @@
     plans: dict[PlanKey, PathPlan] = attrs.field(factory=dict)
     corrected_for: PlanKey | None = None
     suspects: Suspects = attrs.field(factory=Suspects)
+    demand: DemandLevel = attrs.field(factory=DemandLevel)
 
     def plan(
         self,
@@ -103,7 +111,8 @@
             self.plans.clear()
         left_out = frozenset(unusable)
         suspected = left_out | self.suspects.current(now)
-        key = PlanKey(version, suspected, self.timing.slow_links(now))
+        slow = self.timing.slow_links(now)
+        key = PlanKey(version, suspected, slow, self.demand.step)
         plan = self.find_plan(pool, key)
         if plan.rate == 0:
             key = PlanKey(version, left_out)
@@ -119,7 +128,12 @@
             if len(self.plans) >= MAX_PLANS:
                 self.plans.clear()
             self.plans[key] = plan_paths(
-                pool, key.version, self.mix, key.unusable, key.unusable_links
+                pool,
+                key.version,
+                self.mix,
+                key.unusable,
+                key.unusable_links,
+                key.level / STEPS,
             )
         return self.plans[key]
 
@@ -144,6 +158,20 @@
         self.loads.routers = max(1, routers)
         self.corrected_for = None
 
+    def count_demand(self, plan: PathPlan, now: float) -> None:
+        """
+        Count a request that is about to start.
+
+        Parameters
+        ----------
+        plan : PathPlan
+            The plan in force.
+        now : float
+            Monotonic time, in seconds.
+        """
+        full_rate = plan.rate / self.mix.generated_tokens / self.loads.routers
+        self.demand.observe(full_rate, now)
+
     def choose(
         self, plan: PathPlan, request: PathRequest, random: random.Random
     ) -> list[Member] | None:
@@ -161,7 +189,7 @@
         """
         if plan.rate == 0:
             return None
-        path = PATH_POLICIES[self.policy](plan, self.loads, request, random)
+        path = self.policy(plan, self.loads, request, random)
         if path is None or not all(self.loads.fits(it, request) for it in path):
             return None
         return path
--- a/lentilhaven/router/router_api.py
+++ b/lentilhaven/router/router_api.py
@@ -1,11 +1,14 @@
 """The router's application: routes, limits and errors."""
 
 import asyncio
+import contextlib
 
 from aiohttp import web
+from structlog.contextvars import bind_contextvars
 
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.logs import describe_defect, get_logger
+from lentilhaven.core.ran import Ran
 from lentilhaven.core.request_context import REQUEST_ID, bind_request, new_request_id
 from lentilhaven.core.step import Step
 from lentilhaven.router.app_keys import INDEX, ROUTER, read_workspace
@@ -17,7 +20,7 @@
 from lentilhaven.router.services import forward_call
 from lentilhaven.serving.guarded_connection import internal_failure
 from lentilhaven.serving.metrics import Metrics
-from lentilhaven.serving.request_metrics import measure_requests
+from lentilhaven.serving.request_metrics import measure_first_token, measure_requests
 
 #: Paths that need no token.
 OPEN_PATHS = frozenset({"/healthz", "/readyz"})
@@ -46,6 +49,8 @@
     app[ROUTER] = router
     app[INDEX] = WorkspaceIndex()
     app.on_response_prepare.append(name_request)
+    if metrics:
+        app.on_response_prepare.append(measure_first_token(metrics))
     app.router.add_post("/v1/completions", complete)
     app.router.add_post("/v1/chat/completions", complete_chat)
     app.router.add_get("/v1/models", list_models)
@@ -71,22 +76,53 @@
         return await handler(request)
     identifier = new_request_id(router.random)
     bind_request(identifier, request.headers.get("traceparent", ""))
+    if request.transport is not None:
+        router.transports.add(request.transport)
     if router.draining:
-        return problem_response(
-            Failure(Step.ADMIT, "", "leaving", "this VM is leaving", retry_after=1.0)
-        )
-    with router.counted_request():
-        try:
-            await check_request(request)
-            return await handler(request)
-        except FailureError as error:
-            return problem_response(error.failure)
-        except web.HTTPException as error:
-            return problem_response(failure_of_status(request, error))
-        except (asyncio.CancelledError, ConnectionError):
+        refusal = problem_response(leaving("this VM is leaving", Ran.NO))
+        refusal.force_close()
+        return refusal
+    with router.counted_request(request.method, request.path):
+        response = await run_handler(request, handler)
+        if router.leaving:
+            # The caller's next request should go to another VM.
+            response.force_close()
+        await finish_response(request, response)
+        return response
+
+
+async def finish_response(request: web.Request, response: web.StreamResponse) -> None:
+    """Send a response to its end while its request still counts as in flight."""
+    with contextlib.suppress(ConnectionError):
+        await response.prepare(request)
+        await response.write_eof()
+
+
+async def run_handler(request: web.Request, handler) -> web.StreamResponse:
+    """Run a handler and turn its failures into problems."""
+    try:
+        await check_request(request)
+        return await handler(request)
+    except FailureError as error:
+        return problem_response(error.failure)
+    except web.HTTPException as error:
+        return problem_response(failure_of_status(request, error))
+    except asyncio.CancelledError:
+        task = asyncio.current_task()
+        if not request.app[ROUTER].cutting or task is None:
             raise
-        except Exception as error:
-            return answer_defect(request, error)
+        task.uncancel()
+        detail = "this VM is leaving and could not wait for the answer"
+        return problem_response(leaving(detail, Ran.UNKNOWN))
+    except ConnectionError:
+        raise
+    except Exception as error:
+        return answer_defect(request, error)
+
+
+def leaving(detail: str, ran: Ran) -> Failure:
+    """Return the failure of a request at a VM that is leaving."""
+    return Failure(Step.ADMIT, "", "leaving", detail, ran, retry_after=1.0)
 
 
 async def check_request(request: web.Request) -> None:
@@ -98,7 +134,8 @@
     FailureError
         If the caller is unknown, the key malformed or the body too slow.
     """
-    read_workspace(request)
+    workspace = read_workspace(request)
+    bind_contextvars(workspace=workspace.id)
     bad_key = find_bad_key(request.headers)
     if bad_key is not None:
         raise FailureError(bad_key)
--- a/lentilhaven/router/router_settings.py
+++ b/lentilhaven/router/router_settings.py
@@ -35,6 +35,10 @@
         Seconds between saying not ready and refusing new work.
     drain_limit : float
         Seconds after which a shutdown cuts off what is left.
+    resume_window : float
+        Seconds for which an answer whose caller has gone is kept for its return.
+    write_timeout : float
+        Seconds after which a caller that takes nothing is disconnected.
     log_level : str
         Least severe level to log.
     limits : ServerLimits
@@ -59,6 +63,8 @@
     )
     drain_delay: float = attrs.field(default=2.0, validator=within(0, 600))
     drain_limit: float = attrs.field(default=120.0, validator=within(0, 86_400))
+    resume_window: float = attrs.field(default=10.0, validator=within(0, 600))
+    write_timeout: float = attrs.field(default=30.0, validator=within(0.1, 600))
     log_level: str = attrs.field(default="info", validator=one_of(*LEVELS))
     limits: ServerLimits = attrs.field(factory=ServerLimits)
     tls: TlsSettings = attrs.field(factory=TlsSettings)
--- a/lentilhaven/serving/metrics.py
+++ b/lentilhaven/serving/metrics.py
@@ -25,6 +25,9 @@
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.semconv.metrics.http_metrics import HTTP_SERVER_REQUEST_DURATION
 
+#: The convention is still incubating, so its name is written out here.
+GEN_AI_SERVER_TIME_TO_FIRST_TOKEN = "gen_ai.server.time_to_first_token"
+
 #: Upper bounds of the buckets of a request's duration, in seconds.
 DURATION_BUCKETS = (0.005, 0.025, 0.1, 0.25, 0.5, 1, 1.9, 5, 10, 30, 60, 120)
 
@@ -47,12 +50,15 @@
         Makes instruments.
     request_duration : Histogram
         Seconds of each request at the callers' listener.
+    first_token : Histogram
+        Seconds from a request to the first event of its stream.
     """
 
     registry: prometheus_client.CollectorRegistry
     provider: MeterProvider
     meter: Meter
     request_duration: Histogram
+    first_token: Histogram
 
     def render(self) -> bytes:
         """Return the text that a Prometheus scrape reads."""
@@ -137,4 +143,10 @@
         description="Duration of requests at the callers' listener.",
         explicit_bucket_boundaries_advisory=list(DURATION_BUCKETS),
     )
-    return Metrics(registry, provider, meter, duration)
+    first_token = meter.create_histogram(
+        GEN_AI_SERVER_TIME_TO_FIRST_TOKEN,
+        unit="s",
+        description="Time from a request to the first event of its stream.",
+        explicit_bucket_boundaries_advisory=list(DURATION_BUCKETS),
+    )
+    return Metrics(registry, provider, meter, duration, first_token)
