--- a/lentilhaven/core/settings.py
+++ b/lentilhaven/core/settings.py
@@ -15,7 +15,7 @@
 import typing
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any, TypeVar, cast
 
 import attrs
 import cattrs
@@ -50,7 +50,9 @@
             raise TypeError(f"expected {kind.__name__}, not {value!r}")
         if not isinstance(value, accepted):
             raise TypeError(f"expected {kind.__name__}, not {repr(value)[:80]}")
-        if kind is float and not -LARGEST_FLOAT <= value <= LARGEST_FLOAT:
+        # An integer may be too large for a float, and NaN compares as false.
+        number = cast(float, value)
+        if kind is float and not -LARGEST_FLOAT <= number <= LARGEST_FLOAT:
             raise ValueError(f"expected a finite number, not {repr(value)[:80]}")
         return kind(value)
 
