--- a/lentilhaven/cli/explain.py
+++ b/lentilhaven/cli/explain.py
@@ -120,8 +120,11 @@
         members = ", ".join(group.endpoints[:8])
         more = len(group.endpoints) - 8
         rest = f" and {more} more" if more > 0 else ""
-        print(f"  {group.rate:.0f} tokens/s: {group.key}: {members}{rest}")
+        layers = f"layers {group.key.layers.start}-{group.key.layers.stop - 1}"
+        place = f"{layers} in {group.key.data_centre}"
+        print(f"  {group.rate:.0f} tokens/s: {place}: {members}{rest}")
     for link in bound.links:
-        print(f"  {link.rate:.0f} tokens/s: link {link.key}")
+        ends = f"{link.key.source} to {link.key.target}"
+        print(f"  {link.rate:.0f} tokens/s: link {ends}")
     if not bound.groups and not bound.links:
         print("  nothing: no endpoint covers some of the layers")
--- a/lentilhaven/cli/system_status.py
+++ b/lentilhaven/cli/system_status.py
@@ -134,12 +134,13 @@
     --------
     >>> find_pool_problems({"name": "llm", "endpoints": {"live": 1, "suspect": 2},
     ...     "waiting": 40, "running": 8, "bound": 0.0})[0]
-    'pool llm: 2 endpoints are suspect'
+    'pool llm: 2 of 3 endpoints suspect'
     """
     name, found = f"pool {pool['name']}", []
+    total = sum(pool["endpoints"].values())
     for state, count in pool["endpoints"].items():
         if state != "live" and count:
-            found.append(f"{name}: {count} endpoints are {state}")
+            found.append(f"{name}: {count} of {total} endpoints {state}")
     if not pool["endpoints"].get("live"):
         found.append(f"{name}: no endpoint is live")
     if pool["waiting"] > pool["running"]:
