--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -6,6 +6,7 @@
 from lentilhaven.bench.control_random import run_control_random
 from lentilhaven.bench.failover import run_failover
 from lentilhaven.bench.failover_journal import run_failover_journal
+from lentilhaven.bench.fuzz import run_fuzz
 from lentilhaven.bench.idempotency import run_idempotency
 from lentilhaven.bench.integrity import run_integrity
 from lentilhaven.bench.journal_model import run_journal_model
@@ -35,6 +36,7 @@
     "orders-random": run_orders_random,
     "recovery": run_recovery,
     "rush": run_rush,
+    "fuzz": run_fuzz,
     "smoke": run_smoke,
     "throughput": run_throughput,
     "view-cost": run_view_cost,
--- a/lentilhaven/serving/problems.py
+++ b/lentilhaven/serving/problems.py
@@ -38,6 +38,7 @@
     "resume-expired": 410,
     "resume-lost": 410,
     "too-large": 413,
+    "expectation-failed": 417,
     "key-reused": 422,
     "head-too-large": 431,
     "rate-limited": 429,
--- a/lentilhaven/serving/tests/broken_settings.py
+++ b/lentilhaven/serving/tests/broken_settings.py
@@ -44,6 +44,8 @@
         ("port as fraction", change({"port": 80.5}), "$.port: expected int"),
         ("port too high", change({"port": 70000}), "65535, not 70000"),
         ("port below 0", change({"port": -1}), "not -1"),
+        # Found by the scenario fuzz, seed 1.
+        ("port beyond floats", change({"port": 10**400}), "$.port: must be from 0"),
         ("empty host", change({"host": ""}), "$.host"),
         ("host that is none", change({"host": "256.1.1.1", "port": 0}), "256.1.1.1"),
         ("level", change({"log_level": "loud"}), "not 'loud'"),
