--- a/lentilhaven/bench/rush.py
+++ b/lentilhaven/bench/rush.py
@@ -24,6 +24,9 @@
 #: Seconds of one value of the time to the first token, and between two values.
 RECOVERY_WIDTH, RECOVERY_STEP = 2.0, 0.5
 
+#: Windows in a row that have to be normal: 3 s.
+CALM_WINDOWS = 6
+
 #: A time to the first token is normal if it is at most this factor above the
 #: largest before the rush.
 NORMAL_FACTOR = 1.05
@@ -127,13 +130,14 @@
         Its length.
     """
     normal = max(first_tokens(run, 0.04 * seconds, 0.2 * seconds).values())
-    after = first_tokens(run, 0.7 * seconds, 0.95 * seconds)
-    late = [time for time, wait in after.items() if wait > NORMAL_FACTOR * normal]
-    return (
-        max(late, default=0.7 * seconds - RECOVERY_STEP)
-        + RECOVERY_STEP
-        - (0.7 * seconds)
-    )
+    ended = 0.7 * seconds
+    after = first_tokens(run, ended, seconds)
+    calm = 0
+    for time, wait in after.items():
+        calm = calm + 1 if wait <= NORMAL_FACTOR * normal else 0
+        if calm == CALM_WINDOWS:
+            return time - (CALM_WINDOWS - 1) * RECOVERY_STEP - ended
+    return float("inf")
 
 
 def first_tokens(run: PolicyRun, begin: float, end: float) -> dict[float, float]:
--- a/lentilhaven/limits/adaptive_limit.py
+++ b/lentilhaven/limits/adaptive_limit.py
@@ -14,7 +14,7 @@
 SHARE_IN_TIME = 0.95
 
 #: Part of the target that the limit steers at.
-MARGIN = 0.94
+MARGIN = 0.97
 
 #: Least factor of one adjustment downwards.
 LEAST_FACTOR = 0.9
