--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -6,6 +6,8 @@
 from lentilhaven.bench.control_random import run_control_random
 from lentilhaven.bench.failover import run_failover
 from lentilhaven.bench.failover_journal import run_failover_journal
+from lentilhaven.bench.fairness import run_fairness
+from lentilhaven.bench.faults import run_faults
 from lentilhaven.bench.fuzz import run_fuzz
 from lentilhaven.bench.idempotency import run_idempotency
 from lentilhaven.bench.integrity import run_integrity
@@ -27,12 +29,14 @@
     "config-spread": run_config_spread,
     "control-random": run_control_random,
     "failover": run_failover,
-    "integrity": run_integrity,
     "failover-journal": run_failover_journal,
+    "fairness": run_fairness,
+    "faults": run_faults,
     "idempotency": run_idempotency,
-    "leaving": run_leaving,
+    "integrity": run_integrity,
     "journal-model": run_journal_model,
     "journal-random": run_journal_random,
+    "leaving": run_leaving,
     "orders-random": run_orders_random,
     "recovery": run_recovery,
     "rush": run_rush,
