--- a/lentilhaven/bench/faults.py
+++ b/lentilhaven/bench/faults.py
@@ -208,7 +208,8 @@
 
 def slow_down(run: PolicyRun) -> None:
     """Slow a link down."""
-    run.cluster.slow_link(*slow_pair(run), SLOW_FACTOR)
+    source, target = slow_pair(run)
+    run.cluster.slow_link(source, target, SLOW_FACTOR)
 
 
 def bound_without_link(run: PolicyRun) -> float:
