Give the budget and the cancellation tests power

Both passed with their mechanism removed: circuits stopped the retries before the budget did, and nothing looked at the streams of an answer that was given up.

--- a/lentilhaven/router/tests/test_ran.py
+++ b/lentilhaven/router/tests/test_ran.py
@@ -75,6 +75,8 @@
         async def main():
             async with open_testbed(TestbedPlan()) as testbed:
                 await refuse_all(testbed)
+                # Circuits would stop the retries before the budget does.
+                testbed.vms[0].router.circuits.ignoring = True
                 body = {"model": testbed.plan.model, "prompt": "a", "max_tokens": 4}
                 url, kinds = testbed.vms[0].url, set()
                 for _ in range(40):
@@ -82,5 +84,6 @@
                     kinds.add(answer.error["type"].rpartition(":")[2])
                 return testbed.vms[0].router.counters["attempts_replaced"], kinds
 
-        replaced, _ = run_virtual(main())
+        replaced, kinds = run_virtual(main())
         self.assertLessEqual(replaced, 3 + 0.1 * 40)
+        self.assertIn("retry-budget", kinds)
--- a/lentilhaven/router/tests/test_recovery.py
+++ b/lentilhaven/router/tests/test_recovery.py
@@ -117,6 +117,26 @@
         self.assertEqual(answer.error["ran"], "yes")
         self.assertIn("position 5", answer.error["detail"])
 
+    def test_an_answer_that_is_given_up_is_cancelled_at_once(self):
+        async def main():
+            async with open_testbed(TestbedPlan(replica_count=1)) as testbed:
+                trial = draw_trial(testbed, derive_random(1, "trial"), silent=False)
+
+                async def on_token(answer):
+                    if len(answer.tokens) == 5:
+                        strike_engine(testbed, "engine-1b", silent=False)
+
+                body = completion_body(testbed, trial)
+                request = (testbed.session, testbed.vms[0].url, testbed.headers, body)
+                answer = await ask(*request, on_token=on_token)
+                await testbed.clock.sleep(1.0)
+                held = sum(len(it.streams) for it in testbed.engines.values())
+                return answer, held
+
+        answer, held = run_virtual(main())
+        self.assertIsNotNone(answer.error)
+        self.assertEqual(held, 0)
+
     def test_circuits_close_when_endpoints_answer_again(self):
         async def strike_and_mend():
             async with open_testbed(TestbedPlan(replica_count=1)) as testbed:
