--- a/lentilhaven/bench/recovery.py
+++ b/lentilhaven/bench/recovery.py
@@ -78,6 +78,8 @@
                 for _ in range(options.size or DEFAULT_SIZE)
             ]
             figures |= await measure_kind(testbed, name, trials)
+        # A testbed must be closed before the next may use its addresses.
+        figures |= spread(f"{name}-naive", await measure_naive(plan, trials))
     figures |= await measure_no_replacement(options)
     return figures
 
@@ -96,13 +98,11 @@
     for number, trial in enumerate(trials):
         limits.append(await run_limit(testbed, trial, f"{name}-{number}"))
         await testbed.clock.sleep(PAUSE)
-    naive = await measure_naive(testbed.plan, trials)
     bound = LIMIT_FACTOR * quantile(limits, 0.95) + DETECTION
     figures = {f"{name}-incomplete": at_most(incomplete, 0, "answers")}
     figures |= spread(f"{name}-recovery", waits)
     figures[f"{name}-recovery-p95"] = at_most(quantile(waits, 0.95), bound, "s")
-    figures |= spread(f"{name}-limit", limits)
-    return figures | spread(f"{name}-naive", naive)
+    return figures | spread(f"{name}-limit", limits)
 
 
 async def measure_naive(plan: TestbedPlan, trials: list[RecoveryTrial]) -> list[float]:
