Let requests in by quota, limit and deadline in the real router

Cause: the admission policies ran only in the policy scenarios; the router took every request, reserved no KV memory and held no workspace to its limits.

A request now passes its workspace's quota (an even part of the limit for each live VM, no store call), the pool's gate, and a reservation of KV memory on each path it takes. It is refused on arrival with Retry-After, or waits no longer than its deadline. Token gaps feed the limit only while the router itself was waiting for the engine, so that a slow caller does not look like a slow engine.

Quotas do not follow demand yet: VMs would have to spread it first.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 	$(PY) -m lentilhaven.demo
 
 test: $(VENV)/.installed
-	$(PY) -m nose2 --quiet
+	@mkdir -p out
+	$(PY) -m nose2 --quiet > out/test.log
 
 check: $(VENV)/.installed
 	$(VENV)/bin/ruff format --check lentilhaven
--- a/lentilhaven/router/answer.py
+++ b/lentilhaven/router/answer.py
@@ -10,6 +10,7 @@
 from lentilhaven.endpoints.stage_progress import StageProgress
 from lentilhaven.endpoints.stream_order import StreamOrder
 from lentilhaven.router.completion_request import CompletionRequest
+from lentilhaven.router.token_pace import TokenPace
 from lentilhaven.tables.pool import Pool
 from lentilhaven.tables.route import Route
 
@@ -43,6 +44,8 @@
         The pipeline of the current attempt.
     excluded : set of str
         Endpoints that failed this answer.
+    pace : TokenPace or None
+        Tells admission how fast its tokens come; None for a resumed answer.
     failures : int
         Failed attempts since the newest token.
     attempt_step : int
@@ -68,6 +71,7 @@
     chain: list[Stage] = attrs.field(factory=list)
     excluded: set[EndpointId] = attrs.field(factory=set)
     failures: int = 0
+    pace: TokenPace | None = None
     attempt_step: int = 1
     maybe_ran: bool = False
     ended_by: Failure | None = None
--- a/lentilhaven/router/answering.py
+++ b/lentilhaven/router/answering.py
@@ -132,6 +132,7 @@
     length = len(answer.wanted.prompt) + len(answer.ledger.tokens)
     now = router.clock.monotonic()
     watch = SilenceWatch(answer.route.token_timeout, length, now)
+    waiting_since = now
     while not answer.ledger.finish_reason:
         left = answer.deadline - router.clock.monotonic()
         if left <= 0:
@@ -145,8 +146,12 @@
             continue
         accepted, failure = accept_events(router, answer, events)
         if accepted:
-            watch.record_tokens(router.clock.monotonic())
+            now = router.clock.monotonic()
+            watch.record_tokens(now)
+            if answer.pace is not None:
+                answer.pace.record(len(accepted), now - waiting_since, now)
             yield accepted
+            waiting_since = router.clock.monotonic()
         if failure is not None and not answer.ledger.finish_reason:
             raise FailureError(failure)
 
--- a/lentilhaven/router/completions.py
+++ b/lentilhaven/router/completions.py
@@ -8,6 +8,7 @@
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.request_context import current_request
 from lentilhaven.core.step import Step
+from lentilhaven.router.admission import admitted, within_quota
 from lentilhaven.router.answer import Answer
 from lentilhaven.router.answering import generate
 from lentilhaven.router.app_keys import ROUTER, read_workspace
@@ -66,8 +67,10 @@
     event_id = request.headers.get("Last-Event-ID", "")
     if event_id and parsed.ok.stream:
         return await resume_answer(request, route, workspace, parsed.ok, event_id)
-    answer = admit(router, workspace, parsed.ok, route)
-    return await send_answer(request, router, answer)
+    answer = make_answer(router, workspace, parsed.ok, route)
+    with within_quota(router, workspace):
+        async with admitted(router, answer, workspace):
+            return await send_answer(request, router, answer)
 
 
 async def resume_answer(
@@ -134,7 +137,7 @@
     return route
 
 
-def admit(
+def make_answer(
     router: Router, workspace: Workspace, wanted: CompletionRequest, route: Route
 ) -> Answer:
     """Return the answer to work on."""
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -15,7 +15,7 @@
 from lentilhaven.answers.event_id import derive_key
 from lentilhaven.control.view import EndpointState, View
 from lentilhaven.core.clock import Clock
-from lentilhaven.core.ids import EndpointId, PoolName, RouteName
+from lentilhaven.core.ids import EndpointId, PoolName, RouteName, WorkspaceId
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import report_task_failure, running_tasks
 from lentilhaven.core.tls import client_context
@@ -23,10 +23,12 @@
 from lentilhaven.endpoints.stage import Stage
 from lentilhaven.endpoints.trace_forwarding import trace_forwarding
 from lentilhaven.idempotency.settler import Settler
+from lentilhaven.limits.quota import Quota
 from lentilhaven.retries.circuit_board import CircuitBoard
 from lentilhaven.retries.retry_budget import RetryBudget
 from lentilhaven.router.agent_client import AgentClient
 from lentilhaven.router.path_state import PathState
+from lentilhaven.router.pool_admission import PoolAdmission
 from lentilhaven.router.request_record import RequestRecord
 from lentilhaven.router.router_settings import RouterSettings
 from lentilhaven.router.view_holder import ViewHolder
@@ -97,6 +99,10 @@
         Settles non-idempotent calls in the background.
     paths : dict
         `PathState` by pool.
+    admissions : dict
+        `PoolAdmission` by pool.
+    quotas : dict
+        `Quota` by workspace that has limits.
     """
 
     settings: RouterSettings
@@ -132,6 +138,8 @@
         )
     )
     paths: dict[PoolName, PathState] = attrs.field(factory=dict)
+    admissions: dict[PoolName, PoolAdmission] = attrs.field(factory=dict)
+    quotas: dict[WorkspaceId, Quota] = attrs.field(factory=dict)
 
     @property
     def ready(self) -> bool:
--- a/lentilhaven/router/services.py
+++ b/lentilhaven/router/services.py
@@ -26,6 +26,7 @@
 from lentilhaven.idempotency.call_key import MAX_KEY_LENGTH
 from lentilhaven.idempotency.dispatch import DispatchPorts, dispatch
 from lentilhaven.idempotency.guarded_call import GuardedCall
+from lentilhaven.router.admission import within_quota
 from lentilhaven.router.app_keys import ROUTER, read_workspace
 from lentilhaven.router.problems import problem_response
 from lentilhaven.router.router import Router
@@ -55,6 +56,14 @@
     router = request.app[ROUTER]
     workspace = read_workspace(request)
     route = find_route(router, workspace, request)
+    with within_quota(router, workspace):
+        return await forward_within_quota(request, router, workspace, route)
+
+
+async def forward_within_quota(
+    request: web.Request, router: Router, workspace: Workspace, route: Route
+) -> web.StreamResponse:
+    """Forward a call by its route's rule on idempotent methods."""
     call = await read_call(request)
     if request.method in route.idempotent_methods:
         return await forward_idempotent(router, route, call)
