Serve in order of virtual time with credit; keep room during a flood

The predicted wait was a small workspace's request over its share of the rate; it is now the distance of its turn in virtual time. A workspace that missed a turn may make up for two requests. Room kept for workspaces without a queue follows their weight. Ruled out: a reserve by requests in flight alone, which counts the ups and downs of a modest workspace as excess.

--- a/lentilhaven/limits/adaptive_limit.py
+++ b/lentilhaven/limits/adaptive_limit.py
@@ -24,7 +24,7 @@
 GREATEST_RISE, FULL_RISE_AT = 0.5, 0.1
 
 #: Part of the limit that must be in use before it grows.
-BUSY_SHARE = 0.9
+BUSY_SHARE = 0.85
 
 #: Part of the streams at the bound with which a router begins.
 FIRST_PART = 0.5
--- a/lentilhaven/limits/admission_state.py
+++ b/lentilhaven/limits/admission_state.py
@@ -10,6 +10,12 @@
 from lentilhaven.limits.drain_rate import DrainRate
 from lentilhaven.limits.ticket import Ticket
 
+#: Mean requests by which a workspace may lag behind its share and catch up.
+CREDIT_REQUESTS = 2.0
+
+#: Weight of a new ticket in the mean weight.
+MEAN_WEIGHT_PART = 0.05
+
 
 @attrs.define
 class AdmissionState:
@@ -36,6 +42,8 @@
         Virtual time up to which a workspace has been served.
     virtual_time : float
         Virtual time of the last ticket that was started.
+    mean_weight : float
+        Moving average of the weights of started tickets.
     """
 
     limit: AdaptiveLimit
@@ -49,6 +57,7 @@
     )
     tags: dict[WorkspaceId, float] = attrs.field(factory=dict)
     virtual_time: float = 0.0
+    mean_weight: float = 1.0
 
     @property
     def waiting(self) -> int:
@@ -83,13 +92,32 @@
         self.running[ticket.request] = ticket
         self.started[ticket.request] = now
         self.running_by_workspace[ticket.workspace] += 1
-        begin = self.start_tag(ticket.workspace)
+        self.mean_weight += MEAN_WEIGHT_PART * (ticket.weight - self.mean_weight)
+        begin = self.start_tag(ticket.workspace, ticket.weight)
         self.virtual_time = max(self.virtual_time, begin)
         self.tags[ticket.workspace] = begin + ticket.tokens / ticket.weight
 
-    def start_tag(self, workspace: WorkspaceId) -> float:
-        """Return the virtual time at which a workspace's next ticket starts."""
-        return max(self.virtual_time, self.tags.get(workspace, 0.0))
+    def start_tag(self, workspace: WorkspaceId, weight: float) -> float:
+        """
+        Return the virtual time at which a workspace's next ticket starts.
+
+        A workspace that missed its turn for want of a request may make up for
+        it, by no more than some requests.
+
+        Parameters
+        ----------
+        workspace : str
+            The workspace.
+        weight : float
+            Its weight.
+        """
+        earliest = self.earliest_tag(weight)
+        return max(earliest, self.tags.get(workspace, earliest))
+
+    def earliest_tag(self, weight: float) -> float:
+        """Return the virtual time at which a workspace may start at best."""
+        least = min(weight, self.mean_weight)
+        return self.virtual_time - CREDIT_REQUESTS * self.drain.cost / least
 
     def finish(self, ticket: Ticket, now: float) -> None:
         """
@@ -106,6 +134,6 @@
         self.running_by_workspace[ticket.workspace] -= 1
         if self.running_by_workspace[ticket.workspace] == 0:
             del self.running_by_workspace[ticket.workspace]
-            if self.tags.get(ticket.workspace, 0.0) <= self.virtual_time:
-                self.tags.pop(ticket.workspace, None)
+            if self.tags[ticket.workspace] <= self.earliest_tag(ticket.weight):
+                del self.tags[ticket.workspace]
         self.drain.observe(ticket.tokens, now - self.started.pop(ticket.request))
--- a/lentilhaven/limits/brown_out.py
+++ b/lentilhaven/limits/brown_out.py
@@ -14,8 +14,8 @@
 #: Factor on the time that a request may wait, by step and priority class.
 STEPS = (
     {"high": 1.0, "normal": 1.0, "low": 1.0},
-    {"high": 1.0, "normal": 0.75, "low": 0.25},
-    {"high": 1.0, "normal": 0.5, "low": 0.0},
+    {"high": 1.0, "normal": 1.0, "low": 0.25},
+    {"high": 1.0, "normal": 1.0, "low": 0.0},
 )
 
 
@@ -24,8 +24,8 @@
     """
     The step in force.
 
-    Each step shortens the queue of the lower classes, so that what is admitted
-    is answered sooner and the highest class keeps its place.
+    Each step shortens the queue of the low class, so that what else is admitted
+    is answered sooner.
 
     Attributes
     ----------
--- a/lentilhaven/limits/deadline_admission.py
+++ b/lentilhaven/limits/deadline_admission.py
@@ -6,20 +6,24 @@
 P. Goyal, H. Vin, H. Cheng, "Start-Time Fair Queueing", 1996.
 """
 
+from lentilhaven.core.ids import WorkspaceId
 from lentilhaven.limits.admission_state import AdmissionState
 from lentilhaven.limits.ticket import Ticket
 
-#: Part of the limit kept free for workspaces that run less than their share.
-RESERVE = 0.1
+#: Part of the shares of workspaces without a queue that is kept free for them.
+RESERVE_PART = 0.5
+
+#: Least part of the limit that is kept free for workspaces below their share.
+LEAST_RESERVE = 0.1
 
 
 def predict_fair_wait(state: AdmissionState, ticket: Ticket) -> float:
     """
     Return the seconds until a ticket would start.
 
-    A workspace waits for its own backlog at its own share of the drain rate, or
-    for the whole backlog at the whole rate, whichever is sooner.  A flood
-    therefore lengthens only the wait of the workspace that sends it.
+    A workspace waits until virtual time has come to its own turn, or for the
+    whole backlog, whichever is sooner.  A flood therefore lengthens only the
+    wait of the workspace that sends it.
 
     Parameters
     ----------
@@ -30,11 +34,12 @@
     """
     if not state.queues and may_start(state, ticket):
         return 0.0
-    own = state.queued_tokens.get(ticket.workspace, 0.0) + ticket.tokens
-    everyone = sum(state.queued_tokens.values()) + ticket.tokens
-    share = ticket.weight / backlogged_weight(state, ticket)
     rate = state.drain_rate()
-    return min(own / (share * rate), everyone / rate)
+    ahead = state.start_tag(ticket.workspace, ticket.weight) - state.virtual_time
+    own = state.queued_tokens.get(ticket.workspace, 0.0) / ticket.weight
+    turn = max(0.0, ahead + own) * backlogged_weight(state, ticket)
+    everyone = sum(state.queued_tokens.values())
+    return (min(turn, everyone) + ticket.tokens) / rate
 
 
 def backlogged_weight(state: AdmissionState, ticket: Ticket) -> float:
@@ -56,7 +61,11 @@
     state : AdmissionState
         Requests in flight and in queue.
     """
-    order = sorted(state.queues, key=lambda it: (state.start_tag(it), it))
+
+    def start_tag(workspace: WorkspaceId) -> float:
+        return state.start_tag(workspace, state.queues[workspace][0].weight)
+
+    order = sorted(state.queues, key=lambda it: (start_tag(it), it))
     for workspace in order:
         ticket = state.queues[workspace][0]
         if may_start(state, ticket):
@@ -67,16 +76,42 @@
 def may_start(state: AdmissionState, ticket: Ticket) -> bool:
     """Return whether the limit leaves room for a ticket now."""
     limit = state.limit.limit
-    running = len(state.running)
-    if running + 1 > limit:
+    running = len(state.running) + 1
+    if running > limit:
         return False
-    return running + 1 <= (1.0 - RESERVE) * limit or is_below_share(state, ticket)
+    # One request may always run, or a queue could wait for ever.
+    free = max(1.0, limit - reserve(state, ticket))
+    return running <= free or is_below_share(state, ticket)
 
 
-def is_below_share(state: AdmissionState, ticket: Ticket) -> bool:
-    """Return whether a workspace runs less than its share of what runs."""
+def reserve(state: AdmissionState, ticket: Ticket) -> float:
+    """
+    Return how many requests are kept free for workspaces without a queue.
+
+    While a few workspaces flood, the others keep room for the ups and downs of
+    what they ask for; once everybody queues, little is kept.
+
+    Parameters
+    ----------
+    state : AdmissionState
+        Requests in flight and in queue.
+    ticket : Ticket
+        A ticket that asks for what is not kept.
+    """
     weights = {it.workspace: it.weight for it in state.running.values()}
-    weights[ticket.workspace] = ticket.weight
-    share = ticket.weight / sum(weights.values())
-    own = state.running_by_workspace[ticket.workspace] + 1
-    return own <= max(1.0, min(share, 1.0 - RESERVE) * state.limit.limit)
+    queued = {queue[0].workspace: queue[0].weight for queue in state.queues.values()}
+    queued[ticket.workspace] = ticket.weight
+    everyone = sum((weights | queued).values())
+    others = 1.0 - sum(queued.values()) / everyone
+    return max(LEAST_RESERVE, RESERVE_PART * others) * state.limit.limit
+
+
+def is_below_share(state: AdmissionState, ticket: Ticket) -> bool:
+    """
+    Return whether a workspace has been served less than those in queue.
+
+    Requests in flight would not tell: those of a workspace that asks for less
+    than its share exceed that share by chance now and then.
+    """
+    tag = state.start_tag(ticket.workspace, ticket.weight)
+    return tag < state.virtual_time
--- a/lentilhaven/limits/drain_rate.py
+++ b/lentilhaven/limits/drain_rate.py
@@ -3,7 +3,7 @@
 import attrs
 
 #: Weight of a new measurement.
-WEIGHT = 0.05
+WEIGHT = 0.1
 
 
 @attrs.define
--- a/lentilhaven/limits/gate.py
+++ b/lentilhaven/limits/gate.py
@@ -12,7 +12,7 @@
 
 #: Part of the time until a request has to start that it may wait by prediction;
 #: the rest covers a limit that falls after it was admitted.
-QUEUE_SHARE = 0.5
+QUEUE_SHARE = 0.25
 
 #: Weights of a new time to the first token, above and below the estimate; their
 #: ratio makes the estimate settle near the 95th percentile.
