--- a/lentilhaven/limits/deadline_admission.py
+++ b/lentilhaven/limits/deadline_admission.py
@@ -11,7 +11,7 @@
 from lentilhaven.limits.ticket import Ticket
 
 #: Part of the shares of workspaces without a queue that is kept free for them.
-RESERVE_PART = 0.5
+RESERVE_PART = 0.7
 
 #: Least part of the limit that is kept free for workspaces below their share.
 LEAST_RESERVE = 0.1
