--- a/lentilhaven/limits/tests/test_gate.py
+++ b/lentilhaven/limits/tests/test_gate.py
@@ -94,6 +94,7 @@
             started |= {it.request for it in start_all(gate)}
             if ends and gate.state.running:
                 gate.finish(next(iter(gate.state.running.values())), 0.0)
+                started |= {it.request for it in start_all(gate)}
         while gate.state.running:
             gate.finish(next(iter(gate.state.running.values())), 0.0)
             started |= {it.request for it in start_all(gate)}
--- a/lentilhaven/router/path_state.py
+++ b/lentilhaven/router/path_state.py
@@ -3,6 +3,7 @@
 import attrs
 
 from lentilhaven.balancing.flow_choice import choose_by_flow
+from lentilhaven.balancing.link_timing import links_of
 from lentilhaven.balancing.path_chooser import PathChooser
 from lentilhaven.balancing.path_policies import PATH_POLICIES
 from lentilhaven.control.view import View
@@ -90,3 +91,19 @@
         loads.reserve(path, size)
         self.admitted[request] = path
         self.sizes[request] = size
+
+    def note_gap(self, request: RequestId, gap: float, now: float) -> None:
+        """
+        Let link timing follow the seconds between two tokens.
+
+        Parameters
+        ----------
+        request : str
+            The request.
+        gap : float
+            Seconds between its tokens.
+        now : float
+            Monotonic time, in seconds.
+        """
+        path = self.admitted.get(request, [])
+        self.chooser.timing.observe(links_of(path), gap, now)
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
+from typing import TYPE_CHECKING
 
 import aiohttp
 import attrs
@@ -20,6 +21,9 @@
 from lentilhaven.router.router_settings import RouterSettings
 from lentilhaven.tables.tables import Tables
 
+if TYPE_CHECKING:
+    from lentilhaven.router.admission import Admission
+
 #: Seconds before the view is asked for again after the agent was lost.
 AGENT_RETRY_DELAY = 0.2
 
@@ -59,6 +63,8 @@
         Events by name, for the state dump.
     paths : dict
         `PathState` by pool.
+    admissions : dict
+        `Admission` by pool.
     """
 
     settings: RouterSettings
@@ -75,6 +81,7 @@
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     counters: Counter[str] = attrs.field(factory=Counter)
     paths: dict[PoolName, PathState] = attrs.field(factory=dict)
+    admissions: dict[PoolName, "Admission"] = attrs.field(factory=dict)
 
     @property
     def ready(self) -> bool:
