--- /dev/null
+++ b/lentilhaven/idempotency/journal_peers.py
@@ -0,0 +1,97 @@
+"""The client with which agents forward claims and settlements to each other."""
+
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import attrs
+from expression import Error, Ok, Result
+
+from lentilhaven.control.claim import ClaimAnswer, ClaimRequest, Settlement
+from lentilhaven.core.failure import Failure
+from lentilhaven.core.ids import VmId
+from lentilhaven.core.ran import Ran
+from lentilhaven.core.settings import CONVERTER, to_document
+from lentilhaven.core.step import Step
+from lentilhaven.idempotency.operation import Answer, Settled
+from lentilhaven.platform.vm import ListedVm
+
+#: Seconds for a forwarded message.
+FORWARD_TIMEOUT = 1.5
+
+#: Seconds for opening a connection to another agent.
+CONNECT_TIMEOUT = 0.3
+
+LOST = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+
+
+@attrs.define
+class JournalPeers:
+    """
+    Where the other agents are, and how to ask them.
+
+    Attributes
+    ----------
+    session : aiohttp.ClientSession
+        Connections; owned by the caller.
+    token : str
+        The cluster's token.
+    list_live : callable
+        Returns the VMs believed to be live.
+    """
+
+    session: aiohttp.ClientSession
+    token: str
+    list_live: Callable[[], list[ListedVm]]
+
+    def live_vms(self) -> list[VmId]:
+        """Return the VMs whose agents can be asked, in order of name."""
+        return sorted(vm.id for vm in self.list_live())
+
+    def address(self, vm: VmId) -> str:
+        """
+        Return the base URL of a VM's agent.
+
+        Raises
+        ------
+        KeyError
+            If the VM is not believed to be live.
+        """
+        for listed in self.list_live():
+            if listed.id == vm:
+                return listed.address
+        raise KeyError(vm)
+
+    async def forward(
+        self, vm: VmId, message: ClaimRequest | Settlement
+    ) -> Result[Answer, Failure]:
+        """
+        Ask another agent to commit a message.
+
+        Parameters
+        ----------
+        vm : str
+            The other VM.
+        message : ClaimRequest or Settlement
+            What is asked.
+        """
+        is_claim = isinstance(message, ClaimRequest)
+        path = "/journal/claims" if is_claim else "/journal/settlements"
+        limit = aiohttp.ClientTimeout(
+            total=FORWARD_TIMEOUT, sock_connect=CONNECT_TIMEOUT
+        )
+        headers = {"Authorization": f"Bearer {self.token}"}
+        try:
+            url = self.address(vm) + path
+            async with self.session.post(
+                url, json=to_document(message), timeout=limit, headers=headers
+            ) as response:
+                response.raise_for_status()
+                body = await response.json()
+                kind: Any = ClaimAnswer if is_claim else Settled
+                return Ok(CONVERTER.structure(body, kind))
+        except (*LOST, KeyError, RuntimeError) as error:
+            # A session that is closed while this agent stops raises RuntimeError.
+            unsent = isinstance(error, (KeyError, aiohttp.ClientConnectorError))
+            ran = Ran.NO if unsent else Ran.UNKNOWN
+            return Error(Failure(Step.CLAIM, vm, "agent-lost", repr(error), ran))
--- a/lentilhaven/limits/deadline_admission.py
+++ b/lentilhaven/limits/deadline_admission.py
@@ -98,20 +98,39 @@
     ticket : Ticket
         A ticket that asks for what is not kept.
     """
+    weights = active_weights(state, ticket)
+    queued = {*state.queues, ticket.workspace}
+    others = sum(it for name, it in weights.items() if name not in queued)
+    kept = RESERVE_PART * others / sum(weights.values())
+    return max(LEAST_RESERVE, kept) * state.limit.limit
+
+
+def active_weights(state: AdmissionState, ticket: Ticket) -> dict[WorkspaceId, float]:
+    """Return the weight of each workspace that runs, waits or asks."""
     weights = {it.workspace: it.weight for it in state.running.values()}
-    queued = {queue[0].workspace: queue[0].weight for queue in state.queues.values()}
-    queued[ticket.workspace] = ticket.weight
-    everyone = sum((weights | queued).values())
-    others = 1.0 - sum(queued.values()) / everyone
-    return max(LEAST_RESERVE, RESERVE_PART * others) * state.limit.limit
+    weights |= {name: queue[0].weight for name, queue in state.queues.items()}
+    weights[ticket.workspace] = ticket.weight
+    return weights
 
 
 def is_below_share(state: AdmissionState, ticket: Ticket) -> bool:
     """
-    Return whether a workspace has been served less than those in queue.
+    Return whether a workspace runs, or has been served, less than its share.
 
-    Requests in flight would not tell: those of a workspace that asks for less
-    than its share exceed that share by chance now and then.
+    Requests in flight alone would not tell: those of a workspace that asks for
+    less than its share exceed that share by chance now and then.  Service alone
+    would hold somebody back even while nobody waits.
+
+    Parameters
+    ----------
+    state : AdmissionState
+        Requests in flight and in queue.
+    ticket : Ticket
+        A ticket of the workspace.
     """
-    tag = state.start_tag(ticket.workspace, ticket.weight)
-    return tag < state.virtual_time
+    if state.start_tag(ticket.workspace, ticket.weight) < state.virtual_time:
+        return True
+    weights = active_weights(state, ticket)
+    share = ticket.weight / sum(weights.values()) * state.limit.limit
+    most = min(share, (1.0 - LEAST_RESERVE) * state.limit.limit)
+    return state.running_by_workspace[ticket.workspace] + 1 <= most
--- a/lentilhaven/router/answer.py
+++ b/lentilhaven/router/answer.py
@@ -3,13 +3,18 @@
 import attrs
 
 from lentilhaven.answers.answer_ledger import AnswerLedger
+from lentilhaven.core.failure import Failure
 from lentilhaven.core.ids import EndpointId, ModelVersion, RequestId, WorkspaceId
+from lentilhaven.core.ran import Ran
 from lentilhaven.endpoints.stage import Stage
+from lentilhaven.endpoints.stage_progress import StageProgress
 from lentilhaven.endpoints.stream_order import StreamOrder
 from lentilhaven.router.completion_request import CompletionRequest
 from lentilhaven.tables.pool import Pool
 from lentilhaven.tables.route import Route
 
+Progress = dict[EndpointId, StageProgress | None]
+
 
 @attrs.define
 class Answer:
@@ -38,6 +43,18 @@
         The pipeline of the current attempt.
     excluded : set of str
         Endpoints that failed this answer.
+    failures : int
+        Failed attempts since the newest token.
+    attempt_step : int
+        By how much the number of the next attempt rises.
+    maybe_ran : bool
+        Whether an engine may have begun to work on it.
+    ended_by : Failure or None
+        Why it ended early.
+    forward_from : int
+        First position that the caller does not have, when it came back.
+    progress : dict
+        What each stage answered at the last examination; None for silence.
     """
 
     request: RequestId
@@ -50,6 +67,19 @@
     ledger: AnswerLedger
     chain: list[Stage] = attrs.field(factory=list)
     excluded: set[EndpointId] = attrs.field(factory=set)
+    failures: int = 0
+    attempt_step: int = 1
+    maybe_ran: bool = False
+    ended_by: Failure | None = None
+    forward_from: int = 0
+    progress: Progress = attrs.field(factory=dict)
+
+    @property
+    def ran(self) -> Ran:
+        """Return what is known of its execution."""
+        if self.ledger.tokens:
+            return Ran.YES
+        return Ran.UNKNOWN if self.maybe_ran else Ran.NO
 
     def next_order(self, now: float) -> StreamOrder:
         """
@@ -60,7 +90,8 @@
         now : float
             Monotonic time, in seconds.
         """
-        attempt = self.ledger.begin_attempt([it.endpoint for it in self.chain])
+        names = [stage.endpoint for stage in self.chain]
+        attempt = self.ledger.begin_attempt(names, self.attempt_step)
         return StreamOrder(
             request=self.request,
             attempt=attempt,
