--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -4,11 +4,13 @@
 
 from lentilhaven.bench.config_spread import run_config_spread
 from lentilhaven.bench.control_random import run_control_random
+from lentilhaven.bench.decision_cost import run_decision_cost
 from lentilhaven.bench.failover import run_failover
 from lentilhaven.bench.failover_journal import run_failover_journal
 from lentilhaven.bench.fairness import run_fairness
 from lentilhaven.bench.faults import run_faults
 from lentilhaven.bench.fuzz import run_fuzz
+from lentilhaven.bench.herding import run_herding
 from lentilhaven.bench.idempotency import run_idempotency
 from lentilhaven.bench.integrity import run_integrity
 from lentilhaven.bench.journal_model import run_journal_model
@@ -28,10 +30,12 @@
 SCENARIOS: dict[str, Scenario] = {
     "config-spread": run_config_spread,
     "control-random": run_control_random,
+    "decision-cost": run_decision_cost,
     "failover": run_failover,
     "failover-journal": run_failover_journal,
     "fairness": run_fairness,
     "faults": run_faults,
+    "herding": run_herding,
     "idempotency": run_idempotency,
     "integrity": run_integrity,
     "journal-model": run_journal_model,
--- a/lentilhaven/router/admission.py
+++ b/lentilhaven/router/admission.py
@@ -109,7 +109,8 @@
     try:
         admission.start_waiting(ticket.arrived)
         await wait_for_start(router, answer, admission.waiting[ticket.request])
-        answer.pace = TokenPace(admission.gate, router.clock.monotonic())
+        now = router.clock.monotonic()
+        answer.pace = TokenPace(admission.gate, paths, answer.request, now)
         yield
     finally:
         paths.close(answer.request)
--- a/lentilhaven/router/token_pace.py
+++ b/lentilhaven/router/token_pace.py
@@ -2,7 +2,9 @@
 
 import attrs
 
+from lentilhaven.core.ids import RequestId
 from lentilhaven.limits.gate import Gate
+from lentilhaven.router.path_state import PathState
 
 
 @attrs.define
@@ -14,6 +16,10 @@
     ----------
     gate : Gate
         Follows the waits of all answers of a pool.
+    paths : PathState
+        Finds slow links by the waits of the answers that cross them.
+    request : str
+        The request.
     started : float
         Monotonic time at which the answer was started, in seconds.
     seen_first : bool
@@ -21,6 +27,8 @@
     """
 
     gate: Gate
+    paths: PathState
+    request: RequestId
     started: float
     seen_first: bool = False
 
@@ -42,5 +50,7 @@
             self.seen_first = True
             self.gate.observe_first(now - self.started)
         elif waited > 0:
+            gap = waited / count
+            self.paths.note_gap(self.request, gap, now)
             for _ in range(count):
-                self.gate.observe(waited / count, now)
+                self.gate.observe(gap, now)
