--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -19,8 +19,11 @@
 from lentilhaven.bench.orders_random import run_orders_random
 from lentilhaven.bench.recovery import run_recovery
 from lentilhaven.bench.report import Report
+from lentilhaven.bench.resume import run_resume
+from lentilhaven.bench.router_cost import run_router_cost
 from lentilhaven.bench.rush import run_rush
 from lentilhaven.bench.scenario_options import ScenarioOptions
+from lentilhaven.bench.shutdown import run_shutdown
 from lentilhaven.bench.smoke import run_smoke
 from lentilhaven.bench.throughput import run_throughput
 from lentilhaven.bench.view_cost import run_view_cost
@@ -39,10 +42,13 @@
     "idempotency": run_idempotency,
     "integrity": run_integrity,
     "journal-model": run_journal_model,
+    "resume": run_resume,
+    "shutdown": run_shutdown,
     "journal-random": run_journal_random,
     "leaving": run_leaving,
     "orders-random": run_orders_random,
     "recovery": run_recovery,
+    "router-cost": run_router_cost,
     "rush": run_rush,
     "fuzz": run_fuzz,
     "smoke": run_smoke,
--- a/lentilhaven/router/tests/test_recovery.py
+++ b/lentilhaven/router/tests/test_recovery.py
@@ -1,3 +1,4 @@
+import time
 import unittest
 
 from lentilhaven.bench.recovery_trial import (
@@ -134,3 +135,27 @@
         self.assertEqual(first.error["type"], "urn:lentilhaven:problem:no-pipeline")
         self.assertTrue(second.done, second.error)
         self.assertEqual(state, CLOSED)
+
+
+def stand_still(seconds):
+    """Block the event loop, as a pause of the whole process does."""
+    time.sleep(seconds)
+
+
+class StalledRouterTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_router_that_stood_still_blames_nobody(self):
+        async with open_testbed(TestbedPlan(virtual=False)) as testbed:
+            trial = draw_trial(testbed, derive_random(1, "trial"), silent=False)
+            timeout = testbed.vms[0].router.view.tables.routes[0].token_timeout
+
+            async def on_token(answer):
+                # Everything in this process stands still, the engines included.
+                stand_still(2 * timeout)
+
+            body = completion_body(testbed, trial) | {"max_tokens": 6}
+            request = (testbed.session, testbed.vms[0].url, testbed.headers, body)
+            answer = await ask(*request, on_token=on_token)
+            self.assertTrue(answer.done, answer)
+            self.assertEqual(len(answer.tokens), 6)
+            counters = testbed.vms[0].router.counters
+            self.assertEqual(counters["attempts_replaced"], 0)
