--- a/lentilhaven/agent/agent.py
+++ b/lentilhaven/agent/agent.py
@@ -170,6 +170,7 @@
     def leave(self) -> None:
         """Tell the other VMs that this one leaves."""
         self.members.leaving.add(self.members.own)
+        self.members.touch()
         self.poller.vm_leaving = True
         self.poller.state_leaving()
 
--- a/lentilhaven/agent/peer_api.py
+++ b/lentilhaven/agent/peer_api.py
@@ -1,5 +1,6 @@
 """The HTTP side of the agent towards other agents."""
 
+import json
 from typing import TypeVar
 
 from aiohttp import web
@@ -28,6 +29,7 @@
     app.router.add_post("/peer/heartbeat", answer_heartbeat)
     app.router.add_post("/peer/facts", answer_facts)
     app.router.add_get("/status", read_status)
+    app.on_response_prepare.append(drop_server_header)
 
 
 async def read_message(request: web.Request, kind: type[T]) -> T:
@@ -58,12 +60,18 @@
 
 def answer_message(message: object) -> web.Response:
     """Return a response that carries a message, compressed if it is long."""
-    response = web.json_response(to_document(message))
+    text = json.dumps(to_document(message), separators=(",", ":"))
+    response = web.json_response(text=text)
     if response.body is not None and len(response.text or "") >= COMPRESS_FROM:
         response.enable_compression(web.ContentCoding.deflate)
     return response
 
 
+async def drop_server_header(_: web.Request, response: web.StreamResponse) -> None:
+    """Save the bytes of a header that no agent reads."""
+    response.headers.popall("Server", None)
+
+
 async def read_state(request: web.Request) -> web.Response:
     """Answer which tables and which list are newer than the caller's."""
     try:
--- a/lentilhaven/bench/__main__.py
+++ b/lentilhaven/bench/__main__.py
@@ -1,5 +1,6 @@
 """The program ``lentilhaven-bench``."""
 
+import asyncio
 import json
 import sys
 from pathlib import Path
@@ -7,6 +8,7 @@
 
 import cyclopts
 
+from lentilhaven.bench.fleet_observer import observe_fleet
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.scenarios import SCENARIOS
@@ -32,6 +34,7 @@
     deployment: str = "monterrey",
     json_file: Annotated[str, cyclopts.Parameter(name="--json")] = "",
     plot: str = "",
+    inputs: str = "",
     log_level: str = "critical",
 ) -> int:
     """
@@ -51,6 +54,8 @@
         File for the report.
     plot
         File for a plot.
+    inputs
+        Folder of measurements made before, for control-cost.
     log_level
         Least severe level to log.
     """
@@ -58,7 +63,7 @@
         print(f"unknown scenario {scenario!r}; see 'list'", file=sys.stderr)
         return 2
     configure_logs(log_level)
-    options = ScenarioOptions(seed, size, deployment, plot)
+    options = ScenarioOptions(seed, size, deployment, plot, inputs)
     report = SCENARIOS[scenario](options)
     if json_file:
         text = json.dumps(to_document(report), indent=2, sort_keys=True)
@@ -67,6 +72,46 @@
     return 0 if report.holds else 1
 
 
+@app.command(name="observe-fleet")
+def observe(
+    folder: Path,
+    *,
+    store: str,
+    reports: str,
+    replicas: int,
+    edits_per_minute: float,
+    seconds: float,
+    json_file: Annotated[str, cyclopts.Parameter(name="--json")],
+) -> None:
+    """
+    Measure a fleet of agents that scripts/control-fleet has started.
+
+    Parameters
+    ----------
+    folder
+        The script's folder.
+    store
+        Address of the store's stand-in.
+    reports
+        Address of the endpoints' stand-in.
+    replicas
+        Number of endpoints.
+    edits_per_minute
+        Edits during the measurement.
+    seconds
+        Length of the measurement.
+    json_file
+        File for the result.
+    """
+    configure_logs("critical")
+    cost = asyncio.run(
+        observe_fleet(folder, store, reports, replicas, edits_per_minute, seconds)
+    )
+    text = json.dumps(to_document(cost), indent=2, sort_keys=True)
+    Path(json_file).write_text(text + "\n", encoding="utf-8")
+    print(text)
+
+
 def print_report(report: Report) -> None:
     """Print one line a figure."""
     for name, figure in report.figures.items():
--- a/lentilhaven/bench/scenario_options.py
+++ b/lentilhaven/bench/scenario_options.py
@@ -18,9 +18,12 @@
         ``"monterrey"`` or ``"muscat"``.
     plot : str
         File for a plot; empty for none.
+    inputs : str
+        Folder of measurements made before; empty for none.
     """
 
     seed: int = 1
     size: int = 0
     deployment: str = "monterrey"
     plot: str = ""
+    inputs: str = ""
--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from lentilhaven.bench.config_spread import run_config_spread
+from lentilhaven.bench.control_cost import run_control_cost
 from lentilhaven.bench.control_random import run_control_random
 from lentilhaven.bench.failover import run_failover
 from lentilhaven.bench.integrity import run_integrity
@@ -21,6 +22,7 @@
 
 SCENARIOS: dict[str, Scenario] = {
     "config-spread": run_config_spread,
+    "control-cost": run_control_cost,
     "control-random": run_control_random,
     "failover": run_failover,
     "integrity": run_integrity,
--- a/lentilhaven/distribution/spreader.py
+++ b/lentilhaven/distribution/spreader.py
@@ -24,7 +24,7 @@
 from lentilhaven.platform.vm_list import VmList
 
 #: Seconds that a long poll to another agent waits.
-POLL_TIMEOUT = 2.0
+POLL_TIMEOUT = 4.0
 
 #: Seconds beyond its own timeout after which a long poll is taken for silent.
 POLL_SLACK = 0.5
--- a/lentilhaven/endpoints/load_client.py
+++ b/lentilhaven/endpoints/load_client.py
@@ -17,6 +17,9 @@
 #: Seconds for one report.
 LOAD_TIMEOUT = 0.5
 
+#: Headers that aiohttp would add and endpoints have no use for.
+SKIPPED_HEADERS = ("User-Agent", "Accept-Encoding")
+
 LOST = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
@@ -35,7 +38,9 @@
     """
     limit = aiohttp.ClientTimeout(total=LOAD_TIMEOUT)
     try:
-        async with session.get(f"{endpoint.url}/load", timeout=limit) as response:
+        async with session.get(
+            f"{endpoint.url}/load", timeout=limit, skip_auto_headers=SKIPPED_HEADERS
+        ) as response:
             if response.status == 404:
                 return Ok(None)
             response.raise_for_status()
--- a/lentilhaven/load/load_poller.py
+++ b/lentilhaven/load/load_poller.py
@@ -11,7 +11,7 @@
 from lentilhaven.endpoints.load_client import read_load
 from lentilhaven.endpoints.load_report import LoadReport
 from lentilhaven.load.endpoint_load import EndpointLoad, encode_load
-from lentilhaven.load.load_digest import summarise_pools
+from lentilhaven.load.load_digest import merge_loads, summarise_pools
 from lentilhaven.membership.fact_table import Topic
 from lentilhaven.membership.gossip import Gossip
 from lentilhaven.membership.rendezvous import choose_owners
@@ -19,7 +19,7 @@
 from lentilhaven.tables.tables import Tables
 
 #: Seconds between two polls of one endpoint.
-POLL_INTERVAL = 1.0
+POLL_INTERVAL = 1.5
 
 #: Seconds after which this agent's endpoints are determined again.
 ASSIGN_INTERVAL = 0.5
@@ -36,9 +36,11 @@
 #: Bytes a second that each agent may spend on the loads of its data centre.
 LOAD_BUDGET = 5_000.0
 
-#: Bytes of one endpoint's load on the wire, compressed, sent and received once
-#: for each of its pollers.
-LOAD_SIZE = 100.0
+#: Bytes of one endpoint's load, compressed, received once and sent once.
+LOAD_SIZE = 44.0
+
+#: Polls after which the second poller of an endpoint speaks for the first.
+SILENT_POLLS = 3.0
 
 
 @attrs.define
@@ -83,6 +85,8 @@
         `HeardLoad` by endpoint.
     specs : dict
         `EndpointSpec` by endpoint, of those that this agent polls.
+    seconds : set of str
+        Endpoints of which another agent is the first poller.
     vm_leaving : bool
         Whether this VM leaves.
     stated_leaving : tuple
@@ -96,6 +100,7 @@
     tables: Tables = attrs.field(factory=Tables)
     heard: dict[EndpointId, HeardLoad] = attrs.field(factory=dict)
     specs: dict[EndpointId, EndpointSpec] = attrs.field(factory=dict)
+    seconds: set[EndpointId] = attrs.field(factory=set)
     vm_leaving: bool = False
     stated_leaving: tuple[bool, tuple[EndpointId, ...]] = (False, ())
 
@@ -108,13 +113,19 @@
             near.setdefault(vm.data_centre, []).append(vm.id)
         anywhere = [vm.id for vm in everyone]
         specs = {}
+        seconds = set()
         for pool in self.tables.pools:
             for spec in pool.endpoints:
                 candidates = near.get(spec.data_centre, anywhere)
-                key = f"poll/{spec.id}"
-                if members.own in choose_owners(key, candidates, POLLERS):
+                if members.own not in candidates:
+                    continue
+                owners = choose_owners(f"poll/{spec.id}", candidates, POLLERS)
+                if members.own in owners:
                     specs[spec.id] = spec
+                if members.own in owners[1:]:
+                    seconds.add(spec.id)
         self.specs = specs
+        self.seconds = seconds
         for endpoint in [it for it in self.heard if it not in specs]:
             del self.heard[endpoint]
 
@@ -174,6 +185,25 @@
             for endpoint, held in sorted(self.heard.items())
         ]
 
+    def loads_to_state(self) -> list[EndpointLoad]:
+        """
+        Return what this agent tells the others.
+
+        Two agents poll each endpoint and one of them speaks; the second speaks
+        up where the first has not heard the endpoint for long, or is not heard.
+        """
+        own = self.gossip.members.own
+        facts = [it for it in self.gossip.about(Topic.LOAD) if it.writer != own]
+        others = merge_loads(facts)
+        late = SILENT_POLLS * POLL_INTERVAL + self.load_interval
+        return [
+            load
+            for load in self.own_loads()
+            if load.endpoint not in self.seconds
+            or load.endpoint not in others
+            or others[load.endpoint].heard > late
+        ]
+
     def state_leaving(self) -> None:
         """State which endpoints leave by their own account, when that changes."""
         leaving = tuple(
@@ -191,7 +221,7 @@
         """State what this agent hears, within the budget of bytes, for ever."""
         stated = 0.0
         while True:
-            loads = [encode_load(load) for load in self.own_loads()]
+            loads = [encode_load(load) for load in self.loads_to_state()]
             self.gossip.state(Topic.LOAD, loads or None)
             now = self.clock.monotonic()
             if now - stated >= SUMMARY_INTERVAL:
@@ -208,7 +238,7 @@
             for pool in self.tables.pools
             for spec in pool.endpoints
         )
-        return max(POLL_INTERVAL, near * LOAD_SIZE * POLLERS / LOAD_BUDGET)
+        return max(POLL_INTERVAL, near * LOAD_SIZE / LOAD_BUDGET)
 
     def state_summary(self) -> None:
         """State the summary of the data centre if that is this agent's duty."""
--- a/lentilhaven/membership/gossip.py
+++ b/lentilhaven/membership/gossip.py
@@ -154,7 +154,7 @@
         if votes != self.members.votes or leaving != self.members.leaving:
             self.members.votes = votes
             self.members.leaving = leaving
-            self.members.changed.notify()
+            self.members.touch()
 
     def push(self, facts: list[Fact]) -> None:
         """Send facts to some random VMs, which do the same if they are new."""
@@ -213,7 +213,7 @@
                 peer = self.random.choice(near)
                 request = self.request(Scope.URGENT, Scope.LOAD, Scope.SUMMARY)
                 await self.ask(peer, request)
-            elif everyone := self.members.peers():
+            elif everyone := self.members.others():
                 request = self.request(Scope.URGENT, Scope.SUMMARY)
                 await self.ask(self.random.choice(everyone), request)
             self.review()
@@ -247,7 +247,7 @@
         silent = {it for it in members.heard if it not in heard}
         if silent != members.unreachable:
             members.unreachable = silent
-            members.changed.notify()
+            members.touch()
 
 
 def open_fact_tables(clock: Clock) -> dict[Scope, FactTable]:
--- a/lentilhaven/membership/heartbeats.py
+++ b/lentilhaven/membership/heartbeats.py
@@ -13,7 +13,7 @@
 from lentilhaven.platform.vm import ListedVm
 
 #: Seconds between two heartbeats to one VM.
-HEARTBEAT_INTERVAL = 0.6
+HEARTBEAT_INTERVAL = 1.0
 
 #: Seconds after which a heartbeat counts as missed.
 HEARTBEAT_TIMEOUT = 0.5
@@ -27,6 +27,9 @@
 #: Seconds after which the VMs to monitor are determined again.
 REVIEW_INTERVAL = 1.0
 
+#: What VMs of different data centres tell each other.
+FAR_SCOPES = (Scope.URGENT, Scope.SUMMARY)
+
 log = get_logger("membership")
 
 
@@ -133,7 +136,7 @@
             return False
         self.gossip.members.note_incarnation(vm, answer.ok.incarnation)
         if answer.ok.digest != self.gossip.tables[Scope.URGENT].digest:
-            await self.gossip.ask(peer, self.gossip.request(Scope.URGENT))
+            await self.gossip.ask(peer, self.gossip.request(*FAR_SCOPES))
         if answer.ok.tables > self.tables_version():
             await self.catch_up(peer)
         return True
--- a/lentilhaven/membership/members.py
+++ b/lentilhaven/membership/members.py
@@ -40,6 +40,8 @@
         Notified when any of this changes.
     monitors : dict
         Monitors of each listed VM.
+    cached_live : list of ListedVm or None
+        What `live` has found since the last change.
     """
 
     own: VmId
@@ -52,6 +54,12 @@
     heard: set[DataCentre] = attrs.field(factory=set)
     changed: Signal = attrs.field(factory=Signal)
     monitors: dict[VmId, list[VmId]] = attrs.field(factory=dict)
+    cached_live: list[ListedVm] | None = None
+
+    def touch(self) -> None:
+        """Note that something has changed."""
+        self.cached_live = None
+        self.changed.notify()
 
     def adopt_list(self, vm_list: VmList) -> bool:
         """
@@ -70,7 +78,7 @@
         self.incarnations = {
             vm: number for vm, number in self.incarnations.items() if vm in known
         }
-        self.changed.notify()
+        self.touch()
         return True
 
     def note_incarnation(self, vm: VmId, incarnation: int) -> None:
@@ -86,7 +94,7 @@
         """
         if incarnation > self.incarnations.get(vm, 0):
             self.incarnations[vm] = incarnation
-            self.changed.notify()
+            self.touch()
 
     def suspected(self, vm: VmId) -> bool:
         """
@@ -108,9 +116,10 @@
 
     def live(self) -> list[ListedVm]:
         """Return the VMs that may own duties, in order of name."""
-        return sorted(
-            (vm for vm in self.vm_list.vms if self.is_live(vm)), key=lambda vm: vm.id
-        )
+        if self.cached_live is None:
+            live = (vm for vm in self.vm_list.vms if self.is_live(vm))
+            self.cached_live = sorted(live, key=lambda vm: vm.id)
+        return self.cached_live
 
     def is_live(self, vm: ListedVm) -> bool:
         """Return whether a listed VM may own duties."""
@@ -150,6 +159,10 @@
             and (data_centre is None or vm.data_centre == data_centre)
         ]
 
+    def others(self) -> list[ListedVm]:
+        """Return all other listed VMs, those that seem lost included."""
+        return [vm for vm in self.vm_list.vms if vm.id != self.own]
+
     def find(self, vm: VmId) -> ListedVm | None:
         """Return a listed VM by name."""
         return next((it for it in self.vm_list.vms if it.id == vm), None)
--- a/lentilhaven/membership/peer_client.py
+++ b/lentilhaven/membership/peer_client.py
@@ -1,5 +1,6 @@
 """The client of other agents: HTTP and JSON under the cluster's token."""
 
+import json
 from typing import Any, TypeVar
 
 import aiohttp
@@ -17,6 +18,9 @@
 #: Headers that aiohttp would add and agents have no use for.
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
+#: Characters from which the body of a request is compressed.
+COMPRESS_FROM = 600
+
 
 @attrs.define
 class PeerClient:
@@ -91,12 +95,18 @@
     async def _exchange(
         self, method: str, url: str, body: Any, timeout: float
     ) -> Result[Any, Failure]:
+        text = None if body is None else json.dumps(body, separators=(",", ":"))
+        headers = {"Authorization": f"Bearer {self.token}"}
+        if text is not None:
+            headers["Content-Type"] = "application/json"
+        long = text is not None and len(text) >= COMPRESS_FROM
         try:
             async with self.session.request(
                 method,
                 url,
-                json=body,
-                headers={"Authorization": f"Bearer {self.token}"},
+                data=text,
+                headers=headers,
+                compress="deflate" if long else None,
                 skip_auto_headers=SKIPPED_HEADERS,
                 timeout=aiohttp.ClientTimeout(total=timeout),
             ) as response:
--- a/lentilhaven/membership/tests/test_membership.py
+++ b/lentilhaven/membership/tests/test_membership.py
@@ -51,6 +51,7 @@
         self.assertFalse(members.suspected("vm-5"))
         members.votes = {"vm-5": {first: 0, second: 0}}
         self.assertTrue(members.suspected("vm-5"))
+        members.touch()
         self.assertNotIn("vm-5", members.live_ids())
         self.assertIsNotNone(members.find("vm-5"))
 
@@ -77,6 +78,7 @@
     def test_a_leaving_vm_owns_nothing(self):
         members = make_members()
         members.leaving = {"vm-0"}
+        members.touch()
         self.assertEqual(members.own_state, VmState.LEAVING)
         self.assertNotIn("vm-0", members.live_ids())
 
--- a/lentilhaven/standins/__main__.py
+++ b/lentilhaven/standins/__main__.py
@@ -11,6 +11,7 @@
 from lentilhaven.standins.engine_api import serve_engine
 from lentilhaven.standins.object_api import object_api_app
 from lentilhaven.standins.object_store import ObjectStore
+from lentilhaven.standins.reports import reports_app
 from lentilhaven.standins.service import Service, service_app
 from lentilhaven.tables.layer_range import LayerRange
 
@@ -18,7 +19,7 @@
 
 
 @app.command
-def store(*, port: int, seed: int = 1) -> None:
+def store(*, port: int, host: str = "127.0.0.1", seed: int = 1) -> None:
     """
     Serve the platform's object API.
 
@@ -26,11 +27,30 @@
     ----------
     port
         Port to listen on.
+    host
+        Address to listen on.
     seed
         Seed of the faults.
     """
     api = object_api_app(ObjectStore(random.Random(seed)))
-    asyncio.run(serve_for_ever(api, port))
+    asyncio.run(serve_for_ever(api, port, host))
+
+
+@app.command
+def reports(*, port: int, host: str = "127.0.0.1", seed: int = 1) -> None:
+    """
+    Serve the load reports of any number of endpoints.
+
+    Parameters
+    ----------
+    port
+        Port to listen on.
+    host
+        Address to listen on.
+    seed
+        Seed of the figures.
+    """
+    asyncio.run(serve_for_ever(reports_app(random.Random(seed)), port, host))
 
 
 @app.command
@@ -67,9 +87,9 @@
     asyncio.run(run_engine(name, LayerRange(start, stop), version, port))
 
 
-async def serve_for_ever(api, port: int) -> None:
+async def serve_for_ever(api, port: int, host: str = "127.0.0.1") -> None:
     """Serve an application until the process is told to stop."""
-    async with serve_app(api, port=port):
+    async with serve_app(api, host, port):
         await asyncio.Event().wait()
 
 
--- a/lentilhaven/standins/object_api.py
+++ b/lentilhaven/standins/object_api.py
@@ -4,7 +4,8 @@
 
 from aiohttp import web
 
-from lentilhaven.core.settings import to_document
+from lentilhaven.core.settings import CONVERTER, to_document
+from lentilhaven.platform.vm import ListedVm
 from lentilhaven.standins.object_store import ObjectStore
 
 STORE: web.AppKey[ObjectStore] = web.AppKey("store", ObjectStore)
@@ -29,6 +30,8 @@
     app.router.add_put("/objects/{name:.+}", write_object)
     app.router.add_get("/watch", watch_objects)
     app.router.add_get("/vms", list_vms)
+    app.router.add_put("/vms", replace_vms)
+    app.router.add_get("/stats", read_stats)
     return app
 
 
@@ -104,3 +107,17 @@
     store = request.app[STORE]
     store.reads += 1
     return web.json_response(to_document(store.list_vms(store.now())))
+
+
+async def replace_vms(request: web.Request) -> web.Response:
+    """Replace the list of VMs, as the platform's operators would."""
+    store = request.app[STORE]
+    store.vms = CONVERTER.structure(await request.json(), list[ListedVm])
+    return web.json_response(to_document(store.list_vms(store.now())))
+
+
+async def read_stats(request: web.Request) -> web.Response:
+    """Answer the number of calls so far, and of watches that wait."""
+    store = request.app[STORE]
+    counts = {"reads": store.reads, "writes": store.writes, "waiting": store.waiting}
+    return web.json_response(counts)
--- /dev/null
+++ b/lentilhaven/standins/reports.py
@@ -0,0 +1,42 @@
+"""Endpoints that do nothing but report load, many in one process."""
+
+import random
+
+from aiohttp import web
+
+from lentilhaven.core.ids import EndpointId, ModelVersion
+from lentilhaven.core.settings import to_document
+from lentilhaven.endpoints.load_report import LoadReport
+from lentilhaven.tables.layer_range import LayerRange
+
+SOURCE: web.AppKey[random.Random] = web.AppKey("source", random.Random)
+
+
+def reports_app(source: random.Random) -> web.Application:
+    """
+    Return the application that answers ``GET /ID/load`` for any endpoint.
+
+    Parameters
+    ----------
+    source : random.Random
+        Source of chance.
+    """
+    app = web.Application()
+    app[SOURCE] = source
+    app.router.add_get("/{endpoint}/load", read_load)
+    return app
+
+
+async def read_load(request: web.Request) -> web.Response:
+    """Answer a report with random figures."""
+    source = request.app[SOURCE]
+    report = LoadReport(
+        EndpointId(request.match_info["endpoint"]),
+        running=source.randrange(64),
+        waiting=source.randrange(8),
+        kv_used=float(source.randrange(1_000_000)),
+        kv_capacity=1_000_000.0,
+        version=ModelVersion("v1"),
+        layers=LayerRange(0, 4),
+    )
+    return web.json_response(to_document(report))
