--- a/lentilhaven/bench/fleet_observer.py
+++ b/lentilhaven/bench/fleet_observer.py
@@ -31,7 +31,7 @@
 )
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.distribution.commit import Committed, commit_tables
-from lentilhaven.distribution.editing import read_current
+from lentilhaven.distribution.table_head import TableHead
 from lentilhaven.platform.object_client import ObjectClient, open_object_client
 from lentilhaven.tables.endpoint_spec import EndpointSpec
 from lentilhaven.tables.layer_range import LayerRange
@@ -67,6 +67,11 @@
         Its address.
     token : str
         The cluster's token.
+    head : TableHead
+        The head of the last edit.
+    tables : Tables
+        The tables of the last edit; they are not read again, since that would
+        count as traffic of the agents.
     edits : int
         Edits accepted so far.
     """
@@ -76,6 +81,8 @@
     client: ObjectClient
     store: str
     token: str
+    head: TableHead = attrs.field(factory=TableHead)
+    tables: Tables = attrs.field(factory=Tables)
     edits: int = 0
 
     async def enter_list(self) -> None:
@@ -89,10 +96,10 @@
 
     async def apply(self, tables: Tables, edit: str) -> None:
         """Put tables in force."""
-        head, _ = (await read_current(self.client)).ok
-        outcome = await commit_tables(self.client, head, tables, edit, "bench")
+        outcome = await commit_tables(self.client, self.head, tables, edit, "bench")
         if outcome.is_error() or not isinstance(outcome.ok, Committed):
             raise RuntimeError(f"the edit was not accepted: {outcome}")
+        self.head, self.tables = outcome.ok.head, tables
         self.edits += 1
 
     async def wait_ready(self) -> None:
@@ -119,16 +126,25 @@
         except aiohttp.ClientError:
             return False
 
+    async def count_suspected(self) -> int:
+        """Return how many VMs are suspected by how many agents, in all."""
+        count = 0
+        headers = {"Authorization": f"Bearer {self.token}"}
+        for agent in self.agents:
+            url = f"{agent.url}/status"
+            async with self.session.get(url, headers=headers) as response:
+                count += len((await response.json())["suspected"])
+        return count
+
     async def edit_repeatedly(self, interval: float) -> None:
         """Change a workspace's weight at regular intervals, for ever."""
         while True:
             await asyncio.sleep(interval)
-            _, tables = (await read_current(self.client)).ok
-            index = self.edits * 7919 % len(tables.workspaces)
-            workspaces = list(tables.workspaces)
+            index = self.edits * 7919 % len(self.tables.workspaces)
+            workspaces = list(self.tables.workspaces)
             weight = 1.0 + self.edits
             workspaces[index] = attrs.evolve(workspaces[index], weight=weight)
-            edited = attrs.evolve(tables, workspaces=workspaces)
+            edited = attrs.evolve(self.tables, workspaces=workspaces)
             await self.apply(edited, f"edit-{self.edits}")
 
     async def sample(self) -> FleetSample:
@@ -234,5 +250,7 @@
             before, edits = await fleet.sample(), fleet.edits
             await asyncio.sleep(seconds)
             after = await fleet.sample()
+        suspected = await fleet.count_suspected()
     made = fleet.edits - edits
-    return compare_samples(before, after, len(fleet.agents), replicas, made)
+    cost = compare_samples(before, after, len(fleet.agents), replicas, made)
+    return attrs.evolve(cost, suspected=suspected)
--- a/lentilhaven/bench/fleet_sample.py
+++ b/lentilhaven/bench/fleet_sample.py
@@ -82,6 +82,8 @@
         Calls a second of the whole fleet, without those that wait.
     waiting : float
         Watches of the whole fleet that wait at the store.
+    suspected : int
+        Suspicions that agents hold at the end, though every agent runs.
     """
 
     nodes: int
@@ -92,6 +94,7 @@
     bytes_per_second: float
     store_calls: float
     waiting: float
+    suspected: int = 0
 
 
 def read_agents(folder: Path) -> list[FleetAgent]:
--- a/lentilhaven/standins/object_store.py
+++ b/lentilhaven/standins/object_store.py
@@ -88,6 +88,8 @@
         Times at which the list of VMs was seen to change, with the list.
     former : dict
         What each object held before its last write.
+    newest : dict
+        Version of the newest write by the first part of the name.
     changes : list of tuple
         Version and name of each write, oldest first.
     changed : asyncio.Condition
@@ -106,6 +108,7 @@
     counters: Counter[str] = attrs.field(factory=Counter)
     vm_history: list[tuple[float, list[ListedVm]]] = attrs.field(factory=list)
     former: dict[str, StoredObject] = attrs.field(factory=dict)
+    newest: dict[str, int] = attrs.field(factory=dict)
     changes: list[tuple[int, str]] = attrs.field(factory=list)
     changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
 
@@ -131,6 +134,7 @@
             self.former[name] = current
         self.objects[name] = StoredObject(name, self.version, value)
         self.changes.append((self.version, name))
+        self.newest[name.partition("/")[0]] = self.version
         async with self.changed:
             self.changed.notify_all()
         return self.version
@@ -146,6 +150,9 @@
         after : int
             Version already seen.
         """
+        root, below_root, _ = prefix.partition("/")
+        if below_root and self.newest.get(root, 0) <= after:
+            return []
         first = bisect.bisect_right(self.changes, (after, MAX_NAME))
         names = {name for _, name in self.changes[first:] if name.startswith(prefix)}
         return [self.objects[name] for name in sorted(names)]
