--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -21,6 +21,7 @@
 from lentilhaven.bench.rush import run_rush
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.smoke import run_smoke
+from lentilhaven.bench.tables_cost import run_tables_cost
 from lentilhaven.bench.throughput import run_throughput
 from lentilhaven.bench.view_cost import run_view_cost
 
@@ -44,6 +45,7 @@
     "rush": run_rush,
     "fuzz": run_fuzz,
     "smoke": run_smoke,
+    "tables-cost": run_tables_cost,
     "throughput": run_throughput,
     "view-cost": run_view_cost,
 }
