--- a/lentilhaven/bench/tables_cost.py
+++ b/lentilhaven/bench/tables_cost.py
@@ -7,12 +7,12 @@
 from lentilhaven.bench.fleet_observer import WORKSPACES, make_fleet_tables
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
-from lentilhaven.core.hashing import canonical_json, token_hash
+from lentilhaven.core.hashing import canonical_json
 from lentilhaven.distribution.table_head import TableHead
 from lentilhaven.distribution.table_holder import TableHolder
+from lentilhaven.router.authentication import WorkspaceIndex
 from lentilhaven.standins.object_api import MAX_VALUE_BYTES
 from lentilhaven.tables.parts import split_tables
-from lentilhaven.tables.table_index import index_tables
 
 #: Endpoints and data centres at full size.
 REPLICAS, PLACES = 3_700, 10
@@ -37,12 +37,14 @@
     holder = TableHolder()
     head = TableHead(1, "edit", "bench", list(parts))
     adoption = seconds_of(lambda: holder.adopt(head, parts))
-    indexing = seconds_of(lambda: index_tables(holder.tables))
-    index = index_tables(holder.tables)
-    hashes = [token_hash(str(number * 7 % WORKSPACES)) for number in range(LOOKUPS)]
+    index = WorkspaceIndex()
+    indexing = seconds_of(lambda: index.follow(holder.tables))
+    headers = [f"Bearer {number * 7 % WORKSPACES}" for number in range(LOOKUPS)]
     found: list[bool] = []
     lookups = seconds_of(
-        lambda: found.extend(index.find_workspace(it) is not None for it in hashes)
+        lambda: found.extend(
+            index.authenticate(holder.tables, it).is_ok() for it in headers
+        )
     )
     figures = {
         "largest_part": at_most(max(sizes), MAX_VALUE_BYTES, "B"),
