--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from lentilhaven.bench.config_spread import run_config_spread
+from lentilhaven.bench.control_cost import run_control_cost
 from lentilhaven.bench.control_random import run_control_random
 from lentilhaven.bench.decision_cost import run_decision_cost
 from lentilhaven.bench.failover import run_failover
@@ -25,6 +26,7 @@
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.shutdown import run_shutdown
 from lentilhaven.bench.smoke import run_smoke
+from lentilhaven.bench.tables_cost import run_tables_cost
 from lentilhaven.bench.throughput import run_throughput
 from lentilhaven.bench.view_cost import run_view_cost
 
@@ -32,6 +34,7 @@
 
 SCENARIOS: dict[str, Scenario] = {
     "config-spread": run_config_spread,
+    "control-cost": run_control_cost,
     "control-random": run_control_random,
     "decision-cost": run_decision_cost,
     "failover": run_failover,
@@ -52,6 +55,7 @@
     "rush": run_rush,
     "fuzz": run_fuzz,
     "smoke": run_smoke,
+    "tables-cost": run_tables_cost,
     "throughput": run_throughput,
     "view-cost": run_view_cost,
 }
