Let plain services use retry budgets and circuits

Cause: lookups were retried without a budget, and an endpoint that had just refused a connection was chosen again. Change: one exchange function counts load and feeds the circuit; lookups spend the route's retry budget; when every circuit is open the endpoints are tried anyway. Figures: of 20 lookups with one of two endpoints gone fewer than 5 are retried (test).

--- a/lentilhaven/router/service_attempt.py
+++ b/lentilhaven/router/service_attempt.py
@@ -1,5 +1,6 @@
 """The sends of one non-idempotent call."""
 
+import aiohttp
 import attrs
 from expression import Error, Ok, Result
 
@@ -69,8 +70,7 @@
         # An old connection may be dead without anyone knowing, and then nobody
         # could tell whether the call ran; a new one that is refused proves it.
         session = self.router.fresh or self.router.session
-        with self.router.counted_service(endpoint.id):
-            outcome = await call_service(session, endpoint, self.call, left)
+        outcome = await exchange(self.router, session, endpoint, self.call, left)
         if outcome.is_error():
             return await self.examine(endpoint, outcome.error)
         self.response = outcome.ok
@@ -107,6 +107,40 @@
         return None
 
 
+async def exchange(
+    router: Router,
+    session: aiohttp.ClientSession,
+    endpoint: EndpointSpec,
+    call: ServiceCall,
+    timeout: float,
+) -> Result[ServiceResponse, Failure]:
+    """
+    Send one call once, and note how the endpoint did.
+
+    Parameters
+    ----------
+    router : Router
+        Counts the endpoint's load and keeps its circuit.
+    session : aiohttp.ClientSession
+        Connections.
+    endpoint : EndpointSpec
+        Where to send it.
+    call : ServiceCall
+        What to send.
+    timeout : float
+        Seconds for the whole exchange.
+    """
+    with router.counted_service(endpoint.id):
+        outcome = await call_service(session, endpoint, call, timeout)
+    if outcome.is_ok():
+        router.circuits.record_success(endpoint.id)
+    elif outcome.error.ran is not Ran.YES:
+        now = router.clock.monotonic()
+        proven = outcome.error.ran is Ran.NO
+        router.circuits.record_failure(endpoint.id, now, proven=proven)
+    return outcome
+
+
 def choose_endpoint(
     router: Router, route: Route, tried: set[EndpointId]
 ) -> EndpointSpec | None:
@@ -122,15 +156,26 @@
     tried : set of str
         Endpoints to pass over.
     """
+    usable = usable_endpoints(router, route, tried)
+    if not usable:
+        # An endpoint that failed lately is better than none.
+        with router.circuits.ignored():
+            usable = usable_endpoints(router, route, tried)
+    if not usable:
+        return None
+    return min(usable, key=lambda it: (router.own_load[it.id], router.random.random()))
+
+
+def usable_endpoints(
+    router: Router, route: Route, tried: set[EndpointId]
+) -> list[EndpointSpec]:
+    """Return the endpoints of a route's pool that may get new work."""
     pool = router.view.tables.pool(route.pool)
-    usable = [
+    return [
         spec
         for spec in pool.endpoints
         if router.may_use(spec.id) and spec.id not in tried
     ]
-    if not usable:
-        return None
-    return min(usable, key=lambda it: (router.own_load[it.id], router.random.random()))
 
 
 def no_endpoint(route: Route) -> Failure:
--- a/lentilhaven/router/services.py
+++ b/lentilhaven/router/services.py
@@ -21,7 +21,6 @@
 from lentilhaven.core.step import Step
 from lentilhaven.endpoints.service_client import (
     ServiceCall,
-    call_service,
 )
 from lentilhaven.idempotency.call_key import MAX_KEY_LENGTH
 from lentilhaven.idempotency.dispatch import DispatchPorts, dispatch
@@ -32,6 +31,7 @@
 from lentilhaven.router.service_attempt import (
     ServiceAttempt,
     choose_endpoint,
+    exchange,
     no_endpoint,
 )
 from lentilhaven.router.service_headers import forwarded_headers
@@ -153,14 +153,15 @@
     """Send a call to one endpoint after another until one answers."""
     tried: set[EndpointId] = set()
     failure = no_endpoint(route)
+    budget = router.budget(route)
+    budget.record_request(router.clock.monotonic())
     end = router.clock.monotonic() + route.deadline
     for _ in range(route.retry.max_attempts):
         endpoint = choose_endpoint(router, route, tried)
-        left = end - router.clock.monotonic()
-        if endpoint is None or left <= 0:
+        now = router.clock.monotonic()
+        if endpoint is None or now >= end or (tried and not budget.spend(now)):
             break
-        with router.counted_service(endpoint.id):
-            outcome = await call_service(router.session, endpoint, call, left)
+        outcome = await exchange(router, router.session, endpoint, call, end - now)
         if outcome.is_ok():
             return relay(outcome.ok)
         failure = outcome.error
--- a/lentilhaven/router/tests/test_services.py
+++ b/lentilhaven/router/tests/test_services.py
@@ -167,6 +167,21 @@
 
         run_with_testbed(scenario)
 
+    def test_lookup_is_retried_at_another_endpoint(self):
+        async def scenario(testbed):
+            spec = testbed.service_endpoints[0]
+            gone = attrs.evolve(spec, id="stock-0", url="http://127.0.0.1:1")
+            await change_pool(testbed, endpoints=[gone, spec])
+            url = f"{testbed.vms[0].url}/services/stock/items/meter"
+            for _ in range(20):
+                async with testbed.session.get(url, headers=testbed.headers) as answer:
+                    self.assertEqual(answer.status, 200)
+            retried = testbed.vms[0].router.counters["lookups_retried"]
+            self.assertGreater(retried, 0)
+            self.assertLess(retried, 5)
+
+        run_with_testbed(scenario)
+
     def test_shutdown_waits_for_settlements(self):
         async def scenario(testbed):
             router = testbed.vms[0].router
