--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -3,11 +3,17 @@
 from collections.abc import Callable
 
 from lentilhaven.bench.config_spread import run_config_spread
+from lentilhaven.bench.control_random import run_control_random
+from lentilhaven.bench.failover import run_failover
 from lentilhaven.bench.failover_journal import run_failover_journal
+from lentilhaven.bench.fairness import run_fairness
+from lentilhaven.bench.faults import run_faults
+from lentilhaven.bench.fuzz import run_fuzz
 from lentilhaven.bench.idempotency import run_idempotency
 from lentilhaven.bench.integrity import run_integrity
 from lentilhaven.bench.journal_model import run_journal_model
 from lentilhaven.bench.journal_random import run_journal_random
+from lentilhaven.bench.leaving import run_leaving
 from lentilhaven.bench.orders_random import run_orders_random
 from lentilhaven.bench.recovery import run_recovery
 from lentilhaven.bench.report import Report
@@ -21,14 +27,20 @@
 
 SCENARIOS: dict[str, Scenario] = {
     "config-spread": run_config_spread,
-    "integrity": run_integrity,
+    "control-random": run_control_random,
+    "failover": run_failover,
     "failover-journal": run_failover_journal,
+    "fairness": run_fairness,
+    "faults": run_faults,
     "idempotency": run_idempotency,
+    "integrity": run_integrity,
     "journal-model": run_journal_model,
     "journal-random": run_journal_random,
+    "leaving": run_leaving,
     "orders-random": run_orders_random,
     "recovery": run_recovery,
     "rush": run_rush,
+    "fuzz": run_fuzz,
     "smoke": run_smoke,
     "throughput": run_throughput,
     "view-cost": run_view_cost,
--- a/lentilhaven/core/ranges.py
+++ b/lentilhaven/core/ranges.py
@@ -1,6 +1,5 @@
 """Validators of attrs fields that name the value they refuse."""
 
-import math
 from collections.abc import Callable
 from typing import Any
 
@@ -27,7 +26,8 @@
     """
 
     def validate(_: object, __: object, value: float) -> None:
-        if not math.isfinite(value) or not low <= value <= high:
+        # NaN compares as false; an integer may be too large for a float.
+        if not low <= value <= high:
             raise ValueError(f"must be from {low:g} to {high:g}, not {value!r}")
 
     # The reference page of the settings shows the bounds.
--- a/lentilhaven/core/request_context.py
+++ b/lentilhaven/core/request_context.py
@@ -14,7 +14,7 @@
 import uuid
 from contextvars import ContextVar
 
-from structlog.contextvars import bind_contextvars
+from structlog.contextvars import bind_contextvars, clear_contextvars
 
 from lentilhaven.core.ids import RequestId
 
@@ -46,6 +46,7 @@
     REQUEST_ID.set(request)
     valid = TRACEPARENT_FORM.fullmatch(traceparent)
     TRACEPARENT.set(traceparent if valid else "")
+    clear_contextvars()
     bind_contextvars(request=request)
 
 
--- a/lentilhaven/core/settings.py
+++ b/lentilhaven/core/settings.py
@@ -11,11 +11,11 @@
 
 import functools
 import json
-import math
+import sys
 import typing
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any, TypeVar, cast
 
 import attrs
 import cattrs
@@ -29,6 +29,8 @@
 
 T = TypeVar("T")
 
+LARGEST_FLOAT = sys.float_info.max
+
 CONVERTER = cattrs.preconf.json.make_converter(forbid_extra_keys=True)
 
 
@@ -43,14 +45,15 @@
     """
 
     def structure(value: Any, _: object) -> object:
-        number: Any = value
         accepted = (int, float) if kind is float else (kind,)
         if isinstance(value, bool) and kind is not bool:
             raise TypeError(f"expected {kind.__name__}, not {value!r}")
         if not isinstance(value, accepted):
             raise TypeError(f"expected {kind.__name__}, not {repr(value)[:80]}")
-        if kind is float and not math.isfinite(number):
-            raise ValueError(f"expected a finite number, not {value!r}")
+        # An integer may be too large for a float, and NaN compares as false.
+        number = cast(float, value)
+        if kind is float and not -LARGEST_FLOAT <= number <= LARGEST_FLOAT:
+            raise ValueError(f"expected a finite number, not {repr(value)[:80]}")
         return kind(value)
 
     return structure
--- a/lentilhaven/router/router_api.py
+++ b/lentilhaven/router/router_api.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from aiohttp import web
+from structlog.contextvars import bind_contextvars
 
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.logs import describe_defect, get_logger
@@ -19,7 +20,7 @@
 from lentilhaven.router.services import forward_call
 from lentilhaven.serving.guarded_connection import internal_failure
 from lentilhaven.serving.metrics import Metrics
-from lentilhaven.serving.request_metrics import measure_requests
+from lentilhaven.serving.request_metrics import measure_first_token, measure_requests
 
 #: Paths that need no token.
 OPEN_PATHS = frozenset({"/healthz", "/readyz"})
@@ -48,6 +49,8 @@
     app[ROUTER] = router
     app[INDEX] = WorkspaceIndex()
     app.on_response_prepare.append(name_request)
+    if metrics:
+        app.on_response_prepare.append(measure_first_token(metrics))
     app.router.add_post("/v1/completions", complete)
     app.router.add_post("/v1/chat/completions", complete_chat)
     app.router.add_get("/v1/models", list_models)
@@ -131,7 +134,8 @@
     FailureError
         If the caller is unknown, the key malformed or the body too slow.
     """
-    read_workspace(request)
+    workspace = read_workspace(request)
+    bind_contextvars(workspace=workspace.id)
     bad_key = find_bad_key(request.headers)
     if bad_key is not None:
         raise FailureError(bad_key)
--- a/lentilhaven/serving/request_metrics.py
+++ b/lentilhaven/serving/request_metrics.py
@@ -13,6 +13,12 @@
 
 from lentilhaven.serving.metrics import Metrics
 
+#: Name under which a request remembers when it began.
+BEGAN = "began_at"
+
+#: Content type of a stream of events.
+EVENT_STREAM = "text/event-stream"
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 #: Methods that are told apart; any other is ``_OTHER``.
@@ -35,6 +41,7 @@
     @web.middleware
     async def measure(request: web.Request, handler: Handler) -> web.StreamResponse:
         began = time.monotonic()
+        request[BEGAN] = began
         status = 499
         try:
             response = await handler(request)
@@ -54,3 +61,23 @@
     resource = request.match_info.route.resource
     route = resource.canonical if resource is not None else ""
     return {"http.request.method": method, "http.route": route}
+
+
+def measure_first_token(metrics: Metrics) -> Callable:
+    """
+    Return a signal handler that records when a stream's first event is sent.
+
+    A stream's response is prepared with its first event, never before.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Instruments.
+    """
+
+    async def measure(request: web.Request, response: web.StreamResponse) -> None:
+        if response.content_type == EVENT_STREAM and BEGAN in request:
+            taken = time.monotonic() - request[BEGAN]
+            metrics.first_token.record(taken, describe_request(request))
+
+    return measure
