--- a/lentilhaven/idempotency/journal.py
+++ b/lentilhaven/idempotency/journal.py
@@ -36,6 +36,9 @@
 #: Writers kept, with the segments that they hold.
 MAX_WRITERS = 512
 
+#: Size of the segments that idle writers may hold, as JSON, in bytes.
+MAX_HELD_BYTES = 8_000_000
+
 log = get_logger("idempotency")
 
 
@@ -138,9 +141,12 @@
 
     def forget_idle(self) -> None:
         """Drop the writers that were used least recently and are not busy."""
-        surplus = len(self.writers) - MAX_WRITERS
-        for name in list(self.writers)[: max(0, surplus)]:
+        held = sum(writer.held_bytes for writer in self.writers.values())
+        for name, writer in list(self.writers.items()):
+            if len(self.writers) <= MAX_WRITERS and held <= MAX_HELD_BYTES:
+                return
             if name not in self.tasks:
+                held -= writer.held_bytes
                 del self.writers[name]
 
     async def drive(self, writer: SegmentWriter) -> None:
--- a/lentilhaven/idempotency/segment_writer.py
+++ b/lentilhaven/idempotency/segment_writer.py
@@ -94,6 +94,11 @@
     claimed: asyncio.Event = attrs.field(factory=asyncio.Event)
     waiting: list[Waiting] = attrs.field(factory=list)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of the segment that is held, as JSON."""
+        return self.base.segment.size if self.base is not None else 0
+
     def add(self, operation: Operation) -> "asyncio.Future[Answer]":
         """
         Queue an operation and return the future of its answer.
--- a/lentilhaven/idempotency/tests/test_journal.py
+++ b/lentilhaven/idempotency/tests/test_journal.py
@@ -23,6 +23,7 @@
 from lentilhaven.core.invariants import VIOLATIONS
 from lentilhaven.core.logs import configure_logs
 from lentilhaven.idempotency import Journal, WriteBudget, time_ordered_key
+from lentilhaven.idempotency.journal import MAX_HELD_BYTES
 from lentilhaven.idempotency.segment import CLAIM_BYTES, RESPONSE_RETENTION
 from lentilhaven.idempotency.tests.naive_journal import NaiveJournal
 from lentilhaven.standins.object_store import ObjectStore
@@ -232,6 +233,16 @@
         self.assertFalse(answers[1].confirmed)
         self.assertIs(answers[2].outcome, ClaimOutcome.GRANTED)
 
+    def test_segments_held_in_memory_are_bounded(self):
+        body = RecordedResponse(200, "text/plain", "x" * 100_000)
+        for index in range(120):
+            claim = make_claim(f"issue-{index}", f"q{index}")
+            self.outcome(claim)
+            self.submit(Settlement(claim, SettleOutcome.DONE, body))
+        held = sum(it.held_bytes for it in self.journal.writers.values())
+        self.assertLess(held, MAX_HELD_BYTES + 200_000)
+        self.assertIs(self.outcome(make_claim("issue-0", "again")), ClaimOutcome.REPLAY)
+
     def test_outage_grants_nothing(self):
         self.store.outage = True
         self.assertIs(self.outcome(make_claim()), ClaimOutcome.UNAVAILABLE)
