--- a/lentilhaven/idempotency/journal.py
+++ b/lentilhaven/idempotency/journal.py
@@ -18,6 +18,7 @@
 from lentilhaven.core.step import Step
 from lentilhaven.idempotency.call_key import MAX_KEY_LENGTH, key_time
 from lentilhaven.idempotency.journal_layout import JournalLayout, Place
+from lentilhaven.idempotency.layout_check import check_layout
 from lentilhaven.idempotency.operation import Answer, Operation
 from lentilhaven.idempotency.segment_store import SegmentStore
 from lentilhaven.idempotency.segment_writer import SegmentWriter, refusal
@@ -60,6 +61,8 @@
         Limits the writes of this agent for keys that carry no time.
     layout : JournalLayout
         How keys map to objects.
+    layout_checked : bool
+        Whether the store is known to have the same layout.
     budgets : dict
         `WriteBudget` by shard of timed keys.
     writers : dict
@@ -72,6 +75,7 @@
     clock: Clock
     budget: WriteBudget
     layout: JournalLayout = attrs.field(factory=JournalLayout)
+    layout_checked: bool = False
     budgets: dict[str, WriteBudget] = attrs.field(factory=dict)
     writers: dict[str, SegmentWriter] = attrs.field(factory=dict)
     tasks: dict[str, asyncio.Task] = attrs.field(factory=dict)
@@ -96,6 +100,11 @@
         failure = unfit_key(claim.key, self.clock.wall())
         if failure is not None:
             return refusal(operation, failure)
+        if not self.layout_checked:
+            failure = await check_layout(self.store, self.layout)
+            if failure is not None:
+                return refusal(operation, failure)
+            self.layout_checked = True
         writer = self.writer(place)
         answer = writer.add(operation)
         if place.name not in self.tasks:
