--- a/lentilhaven/agent/agent_state.py
+++ b/lentilhaven/agent/agent_state.py
@@ -88,6 +88,7 @@
         "votes": to_document(agent.members.votes),
         "incarnations": to_document(agent.members.incarnations),
         "polled": sorted(agent.poller.specs),
+        "journal": agent.journal.describe(),
         "invariant_violations": dict(VIOLATIONS),
     }
 
--- a/lentilhaven/idempotency/journal.py
+++ b/lentilhaven/idempotency/journal.py
@@ -1,6 +1,7 @@
 """Commits claims and settlements in the platform's store."""
 
 import asyncio
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -61,6 +62,8 @@
         Limits the writes of this agent for keys that carry no time.
     layout : JournalLayout
         How keys map to objects.
+    counts : Counter
+        Operations, writes and unconfirmed writes so far.
     layout_checked : bool
         Whether the store is known to have the same layout.
     budgets : dict
@@ -75,6 +78,7 @@
     clock: Clock
     budget: WriteBudget
     layout: JournalLayout = attrs.field(factory=JournalLayout)
+    counts: Counter[str] = attrs.field(factory=Counter)
     layout_checked: bool = False
     budgets: dict[str, WriteBudget] = attrs.field(factory=dict)
     writers: dict[str, SegmentWriter] = attrs.field(factory=dict)
@@ -126,6 +130,7 @@
         if writer is None:
             budget = self.budget_of(place)
             writer = SegmentWriter(self.store, name, budget, self.clock)
+            writer.counts = self.counts
             writer.settle_delay = SETTLE_DELAY if place.timed else 0.0
             self.forget_idle()
         self.writers[name] = writer
--- a/lentilhaven/idempotency/journal_node.py
+++ b/lentilhaven/idempotency/journal_node.py
@@ -1,6 +1,7 @@
 """Sends claims and settlements to the VM that commits their shard."""
 
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import attrs
 from expression import Result
@@ -90,6 +91,17 @@
             self.suspected[vm] = self.clock.monotonic() + SUSPICION
         return mark_standing(await self.journal.submit(message), may_stand)
 
+    def describe(self) -> dict[str, Any]:
+        """Return the state that operators may want to see; no keys."""
+        journal = self.journal
+        return {
+            "counts": dict(journal.counts),
+            "busy_objects": len(journal.tasks),
+            "held_objects": len(journal.writers),
+            "waiting": sum(len(it.waiting) for it in journal.writers.values()),
+            "passed_over": sorted(self.suspected),
+        }
+
     def candidates(self, shard: str) -> list[VmId]:
         """
         Return the VMs to ask, in order.
--- a/lentilhaven/idempotency/segment_writer.py
+++ b/lentilhaven/idempotency/segment_writer.py
@@ -1,6 +1,7 @@
 """Commits the operations on one object of the journal."""
 
 import asyncio
+from collections import Counter
 
 import attrs
 
@@ -79,6 +80,8 @@
         Seconds for which settlements wait for a claim to be written with.
     claimed : asyncio.Event
         Set when a claim comes.
+    counts : Counter
+        Operations, writes and unconfirmed writes so far.
     waiting : list of Waiting
         Operations without an answer, oldest first.
     """
@@ -92,6 +95,7 @@
     base_arrivals: int = 0
     settle_delay: float = 0.0
     claimed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    counts: Counter[str] = attrs.field(factory=Counter)
     waiting: list[Waiting] = attrs.field(factory=list)
 
     @property
@@ -110,6 +114,7 @@
         """
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self.arrivals += 1
+        self.counts["operations"] += 1
         if isinstance(operation.message, ClaimRequest):
             self.claimed.set()
         self.waiting.append(Waiting(operation, future, self.arrivals))
@@ -166,6 +171,7 @@
         batch, plan = self.plan()
         if base is None or not plan.changed:
             return
+        self.counts["writes"] += 1
         value = encode_segment(plan.segment)
         for it in batch:
             it.tries += 1
@@ -177,6 +183,7 @@
         elif conclusion.failure is not None:
             self.give_up(batch, conclusion.failure)
         else:
+            self.counts["unconfirmed-writes"] += 1
             log.info("journal write was not confirmed; reading back", name=self.name)
             self.drop_spent(batch)
 
--- a/lentilhaven/router/router_state.py
+++ b/lentilhaven/router/router_state.py
@@ -54,6 +54,8 @@
         "live_vms": list(router.view.live_vms),
         "pools": [pool_status(router, pool) for pool in router.view.tables.pools],
         "counters": dict(router.counters),
+        "unsettled_calls": len(router.settler.tasks),
+        "settlements_given_up": router.settler.given_up,
         "violations": sum(VIOLATIONS.values()),
     }
 
--- a/lentilhaven/router/shutdown.py
+++ b/lentilhaven/router/shutdown.py
@@ -50,7 +50,8 @@
     except TimeoutError:
         log.error("requests are still in flight at the drain limit", limit=limit)
     cut = await cut_off_rest(router)
-    unsettled = await router.settler.wait_settled(SETTLE_LIMIT)
+    await wait_either(hurry, router.settler.wait_settled(SETTLE_LIMIT))
+    unsettled = len(router.settler.tasks)
     if unsettled:
         log.error("calls were left without a settlement", count=unsettled)
     log.info("shutdown is complete", cut_off=cut)
