Hold that a caller's request id carries no right to dispatch

Cause: the claim's id now comes from the request's context; were it ever taken from the caller, two routers could both be granted one key. Change: a test with two routers and one X-Request-Id; the comment says why. The length of a key is checked in one place, the listener.

--- a/lentilhaven/router/services.py
+++ b/lentilhaven/router/services.py
@@ -22,7 +22,6 @@
 from lentilhaven.endpoints.service_client import (
     ServiceCall,
 )
-from lentilhaven.idempotency.call_key import MAX_KEY_LENGTH
 from lentilhaven.idempotency.dispatch import DispatchPorts, dispatch
 from lentilhaven.idempotency.guarded_call import GuardedCall
 from lentilhaven.router.app_keys import ROUTER, read_workspace
@@ -76,7 +75,7 @@
     Raises
     ------
     FailureError
-        If there is none, or it is too long.
+        If there is none.  The listener has refused malformed ones.
 
     References
     ----------
@@ -87,9 +86,6 @@
     if not key:
         detail = f"{request.method} is not idempotent here; send Idempotency-Key"
         raise FailureError(Failure(Step.PARSE, "", "key-required", detail))
-    if len(key) > MAX_KEY_LENGTH:
-        detail = f"an idempotency key has at most {MAX_KEY_LENGTH} characters"
-        raise FailureError(Failure(Step.PARSE, "", "bad-key", detail))
     return key
 
 
@@ -134,6 +130,7 @@
 ) -> ClaimRequest:
     """Return the claim that a non-idempotent call needs."""
     fingerprint = content_hash([call.method, call.path, call.body.hex()])
+    # The right to dispatch hangs on this id; it must never be the caller's choice.
     request = current_request(router.random)
     pool = router.view.tables.pool(route.pool)
     return ClaimRequest(
--- a/lentilhaven/router/tests/test_services.py
+++ b/lentilhaven/router/tests/test_services.py
@@ -10,8 +10,9 @@
 from lentilhaven.testbed.testbed import seeded
 
 
-async def post(testbed, key, body=None, method="POST", vm=0, attempt=""):
-    headers = testbed.headers | {"Idempotency-Key": key, "X-Attempt": attempt}
+async def post(testbed, key, body=None, method="POST", vm=0, attempt="", request="q"):
+    names = {"Idempotency-Key": key, "X-Attempt": attempt, "X-Request-Id": request}
+    headers = testbed.headers | names
     url = f"{testbed.vms[vm].url}/services/stock/postings"
     async with testbed.session.request(
         method, url, json=body or {"meter": 1}, headers=headers
@@ -182,6 +183,20 @@
 
         run_with_testbed(scenario)
 
+    def test_request_ids_of_callers_carry_no_right_to_dispatch(self):
+        async def scenario(testbed):
+            service = testbed.services["stock-1"]
+            service.delay = 0.5
+            calls = (
+                post(testbed, "issue-1", vm=vm, attempt="same", request="same")
+                for vm in range(2)
+            )
+            answers = await asyncio.gather(*calls)
+            self.assertEqual(sorted(it[0] for it in answers), [200, 409])
+            self.assertEqual(service.runs, {"issue-1": 1})
+
+        run_with_testbed(scenario, vm_count=2)
+
     def test_shutdown_waits_for_settlements(self):
         async def scenario(testbed):
             router = testbed.vms[0].router
