--- /dev/null
+++ b/lentilhaven/bench/gated_store.py
@@ -0,0 +1,47 @@
+"""A store as seen by a process that may be paused at each call."""
+
+import asyncio
+from typing import Any
+
+import attrs
+from expression import Result
+
+from lentilhaven.bench.faulty_store import FaultyStore
+from lentilhaven.core.failure import Failure
+from lentilhaven.platform.stored_object import StoredObject
+from lentilhaven.platform.write_outcome import WriteOutcome
+
+
+@attrs.define
+class GatedStore:
+    """
+    Pauses a process before and after each of its calls.
+
+    Attributes
+    ----------
+    store : FaultyStore
+        The store.
+    running : asyncio.Event
+        Cleared while the process is paused.
+    """
+
+    store: FaultyStore
+    running: asyncio.Event
+
+    async def read(self, name: str) -> Result[StoredObject | None, Failure]:
+        """Read one object."""
+        await self.running.wait()
+        outcome = await self.store.read(name)
+        await self.running.wait()
+        return outcome
+
+    async def write(self, name: str, value: Any, expected_version: int) -> WriteOutcome:
+        """Replace an object if it still has `expected_version`."""
+        await self.running.wait()
+        # A crash of the writer does not call back a write that is under way.
+        task = asyncio.create_task(self.store.write(name, value, expected_version))
+        self.store.late.add(task)
+        task.add_done_callback(self.store.late.discard)
+        outcome = await asyncio.shield(task)
+        await self.running.wait()
+        return outcome
--- a/lentilhaven/bench/journal_cluster.py
+++ b/lentilhaven/bench/journal_cluster.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from lentilhaven.bench.faulty_store import FaultyStore
+from lentilhaven.bench.gated_store import GatedStore
 from lentilhaven.control.claim import (
     ClaimAnswer,
     ClaimOutcome,
@@ -116,12 +117,12 @@
         running = asyncio.Event()
         running.set()
         settler = Settler(lambda it: self.settle(vm, it), self.clock)
-        self.vms[vm] = ModelVm(vm, self.new_node(vm), settler, running)
+        self.vms[vm] = ModelVm(vm, self.new_node(vm, running), settler, running)
 
-    def new_node(self, vm: VmId) -> JournalNode:
+    def new_node(self, vm: VmId, running: asyncio.Event) -> JournalNode:
         """Return a new run of a VM's agent."""
         budget = WriteBudget(self.clock, 50.0, 20.0)
-        store = PausedStore(self, vm)
+        store = GatedStore(self.store, running)
         journal = Journal(store, self.clock, budget)
 
         async def forward(
@@ -148,7 +149,7 @@
         """Crash a VM's agent and start it at the same address."""
         held = self.vms[vm]
         held.agent_run += 1
-        old, held.node = held.node, self.new_node(vm)
+        old, held.node = held.node, self.new_node(vm, held.running)
         await old.journal.close()
 
     async def restart_router(self, vm: VmId) -> None:
@@ -285,42 +286,6 @@
         return settle
 
 
-@attrs.define
-class PausedStore:
-    """
-    The store as one VM sees it, which may be paused before and after each call.
-
-    Attributes
-    ----------
-    cluster : JournalCluster
-        The cluster.
-    vm : str
-        The VM.
-    """
-
-    cluster: JournalCluster
-    vm: VmId
-
-    async def read(self, name: str) -> Any:
-        """Read one object."""
-        await self.cluster.pass_gate(self.vm)
-        outcome = await self.cluster.store.read(name)
-        await self.cluster.pass_gate(self.vm)
-        return outcome
-
-    async def write(self, name: str, value: Any, expected_version: int) -> Any:
-        """Replace an object if it still has `expected_version`."""
-        await self.cluster.pass_gate(self.vm)
-        store = self.cluster.store
-        # A crash of the writer does not call back a write that is under way.
-        task = asyncio.create_task(store.write(name, value, expected_version))
-        store.late.add(task)
-        task.add_done_callback(store.late.discard)
-        outcome = await asyncio.shield(task)
-        await self.cluster.pass_gate(self.vm)
-        return outcome
-
-
 def lost_message(vm: VmId) -> Failure:
     """Return the failure of a message that was not answered."""
     detail = "no answer"
--- a/lentilhaven/bench/orders_random.py
+++ b/lentilhaven/bench/orders_random.py
@@ -9,6 +9,7 @@
 
 from lentilhaven.bench.faulty_store import FaultyStore
 from lentilhaven.bench.figure import at_most, observed
+from lentilhaven.bench.gated_store import GatedStore
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.core.clock import Clock
@@ -170,37 +171,6 @@
             await asyncio.sleep(0.05)
 
 
-@attrs.define
-class GatedStore:
-    """
-    The store as a process sees it that may be paused at each call.
-
-    Attributes
-    ----------
-    store : FaultyStore
-        The store.
-    running : asyncio.Event
-        Cleared while the process is paused.
-    """
-
-    store: FaultyStore
-    running: asyncio.Event
-
-    async def read(self, name: str):
-        """Read one object."""
-        await self.running.wait()
-        outcome = await self.store.read(name)
-        await self.running.wait()
-        return outcome
-
-    async def write(self, name: str, value, expected_version: int):
-        """Replace an object if it still has `expected_version`."""
-        await self.running.wait()
-        outcome = await self.store.write(name, value, expected_version)
-        await self.running.wait()
-        return outcome
-
-
 def drifting_clock(rate: float) -> Clock:
     """Return a clock that runs faster or slower than the event loop's."""
 
