Test that a cut-off call is settled and a given-up claim withdrawn

Cause: of eight mechanisms broken on purpose two went unnoticed: the shield around a call, and the withdrawal of a claim that may stand. Change: a test for each; both now fail without their mechanism.

--- a/lentilhaven/router/tests/test_services.py
+++ b/lentilhaven/router/tests/test_services.py
@@ -197,6 +197,38 @@
 
         run_with_testbed(scenario, vm_count=2)
 
+    def test_call_that_is_cut_off_by_a_shutdown_is_still_settled(self):
+        async def scenario(testbed):
+            testbed.services["stock-1"].delay = 1.0
+            caller = asyncio.create_task(post(testbed, "issue-1"))
+            await asyncio.sleep(0.2)
+            hurry = asyncio.Event()
+            hurry.set()
+            await drain(testbed.vms[0].router, hurry)
+            await asyncio.sleep(3.0)
+            await asyncio.gather(caller, return_exceptions=True)
+            status, _, headers = await post(testbed, "issue-1", vm=1)
+            self.assertEqual((status, headers["Idempotency-Replayed"]), (200, "true"))
+
+        run_with_testbed(scenario, vm_count=2)
+
+    def test_claim_that_stands_after_it_was_given_up_is_withdrawn(self):
+        async def scenario(testbed):
+            faults, service = testbed.store.faults, testbed.services["stock-1"]
+            await post(testbed, "issue-0")
+            faults.delay, faults.lost_answer_rate = 0.5, 1.0
+            caller = asyncio.create_task(post(testbed, "issue-1"))
+            await asyncio.sleep(1.2)
+            faults.outage = True
+            status, problem, _ = await caller
+            self.assertEqual((status, problem["ran"]), (503, "no"))
+            faults.outage, faults.delay, faults.lost_answer_rate = False, 0.0, 0.0
+            await asyncio.sleep(5.0)
+            self.assertEqual((await post(testbed, "issue-1"))[0], 200)
+            self.assertEqual(service.runs["issue-1"], 1)
+
+        run_with_testbed(scenario)
+
     def test_shutdown_waits_for_settlements(self):
         async def scenario(testbed):
             router = testbed.vms[0].router
