--- a/lentilhaven/idempotency/tests/test_journal.py
+++ b/lentilhaven/idempotency/tests/test_journal.py
@@ -23,6 +23,7 @@
 from lentilhaven.core.invariants import VIOLATIONS
 from lentilhaven.core.logs import configure_logs
 from lentilhaven.idempotency import Journal, WriteBudget, time_ordered_key
+from lentilhaven.idempotency.journal import MAX_HELD_BYTES
 from lentilhaven.idempotency.segment import CLAIM_BYTES, RESPONSE_RETENTION
 from lentilhaven.idempotency.tests.naive_journal import NaiveJournal
 from lentilhaven.standins.object_store import ObjectStore
@@ -151,11 +152,13 @@
         run_state_machine_as_test(Comparison, settings=bounds)
 
     def test_claims_that_wait_share_one_write(self):
+        self.outcome(make_claim("other"))
+        written = self.store.store.version
         claims = [make_claim(request=f"q{index}") for index in range(50)]
         answers = self.submit(*claims)
         granted = [it for it in answers if it.outcome is ClaimOutcome.GRANTED]
         self.assertEqual(len(granted), 1)
-        self.assertEqual(self.store.store.version, 1)
+        self.assertEqual(self.store.store.version, written + 1)
 
     def test_withdrawn_request_is_not_granted_later(self):
         self.submit(Settlement(make_claim(), SettleOutcome.ABANDONED))
@@ -232,6 +235,23 @@
         self.assertFalse(answers[1].confirmed)
         self.assertIs(answers[2].outcome, ClaimOutcome.GRANTED)
 
+    def test_segments_held_in_memory_are_bounded(self):
+        body = RecordedResponse(200, "text/plain", "x" * 100_000)
+        for index in range(120):
+            claim = make_claim(f"issue-{index}", f"q{index}")
+            self.outcome(claim)
+            self.submit(Settlement(claim, SettleOutcome.DONE, body))
+        held = sum(it.held_bytes for it in self.journal.writers.values())
+        self.assertLess(held, MAX_HELD_BYTES + 200_000)
+        self.assertIs(self.outcome(make_claim("issue-0", "again")), ClaimOutcome.REPLAY)
+
+    def test_journal_with_another_layout_grants_nothing(self):
+        self.assertIs(self.outcome(make_claim()), ClaimOutcome.GRANTED)
+        other = make_journal(self.time, self.store)
+        other.layout = attrs.evolve(other.layout, untimed_count=7)
+        answer = self.submit(make_claim(request="q2"), journal=other)[0]
+        self.assertEqual(answer.failure.kind, "layout-differs")
+
     def test_outage_grants_nothing(self):
         self.store.outage = True
         self.assertIs(self.outcome(make_claim()), ClaimOutcome.UNAVAILABLE)
