--- a/lentilhaven/core/settings.py
+++ b/lentilhaven/core/settings.py
@@ -22,6 +22,7 @@
 import cattrs.preconf.json
 import cattrs.strategies
 import json5
+from cattrs.cols import list_structure_factory
 from expression import Error, Ok, Result
 
 from lentilhaven.core.failure import Failure
@@ -63,6 +64,34 @@
     CONVERTER.register_structure_hook(_kind, strict_scalar(_kind))
 
 
+def strict_list(kind: Any, converter: cattrs.BaseConverter) -> Any:
+    """
+    Return a hook that accepts a JSON array only.
+
+    Anything that can be iterated over, such as a string, would do otherwise.
+
+    Parameters
+    ----------
+    kind : type
+        A list type.
+    converter : cattrs.BaseConverter
+        Structures the items.
+    """
+    structure_items = list_structure_factory(kind, converter)
+
+    def structure(value: Any, _: object) -> Any:
+        if not isinstance(value, list | tuple):
+            raise TypeError(f"expected a list, not {repr(value)[:80]}")
+        return structure_items(value, kind)
+
+    return structure
+
+
+CONVERTER.register_structure_hook_factory(
+    lambda kind: typing.get_origin(kind) is list, strict_list
+)
+
+
 def describe_error(error: BaseException, kind: type | None = None) -> str:
     """
     Return a short description of one structuring error.
