Write logs to the stream of the moment; the test runner's buffer broke them

Cause: with nose2's buffer, sys.stdout is an object that can't be hashed, and structlog's own logger keeps its stream in a weak dictionary: every log line of a test raised TypeError.

Ruled out: leaving the buffer out, since any embedding of the library in such a runner would fail in the same way.

--- a/lentilhaven/core/logs.py
+++ b/lentilhaven/core/logs.py
@@ -8,13 +8,13 @@
 """
 
 import logging
-import sys
 import traceback
 from pathlib import Path
 from typing import Any, TextIO
 
 import structlog
 
+from lentilhaven.core.line_logger import line_loggers
 from lentilhaven.core.log_limit import LogLimit
 from lentilhaven.core.redaction import redact
 
@@ -24,6 +24,9 @@
 #: Innermost frames that are logged of a defect.
 FRAMES_LOGGED = 6
 
+# Until `configure_logs` is called, lines for people go to standard error.
+structlog.configure(logger_factory=line_loggers())
+
 
 def configure_logs(level: str = "info", stream: TextIO | None = None) -> None:
     """
@@ -57,7 +60,7 @@
             structlog.processors.JSONRenderer(default=str),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(numeric),
-        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr),
+        logger_factory=line_loggers(stream),
         cache_logger_on_first_use=False,
     )
     root = logging.getLogger()
--- a/lentilhaven/core/tests/test_logs.py
+++ b/lentilhaven/core/tests/test_logs.py
@@ -11,13 +11,14 @@
 
 class LogTests(unittest.TestCase):
     def setUp(self):
+        self.config = structlog.get_config()
         self.stream = io.StringIO()
         self.handlers = logging.getLogger().handlers
         self.level = logging.getLogger().level
         configure_logs("info", self.stream)
 
     def tearDown(self):
-        structlog.reset_defaults()
+        structlog.configure(**self.config)
         logging.getLogger().handlers = self.handlers
         logging.getLogger().setLevel(self.level)
 
@@ -53,3 +54,12 @@
         now = WINDOW
         self.assertEqual(write()["dropped"], 7)
         self.assertNotIn("dropped", write())
+
+    def test_a_stream_that_can_not_be_hashed_will_do(self):
+        class Buffer(io.StringIO):
+            __hash__ = None
+
+        stream = Buffer()
+        configure_logs("info", stream)
+        get_logger("test").info("refused")
+        self.assertEqual(json.loads(stream.getvalue())["event"], "refused")
