--- a/lentilhaven/idempotency/journal.py
+++ b/lentilhaven/idempotency/journal.py
@@ -1,6 +1,7 @@
 """Commits claims and settlements in the platform's store."""
 
 import asyncio
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -18,6 +19,7 @@
 from lentilhaven.core.step import Step
 from lentilhaven.idempotency.call_key import MAX_KEY_LENGTH, key_time
 from lentilhaven.idempotency.journal_layout import JournalLayout, Place
+from lentilhaven.idempotency.layout_check import check_layout
 from lentilhaven.idempotency.operation import Answer, Operation
 from lentilhaven.idempotency.segment_store import SegmentStore
 from lentilhaven.idempotency.segment_writer import SegmentWriter, refusal
@@ -36,6 +38,9 @@
 #: Writers kept, with the segments that they hold.
 MAX_WRITERS = 512
 
+#: Size of the segments that idle writers may hold, as JSON, in bytes.
+MAX_HELD_BYTES = 8_000_000
+
 log = get_logger("idempotency")
 
 
@@ -57,6 +62,10 @@
         Limits the writes of this agent for keys that carry no time.
     layout : JournalLayout
         How keys map to objects.
+    counts : Counter
+        Operations, writes and unconfirmed writes so far.
+    layout_checked : bool
+        Whether the store is known to have the same layout.
     budgets : dict
         `WriteBudget` by shard of timed keys.
     writers : dict
@@ -69,6 +78,8 @@
     clock: Clock
     budget: WriteBudget
     layout: JournalLayout = attrs.field(factory=JournalLayout)
+    counts: Counter[str] = attrs.field(factory=Counter)
+    layout_checked: bool = False
     budgets: dict[str, WriteBudget] = attrs.field(factory=dict)
     writers: dict[str, SegmentWriter] = attrs.field(factory=dict)
     tasks: dict[str, asyncio.Task] = attrs.field(factory=dict)
@@ -93,6 +104,11 @@
         failure = unfit_key(claim.key, self.clock.wall())
         if failure is not None:
             return refusal(operation, failure)
+        if not self.layout_checked:
+            failure = await check_layout(self.store, self.layout)
+            if failure is not None:
+                return refusal(operation, failure)
+            self.layout_checked = True
         writer = self.writer(place)
         answer = writer.add(operation)
         if place.name not in self.tasks:
@@ -114,6 +130,7 @@
         if writer is None:
             budget = self.budget_of(place)
             writer = SegmentWriter(self.store, name, budget, self.clock)
+            writer.counts = self.counts
             writer.settle_delay = SETTLE_DELAY if place.timed else 0.0
             self.forget_idle()
         self.writers[name] = writer
@@ -138,9 +155,12 @@
 
     def forget_idle(self) -> None:
         """Drop the writers that were used least recently and are not busy."""
-        surplus = len(self.writers) - MAX_WRITERS
-        for name in list(self.writers)[: max(0, surplus)]:
+        held = sum(writer.held_bytes for writer in self.writers.values())
+        for name, writer in list(self.writers.items()):
+            if len(self.writers) <= MAX_WRITERS and held <= MAX_HELD_BYTES:
+                return
             if name not in self.tasks:
+                held -= writer.held_bytes
                 del self.writers[name]
 
     async def drive(self, writer: SegmentWriter) -> None:
--- a/lentilhaven/membership/heartbeats.py
+++ b/lentilhaven/membership/heartbeats.py
@@ -1,4 +1,11 @@
-"""Heartbeats to the VMs that this one monitors."""
+"""
+Heartbeats to the VMs that this one monitors.
+
+References
+----------
+Dadgar, Phillips and Currey, "Lifeguard: local health awareness for more accurate
+failure detection", 2018: a monitor that is starved itself must not blame others.
+"""
 
 from collections.abc import Awaitable, Callable
 
@@ -13,7 +20,7 @@
 from lentilhaven.platform.vm import ListedVm
 
 #: Seconds between two heartbeats to one VM.
-HEARTBEAT_INTERVAL = 0.6
+HEARTBEAT_INTERVAL = 1.0
 
 #: Seconds after which a heartbeat counts as missed.
 HEARTBEAT_TIMEOUT = 0.5
@@ -24,9 +31,15 @@
 #: Heartbeats in a row that a VM must miss.
 MISSES_TO_VOTE = 2
 
+#: Seconds by which this process runs late when it is starved of processor time.
+STARVED_LAG = 0.25
+
 #: Seconds after which the VMs to monitor are determined again.
 REVIEW_INTERVAL = 1.0
 
+#: What VMs of different data centres tell each other.
+FAR_SCOPES = (Scope.URGENT, Scope.SUMMARY)
+
 log = get_logger("membership")
 
 
@@ -101,8 +114,11 @@
         """
         misses = 0
         while True:
+            began = self.gossip.clock.monotonic()
             heard = await self.beat(vm)
-            misses = 0 if heard else misses + 1
+            taken = self.gossip.clock.monotonic() - began
+            starved = taken > HEARTBEAT_TIMEOUT + STARVED_LAG
+            misses = 0 if heard or starved else misses + 1
             if heard and vm in self.votes:
                 self.keep_votes({it: self.votes[it] for it in self.votes if it != vm})
             if misses == MISSES_TO_VOTE:
@@ -133,7 +149,7 @@
             return False
         self.gossip.members.note_incarnation(vm, answer.ok.incarnation)
         if answer.ok.digest != self.gossip.tables[Scope.URGENT].digest:
-            await self.gossip.ask(peer, self.gossip.request(Scope.URGENT))
+            await self.gossip.ask(peer, self.gossip.request(*FAR_SCOPES))
         if answer.ok.tables > self.tables_version():
             await self.catch_up(peer)
         return True
--- a/lentilhaven/standins/__main__.py
+++ b/lentilhaven/standins/__main__.py
@@ -13,6 +13,7 @@
 from lentilhaven.standins.engine_api import serve_engine
 from lentilhaven.standins.object_api import object_api_app
 from lentilhaven.standins.object_store import ObjectStore
+from lentilhaven.standins.reports import reports_app
 from lentilhaven.standins.service import Service, service_app
 from lentilhaven.tables.layer_range import LayerRange
 
@@ -24,7 +25,11 @@
 
 @app.command
 def store(
-    *, port: int, seed: int = 1, vm: Annotated[list[str] | None, LISTED] = None
+    *,
+    port: int,
+    host: str = "127.0.0.1",
+    seed: int = 1,
+    vm: Annotated[list[str] | None, LISTED] = None,
 ) -> None:
     """
     Serve the platform's object API.
@@ -33,6 +38,8 @@
     ----------
     port
         Port to listen on.
+    host
+        Address to listen on.
     seed
         Seed of the faults.
     vm
@@ -42,7 +49,24 @@
     for text in vm or []:
         name, data_centre, url = text.split(",")
         state.vms.append(ListedVm(VmId(name), url, DataCentre(data_centre)))
-    asyncio.run(serve_for_ever(object_api_app(state), port))
+    asyncio.run(serve_for_ever(object_api_app(state), port, host))
+
+
+@app.command
+def reports(*, port: int, host: str = "127.0.0.1", seed: int = 1) -> None:
+    """
+    Serve the load reports of any number of endpoints.
+
+    Parameters
+    ----------
+    port
+        Port to listen on.
+    host
+        Address to listen on.
+    seed
+        Seed of the figures.
+    """
+    asyncio.run(serve_for_ever(reports_app(random.Random(seed)), port, host))
 
 
 @app.command
@@ -79,9 +103,9 @@
     asyncio.run(run_engine(name, LayerRange(start, stop), version, port))
 
 
-async def serve_for_ever(api, port: int) -> None:
+async def serve_for_ever(api, port: int, host: str = "127.0.0.1") -> None:
     """Serve an application until the process is told to stop."""
-    async with serve_app(api, port=port):
+    async with serve_app(api, host, port):
         await asyncio.Event().wait()
 
 
