--- a/lentilhaven/tables/__init__.py
+++ b/lentilhaven/tables/__init__.py
@@ -21,6 +21,7 @@
 from lentilhaven.tables.merge import rebase_tables
 from lentilhaven.tables.pool import Pool
 from lentilhaven.tables.route import Route
+from lentilhaven.tables.table_index import TableIndex, index_tables
 from lentilhaven.tables.tables import Tables
 from lentilhaven.tables.validation import parse_tables, validate_tables
 from lentilhaven.tables.workspace import Workspace
@@ -31,9 +32,11 @@
     "LayerRange",
     "Pool",
     "Route",
+    "TableIndex",
     "Tables",
     "Workspace",
     "diff_tables",
+    "index_tables",
     "parse_tables",
     "rebase_tables",
     "validate_tables",
--- a/lentilhaven/tables/tests/test_tables.py
+++ b/lentilhaven/tables/tests/test_tables.py
@@ -13,10 +13,12 @@
     Tables,
     Workspace,
     diff_tables,
+    index_tables,
     parse_tables,
     rebase_tables,
     validate_tables,
 )
+from lentilhaven.tables.matching import RequestTraits, match_completion
 from lentilhaven.tables.parts import join_parts, parse_part, split_tables
 from lentilhaven.tables.pool import PoolKind
 
@@ -164,3 +166,18 @@
         base = Tables([Route(name, "big") for name in before], pools)
         mine = Tables([Route(name, "big", deadline=9.0) for name in after], pools)
         self.assertEqual(rebase_tables(base, mine, base).ok, mine)
+
+
+class IndexTests(unittest.TestCase):
+    def test_finds_what_a_scan_finds(self):
+        tables = make_tables(workspaces=50)
+        index = index_tables(tables)
+        for model in ("m", "other"):
+            traits = RequestTraits("w1", model=model)
+            self.assertEqual(
+                index.match_completion(traits), match_completion(tables, traits)
+            )
+        for workspace in tables.workspaces:
+            found = index.find_workspace(workspace.token_hashes[0])
+            self.assertEqual(found, workspace)
+        self.assertIsNone(index.find_workspace(token_hash("nobody")))
