Push urgent news at most five times a second

Cause: each change of a vote was pushed to four VMs by each VM that learnt of it; the loss of a data centre of 110 VMs would make thousands of requests at each VM. Change: news that follow within 0.2 s wait for the next push.

--- a/lentilhaven/agent/agent.py
+++ b/lentilhaven/agent/agent.py
@@ -279,6 +279,7 @@
             agent.spreader.follow_random(),
             agent.heartbeats.monitor_subjects(),
             agent.gossip.pull_facts(),
+            agent.gossip.push_news(),
             agent.poller.poll_endpoints(),
             agent.poller.state_loads(),
             agent.follow_tables(),
--- a/lentilhaven/membership/gossip.py
+++ b/lentilhaven/membership/gossip.py
@@ -27,6 +27,9 @@
 #: VMs to which an urgent fact is pushed by each VM that learns of it.
 FAN_OUT = 4
 
+#: Seconds between two pushes of one VM.
+PUSH_INTERVAL = 0.2
+
 #: Seconds after which a push or a pull is given up.
 GOSSIP_TIMEOUT = 0.5
 
@@ -60,6 +63,10 @@
         `FactTable` by scope.
     changed : Signal
         Notified when a fact arrives or is stated.
+    unsent : dict
+        Urgent news to push, by key.
+    news : Signal
+        Notified when there is something to push.
     pushes : set
         Pushes under way.
     """
@@ -71,6 +78,8 @@
     incarnation: int
     tables: dict[Scope, FactTable]
     changed: Signal = attrs.field(factory=Signal)
+    unsent: dict[str, Fact] = attrs.field(factory=dict)
+    news: Signal = attrs.field(factory=Signal)
     pushes: set[asyncio.Task] = attrs.field(factory=set)
 
     def state(self, topic: Topic, value: Any) -> None:
@@ -137,11 +146,12 @@
             self.state(Topic(known.topic), known.value)
 
     def react(self, newer: list[Fact]) -> None:
-        """Enter newer facts into the members and push the urgent ones on."""
+        """Enter newer facts into the members and have the urgent ones pushed on."""
         urgent = [it for it in newer if SCOPES[Topic(it.topic)] is Scope.URGENT]
         if urgent:
             self.enter_urgent()
-            self.push(urgent)
+            self.unsent |= {fact.key: fact for fact in urgent}
+            self.news.notify()
         self.changed.notify()
 
     def enter_urgent(self) -> None:
@@ -156,8 +166,24 @@
             self.members.leaving = leaving
             self.members.touch()
 
+    async def push_news(self) -> None:
+        """
+        Send urgent news to some random VMs, which do the same, for ever.
+
+        News that arrive soon after a push wait for the next one, so that the
+        loss of a whole data centre does not flood the others.
+        """
+        while True:
+            arrival = self.news.event
+            if not self.unsent:
+                await arrival.wait()
+            facts = list(self.unsent.values())
+            self.unsent.clear()
+            self.push(facts)
+            await self.clock.sleep(PUSH_INTERVAL)
+
     def push(self, facts: list[Fact]) -> None:
-        """Send facts to some random VMs, which do the same if they are new."""
+        """Send facts to some random VMs."""
         peers = self.members.peers()
         for peer in self.random.sample(peers, min(FAN_OUT, len(peers))):
             task = asyncio.create_task(self.ask(peer, FactRequest(facts=facts)))
