--- a/lentilhaven/balancing/demand_level.py
+++ b/lentilhaven/balancing/demand_level.py
@@ -41,7 +41,7 @@
     >>> level = DemandLevel()
     >>> for tenth in range(100):
     ...     level.observe(full_rate=20.0, now=tenth / 10)
-    >>> level.step
+    >>> level.step  # 1.15 times a half, and one step of hysteresis
     7
     """
 
--- a/lentilhaven/router/completions.py
+++ b/lentilhaven/router/completions.py
@@ -8,6 +8,7 @@
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.request_context import current_request
 from lentilhaven.core.step import Step
+from lentilhaven.router.admission import admitted, within_quota
 from lentilhaven.router.answer import Answer
 from lentilhaven.router.answering import generate
 from lentilhaven.router.app_keys import ROUTER, read_workspace
@@ -66,8 +67,10 @@
     event_id = request.headers.get("Last-Event-ID", "")
     if event_id and parsed.ok.stream:
         return await resume_answer(request, route, workspace, parsed.ok, event_id)
-    answer = admit(router, workspace, parsed.ok, route)
-    return await send_answer(request, router, answer)
+    answer = make_answer(router, workspace, parsed.ok, route)
+    with within_quota(router, workspace):
+        async with admitted(router, answer, workspace):
+            return await send_answer(request, router, answer)
 
 
 async def resume_answer(
@@ -134,7 +137,7 @@
     return route
 
 
-def admit(
+def make_answer(
     router: Router, workspace: Workspace, wanted: CompletionRequest, route: Route
 ) -> Answer:
     """Return the answer to work on."""
@@ -183,8 +186,10 @@
 async def leave_answer(router: Router, answer: Answer) -> None:
     """Cancel an answer unless its caller has come back, here or elsewhere."""
     await router.clock.sleep(router.settings.resume_window)
-    head = answer.chain[0]
-    if await router.engines.cancel(head, answer.request, unread_only=True):
+    if not answer.chain:
+        return
+    head, attempt = answer.chain[0], answer.ledger.attempt
+    if await router.engines.cancel(head, answer.request, attempt, unread_only=True):
         router.counters["answers_abandoned"] += 1
         await cancel_answer(router, answer)
 
@@ -192,4 +197,4 @@
 async def cancel_answer(router: Router, answer: Answer) -> None:
     """Tell every stage to drop an answer that will not be finished."""
     for stage in answer.chain:
-        await router.engines.cancel(stage, answer.request)
+        await router.engines.cancel(stage, answer.request, answer.ledger.attempt)
