Look an endpoint's duty up before each poll

Cause: in a starved fleet a cancelled poll met its timeout, so that the cancellation was lost, and the task failed with KeyError on an endpoint that this agent polls no longer (seen in agents.log of a fleet of 81 at a load of 63).

--- a/lentilhaven/load/load_poller.py
+++ b/lentilhaven/load/load_poller.py
@@ -152,7 +152,9 @@
             The endpoint.
         """
         await self.clock.sleep(POLL_INTERVAL * self.random.random() * 0.5)
-        while True:
+        # A cancellation that meets a timeout can be lost, so that the duty is
+        # looked up each time.
+        while endpoint in self.specs:
             await self.hear(self.specs[endpoint])
             self.state_leaving()
             await self.clock.sleep(POLL_INTERVAL * self.random.uniform(0.9, 1.1))
