--- a/lentilhaven/bench/fuzz_listeners.py
+++ b/lentilhaven/bench/fuzz_listeners.py
@@ -29,7 +29,7 @@
 #: Seconds of virtual time after which an answer is no longer waited for.
 ANSWER_TIMEOUT = 4.0
 
-#: How a traceback begins.  An answer may quote a single word of its request.
+#: How a traceback begins.
 TRACEBACK = b"Traceback (most recent call last)"
 
 #: Port of the first fuzzed listener in virtual time.
@@ -139,20 +139,28 @@
         return ""
     finally:
         writer.close()
-    return judge_answer(answer)
+    return judge_answer(answer, request.encode())
 
 
-def judge_answer(answer: bytes) -> str:
+def judge_answer(answer: bytes, sent: bytes) -> str:
     """
     Return what is wrong with an answer, or an empty string.
 
-    A connection that is closed without an answer is in order.
+    A connection that is closed without an answer is in order, and so is an
+    answer that quotes its request.
+
+    Parameters
+    ----------
+    answer : bytes
+        All that came back.
+    sent : bytes
+        The request.
 
     Examples
     --------
-    >>> judge_answer(b""), judge_answer(b"HTTP/1.1 200 OK")
+    >>> judge_answer(b"", b""), judge_answer(b"HTTP/1.1 200 OK", b"GET")
     ('', '')
-    >>> judge_answer(b"HTTP/1.1 500 Internal Server Error")
+    >>> judge_answer(b"HTTP/1.1 500 Internal Server Error", b"GET")
     'status 500'
     """
     if not answer:
@@ -160,7 +168,7 @@
     words = answer.split(b" ", 2)
     if not answer.startswith(b"HTTP/1.") or len(words) < 2:
         return f"no HTTP: {answer[:40]!r}"
-    if TRACEBACK in answer:
+    if TRACEBACK in answer and TRACEBACK not in sent:
         return "a traceback"
     return "status 500" if words[1] == b"500" else ""
 
