--- a/lentilhaven/limits/adaptive_limit.py
+++ b/lentilhaven/limits/adaptive_limit.py
@@ -24,10 +24,10 @@
 GREATEST_RISE, FULL_RISE_AT = 0.5, 0.1
 
 #: Part of the limit that must be in use before it grows.
-BUSY_SHARE = 0.9
+BUSY_SHARE = 0.85
 
 #: Part of the streams at the bound with which a router begins.
-FIRST_PART = 0.5
+FIRST_PART = 0.4
 
 
 @attrs.define
@@ -115,7 +115,7 @@
     Return the limit that a router begins with.
 
     Little's law gives the streams that a pool runs at its bound if each token
-    takes the target; half of them is where engines still answer well in time.
+    takes the target; two fifths of them is where engines still answer well in time.
 
     Parameters
     ----------
@@ -129,6 +129,6 @@
     Examples
     --------
     >>> first_limit(9000.0, 0.05, 9)
-    25.0
+    20.0
     """
     return FIRST_PART * bound * between_tokens / routers
