--- a/lentilhaven/cli/system_status.py
+++ b/lentilhaven/cli/system_status.py
@@ -141,6 +141,8 @@
     for state, count in pool["endpoints"].items():
         if state != "live" and count:
             found.append(f"{name}: {count} of {total} endpoints {state}")
+    if pool.get("not_live"):
+        found.append(f"{name}: not live: {', '.join(pool['not_live'])}")
     if not pool["endpoints"].get("live"):
         found.append(f"{name}: no endpoint is live")
     if pool["waiting"] > pool["running"]:
--- a/lentilhaven/cli/tests/test_operators_client.py
+++ b/lentilhaven/cli/tests/test_operators_client.py
@@ -81,6 +81,7 @@
             self.assertEqual(code, 0, out)
             code, out, _ = await system.run("status")
             self.assertIn("pool llm: 1 of 6 endpoints leaving", out)
+            self.assertIn("pool llm: not live: engine-1a", out)
             code, out, _ = await system.run("drain", "vm-2")
             self.assertEqual((code, system.drained), (0, ["vm-2"]))
             code, _, errors = await system.run("drain", "nothing")
--- a/lentilhaven/router/router_state.py
+++ b/lentilhaven/router/router_state.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from typing import Any
 
+from lentilhaven.control.view import EndpointState
 from lentilhaven.core.invariants import VIOLATIONS
 from lentilhaven.core.settings import to_document
 from lentilhaven.router.explanation import explain_request
@@ -10,6 +11,9 @@
 from lentilhaven.serving.metrics import Metrics
 from lentilhaven.serving.operators_app import OperatorSource
 
+#: Endpoints of a pool that are named, of those that are not live.
+NAMES_LISTED = 20
+
 
 def router_source(router: Router, metrics: Metrics, drain: Any) -> OperatorSource:
     """
@@ -64,10 +68,12 @@
     """Return the endpoints of a pool by state, and their load."""
     states: Counter[str] = Counter()
     running = waiting = reported = 0
-    ages = []
+    ages, not_live = [], []
     for spec in pool.endpoints:
         view = router.view.endpoints.get(spec.id)
         states[view.state.value if view else "live"] += 1
+        if view is not None and view.state is not EndpointState.LIVE:
+            not_live.append(spec.id)
         if view is not None and view.report is not None:
             reported += 1
             running += view.report.running
@@ -78,6 +84,7 @@
         "kind": pool.kind.value,
         "model": pool.model,
         "endpoints": dict(sorted(states.items())),
+        "not_live": sorted(not_live)[:NAMES_LISTED],
         "running": running,
         "waiting": waiting,
         "reporting": reported,
