--- a/lentilhaven/router/authentication.py
+++ b/lentilhaven/router/authentication.py
@@ -6,6 +6,7 @@
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.hashing import token_hash
 from lentilhaven.core.step import Step
+from lentilhaven.tables.table_index import TableIndex, index_tables
 from lentilhaven.tables.tables import Tables
 from lentilhaven.tables.workspace import Workspace
 
@@ -18,19 +19,15 @@
     A lookup takes the same few microseconds for ten workspaces and for 20,000.
     Its timing may tell something of the SHA-256 of the token that was shown,
     compared with the hashes in the tables; that helps nobody, since a token
-    can't be chosen by its hash, nor be worked out from one.  The tables hold
-    only hashes, and no secret is compared byte by byte.
+    can't be chosen by its hash, nor be worked out from one.
 
     Attributes
     ----------
-    tables : Tables
-        What the index was built from.
-    workspaces : dict
-        `Workspace` by token hash.
+    index : TableIndex
+        The tables and dictionaries over them.
     """
 
-    tables: Tables = attrs.field(factory=Tables)
-    workspaces: dict[str, Workspace] = attrs.field(factory=dict)
+    index: TableIndex = attrs.field(factory=lambda: index_tables(Tables()))
 
     def authenticate(self, tables: Tables, header: str) -> Result[Workspace, Failure]:
         """
@@ -47,22 +44,17 @@
         scheme, _, token = header.partition(" ")
         if scheme.lower() != "bearer" or not token.strip():
             return Error(unauthenticated("a bearer token is required"))
-        found = self.workspaces.get(token_hash(token.strip()))
+        found = self.index.find_workspace(token_hash(token.strip()))
         if found is None:
             return Error(unauthenticated("the token is not known"))
         return Ok(found)
 
     def follow(self, tables: Tables) -> None:
         """Build the index again if the version of the tables has changed."""
-        same = tables is self.tables
-        if same or 0 < tables.version == self.tables.version:
+        held = self.index.tables
+        if tables is held or 0 < tables.version == held.version:
             return
-        self.workspaces = {
-            known: workspace
-            for workspace in tables.workspaces
-            for known in workspace.token_hashes
-        }
-        self.tables = tables
+        self.index = index_tables(tables)
 
 
 def unauthenticated(detail: str) -> Failure:
--- a/lentilhaven/router/tests/test_callers.py
+++ b/lentilhaven/router/tests/test_callers.py
@@ -220,9 +220,9 @@
         tables = Tables(workspaces=many, version=1)
         index = WorkspaceIndex()
         self.assertEqual(index.authenticate(tables, "Bearer t19999").ok.id, "w19999")
-        held = index.workspaces
+        held = index.index
         again = attrs.evolve(tables)
         self.assertTrue(index.authenticate(again, "Bearer x").is_error())
-        self.assertIs(index.workspaces, held)
+        self.assertIs(index.index, held)
         newer = attrs.evolve(tables, workspaces=many[:1], version=2)
         self.assertTrue(index.authenticate(newer, "Bearer t19999").is_error())
