--- a/lentilhaven/bench/shutdown.py
+++ b/lentilhaven/bench/shutdown.py
@@ -9,6 +9,8 @@
 import random
 from collections import Counter
 
+import aiohttp
+
 from lentilhaven.bench.figure import Figure, at_least, at_most, observed
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
@@ -94,8 +96,12 @@
 
 async def is_ready(testbed: Testbed, url: str) -> bool:
     """Return whether a VM says that it is ready."""
-    async with testbed.session.get(f"{url}/readyz") as response:
-        return response.status == 200
+    try:
+        async with testbed.session.get(f"{url}/readyz") as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        # A VM that has gone between two questions is not ready.
+        return False
 
 
 async def replace_vm(
