Keep the shutdown scenario's balancer alive when a VM is gone

The log shows one failure, in the scenario's own balancer: its readiness check met a VM that had just been stopped, raised ClientConnectorError and ended, so that callers were sent to stopped VMs for the rest of the run. Ruled out: the router; it reported 0 requests as cut. Change: a VM that can't be reached is not ready, as every balancer has it.

--- a/lentilhaven/bench/shutdown.py
+++ b/lentilhaven/bench/shutdown.py
@@ -9,6 +9,8 @@
 import random
 from collections import Counter
 
+import aiohttp
+
 from lentilhaven.bench.figure import Figure, at_least, at_most, observed
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
@@ -93,9 +95,12 @@
 
 
 async def is_ready(testbed: Testbed, url: str) -> bool:
-    """Return whether a VM says that it is ready."""
-    async with testbed.session.get(f"{url}/readyz") as response:
-        return response.status == 200
+    """Return whether a VM says that it is ready; one that is gone is not."""
+    try:
+        async with testbed.session.get(f"{url}/readyz") as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        return False
 
 
 async def replace_vm(
