Measure fleets on the loopback interface, without network namespaces

Cause: the fleet script made namespaces and a pair of virtual interfaces to count bytes, which goes beyond plain processes on loopback, and needs rights that a developer may lack. The interface's counter now gives the bytes; traffic with the stand-ins is counted at both ends, so that the figure is an upper bound.

--- a/lentilhaven/bench/fleet_observer.py
+++ b/lentilhaven/bench/fleet_observer.py
@@ -15,7 +15,7 @@
     FleetSample,
     compare_samples,
     read_agents,
-    read_interfaces,
+    read_loopback,
     read_memory,
     read_processor,
 )
@@ -151,13 +151,11 @@
         """Return the totals now."""
         async with self.session.get(f"{self.store}/stats") as response:
             stats = await response.json()
-        interfaces = read_interfaces()
         return FleetSample(
             time.monotonic(),
             sum(read_processor(agent.pid) for agent in self.agents),
             max(read_memory(agent.pid) for agent in self.agents),
-            interfaces["lo"],
-            sum(count for name, count in interfaces.items() if name != "lo"),
+            read_loopback(),
             stats["reads"] + stats["writes"],
             stats["waiting"],
         )
--- a/lentilhaven/bench/fleet_sample.py
+++ b/lentilhaven/bench/fleet_sample.py
@@ -44,8 +44,8 @@
         Seconds of processor time.
     memory : float
         Largest resident memory of an agent, in bytes.
-    peer_bytes, outside_bytes : int
-        Bytes between agents, and between agents and everything else.
+    moved : int
+        Bytes that the loopback interface has received and sent.
     store_calls : int
         Calls that the store has answered.
     waiting : int
@@ -55,8 +55,7 @@
     time: float
     processor: float
     memory: float
-    peer_bytes: int
-    outside_bytes: int
+    moved: int
     store_calls: int
     waiting: int
 
@@ -77,7 +76,8 @@
     memory : float
         Megabytes, of the largest agent.
     bytes_per_second : float
-        Sent and received, with the headers of all layers.
+        Sent and received, with the headers of all layers; at most, since what
+        goes to and from the stand-ins is counted at both ends.
     store_calls : float
         Calls a second of the whole fleet, without those that wait.
     waiting : float
@@ -127,15 +127,22 @@
     return int(pages) * os.sysconf("SC_PAGE_SIZE")
 
 
-def read_interfaces() -> dict[str, int]:
-    """Return the bytes received and sent by each network interface."""
+def read_loopback() -> int:
+    """
+    Return the bytes received and sent by the loopback interface.
+
+    Raises
+    ------
+    ValueError
+        If there is no loopback interface.
+    """
     text = Path("/proc/net/dev").read_text(encoding="utf-8")
-    counts = {}
     for line in text.splitlines()[2:]:
         name, _, rest = line.partition(":")
-        fields = rest.split()
-        counts[name.strip()] = int(fields[0]) + int(fields[8])
-    return counts
+        if name.strip() == "lo":
+            fields = rest.split()
+            return int(fields[0]) + int(fields[8])
+    raise ValueError("there is no interface called 'lo'")
 
 
 def compare_samples(
@@ -149,7 +156,8 @@
     Return the cost of one agent between two samples.
 
     A byte between agents is counted by the interface once as sent and once as
-    received, and so it is at the two agents.
+    received, and so it is at the two agents.  A byte between an agent and a
+    stand-in is counted twice too, which makes the figure an upper bound.
 
     Parameters
     ----------
@@ -159,8 +167,7 @@
         Agents, endpoints, and edits accepted in between.
     """
     seconds = after.time - before.time
-    moved = after.peer_bytes - before.peer_bytes
-    moved += after.outside_bytes - before.outside_bytes
+    moved = after.moved - before.moved
     return FleetCost(
         nodes,
         replicas,
