--- a/lentilhaven/bench/shutdown.py
+++ b/lentilhaven/bench/shutdown.py
@@ -95,12 +95,11 @@
 
 
 async def is_ready(testbed: Testbed, url: str) -> bool:
-    """Return whether a VM says that it is ready."""
+    """Return whether a VM says that it is ready; one that is gone is not."""
     try:
         async with testbed.session.get(f"{url}/readyz") as response:
             return response.status == 200
     except aiohttp.ClientError:
-        # A VM that has gone between two questions is not ready.
         return False
 
 
