Cancel tasks until they have ended

Cause: 5 of about 200 agent processes did not stop at SIGTERM and had to be killed; a cancellation that meets an expiring timeout in the same step is turned into the timeout by the HTTP client, so that the task went on and its context waited for ever. Not yet shown on a starved fleet of processes.

--- a/lentilhaven/core/task_set.py
+++ b/lentilhaven/core/task_set.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lentilhaven.core.tasks import report_task_failure
+from lentilhaven.core.tasks import cancel_tasks, report_task_failure
 
 K = TypeVar("K", bound=Hashable)
 
@@ -23,10 +23,13 @@
         Returns the coroutine for a key.
     tasks : dict
         Running tasks by key.
+    ending : set
+        Tasks that have been cancelled and have not ended.
     """
 
     run: Callable[[K], Coroutine[Any, Any, None]]
     tasks: dict[K, asyncio.Task] = attrs.field(factory=dict)
+    ending: set[asyncio.Task] = attrs.field(factory=set)
 
     def keep(self, keys: Iterable[K]) -> None:
         """
@@ -39,7 +42,10 @@
         """
         wanted = dict.fromkeys(keys)
         for key in [key for key in self.tasks if key not in wanted]:
-            self.tasks.pop(key).cancel()
+            task = self.tasks.pop(key)
+            self.ending.add(task)
+            task.add_done_callback(self.ending.discard)
+            task.cancel()
         for key in wanted:
             if key not in self.tasks or self.tasks[key].done():
                 task = asyncio.create_task(self.run(key))
@@ -48,9 +54,8 @@
 
     async def close(self) -> None:
         """Cancel all tasks and wait for their end."""
-        tasks = list(self.tasks.values())
         self.keep([])
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_tasks(self.ending)
 
 
 @asynccontextmanager
--- a/lentilhaven/core/tasks.py
+++ b/lentilhaven/core/tasks.py
@@ -1,12 +1,15 @@
 """Tasks whose life is bound to a context."""
 
 import asyncio
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Coroutine, Iterable
 from contextlib import asynccontextmanager
 from typing import Any
 
 from lentilhaven.core.logs import describe_defect, get_logger
 
+#: Seconds after which a task that has not ended is cancelled again.
+REPEAT_INTERVAL = 0.5
+
 log = get_logger("core")
 
 
@@ -34,9 +37,27 @@
     try:
         yield
     finally:
-        for task in tasks:
+        await cancel_tasks(tasks)
+
+
+async def cancel_tasks(tasks: Iterable[asyncio.Task]) -> None:
+    """
+    Cancel tasks until all of them have ended.
+
+    One cancellation may not be enough: where it meets a timeout that expires in
+    the same step, the HTTP client reports the timeout instead, and the task goes
+    on.
+
+    Parameters
+    ----------
+    tasks : iterable of asyncio.Task
+        The tasks.
+    """
+    left = set(tasks)
+    while left:
+        for task in left:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        _, left = await asyncio.wait(left, timeout=REPEAT_INTERVAL)
 
 
 def report_task_failure(task: asyncio.Task) -> None:
--- a/lentilhaven/membership/heartbeats.py
+++ b/lentilhaven/membership/heartbeats.py
@@ -113,7 +113,7 @@
             The VM.
         """
         misses = 0
-        while True:
+        while self.gossip.members.own in self.gossip.members.monitors.get(vm, []):
             began = self.gossip.clock.monotonic()
             heard = await self.beat(vm)
             taken = self.gossip.clock.monotonic() - began
