--- a/lentilhaven/limits/adaptive_limit.py
+++ b/lentilhaven/limits/adaptive_limit.py
@@ -19,9 +19,11 @@
 #: Least factor of one adjustment downwards.
 LEAST_FACTOR = 0.9
 
-#: Most requests by which one adjustment raises the limit, and the relative
-#: distance from the target at which it does.
-GREATEST_RISE, FULL_RISE_AT = 1.0, 0.1
+#: Most requests by which one adjustment raises the limit.
+GREATEST_RISE = 2.0
+
+#: Relative distance from the target for which it rises by one request.
+RISE_STEP = 0.1
 
 #: Part of the limit that must be in use before it grows.
 BUSY_SHARE = 0.85
@@ -100,7 +102,7 @@
                 cut = max(LEAST_FACTOR, math.sqrt(ratio))
                 self.limit = max(self.least, self.limit * cut)
         elif in_flight >= BUSY_SHARE * self.limit:
-            rise = GREATEST_RISE * min(1.0, (ratio - 1.0) / FULL_RISE_AT)
+            rise = min(GREATEST_RISE, (ratio - 1.0) / RISE_STEP)
             self.limit = min(self.greatest, self.limit + rise)
 
     def find_ratio(self) -> float:
