--- a/lentilhaven/agent/agent.py
+++ b/lentilhaven/agent/agent.py
@@ -170,6 +170,7 @@
     def leave(self) -> None:
         """Tell the other VMs that this one leaves."""
         self.members.leaving.add(self.members.own)
+        self.members.touch()
         self.poller.vm_leaving = True
         self.poller.state_leaving()
 
@@ -278,6 +279,7 @@
             agent.spreader.follow_random(),
             agent.heartbeats.monitor_subjects(),
             agent.gossip.pull_facts(),
+            agent.gossip.push_news(),
             agent.poller.poll_endpoints(),
             agent.poller.state_loads(),
             agent.follow_tables(),
--- a/lentilhaven/bench/recovery.py
+++ b/lentilhaven/bench/recovery.py
@@ -40,8 +40,8 @@
 #: Longest allowed time to detect a death, in seconds.
 DETECTION = 0.2
 
-#: Seconds between two trials, after which every circuit is closed again.
-PAUSE = 60.0
+#: Seconds between two trials, after which every circuit lets a trial pass again.
+PAUSE = 5.0
 
 #: Kinds of trial: name, whether silent, stages at once, deaths of replacements.
 KINDS = [
@@ -78,6 +78,8 @@
                 for _ in range(options.size or DEFAULT_SIZE)
             ]
             figures |= await measure_kind(testbed, name, trials)
+        # A testbed must be closed before the next may use its addresses.
+        figures |= spread(f"{name}-naive", await measure_naive(plan, trials))
     figures |= await measure_no_replacement(options)
     return figures
 
@@ -96,25 +98,25 @@
     for number, trial in enumerate(trials):
         limits.append(await run_limit(testbed, trial, f"{name}-{number}"))
         await testbed.clock.sleep(PAUSE)
-    naive = await measure_naive(testbed, trials)
     bound = LIMIT_FACTOR * quantile(limits, 0.95) + DETECTION
     figures = {f"{name}-incomplete": at_most(incomplete, 0, "answers")}
     figures |= spread(f"{name}-recovery", waits)
     figures[f"{name}-recovery-p95"] = at_most(quantile(waits, 0.95), bound, "s")
-    figures |= spread(f"{name}-limit", limits)
-    return figures | spread(f"{name}-naive", naive)
+    return figures | spread(f"{name}-limit", limits)
 
 
-async def measure_naive(testbed: Testbed, trials: list[RecoveryTrial]) -> list[float]:
+async def measure_naive(plan: TestbedPlan, trials: list[RecoveryTrial]) -> list[float]:
     """Return the waits of a caller whose router does not recover."""
-    tables = testbed.vms[0].router.view.tables
-    routes = [attrs.evolve(it, retry=RetryRule(max_attempts=1)) for it in tables.routes]
-    version = await testbed.apply(attrs.evolve(tables, routes=routes), "naive")
-    await testbed.wait_in_force(version)
     waits = []
-    for trial in trials:
-        waits += (await run_naive(testbed, trial)).waits
-        await testbed.clock.sleep(PAUSE)
+    async with open_testbed(plan) as testbed:
+        tables = testbed.vms[0].router.view.tables
+        never = RetryRule(max_attempts=1)
+        routes = [attrs.evolve(route, retry=never) for route in tables.routes]
+        version = await testbed.apply(attrs.evolve(tables, routes=routes), "naive")
+        await testbed.wait_in_force(version)
+        for trial in trials:
+            waits += (await run_naive(testbed, trial)).waits
+            await testbed.clock.sleep(PAUSE)
     return waits
 
 
--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -4,6 +4,7 @@
 
 from lentilhaven.bench.affinity import run_affinity
 from lentilhaven.bench.config_spread import run_config_spread
+from lentilhaven.bench.control_cost import run_control_cost
 from lentilhaven.bench.control_random import run_control_random
 from lentilhaven.bench.decision_cost import run_decision_cost
 from lentilhaven.bench.failover import run_failover
@@ -20,9 +21,13 @@
 from lentilhaven.bench.orders_random import run_orders_random
 from lentilhaven.bench.recovery import run_recovery
 from lentilhaven.bench.report import Report
+from lentilhaven.bench.resume import run_resume
+from lentilhaven.bench.router_cost import run_router_cost
 from lentilhaven.bench.rush import run_rush
 from lentilhaven.bench.scenario_options import ScenarioOptions
+from lentilhaven.bench.shutdown import run_shutdown
 from lentilhaven.bench.smoke import run_smoke
+from lentilhaven.bench.tables_cost import run_tables_cost
 from lentilhaven.bench.throughput import run_throughput
 from lentilhaven.bench.view_cost import run_view_cost
 
@@ -31,6 +36,7 @@
 SCENARIOS: dict[str, Scenario] = {
     "affinity": run_affinity,
     "config-spread": run_config_spread,
+    "control-cost": run_control_cost,
     "control-random": run_control_random,
     "decision-cost": run_decision_cost,
     "failover": run_failover,
@@ -41,13 +47,17 @@
     "idempotency": run_idempotency,
     "integrity": run_integrity,
     "journal-model": run_journal_model,
+    "resume": run_resume,
+    "shutdown": run_shutdown,
     "journal-random": run_journal_random,
     "leaving": run_leaving,
     "orders-random": run_orders_random,
     "recovery": run_recovery,
+    "router-cost": run_router_cost,
     "rush": run_rush,
     "fuzz": run_fuzz,
     "smoke": run_smoke,
+    "tables-cost": run_tables_cost,
     "throughput": run_throughput,
     "view-cost": run_view_cost,
 }
--- a/lentilhaven/router/admission.py
+++ b/lentilhaven/router/admission.py
@@ -1,194 +1,157 @@
 """
-Admits, queues or refuses the answers of a router.
+Lets requests in: the workspace's quota, the pool's limit and KV memory.
 
-A handler wraps its work in `admitted`::
-
-    async with admitted(router, answer):
-        ...
-
-and tells `note_token` of each token, so that limits follow what callers see.
+A request is refused at once or not at all, with the time after which another
+try may help.  One that is let in may wait, but no longer than it can afford.
 """
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-
-import attrs
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 from lentilhaven.core.failure import Failure, FailureError
-from lentilhaven.core.ids import RequestId
 from lentilhaven.core.step import Step
-from lentilhaven.limits.adaptive_limit import AdaptiveLimit, first_limit
-from lentilhaven.limits.admission_policies import ADMISSION_POLICIES
-from lentilhaven.limits.admission_state import AdmissionState
-from lentilhaven.limits.drain_rate import DrainRate
-from lentilhaven.limits.gate import Gate
+from lentilhaven.limits.quota import Quota, share_of_limit
 from lentilhaven.limits.ticket import Ticket, class_weight
-from lentilhaven.pipelines.bound import bound_of
 from lentilhaven.router.answer import Answer
 from lentilhaven.router.chain_choice import state_of
+from lentilhaven.router.pool_admission import PoolAdmission, open_pool_admission
 from lentilhaven.router.router import Router
+from lentilhaven.router.token_pace import TokenPace
 from lentilhaven.tables.workspace import Workspace
 
-#: Seconds to the first token, and between tokens, for 95 of 100.
-FIRST_TOKEN_TARGET, BETWEEN_TOKENS_TARGET = 1.9, 0.049
+#: Seconds within which the first token is due.
+FIRST_TOKEN_TARGET = 1.9
 
 
-@attrs.define
-class Admission:
+@contextmanager
+def within_quota(router: Router, workspace: Workspace) -> Iterator[None]:
     """
-    The gate to one pool and the requests that wait at it.
+    Hold one request of a workspace's limits while the context lasts.
 
-    Attributes
+    Parameters
     ----------
-    gate : Gate
-        Decides.
-    waiters : dict
-        Future by waiting request; done once the request may start.
-    started : dict
-        Monotonic time at which a request started, until its first token.
-    last_token : dict
-        Monotonic time of the newest token by running request.
+    router : Router
+        Knows the number of routers between which limits are divided.
+    workspace : Workspace
+        Who asks.
+
+    Raises
+    ------
+    FailureError
+        If this router's part of the limits is used up.
     """
+    if not workspace.max_rate and not workspace.max_concurrency:
+        yield
+        return
+    quota = current_quota(router, workspace)
+    retry_after = quota.try_start(router.clock.monotonic())
+    if retry_after is not None:
+        router.counters["refused_over_quota"] += 1
+        detail = f"workspace {workspace.id!r} is over its limits"
+        failure = Failure(
+            Step.ADMIT, "", "rate-limited", detail, retry_after=retry_after
+        )
+        raise FailureError(failure)
+    try:
+        yield
+    finally:
+        quota.finish()
+
 
-    gate: Gate
-    waiters: dict[RequestId, asyncio.Future] = attrs.field(factory=dict)
-    started: dict[RequestId, float] = attrs.field(factory=dict)
-    last_token: dict[RequestId, float] = attrs.field(factory=dict)
-
-    def start_waiting(self, now: float) -> None:
-        """Start every request that the gate lets through now."""
-        while (ticket := self.gate.pick()) is not None:
-            self.gate.start(ticket, now)
-            self.started[ticket.request] = now
-            waiter = self.waiters.pop(ticket.request)
-            if not waiter.done():
-                waiter.set_result(None)
-
-    def leave(self, ticket: Ticket, now: float) -> None:
-        """Count a request out, whether it waits or runs."""
-        self.started.pop(ticket.request, None)
-        self.last_token.pop(ticket.request, None)
-        if ticket.request in self.gate.state.running:
-            self.gate.finish(ticket, now)
-        else:
-            # The caller went away while it waited.
-            self.waiters.pop(ticket.request, None)
-            self.gate.state.dequeue(ticket)
-        self.start_waiting(now)
+def current_quota(router: Router, workspace: Workspace) -> Quota:
+    """Return this router's part of a workspace's limits, as of now."""
+    own = router.settings.vm
+    live = {*router.view.live_vms, own}
+    demands = dict.fromkeys(live, 0.0)
+    rate = share_of_limit(workspace.max_rate, demands, own)
+    concurrency = share_of_limit(workspace.max_concurrency, demands, own)
+    quota = router.quotas.get(workspace.id)
+    if quota is None:
+        now = router.clock.monotonic()
+        quota = router.quotas[workspace.id] = Quota(rate, concurrency, refilled=now)
+    quota.rate, quota.concurrency = rate, concurrency
+    return quota
 
 
 @asynccontextmanager
-async def admitted(router: Router, answer: Answer) -> AsyncIterator[None]:
+async def admitted(
+    router: Router, answer: Answer, workspace: Workspace
+) -> AsyncIterator[None]:
     """
-    Hold a place among the requests in flight while the context lasts.
+    Hold a place in an answer's pool while the context lasts.
 
     Parameters
     ----------
     router : Router
-        The router.
+        Holds the admission of each pool.
     answer : Answer
-        The answer that asks to be admitted.
+        The answer; its KV memory is reserved on the paths that it takes.
+    workspace : Workspace
+        Who asks.
 
     Raises
     ------
     FailureError
-        At once, if the request could not start in time.
+        If the request can't be answered in time.
     """
-    admission = admission_of(router, answer)
-    now = router.clock.monotonic()
-    ticket = make_ticket(router, answer, admission.gate, now)
-    retry_after = admission.gate.offer(ticket, now)
+    admission = find_admission(router, answer)
+    ticket = make_ticket(router, answer, workspace, admission)
+    policy = answer.route.policies.admission
+    retry_after = admission.offer(ticket, policy, ticket.arrived)
     if retry_after is not None:
         router.counters["refused_overloaded"] += 1
-        raise FailureError(overloaded(answer, retry_after))
+        detail = f"pool {answer.pool.name!r} can't answer in time"
+        failure = Failure(Step.ADMIT, "", "overloaded", detail, retry_after=retry_after)
+        raise FailureError(failure)
     paths = state_of(router, answer)
-    waiter: asyncio.Future = asyncio.get_running_loop().create_future()
-    admission.waiters[answer.request] = waiter
+    paths.open(answer.request)
     try:
-        admission.start_waiting(now)
-        await waiter
-        paths.open(answer.request)
+        admission.start_waiting(ticket.arrived)
+        await wait_for_start(router, answer, admission.waiting[ticket.request])
+        now = router.clock.monotonic()
+        answer.pace = TokenPace(admission.gate, paths, answer.request, now)
         yield
     finally:
         paths.close(answer.request)
         admission.leave(ticket, router.clock.monotonic())
 
 
-def note_token(router: Router, answer: Answer) -> None:
-    """
-    Let limits and link timing follow a token that has just been forwarded.
-
-    Parameters
-    ----------
-    router : Router
-        The router.
-    answer : Answer
-        The answer that the token belongs to.
-    """
-    admission = router.admissions.get(answer.pool.name)
-    if admission is None or answer.request not in admission.gate.state.running:
-        return
-    now = router.clock.monotonic()
-    last = admission.last_token.get(answer.request)
-    admission.last_token[answer.request] = now
-    began = admission.started.pop(answer.request, None)
-    if began is not None:
-        admission.gate.observe_first(now - began)
-    elif last is not None:
-        admission.gate.observe(now - last, now)
-        state_of(router, answer).note_gap(answer.request, now - last, now)
-
-
-def admission_of(router: Router, answer: Answer) -> Admission:
-    """Return the router's admission to an answer's pool, making it if need be."""
+def find_admission(router: Router, answer: Answer) -> PoolAdmission:
+    """Return the admission of an answer's pool."""
     name = answer.pool.name
     if name not in router.admissions:
-        router.admissions[name] = Admission(make_gate(router, answer))
-    admission = router.admissions[name]
-    wanted = answer.route.policies.admission
-    admission.gate.policy = wanted if wanted in ADMISSION_POLICIES else "deadline"
-    return admission
-
-
-def make_gate(router: Router, answer: Answer) -> Gate:
-    """Return a gate that begins with this router's part of the pool's bound."""
-    mix = state_of(router, answer).chooser.mix
-    bound = bound_of(answer.pool, mix, answer.version).rate
-    routers = max(1, len(router.view.live_vms))
-    limit = first_limit(bound, BETWEEN_TOKENS_TARGET, routers)
-    duration = mix.generated_tokens * BETWEEN_TOKENS_TARGET
-    state = AdmissionState(
-        AdaptiveLimit(BETWEEN_TOKENS_TARGET, max(2.0, limit)),
-        DrainRate(mix.total_tokens, duration),
-    )
-    return Gate(state)
+        router_count = len(router.view.live_vms)
+        router.admissions[name] = open_pool_admission(answer.pool, router_count)
+    return router.admissions[name]
 
 
-def make_ticket(router: Router, answer: Answer, gate: Gate, now: float) -> Ticket:
-    """Return the ticket of an answer."""
-    workspace = find_workspace(router, answer)
+def make_ticket(
+    router: Router, answer: Answer, workspace: Workspace, admission: PoolAdmission
+) -> Ticket:
+    """Return what admission knows of an answer."""
+    now = router.clock.monotonic()
     due = min(now + FIRST_TOKEN_TARGET, answer.deadline)
     return Ticket(
-        answer.request,
-        answer.workspace,
-        class_weight(workspace.weight, workspace.priority),
-        workspace.priority,
-        len(answer.wanted.prompt) + answer.wanted.max_tokens,
-        now,
-        gate.start_by(due),
+        request=answer.request,
+        workspace=workspace.id,
+        weight=class_weight(workspace.weight, workspace.priority),
+        priority=workspace.priority,
+        tokens=float(len(answer.wanted.prompt) + answer.wanted.max_tokens),
+        arrived=now,
+        start_by=admission.gate.start_by(due),
     )
 
 
-def find_workspace(router: Router, answer: Answer) -> Workspace:
-    """Return an answer's workspace; a removed one counts as ordinary."""
-    for workspace in router.view.tables.workspaces:
-        if workspace.id == answer.workspace:
-            return workspace
-    return Workspace(answer.workspace, [])
-
-
-def overloaded(answer: Answer, retry_after: float) -> Failure:
-    """Return the failure of a refused request."""
-    detail = f"pool {answer.pool.name!r} can't start this request in time"
-    return Failure(Step.ADMIT, "", "overloaded", detail, retry_after=retry_after)
+async def wait_for_start(
+    router: Router, answer: Answer, started: asyncio.Event
+) -> None:
+    """Wait until an answer may start, at most until its deadline."""
+    left = answer.deadline - router.clock.monotonic()
+    try:
+        async with asyncio.timeout(left):
+            await started.wait()
+    except TimeoutError as error:
+        detail = "the deadline passed before the request could start"
+        failure = Failure(Step.ADMIT, "", "deadline", detail, retry_after=1.0)
+        raise FailureError(failure) from error
--- a/lentilhaven/router/services.py
+++ b/lentilhaven/router/services.py
@@ -21,17 +21,17 @@
 from lentilhaven.core.step import Step
 from lentilhaven.endpoints.service_client import (
     ServiceCall,
-    call_service,
 )
-from lentilhaven.idempotency.call_key import MAX_KEY_LENGTH
 from lentilhaven.idempotency.dispatch import DispatchPorts, dispatch
 from lentilhaven.idempotency.guarded_call import GuardedCall
+from lentilhaven.router.admission import within_quota
 from lentilhaven.router.app_keys import ROUTER, read_workspace
 from lentilhaven.router.problems import problem_response
 from lentilhaven.router.router import Router
 from lentilhaven.router.service_attempt import (
     ServiceAttempt,
     choose_endpoint,
+    exchange,
     no_endpoint,
 )
 from lentilhaven.router.service_headers import forwarded_headers
@@ -55,6 +55,14 @@
     router = request.app[ROUTER]
     workspace = read_workspace(request)
     route = find_route(router, workspace, request)
+    with within_quota(router, workspace):
+        return await forward_within_quota(request, router, workspace, route)
+
+
+async def forward_within_quota(
+    request: web.Request, router: Router, workspace: Workspace, route: Route
+) -> web.StreamResponse:
+    """Forward a call by its route's rule on idempotent methods."""
     call = await read_call(request)
     if request.method in route.idempotent_methods:
         return await forward_idempotent(router, route, call)
@@ -76,7 +84,7 @@
     Raises
     ------
     FailureError
-        If there is none, or it is too long.
+        If there is none.  The listener has refused malformed ones.
 
     References
     ----------
@@ -87,9 +95,6 @@
     if not key:
         detail = f"{request.method} is not idempotent here; send Idempotency-Key"
         raise FailureError(Failure(Step.PARSE, "", "key-required", detail))
-    if len(key) > MAX_KEY_LENGTH:
-        detail = f"an idempotency key has at most {MAX_KEY_LENGTH} characters"
-        raise FailureError(Failure(Step.PARSE, "", "bad-key", detail))
     return key
 
 
@@ -134,6 +139,7 @@
 ) -> ClaimRequest:
     """Return the claim that a non-idempotent call needs."""
     fingerprint = content_hash([call.method, call.path, call.body.hex()])
+    # The right to dispatch hangs on this id; it must never be the caller's choice.
     request = current_request(router.random)
     pool = router.view.tables.pool(route.pool)
     return ClaimRequest(
@@ -153,14 +159,15 @@
     """Send a call to one endpoint after another until one answers."""
     tried: set[EndpointId] = set()
     failure = no_endpoint(route)
+    budget = router.budget(route)
+    budget.record_request(router.clock.monotonic())
     end = router.clock.monotonic() + route.deadline
     for _ in range(route.retry.max_attempts):
         endpoint = choose_endpoint(router, route, tried)
-        left = end - router.clock.monotonic()
-        if endpoint is None or left <= 0:
+        now = router.clock.monotonic()
+        if endpoint is None or now >= end or (tried and not budget.spend(now)):
             break
-        with router.counted_service(endpoint.id):
-            outcome = await call_service(router.session, endpoint, call, left)
+        outcome = await exchange(router, router.session, endpoint, call, end - now)
         if outcome.is_ok():
             return relay(outcome.ok)
         failure = outcome.error
--- a/lentilhaven/router/stream_examination.py
+++ b/lentilhaven/router/stream_examination.py
@@ -14,6 +14,12 @@
 #: Seconds between two looks at stages that are all idle.
 SECOND_LOOK_DELAY = 0.02
 
+#: Steps in which a probe is waited for.
+WAIT_STEPS = 5
+
+#: Multiple of its time that a probe may take when this process stands still.
+STALL_FACTOR = 20.0
+
 
 async def probe_stages(
     router: Router, answer: Answer, stages: list[Stage], timeout: float
@@ -21,6 +27,9 @@
     """
     Ask stages, each on a new connection, how far they have come.
 
+    Time in which this process stood still does not count: what has arrived
+    meanwhile is unread, and must not be taken for silence.
+
     Parameters
     ----------
     router : Router
@@ -32,10 +41,36 @@
     timeout : float
         Seconds to wait.
     """
-    probes = [router.engines.probe(it, answer.request, timeout) for it in stages]
-    found = await asyncio.gather(*probes)
-    names = [stage.endpoint for stage in stages]
-    return dict(zip(names, found, strict=True))
+    longest = timeout * STALL_FACTOR
+    probes = [
+        asyncio.create_task(router.engines.probe(it, answer.request, longest))
+        for it in stages
+    ]
+    try:
+        await wait_patiently(router, probes, timeout)
+        names = [stage.endpoint for stage in stages]
+        found = [task.result() if task.done() else None for task in probes]
+        return dict(zip(names, found, strict=True))
+    finally:
+        for task in probes:
+            task.cancel()
+        await asyncio.gather(*probes, return_exceptions=True)
+
+
+async def wait_patiently(
+    router: Router, tasks: list[asyncio.Task], timeout: float
+) -> None:
+    """Wait for tasks, counting no more time than the clock should have shown."""
+    step = timeout / WAIT_STEPS
+    for _ in range(WAIT_STEPS):
+        began = router.clock.monotonic()
+        _, pending = await asyncio.wait(tasks, timeout=step)
+        if not pending:
+            return
+        if router.clock.monotonic() - began > 2 * step:
+            router.counters["stalls_seen"] += 1
+            # One more turn of the event loop reads what has arrived.
+            await asyncio.wait(tasks, timeout=step)
 
 
 async def examine_silence(
--- a/lentilhaven/router/tests/test_services.py
+++ b/lentilhaven/router/tests/test_services.py
@@ -10,8 +10,9 @@
 from lentilhaven.testbed.testbed import seeded
 
 
-async def post(testbed, key, body=None, method="POST", vm=0, attempt=""):
-    headers = testbed.headers | {"Idempotency-Key": key, "X-Attempt": attempt}
+async def post(testbed, key, body=None, method="POST", vm=0, attempt="", request="q"):
+    names = {"Idempotency-Key": key, "X-Attempt": attempt, "X-Request-Id": request}
+    headers = testbed.headers | names
     url = f"{testbed.vms[vm].url}/services/stock/postings"
     async with testbed.session.request(
         method, url, json=body or {"meter": 1}, headers=headers
@@ -167,6 +168,67 @@
 
         run_with_testbed(scenario)
 
+    def test_lookup_is_retried_at_another_endpoint(self):
+        async def scenario(testbed):
+            spec = testbed.service_endpoints[0]
+            gone = attrs.evolve(spec, id="stock-0", url="http://127.0.0.1:1")
+            await change_pool(testbed, endpoints=[gone, spec])
+            url = f"{testbed.vms[0].url}/services/stock/items/meter"
+            for _ in range(20):
+                async with testbed.session.get(url, headers=testbed.headers) as answer:
+                    self.assertEqual(answer.status, 200)
+            retried = testbed.vms[0].router.counters["lookups_retried"]
+            self.assertGreater(retried, 0)
+            self.assertLess(retried, 5)
+
+        run_with_testbed(scenario)
+
+    def test_request_ids_of_callers_carry_no_right_to_dispatch(self):
+        async def scenario(testbed):
+            service = testbed.services["stock-1"]
+            service.delay = 0.5
+            calls = (
+                post(testbed, "issue-1", vm=vm, attempt="same", request="same")
+                for vm in range(2)
+            )
+            answers = await asyncio.gather(*calls)
+            self.assertEqual(sorted(it[0] for it in answers), [200, 409])
+            self.assertEqual(service.runs, {"issue-1": 1})
+
+        run_with_testbed(scenario, vm_count=2)
+
+    def test_call_that_is_cut_off_by_a_shutdown_is_still_settled(self):
+        async def scenario(testbed):
+            testbed.services["stock-1"].delay = 1.0
+            caller = asyncio.create_task(post(testbed, "issue-1"))
+            await asyncio.sleep(0.2)
+            hurry = asyncio.Event()
+            hurry.set()
+            await drain(testbed.vms[0].router, hurry)
+            await asyncio.sleep(3.0)
+            await asyncio.gather(caller, return_exceptions=True)
+            status, _, headers = await post(testbed, "issue-1", vm=1)
+            self.assertEqual((status, headers["Idempotency-Replayed"]), (200, "true"))
+
+        run_with_testbed(scenario, vm_count=2)
+
+    def test_claim_that_stands_after_it_was_given_up_is_withdrawn(self):
+        async def scenario(testbed):
+            faults, service = testbed.store.faults, testbed.services["stock-1"]
+            await post(testbed, "issue-0")
+            faults.delay, faults.lost_answer_rate = 0.5, 1.0
+            caller = asyncio.create_task(post(testbed, "issue-1"))
+            await asyncio.sleep(1.2)
+            faults.outage = True
+            status, problem, _ = await caller
+            self.assertEqual((status, problem["ran"]), (503, "no"))
+            faults.outage, faults.delay, faults.lost_answer_rate = False, 0.0, 0.0
+            await asyncio.sleep(5.0)
+            self.assertEqual((await post(testbed, "issue-1"))[0], 200)
+            self.assertEqual(service.runs["issue-1"], 1)
+
+        run_with_testbed(scenario)
+
     def test_shutdown_waits_for_settlements(self):
         async def scenario(testbed):
             router = testbed.vms[0].router
