Refuse unknown policy names in the tables, and drop one that did nothing

An unknown path or admission policy silently meant the default, and the recovery policy was read by nobody.

--- a/lentilhaven/router/path_state.py
+++ b/lentilhaven/router/path_state.py
@@ -2,7 +2,6 @@
 
 import attrs
 
-from lentilhaven.balancing.flow_choice import choose_by_flow
 from lentilhaven.balancing.link_timing import links_of
 from lentilhaven.balancing.path_chooser import PathChooser
 from lentilhaven.balancing.path_policies import PATH_POLICIES
@@ -45,12 +44,12 @@
         view : View
             What the router decides on.
         route : Route
-            Names the policy; an unknown name stands for ``"flow"``.
+            Names the policy.
         pool : Pool
             The pool.
         """
         wanted = route.policies.path
-        self.chooser.policy = PATH_POLICIES.get(wanted, choose_by_flow)
+        self.chooser.policy = PATH_POLICIES[wanted]
         if view.sequence == self.sequence:
             return
         self.sequence = view.sequence
--- a/lentilhaven/router/pool_admission.py
+++ b/lentilhaven/router/pool_admission.py
@@ -6,7 +6,6 @@
 
 from lentilhaven.core.ids import RequestId
 from lentilhaven.limits.adaptive_limit import AdaptiveLimit, first_limit
-from lentilhaven.limits.admission_policies import ADMISSION_POLICIES
 from lentilhaven.limits.admission_state import AdmissionState
 from lentilhaven.limits.drain_rate import DrainRate
 from lentilhaven.limits.gate import Gate
@@ -22,9 +21,6 @@
 #: nothing of its accelerators.
 UNKNOWN_POOL_LIMIT = 256.0
 
-#: Policy of a route that names an unknown one.
-DEFAULT_POLICY = "deadline"
-
 
 @attrs.define
 class PoolAdmission:
@@ -55,8 +51,7 @@
         now : float
             Monotonic time, in seconds.
         """
-        known = policy in ADMISSION_POLICIES
-        self.gate.policy = policy if known else DEFAULT_POLICY
+        self.gate.policy = policy
         refused = self.gate.offer(ticket, now)
         if refused is None:
             self.waiting[ticket.request] = asyncio.Event()
--- a/lentilhaven/tables/route.py
+++ b/lentilhaven/tables/route.py
@@ -62,16 +62,13 @@
     Attributes
     ----------
     path : str
-        How a pipeline is chosen.
+        How a pipeline is chosen, one of `PATH_POLICY_NAMES`.
     admission : str
-        How requests are admitted and ordered.
-    recovery : str
-        What happens when a stage fails in the middle of an answer.
+        How requests are admitted and ordered, one of `ADMISSION_POLICY_NAMES`.
     """
 
     path: str = "flow"
     admission: str = "deadline"
-    recovery: str = "replace-range"
 
 
 @attrs.frozen
--- a/lentilhaven/tables/route_validation.py
+++ b/lentilhaven/tables/route_validation.py
@@ -3,8 +3,9 @@
 from collections.abc import Iterator
 
 from lentilhaven.tables.numbers import find_bad_number
+from lentilhaven.tables.policy_names import ADMISSION_POLICY_NAMES, PATH_POLICY_NAMES
 from lentilhaven.tables.pool import Pool, PoolKind
-from lentilhaven.tables.route import Route
+from lentilhaven.tables.route import Policies, Route
 
 #: Methods of RFC 9110 and RFC 5789 that a route may name.
 METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "PATCH")
@@ -43,6 +44,7 @@
     attempts = route.retry.max_attempts
     yield from find_bad_number(f"{path}.retry.max_attempts", attempts, least=1)
     yield from find_bad_number(f"{path}.retry.budget", route.retry.budget, least=0)
+    yield from find_policy_problems(f"{path}.policies", route.policies)
     for index, method in enumerate(route.idempotent_methods):
         if method not in METHODS:
             yield f"{path}.idempotent_methods[{index}]: unknown method {method!r}"
@@ -50,6 +52,25 @@
         yield f"{path}.name: must be one path segment, not {route.name!r}"
 
 
+def find_policy_problems(path: str, policies: Policies) -> Iterator[str]:
+    """
+    Yield the problems of a route's choice of policies.
+
+    Examples
+    --------
+    >>> list(find_policy_problems("$.policies", Policies(admission="lifo")))
+    ["$.policies.admission: must be 'deadline' or 'first-come', not 'lifo'"]
+    """
+    choices = (
+        ("path", policies.path, PATH_POLICY_NAMES),
+        ("admission", policies.admission, ADMISSION_POLICY_NAMES),
+    )
+    for name, chosen, known in choices:
+        if chosen not in known:
+            listed = " or ".join(repr(it) for it in known)
+            yield f"{path}.{name}: must be {listed}, not {chosen!r}"
+
+
 def find_match_problems(path: str, route: Route, workspaces: set) -> Iterator[str]:
     """Yield the problems of what a route matches."""
     for index, method in enumerate(route.match.methods):
