Split the testbed, and give each start of a VM its own random numbers

A restarted VM drew the same request ids again, which no process of ours would; runs with restarts therefore met repeated ids that production can't have.

--- a/lentilhaven/agent/tests/test_agents_together.py
+++ b/lentilhaven/agent/tests/test_agents_together.py
@@ -11,7 +11,7 @@
 from lentilhaven.standins.virtual import run_virtual
 from lentilhaven.testbed import TestbedPlan, open_testbed
 from lentilhaven.testbed.network import STORE
-from lentilhaven.testbed.testbed import CLUSTER_TOKEN
+from lentilhaven.testbed.tokens import CLUSTER_TOKEN
 
 PLAN = TestbedPlan(vm_count=3, replica_count=1, range_count=1)
 
--- a/lentilhaven/bench/config_spread.py
+++ b/lentilhaven/bench/config_spread.py
@@ -18,7 +18,8 @@
 from lentilhaven.standins.virtual import run_virtual
 from lentilhaven.tables.tables import Tables
 from lentilhaven.testbed import Testbed, TestbedPlan, open_testbed
-from lentilhaven.testbed.testbed import TestbedVm, seeded
+from lentilhaven.testbed.testbed import seeded
+from lentilhaven.testbed.testbed_vm import TestbedVm
 
 #: Edits whose spreading is timed when no size is given.
 DEFAULT_SIZE = 120
--- a/lentilhaven/bench/control_random.py
+++ b/lentilhaven/bench/control_random.py
@@ -19,7 +19,8 @@
 from lentilhaven.tables.tables import Tables
 from lentilhaven.testbed import Testbed, TestbedPlan, open_testbed
 from lentilhaven.testbed.network import STORE
-from lentilhaven.testbed.testbed import TestbedVm, seeded
+from lentilhaven.testbed.testbed import seeded
+from lentilhaven.testbed.testbed_vm import TestbedVm
 
 #: Runs when no size is given.
 DEFAULT_SIZE = 200
--- a/lentilhaven/bench/failover.py
+++ b/lentilhaven/bench/failover.py
@@ -17,7 +17,8 @@
 from lentilhaven.membership.rendezvous import choose_owners
 from lentilhaven.standins.virtual import run_virtual
 from lentilhaven.testbed import Testbed, TestbedPlan, open_testbed
-from lentilhaven.testbed.testbed import TestbedVm, seeded
+from lentilhaven.testbed.testbed import seeded
+from lentilhaven.testbed.testbed_vm import TestbedVm
 
 #: Agents killed when no size is given.
 DEFAULT_SIZE = 30
--- a/lentilhaven/bench/failover_journal.py
+++ b/lentilhaven/bench/failover_journal.py
@@ -18,7 +18,8 @@
 from lentilhaven.membership import rank_members
 from lentilhaven.standins.virtual import run_virtual
 from lentilhaven.testbed import Testbed, TestbedPlan, open_testbed
-from lentilhaven.testbed.testbed import TestbedVm, seeded
+from lentilhaven.testbed.testbed import seeded
+from lentilhaven.testbed.testbed_vm import TestbedVm
 
 #: Losses of a VM when no size is given.
 DEFAULT_SIZE = 60
--- a/lentilhaven/bench/fuzz_listeners.py
+++ b/lentilhaven/bench/fuzz_listeners.py
@@ -22,7 +22,7 @@
 from lentilhaven.serving.operators_app import operators_app
 from lentilhaven.serving.server_limits import ServerLimits
 from lentilhaven.testbed import Testbed, TestbedPlan, open_testbed
-from lentilhaven.testbed.testbed import CLUSTER_TOKEN, WORKSPACE_TOKEN
+from lentilhaven.testbed.tokens import CLUSTER_TOKEN, WORKSPACE_TOKEN
 
 OPERATOR_TOKEN = "operator-token-of-the-fuzz"
 
--- a/lentilhaven/bench/leaving.py
+++ b/lentilhaven/bench/leaving.py
@@ -16,7 +16,8 @@
 from lentilhaven.platform.vm import VmState
 from lentilhaven.standins.virtual import run_virtual
 from lentilhaven.testbed import Testbed, TestbedPlan, open_testbed
-from lentilhaven.testbed.testbed import TestbedVm, seeded
+from lentilhaven.testbed.testbed import seeded
+from lentilhaven.testbed.testbed_vm import TestbedVm
 
 #: Leaves of each kind when no size is given.
 DEFAULT_SIZE = 4
--- a/lentilhaven/cli/tests/test_operators_client.py
+++ b/lentilhaven/cli/tests/test_operators_client.py
@@ -6,7 +6,7 @@
 
 from lentilhaven.cli.tests.operated_testbed import OPERATOR_TOKEN, open_operated
 from lentilhaven.core.hashing import token_hash
-from lentilhaven.testbed.testbed import CLUSTER_TOKEN, WORKSPACE_TOKEN
+from lentilhaven.testbed.tokens import CLUSTER_TOKEN, WORKSPACE_TOKEN
 
 
 class TableCommandTests(unittest.IsolatedAsyncioTestCase):
--- a/lentilhaven/router/tests/test_callers.py
+++ b/lentilhaven/router/tests/test_callers.py
@@ -12,7 +12,7 @@
 from lentilhaven.serving.guarded_serving import serve_guarded
 from lentilhaven.serving.server_limits import ServerLimits
 from lentilhaven.testbed import TestbedPlan, open_testbed
-from lentilhaven.testbed.testbed import WORKSPACE_TOKEN
+from lentilhaven.testbed.tokens import WORKSPACE_TOKEN
 
 LIMITS = ServerLimits(max_connections=8, head_timeout=0.3, body_timeout=0.3)
 
--- a/lentilhaven/testbed/__init__.py
+++ b/lentilhaven/testbed/__init__.py
@@ -7,7 +7,8 @@
 the same.  The demonstration, the benchmarks and the tests all use it.
 """
 
-from lentilhaven.testbed.testbed import Testbed, open_testbed
+from lentilhaven.testbed.opening import open_testbed
+from lentilhaven.testbed.testbed import Testbed
 from lentilhaven.testbed.testbed_plan import TestbedPlan
 
 __all__ = ["Testbed", "TestbedPlan", "open_testbed"]
--- a/lentilhaven/testbed/testbed.py
+++ b/lentilhaven/testbed/testbed.py
@@ -1,26 +1,22 @@
-"""Starts the whole system in one process."""
+"""The whole system in one process."""
 
 import itertools
 import random
-from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from collections import Counter
+from contextlib import AsyncExitStack
 
 import aiohttp
 import attrs
 from yarl import URL
 
-from lentilhaven.agent.agent import Agent, open_agent
+from lentilhaven.agent.agent import open_agent
 from lentilhaven.agent.agent_api import agent_app
 from lentilhaven.agent.agent_settings import AgentSettings
-from lentilhaven.core.clock import Clock, loop_clock
-from lentilhaven.core.hashing import token_hash
+from lentilhaven.core.clock import Clock
 from lentilhaven.core.ids import (
     DataCentre,
     EndpointId,
-    PoolName,
-    RouteName,
     VmId,
-    WorkspaceId,
 )
 from lentilhaven.core.randomness import derive_random
 from lentilhaven.core.serving import serve_app
@@ -28,69 +24,24 @@
 from lentilhaven.distribution.table_reader import read_head
 from lentilhaven.platform.object_client import ObjectClient, open_object_client
 from lentilhaven.platform.vm import ListedVm
-from lentilhaven.router.router import Router, open_router
+from lentilhaven.router.router import open_router
 from lentilhaven.router.router_api import router_app
 from lentilhaven.router.router_settings import RouterSettings
 from lentilhaven.standins.engine import Engine
 from lentilhaven.standins.engine_api import serve_engine
-from lentilhaven.standins.object_api import object_api_app
 from lentilhaven.standins.object_store import ObjectStore
 from lentilhaven.standins.service import Service, service_app
 from lentilhaven.tables.endpoint_spec import EndpointSpec
 from lentilhaven.tables.layer_range import LayerRange
-from lentilhaven.tables.pool import Pool, PoolKind
-from lentilhaven.tables.route import Route
 from lentilhaven.tables.tables import Tables
-from lentilhaven.tables.workspace import Workspace
-from lentilhaven.testbed.network import OPERATOR, STORE, Network, PartitionConnector
+from lentilhaven.testbed.network import Network, PartitionConnector
 from lentilhaven.testbed.testbed_plan import TestbedPlan
-
-#: Token that the processes of a testbed share.
-CLUSTER_TOKEN = "testbed-cluster-token"
-
-#: Token of the testbed's workspace.
-WORKSPACE_TOKEN = "testbed-workspace-token"
+from lentilhaven.testbed.testbed_vm import TestbedVm
+from lentilhaven.testbed.tokens import CLUSTER_TOKEN, WORKSPACE_TOKEN
 
 #: Number of agents that a joining agent knows from its settings.
 SEEDS = 2
 
-#: First port used in virtual time.
-FIRST_VIRTUAL_PORT = 10_000
-
-
-@attrs.define
-class TestbedVm:
-    """
-    One VM of a testbed.
-
-    Attributes
-    ----------
-    id : str
-        Its name.
-    data_centre : str
-        Where it stands.
-    agent : Agent
-        Its agent.
-    router : Router
-        Its router.
-    url : str
-        Where its router answers callers.
-    agent_url : str
-        Where its agent answers.
-    stack : AsyncExitStack
-        Stops it.
-    """
-
-    __test__ = False
-
-    id: VmId
-    data_centre: DataCentre
-    agent: Agent
-    router: Router
-    url: str
-    agent_url: str
-    stack: AsyncExitStack
-
 
 @attrs.define
 class Testbed:
@@ -127,6 +78,9 @@
         Free ports in virtual time.
     network : Network
         Which VMs can't reach which.
+    starts : Counter
+        Number of starts of each VM; another start draws other random numbers,
+        as another process would.
     """
 
     __test__ = False
@@ -145,6 +99,7 @@
     endpoints: list[EndpointSpec] = attrs.field(factory=list)
     service_endpoints: list[EndpointSpec] = attrs.field(factory=list)
     network: Network = attrs.field(factory=Network)
+    starts: Counter[VmId] = attrs.field(factory=Counter)
 
     @property
     def headers(self) -> dict[str, str]:
@@ -250,6 +205,8 @@
         agent_port : int
             Port of its agent; 0 lets the system choose.
         """
+        self.starts[name] += 1
+        run = str(self.starts[name])
         stack = await self.stack.enter_async_context(AsyncExitStack())
         client = await stack.enter_async_context(
             open_object_client(self.store_url, self.connector(name), self.clock)
@@ -259,7 +216,7 @@
                 AgentSettings(name, data_centre, self.store_url, seeds=self.seeds),
                 client,
                 self.clock,
-                derive_random(self.plan.seed, "agent", name),
+                derive_random(self.plan.seed, "agent", name, run),
                 CLUSTER_TOKEN,
                 self.connector(name),
             )
@@ -270,7 +227,7 @@
         router_settings = RouterSettings(
             name, data_centre, agent_url, drain_delay=self.plan.drain_delay
         )
-        source = derive_random(self.plan.seed, "router", name)
+        source = derive_random(self.plan.seed, "router", name, run)
         router = await stack.enter_async_context(
             open_router(
                 router_settings,
@@ -319,26 +276,6 @@
         """Return the addresses that a joining agent finds in its settings."""
         return [vm.agent_url for vm in self.vms[:SEEDS]]
 
-    def initial_tables(self) -> Tables:
-        """Return tables that name everything that runs."""
-        pool = Pool(
-            PoolName("llm"),
-            PoolKind.ENGINE,
-            list(self.endpoints),
-            model=self.plan.model,
-            layer_count=self.plan.layer_count,
-        )
-        stock = Pool(PoolName("stock"), PoolKind.SERVICE, list(self.service_endpoints))
-        workspace = Workspace(WorkspaceId("depot"), [token_hash(WORKSPACE_TOKEN)])
-        return Tables(
-            routes=[
-                Route(RouteName("chat"), pool.name),
-                Route(RouteName("stock"), stock.name),
-            ],
-            pools=[pool, stock],
-            workspaces=[workspace],
-        )
-
     async def apply(self, tables: Tables, edit: str) -> int:
         """
         Commit tables and return their version.
@@ -382,67 +319,6 @@
         return self.clock.monotonic() - began
 
 
-@asynccontextmanager
-async def open_testbed(plan: TestbedPlan) -> AsyncIterator[Testbed]:
-    """
-    Start a testbed and stop it at the end.
-
-    Parameters
-    ----------
-    plan : TestbedPlan
-        What it consists of.
-    """
-    async with AsyncExitStack() as stack:
-        testbed = await start_platform(plan, stack)
-        await start_endpoints(testbed)
-        for index in range(plan.vm_count):
-            data_centre = plan.data_centres[index % len(plan.data_centres)]
-            await testbed.add_vm(f"vm-{index + 1}", data_centre)
-        version = await testbed.apply(testbed.initial_tables(), "initial")
-        await testbed.wait_in_force(version)
-        yield testbed
-
-
-async def start_platform(plan: TestbedPlan, stack: AsyncExitStack) -> Testbed:
-    """Start the platform's stand-in and return an empty testbed."""
-    ports = itertools.count(FIRST_VIRTUAL_PORT)
-    store = ObjectStore(derive_random(plan.seed, "store"))
-    port = next(ports) if plan.virtual else 0
-    url = await stack.enter_async_context(serve_app(object_api_app(store), port=port))
-
-    network = Network()
-
-    def connector() -> aiohttp.BaseConnector:
-        if plan.virtual:
-            return PartitionConnector(network, OPERATOR)
-        return aiohttp.TCPConnector(limit=0)
-
-    client = await stack.enter_async_context(open_object_client(url, connector()))
-    session = await stack.enter_async_context(
-        aiohttp.ClientSession(connector=connector())
-    )
-    clock = loop_clock()
-    testbed = Testbed(plan, stack, clock, store, url, client, session, ports)
-    testbed.network = network
-    testbed.network.name_address(STORE, url)
-    return testbed
-
-
-async def start_endpoints(testbed: Testbed) -> None:
-    """Start all engines and services of a plan."""
-    plan = testbed.plan
-    size = plan.layer_count // plan.range_count
-    for replica in range(plan.replica_count):
-        for index in range(plan.range_count):
-            layers = LayerRange(index * size, (index + 1) * size)
-            data_centre = plan.data_centres[replica % len(plan.data_centres)]
-            name = f"engine-{replica + 1}{chr(ord('a') + index)}"
-            await testbed.add_engine(name, layers, data_centre)
-    for index in range(plan.service_count):
-        data_centre = plan.data_centres[index % len(plan.data_centres)]
-        await testbed.add_service(f"stock-{index + 1}", data_centre)
-
-
 def seeded(testbed: Testbed, *names: str) -> random.Random:
     """Return a random source of a testbed's seed."""
     return derive_random(testbed.plan.seed, *names)
--- /dev/null
+++ b/lentilhaven/testbed/tokens.py
@@ -0,0 +1,7 @@
+"""Tokens that the processes and callers of a testbed show."""
+
+#: Token that the processes of a testbed share.
+CLUSTER_TOKEN = "testbed-cluster-token"
+
+#: Token of the testbed's workspace.
+WORKSPACE_TOKEN = "testbed-workspace-token"
