--- a/lentilhaven/agent/agent_api.py
+++ b/lentilhaven/agent/agent_api.py
@@ -8,7 +8,7 @@
 from lentilhaven.agent.app_keys import AGENT, TOKEN
 from lentilhaven.agent.peer_api import add_peer_routes, read_message
 from lentilhaven.control.claim import ClaimRequest, Settlement
-from lentilhaven.core.settings import to_document
+from lentilhaven.core.converter import to_document
 from lentilhaven.serving.problem_guard import guard_problems
 
 #: Largest body of a message, in bytes.
--- a/lentilhaven/agent/agent_state.py
+++ b/lentilhaven/agent/agent_state.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from lentilhaven.agent.agent import Agent
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.invariants import VIOLATIONS
-from lentilhaven.core.settings import to_document
 from lentilhaven.serving.metrics import Metrics
 from lentilhaven.serving.operators_app import OperatorSource
 
--- a/lentilhaven/agent/peer_api.py
+++ b/lentilhaven/agent/peer_api.py
@@ -6,7 +6,8 @@
 from aiohttp import web
 
 from lentilhaven.agent.app_keys import AGENT
-from lentilhaven.core.settings import structure_document, to_document
+from lentilhaven.core.converter import to_document
+from lentilhaven.core.settings import structure_document
 from lentilhaven.membership.messages import FactRequest, Heartbeat
 
 T = TypeVar("T")
--- a/lentilhaven/agent/view_feed.py
+++ b/lentilhaven/agent/view_feed.py
@@ -13,8 +13,8 @@
 
 from lentilhaven.control.view import EndpointView, View
 from lentilhaven.control.view_update import TablesUpdate, ViewUpdate
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.ids import EndpointId
-from lentilhaven.core.settings import to_document
 from lentilhaven.distribution.table_holder import TableHolder
 
 #: Versions of the tables whose parts are remembered.
--- a/lentilhaven/bench/__main__.py
+++ b/lentilhaven/bench/__main__.py
@@ -12,8 +12,8 @@
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.bench.scenarios import SCENARIOS
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.logs import configure_logs
-from lentilhaven.core.settings import to_document
 
 app = cyclopts.App(name="lentilhaven-bench", help="Measured scenarios.")
 
--- a/lentilhaven/bench/control_cost.py
+++ b/lentilhaven/bench/control_cost.py
@@ -7,7 +7,7 @@
 from lentilhaven.bench.fleet_sample import FleetCost
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
-from lentilhaven.core.settings import CONVERTER
+from lentilhaven.core.converter import CONVERTER
 
 #: Full size: VMs, endpoints and edits a second in all, and data centres.
 FULL_NODES, FULL_REPLICAS = 1_100, 3_700
--- a/lentilhaven/bench/cost/emitter.py
+++ b/lentilhaven/bench/cost/emitter.py
@@ -12,8 +12,9 @@
 
 import attrs
 
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.hashing import token_hash
-from lentilhaven.core.settings import structure_document, to_document
+from lentilhaven.core.settings import structure_document
 from lentilhaven.distribution.table_head import TableHead
 from lentilhaven.tables import Tables
 from lentilhaven.tables.parts import split_tables
--- a/lentilhaven/bench/fuzz_parsers.py
+++ b/lentilhaven/bench/fuzz_parsers.py
@@ -10,8 +10,9 @@
 from lentilhaven.agent.agent_settings import AgentSettings
 from lentilhaven.cli.client_settings import ClientSettings
 from lentilhaven.control.view import View
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.request_context import bind_request
-from lentilhaven.core.settings import parse_document, structure_document, to_document
+from lentilhaven.core.settings import parse_document, structure_document
 from lentilhaven.endpoints.load_report import LoadReport
 from lentilhaven.router.authentication import WorkspaceIndex
 from lentilhaven.router.completion_request import parse_completion
--- a/lentilhaven/bench/view_cost.py
+++ b/lentilhaven/bench/view_cost.py
@@ -16,6 +16,7 @@
 from lentilhaven.bench.scenario_options import ScenarioOptions
 from lentilhaven.control.view import EndpointState, EndpointView, View
 from lentilhaven.control.view_update import ViewUpdate
+from lentilhaven.core.converter import CONVERTER, to_document
 from lentilhaven.core.ids import (
     DataCentre,
     EndpointId,
@@ -25,7 +26,6 @@
     RouteName,
     WorkspaceId,
 )
-from lentilhaven.core.settings import CONVERTER, to_document
 from lentilhaven.distribution.table_head import TableHead
 from lentilhaven.distribution.table_holder import TableHolder
 from lentilhaven.endpoints.load_report import LoadReport
--- a/lentilhaven/cli/explain.py
+++ b/lentilhaven/cli/explain.py
@@ -11,8 +11,9 @@
 from lentilhaven.cli.exit_codes import ExitCode
 from lentilhaven.cli.output import print_json, print_table, report
 from lentilhaven.cli.vm_choice import find_vm
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.settings import load_json, to_document
+from lentilhaven.core.json_text import load_json
 from lentilhaven.core.step import Step
 from lentilhaven.distribution.editing import read_current
 from lentilhaven.pipelines.bound import Bound, deployment_bounds
--- a/lentilhaven/cli/get.py
+++ b/lentilhaven/cli/get.py
@@ -4,7 +4,7 @@
 from lentilhaven.cli.connection import Connection, run_command, unwrap
 from lentilhaven.cli.exit_codes import ExitCode
 from lentilhaven.cli.output import print_json
-from lentilhaven.core.settings import to_document
+from lentilhaven.core.converter import to_document
 from lentilhaven.distribution.table_reader import (
     read_former_head,
     read_head,
--- a/lentilhaven/cli/system_status.py
+++ b/lentilhaven/cli/system_status.py
@@ -5,7 +5,7 @@
 import attrs
 
 from lentilhaven.cli.connection import Connection
-from lentilhaven.core.settings import to_document
+from lentilhaven.core.converter import to_document
 from lentilhaven.distribution.editing import read_current
 from lentilhaven.pipelines.bound import deployment_bounds
 from lentilhaven.platform.vm import ListedVm
--- a/lentilhaven/cli/tests/test_check.py
+++ b/lentilhaven/cli/tests/test_check.py
@@ -7,7 +7,7 @@
 from lentilhaven.cli.tests.broken_tables import BROKEN
 from lentilhaven.cli.tests.operated_testbed import run_client
 from lentilhaven.core.hashing import token_hash
-from lentilhaven.core.settings import load_json
+from lentilhaven.core.json_text import load_json
 
 LOOPBACK = Path(__file__).parents[3] / "examples" / "loopback" / "tables.json"
 
--- a/lentilhaven/demo.py
+++ b/lentilhaven/demo.py
@@ -16,8 +16,8 @@
 import attrs
 
 from lentilhaven.cli.__main__ import app as operators_client
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.logs import configure_logs
-from lentilhaven.core.settings import to_document
 from lentilhaven.router.completion_request import split_tokens
 from lentilhaven.standins.toy_model import naive_answer
 from lentilhaven.testbed import Testbed, TestbedPlan, open_testbed
--- a/lentilhaven/distribution/commit.py
+++ b/lentilhaven/distribution/commit.py
@@ -12,11 +12,11 @@
 
 from lentilhaven.core.backoff import Backoff
 from lentilhaven.core.clock import Clock, system_clock
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.hashing import canonical_json
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.randomness import derive_random
-from lentilhaven.core.settings import to_document
 from lentilhaven.core.step import Step
 from lentilhaven.distribution.table_head import (
     HEAD_NAME,
--- a/lentilhaven/endpoints/engine_client.py
+++ b/lentilhaven/endpoints/engine_client.py
@@ -14,10 +14,10 @@
 import attrs
 from expression import Error, Ok, Result
 
+from lentilhaven.core.converter import CONVERTER, to_document
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.ids import RequestId
 from lentilhaven.core.ran import Ran
-from lentilhaven.core.settings import CONVERTER, to_document
 from lentilhaven.core.step import Step
 from lentilhaven.endpoints.load_report import LoadReport
 from lentilhaven.endpoints.stage import Stage
--- a/lentilhaven/idempotency/journal_peers.py
+++ b/lentilhaven/idempotency/journal_peers.py
@@ -8,10 +8,10 @@
 from expression import Error, Ok, Result
 
 from lentilhaven.control.claim import ClaimAnswer, ClaimRequest, Settlement
+from lentilhaven.core.converter import CONVERTER, to_document
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.ids import VmId
 from lentilhaven.core.ran import Ran
-from lentilhaven.core.settings import CONVERTER, to_document
 from lentilhaven.core.step import Step
 from lentilhaven.idempotency.operation import Answer, Settled
 from lentilhaven.platform.vm import ListedVm
--- a/lentilhaven/idempotency/layout_check.py
+++ b/lentilhaven/idempotency/layout_check.py
@@ -6,8 +6,8 @@
 that finds another one grants nothing.
 """
 
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.settings import to_document
 from lentilhaven.core.step import Step
 from lentilhaven.idempotency.journal_layout import JournalLayout
 from lentilhaven.idempotency.segment_store import SegmentStore
--- a/lentilhaven/leases/lease.py
+++ b/lentilhaven/leases/lease.py
@@ -8,10 +8,10 @@
 from transitions import Machine, MachineError
 
 from lentilhaven.core.clock import Clock
+from lentilhaven.core.converter import CONVERTER, to_document
 from lentilhaven.core.ids import VmId
 from lentilhaven.core.invariants import ensure
 from lentilhaven.core.logs import get_logger
-from lentilhaven.core.settings import CONVERTER, to_document
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.leases.lease_record import LeaseRecord
 from lentilhaven.leases.lease_rules import (
--- a/lentilhaven/membership/peer_client.py
+++ b/lentilhaven/membership/peer_client.py
@@ -7,8 +7,9 @@
 import attrs
 from expression import Error, Ok, Result
 
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.settings import structure_document, to_document
+from lentilhaven.core.settings import structure_document
 from lentilhaven.core.step import Step
 
 T = TypeVar("T")
--- a/lentilhaven/platform/object_client.py
+++ b/lentilhaven/platform/object_client.py
@@ -13,7 +13,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any, TypeVar
+from typing import Any
 
 import aiohttp
 import attrs
@@ -21,9 +21,16 @@
 
 from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.settings import structure_document
 from lentilhaven.core.step import Step
 from lentilhaven.platform.listing import Listing
+from lentilhaven.platform.response import (
+    LOST,
+    PEER,
+    failure_of,
+    parse_body,
+    read_body,
+    refusal_of,
+)
 from lentilhaven.platform.share import SHARE_RATES, Share
 from lentilhaven.platform.stored_object import StoredObject
 from lentilhaven.platform.token_bucket import TokenBucket
@@ -43,12 +50,6 @@
 #: Seconds beyond its own timeout after which a watch is taken for silent.
 WATCH_SLACK = 0.5
 
-PEER = "object-api"
-
-T = TypeVar("T")
-
-LOST = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
-
 
 @attrs.define
 class ObjectClient:
@@ -258,53 +259,6 @@
         return None
 
 
-def parse_body(step: Step, body: Any, kind: type[T]) -> Result[T, Failure]:
-    """
-    Return the instance of `kind` that a response's body holds.
-
-    Parameters
-    ----------
-    step : Step
-        What was being done.
-    body : Any
-        Parsed JSON.
-    kind : type
-        An attrs class.
-    """
-    parsed = structure_document(body, kind)
-    return parsed.map_error(lambda it: attrs.evolve(it, step=step, peer=PEER))
-
-
-async def read_body(response: aiohttp.ClientResponse) -> Any:
-    """
-    Return the JSON body of a successful response.
-
-    Raises
-    ------
-    aiohttp.ClientResponseError
-        If the status is an error.
-    ValueError
-        If the body is not JSON.
-    """
-    response.raise_for_status()
-    return await response.json()
-
-
-def refusal_of(response: aiohttp.ClientResponse) -> Failure:
-    """Return the failure that a 413 or 429 response stands for."""
-    kind = "too-large" if response.status == 413 else "rate-limited"
-    detail = f"status {response.status}"
-    return Failure(Step.WRITE_OBJECT, PEER, kind, detail, retry_after=1.0)
-
-
-def failure_of(step: Step, error: BaseException) -> Failure:
-    """Return the failure that a lost call stands for."""
-    detail = f"{type(error).__name__}: {error}"
-    refused = isinstance(error, aiohttp.ClientResponseError) and error.status == 429
-    kind = "rate-limited" if refused else "store-unavailable"
-    return Failure(step, PEER, kind, detail, retry_after=1.0)
-
-
 @asynccontextmanager
 async def open_object_client(
     base_url: str,
--- a/lentilhaven/router/agent_client.py
+++ b/lentilhaven/router/agent_client.py
@@ -11,8 +11,8 @@
     Settlement,
 )
 from lentilhaven.control.view_update import ViewUpdate
+from lentilhaven.core.converter import CONVERTER, to_document
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.settings import CONVERTER, to_document
 from lentilhaven.core.step import Step
 
 #: Seconds that a long poll for the view waits.
--- a/lentilhaven/router/router_state.py
+++ b/lentilhaven/router/router_state.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from lentilhaven.control.view import EndpointState
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.invariants import VIOLATIONS
-from lentilhaven.core.settings import to_document
 from lentilhaven.router.explanation import explain_request
 from lentilhaven.router.router import Router
 from lentilhaven.serving.metrics import Metrics
--- a/lentilhaven/router/tests/test_view_holder.py
+++ b/lentilhaven/router/tests/test_view_holder.py
@@ -6,7 +6,7 @@
 from lentilhaven.agent.view_feed import ViewFeed
 from lentilhaven.control.view import EndpointState, EndpointView, View
 from lentilhaven.control.view_update import ViewUpdate
-from lentilhaven.core.settings import CONVERTER, to_document
+from lentilhaven.core.converter import CONVERTER, to_document
 from lentilhaven.distribution.table_head import TableHead
 from lentilhaven.distribution.table_holder import TableHolder
 from lentilhaven.router.view_holder import ViewHolder
--- a/lentilhaven/settings_reference.py
+++ b/lentilhaven/settings_reference.py
@@ -14,7 +14,7 @@
 
 from lentilhaven.agent.agent_settings import AgentSettings
 from lentilhaven.cli.client_settings import ClientSettings
-from lentilhaven.core.settings import to_document
+from lentilhaven.core.converter import to_document
 from lentilhaven.router.router_settings import RouterSettings
 
 PROGRAMS = {
--- a/lentilhaven/standins/engine.py
+++ b/lentilhaven/standins/engine.py
@@ -11,8 +11,8 @@
 import aiohttp
 import attrs
 
+from lentilhaven.core.converter import CONVERTER
 from lentilhaven.core.ids import EndpointId, ModelVersion, RequestId
-from lentilhaven.core.settings import CONVERTER
 from lentilhaven.endpoints.load_report import LoadReport
 from lentilhaven.endpoints.piece import Piece, TrailEntry
 from lentilhaven.endpoints.stage import Stage
--- a/lentilhaven/standins/engine_api.py
+++ b/lentilhaven/standins/engine_api.py
@@ -9,9 +9,9 @@
 import attrs
 from aiohttp import web
 
+from lentilhaven.core.converter import CONVERTER, to_document
 from lentilhaven.core.ids import EndpointId, ModelVersion, RequestId
 from lentilhaven.core.serving import serve_app
-from lentilhaven.core.settings import CONVERTER, to_document
 from lentilhaven.endpoints.piece import Piece
 from lentilhaven.endpoints.piece_wire import encode_piece
 from lentilhaven.endpoints.stage_progress import StageProgress
--- a/lentilhaven/standins/object_api.py
+++ b/lentilhaven/standins/object_api.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from lentilhaven.core.settings import CONVERTER, to_document
+from lentilhaven.core.converter import CONVERTER, to_document
 from lentilhaven.platform.vm import ListedVm
 from lentilhaven.standins.object_store import ObjectStore
 
--- a/lentilhaven/standins/reports.py
+++ b/lentilhaven/standins/reports.py
@@ -4,8 +4,8 @@
 
 from aiohttp import web
 
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.ids import EndpointId, ModelVersion
-from lentilhaven.core.settings import to_document
 from lentilhaven.endpoints.load_report import LoadReport
 from lentilhaven.tables.layer_range import LayerRange
 
--- a/lentilhaven/tables/keyed_document.py
+++ b/lentilhaven/tables/keyed_document.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from lentilhaven.core.settings import to_document
+from lentilhaven.core.converter import to_document
 from lentilhaven.tables.tables import Tables
 
 #: Fields by which the entries of a list are told apart.
--- a/lentilhaven/tables/parts.py
+++ b/lentilhaven/tables/parts.py
@@ -13,10 +13,11 @@
 import xxhash
 from expression import Result
 
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.hashing import content_hash
 from lentilhaven.core.ids import PoolName
-from lentilhaven.core.settings import structure_document, to_document
+from lentilhaven.core.settings import structure_document
 from lentilhaven.tables.endpoint_spec import EndpointSpec
 from lentilhaven.tables.pool import Pool
 from lentilhaven.tables.route import Route
