--- a/lentilhaven/serving/tests/test_documents.py
+++ b/lentilhaven/serving/tests/test_documents.py
@@ -1,3 +1,4 @@
+import re
 import unittest
 from pathlib import Path
 
@@ -13,3 +14,12 @@
         for folder in ("operators", "measurements"):
             for page in (docs / folder).glob("*.md"):
                 self.assertIn(f"{folder}/{page.name}", index)
+
+    def test_every_link_leads_to_a_file(self):
+        pages = [*ROOT.glob("*.md"), *(ROOT / "docs").rglob("*.md")]
+        self.assertGreater(len(pages), 20)
+        for page in pages:
+            for target in re.findall(r"\]\(([^)#]+)(?:#[^)]*)?\)", page.read_text()):
+                if "://" not in target:
+                    with self.subTest(page=page.name, target=target):
+                        self.assertTrue((page.parent / target).exists())
