Balance chains over all gateways

Cause: each gateway guessed the load of the others, so the fastest chain filled up (140 requests preempted), engines were filled one by one as they registered, and the search gave up where an endpoint would have come twice in a chain.

Change: gateways tell each other their load by datagrams; the first placement waits until no more engines come and prefers copies within a data centre; the search lets the ends of spans rise along a chain.

Ruled out: memory estimates (an engine's report shows the same total).

--- a/lentilhaven/chains/chain_search.py
+++ b/lentilhaven/chains/chain_search.py
@@ -29,14 +29,29 @@
     layer_cost: float
 
 
-@attrs.define
+@attrs.frozen
 class Leg:
-    """The cheapest way to a boundary in a data centre."""
+    """
+    The cheapest way to enter a candidate at a layer.
+
+    Attributes
+    ----------
+    candidate : Candidate
+        Runs the layers from `start` on.
+    start : int
+        First layer that it runs.
+    cost : float
+        Cost of everything before, in ms.
+    parts : int
+        Parts of the chain so far, this one included.
+    before : Leg or None
+        The part before.
+    """
 
+    candidate: Candidate
+    start: int
     cost: float
-    parts: int = 0
-    endpoint: Endpoint | None = None
-    start: int = 0
+    parts: int
     before: "Leg | None" = None
 
 
@@ -69,72 +84,67 @@
     [('a', 0, 2), ('b', 2, 4)]
     """
     held = [it for it in candidates if it.endpoint.layers is not None]
-    boundaries = boundaries_of(layers, held)
-    at: dict[int, dict[str, Leg]] = {0: {"": Leg(0.0)}}
-    for boundary in boundaries[:-1]:
-        legs = at.get(boundary)
-        if legs:
-            for candidate in held:
-                extend(boundary, boundaries, candidate, legs, at, hop_cost)
-    ends = at.get(layers)
-    if not ends:
-        return None
-    return chain_of(min(ends.values(), key=lambda leg: leg.cost), layers)
-
-
-def boundaries_of(layers: int, held: Sequence[Candidate]) -> list[int]:
-    """Return the layers at which a chain may change endpoints, in order."""
-    found = {0, layers}
-    for candidate in held:
-        span = candidate.endpoint.layers
-        assert span is not None
-        found |= {max(0, span.start), min(layers, span.end)}
-    return sorted(found)
+    held.sort(key=lambda it: span_of(it).end)
+    # The ends of the spans rise along a chain, so that no endpoint comes twice
+    # and every way to a candidate is known before it is extended.
+    legs: list[dict[int, Leg]] = [
+        {0: Leg(it, 0, 0.0, 1)} if span_of(it).start <= 0 else {} for it in held
+    ]
+    best: Leg | None = None
+    best_cost = 0.0
+    for index, candidate in enumerate(held):
+        end = span_of(candidate).end
+        for leg in legs[index].values():
+            if end >= layers:
+                cost = leg.cost + candidate.layer_cost * (layers - leg.start)
+                if best is None or cost < best_cost:
+                    best, best_cost = leg, cost
+            elif leg.parts < MOST_PARTS:
+                extend(leg, index, held, legs, hop_cost)
+    return chain_of(best, layers, best_cost) if best is not None else None
+
+
+def span_of(candidate: Candidate) -> LayerSpan:
+    """Return the layers that a candidate holds."""
+    span = candidate.endpoint.layers
+    assert span is not None
+    return span
 
 
 def extend(
-    boundary: int,
-    boundaries: list[int],
-    candidate: Candidate,
-    legs: dict[str, Leg],
-    at: dict[int, dict[str, Leg]],
+    leg: Leg,
+    index: int,
+    held: Sequence[Candidate],
+    legs: list[dict[int, Leg]],
     hop_cost: Callable[[str, str], float],
 ) -> None:
-    """Extend the ways to a boundary by one endpoint."""
-    endpoint = candidate.endpoint
-    span = endpoint.layers
-    if span is None or not span.start <= boundary < span.end:
-        return
-    place = endpoint.data_centre
-    best: Leg | None = None
-    best_cost = 0.0
-    for data_centre, leg in legs.items():
-        if leg.endpoint is endpoint or leg.parts >= MOST_PARTS:
+    """Extend a way by each candidate that may come next."""
+    end = span_of(leg.candidate).end
+    place = leg.candidate.endpoint.data_centre
+    for after in range(index + 1, len(held)):
+        following = held[after]
+        span = span_of(following)
+        if span.start > end or span.end == end:
             continue
-        cost = leg.cost + (hop_cost(data_centre, place) if leg.endpoint else 0.0)
-        if best is None or cost < best_cost:
-            best, best_cost = leg, cost
-    if best is None:
-        return
-    for end in boundaries:
-        if boundary < end <= span.end:
-            cost = best_cost + candidate.layer_cost * (end - boundary)
-            there = at.setdefault(end, {})
-            known = there.get(place)
+        hop = leg.cost + hop_cost(place, following.endpoint.data_centre)
+        # Costs are linear in the layers: changing as early or as late as
+        # possible is never worse than anywhere between.
+        for boundary in {end, span.start} if span.start > leg.start else {end}:
+            cost = hop + leg.candidate.layer_cost * (boundary - leg.start)
+            known = legs[after].get(boundary)
             if known is None or cost < known.cost:
-                there[place] = Leg(cost, best.parts + 1, endpoint, boundary, best)
+                legs[after][boundary] = Leg(
+                    following, boundary, cost, leg.parts + 1, leg
+                )
 
 
-def chain_of(last: Leg, layers: int) -> Chain | None:
-    """Return the chain that ends with a leg; None if an endpoint is in it twice."""
+def chain_of(last: Leg, layers: int, cost: float) -> Chain:
+    """Return the chain that ends with a leg."""
     parts = []
     end = layers
     leg: Leg | None = last
-    while leg is not None and leg.endpoint is not None:
-        parts.append((leg.endpoint, LayerSpan(leg.start, end)))
+    while leg is not None:
+        parts.append((leg.candidate.endpoint, LayerSpan(leg.start, end)))
         end = leg.start
         leg = leg.before
-    parts.reverse()
-    if len({endpoint.address for endpoint, _ in parts}) < len(parts):
-        return None
-    return Chain(tuple(parts), last.cost)
+    return Chain(tuple(reversed(parts)), cost)
--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -5,6 +5,7 @@
 from lentilhaven.chains.chain import Chain
 from lentilhaven.chains.chain_costs import ChainCosts
 from lentilhaven.chains.chain_search import Candidate, find_chain
+from lentilhaven.core.logs import get_logger
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
@@ -20,6 +21,8 @@
 #: Spread of the noise by which gateways with the same knowledge differ.
 NOISE = 0.1
 
+log = get_logger("gateway")
+
 
 def costs_of(spec: EngineSpec, call: Call) -> ChainCosts:
     """Return the estimated times of a request."""
@@ -65,11 +68,44 @@
         and (candidate := weigh(gateway, spec, costs, endpoint, now)) is not None
     ]
     chain = find_chain(spec.layers, candidates, costs.hop_ms)
-    if chain is not None:
-        chain.check(spec.layers)
+    if chain is None:
+        explain_absence(gateway, call, spec, candidates, now)
+        return None
+    chain.check(spec.layers)
     return chain
 
 
+def explain_absence(
+    gateway: Gateway,
+    call: Call,
+    spec: EngineSpec,
+    candidates: list[Candidate],
+    now: float,
+) -> None:
+    """Log which layers no usable endpoint holds, and why the others are not used."""
+    held = {
+        layer
+        for it in candidates
+        if (span := it.endpoint.layers) is not None
+        for layer in range(span.start, span.end)
+    }
+    usable = {it.endpoint.id for it in candidates}
+    endpoints = gateway.view.of_service(call.service)
+    unusable = [it for it in endpoints if it.id not in usable and it.layers]
+    suspected = [it.id for it in unusable if not gateway.board.of(it).available(now)]
+    log.info(
+        "no chain",
+        request=call.id,
+        missing=[layer for layer in range(spec.layers) if layer not in held],
+        usable=len(usable),
+        unusable=len(unusable),
+        suspected=suspected,
+        prompt=call.head.prompt_tokens,
+        hint=call.head.length_hint,
+        view=gateway.view.endpoints_revision,
+    )
+
+
 def weigh(
     gateway: Gateway, spec: EngineSpec, costs: ChainCosts, endpoint: Endpoint, now: float
 ) -> Candidate | None:
@@ -79,13 +115,15 @@
     state = gateway.board.of(endpoint)
     if not state.available(now):
         return None
-    # The other gateways are taken to send it as much as this one.
-    peers = max(1, gateway.gateways)
+    peers = gateway.peers
     held = len(endpoint.layers)
     room = spec.tokens_beside(endpoint.card, held) * held
-    fullness = state.state_tokens * peers / room if room else 1.0
-    if fullness > MOST_FULL and state.requests:
+    needed = state.state_tokens + peers.tokens.get(endpoint.id, 0.0)
+    needed += costs.state_tokens() * held
+    fullness = needed / room if room else 1.0
+    if fullness > MOST_FULL:
         return None
-    cost = costs.layer_ms(endpoint.card, state.slowdown, state.requests * peers)
+    batch = state.requests + peers.requests.get(endpoint.id, 0)
+    cost = costs.layer_ms(endpoint.card, state.slowdown, batch)
     cost *= 1.0 + FULLNESS_WEIGHT * fullness * fullness
     return Candidate(endpoint, cost * gateway.random.uniform(1 - NOISE, 1 + NOISE))
--- a/lentilhaven/gateway/endpoint_board.py
+++ b/lentilhaven/gateway/endpoint_board.py
@@ -37,6 +37,8 @@
         Time at which something last arrived from it or through it.
     suspected_until : float
         Time until which it gets no requests.
+    own_suspicion : bool
+        Whether this gateway has noticed the fault, not another one.
     refused_until : float
         Time until which it gets none since it has refused one.
     """
@@ -48,6 +50,7 @@
     slowdown: float = 1.0
     heard_at: float = 0.0
     suspected_until: float = 0.0
+    own_suspicion: bool = False
     refused_until: float = 0.0
 
     def record(self, seconds: float, failed: bool) -> None:
@@ -56,6 +59,17 @@
         known = self.latency or seconds
         self.latency = known + NEWEST * (seconds - known)
 
+    def note_heard(self, now: float) -> None:
+        """Note that something has come from the endpoint or through it."""
+        self.heard_at = now
+        self.suspected_until = 0.0
+
+    def note_suspicion(self, until: float, own: bool) -> None:
+        """Take the endpoint for dead until a time, unless it is heard of."""
+        if until > self.suspected_until:
+            self.suspected_until = until
+            self.own_suspicion = own
+
     def available(self, now: float) -> bool:
         """Return whether it may get a request."""
         return now >= self.suspected_until and now >= self.refused_until
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -5,9 +5,11 @@
 
 import attrs
 
+from lentilhaven.core.signal import Signal
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.gateway.budget import BudgetShare
 from lentilhaven.gateway.endpoint_board import EndpointBoard
+from lentilhaven.peering.peer_table import PeerTable
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.upstream.connection_pool import ConnectionPool
 
@@ -31,8 +33,10 @@
         Source of chance.
     budgets : dict
         `BudgetShare` by service.
-    gateways : int
-        Gateways that share the budget; 0 while it is not known.
+    peers : PeerTable
+        The other gateways.
+    urgent : Signal
+        Wakes what tells the others.
     leaving : bool
         Whether the process is about to end.
     counters : Counter
@@ -47,11 +51,23 @@
     board: EndpointBoard = attrs.field(factory=EndpointBoard)
     random: Random = attrs.field(factory=Random)
     budgets: dict[str, BudgetShare] = attrs.field(factory=dict)
-    gateways: int = 0
+    peers: PeerTable = attrs.field()
+    urgent: Signal = attrs.field(factory=Signal)
     leaving: bool = False
     counters: Counter[str] = attrs.field(factory=Counter)
     active: int = 0
 
+    @peers.default
+    def no_peers(self) -> PeerTable:
+        """Return a table without other gateways."""
+        settings = self.settings
+        address = f"{settings.address}:{settings.internal_ports[0]}"
+        return PeerTable(settings.vm, address)
+
+    def count_gateways(self, now: float) -> int:
+        """Return how many gateways share the budget, 0 if it isn't known."""
+        return self.peers.gateways(now) if self.peers.peers else 0
+
     @property
     def ready(self) -> bool:
         """Return whether the balancer should send new connections."""
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -23,6 +23,7 @@
 from lentilhaven.leases.lease_settings import LeaseSettings
 from lentilhaven.objects.share import ShareRate
 from lentilhaven.objects.token_bucket import TokenBucket
+from lentilhaven.peering.exchange import open_peer_exchange
 from lentilhaven.placement.placer import Placer
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.platform.store_client import StoreClient, open_store_client
@@ -104,8 +105,10 @@
                 asyncio.get_running_loop().time()
             ),
         )
+        exchange = await stack.enter_async_context(open_peer_exchange(gateway))
         await stack.enter_async_context(
             running_tasks(
+                exchange.run_for_ever(),
                 watch_manifest(gateway, client).follow(),
                 watch_replicas(gateway, client).follow(),
                 placer.run(),
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -73,7 +73,7 @@
         if endpoint is None or now >= call.deadline:
             break
         sent_before = runs + refusals > 0
-        if sent_before and not budget.spend(now, gateway.gateways):
+        if sent_before and not budget.spend(now, gateway.count_gateways(now)):
             log.info("retry budget used up", request=call.id, service=call.service)
             break
         tried.append(endpoint.id)
@@ -149,7 +149,7 @@
     else:
         state.record(now - began, failed)
     if isinstance(outcome, Failure) and outcome.kind == "connect":
-        state.suspected_until = now + SUSPICION
+        state.note_suspicion(now + SUSPICION, own=True)
     log.info(
         "replica tried",
         request=call.id,
--- a/lentilhaven/gateway/silence.py
+++ b/lentilhaven/gateway/silence.py
@@ -70,9 +70,7 @@
 def note_heard(gateway: Gateway, chain: Chain, now: float) -> None:
     """Note that an event came through all parts of a chain."""
     for endpoint, _ in chain.parts:
-        state = gateway.board.of(endpoint)
-        state.heard_at = now
-        state.suspected_until = 0.0
+        gateway.board.of(endpoint).note_heard(now)
 
 
 def note_silence(
@@ -103,8 +101,9 @@
     for endpoint, _ in chain.parts:
         state = gateway.board.of(endpoint)
         if state.heard_at <= since:
-            state.suspected_until = now + SUSPICION
+            state.note_suspicion(now + SUSPICION, own=True)
             suspects.append(endpoint.id)
+    gateway.urgent.notify()
     log.warning(
         "endpoints suspected",
         request=request_id,
--- a/lentilhaven/gateway/store_watching.py
+++ b/lentilhaven/gateway/store_watching.py
@@ -22,6 +22,10 @@
 #: connection has gone silent shows by its keep-alive probes, long before.
 WATCH_TIME = 10.0
 
+#: Seconds after a change until the next watch, so that one call brings several
+#: changes; a small part of the time in which each must be in force.
+GATHER_TIME = 0.2
+
 #: Limits of the pause after a failed call, in seconds.
 FIRST_PAUSE, LONGEST_PAUSE = 0.1, 0.5
 
@@ -68,6 +72,8 @@
             answer = await self.step()
             if answer.is_ok():
                 self.note_answer()
+                if answer.ok.changes:
+                    await asyncio.sleep(GATHER_TIME)
                 continue
             if answer.error.kind == "compacted":
                 log.info("history is gone", kind=self.kind, revision=self.revision)
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -161,7 +161,7 @@
             return Failure(Step.CHOOSE, "", "no-chain", detail)
         if relay.runs + relay.refusals > 0:
             budget = gateway.budget_of(call.service)
-            if not budget.spend(now, gateway.gateways):
+            if not budget.spend(now, gateway.count_gateways(now)):
                 log.info("retry budget used up", request=call.id, service=call.service)
                 assert isinstance(outcome, Failure)
                 return outcome
@@ -231,7 +231,7 @@
     try:
         connection = await gateway.pool.acquire(first, call.deadline - loop.time())
     except UpstreamError as error:
-        gateway.board.of(first).suspected_until = loop.time() + SUSPICION
+        gateway.board.of(first).note_suspicion(loop.time() + SUSPICION, own=True)
         relay.excluded.add(first.id)
         return Failure(Step.CONNECT, first.id, "connect", error.detail)
     try:
@@ -250,7 +250,7 @@
         return await pass_on(relay, chain, connection, exchange)
     except UpstreamError as error:
         if error.sent:
-            gateway.board.of(first).suspected_until = loop.time() + REFUSAL
+            gateway.board.of(first).refused_until = loop.time() + REFUSAL
         relay.excluded.add(first.id)
         ran = Ran.UNKNOWN if error.sent else Ran.NO
         return Failure(Step.STREAM, first.id, error.kind, error.detail, ran)
--- /dev/null
+++ b/lentilhaven/peering/exchange.py
@@ -0,0 +1,157 @@
+"""Sends and receives the datagrams between gateways."""
+
+import asyncio
+import uuid
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import cast
+
+import attrs
+
+from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.peering.news import PeerNews, decode_news, encode_news
+
+#: Seconds between two datagrams to each peer.
+INTERVAL = 0.1
+
+#: Seconds added for each other gateway, so that what a gateway receives grows
+#: more slowly than their number.
+INTERVAL_PER_PEER = 0.004
+
+#: Addresses that each datagram names, so that new gateways find all others.
+MEMBERS_NAMED = 3
+
+
+@attrs.define(eq=False)
+class PeerExchange(asyncio.DatagramProtocol):
+    """
+    One gateway's side of the datagrams.
+
+    Attributes
+    ----------
+    gateway : Gateway
+        State of the process.
+    run : str
+        Unique id of this process.
+    transport : asyncio.DatagramTransport or None
+        The socket.
+    number : int
+        Datagrams sent.
+    told_at : float
+        Time of the last datagram.
+    """
+
+    gateway: Gateway
+    run: str = attrs.field(factory=lambda: uuid.uuid4().hex[:12])
+    transport: asyncio.DatagramTransport | None = None
+    number: int = 0
+    told_at: float = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket."""
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        """Take what another gateway says."""
+        news = decode_news(data)
+        if news is None:
+            return
+        now = asyncio.get_running_loop().time()
+        if self.gateway.peers.take(news, now):
+            learn(self.gateway, news, now)
+
+    def error_received(self, exc: Exception) -> None:
+        """Leave errors alone: a peer that is down refuses datagrams."""
+
+    async def run_for_ever(self) -> None:
+        """Tell the others what has changed, for ever."""
+        gateway = self.gateway
+        loop = asyncio.get_running_loop()
+        while True:
+            others = len(gateway.peers.addresses)
+            await gateway.urgent.wait_until(
+                lambda: False, INTERVAL + INTERVAL_PER_PEER * others
+            )
+            gateway.peers.expire(loop.time())
+            self.tell()
+
+    def tell(self) -> None:
+        """Send one datagram to each other gateway."""
+        now = asyncio.get_running_loop().time()
+        if self.transport is None:
+            return
+        self.number += 1
+        data = encode_news(self.compose(now))
+        self.told_at = now
+        for address in self.gateway.peers.addresses:
+            host, _, port = address.rpartition(":")
+            self.transport.sendto(data, (host, int(port)))
+
+    def compose(self, now: float) -> PeerNews:
+        """Return what this gateway has to say."""
+        gateway = self.gateway
+        peers, view = gateway.peers, gateway.view
+        names = {it.incarnation: it.id for it in view.endpoints.values()}
+        loads, heard, suspects = {}, [], {}
+        for incarnation, state in gateway.board.states.items():
+            name = names.get(incarnation)
+            if name is None:
+                continue
+            if state.requests:
+                loads[name] = (state.requests, round(state.state_tokens))
+            if state.heard_at > self.told_at:
+                heard.append(name)
+            if state.suspected_until > now and state.own_suspicion:
+                suspects[name] = round(state.suspected_until - now, 2)
+        known = list(peers.addresses)
+        count = min(MEMBERS_NAMED, len(known))
+        return PeerNews(
+            vm=peers.vm,
+            run=self.run,
+            address=peers.own_address,
+            number=self.number,
+            relay=gateway.settings.peers,
+            manifest_revision=view.manifest_revision,
+            endpoints_revision=view.endpoints_revision,
+            loads=loads,
+            heard=tuple(heard),
+            suspects=suspects,
+            members=tuple(gateway.random.sample(known, count)),
+            ready=gateway.ready,
+        )
+
+
+def learn(gateway: Gateway, news: PeerNews, now: float) -> None:
+    """Take over what another gateway has seen of endpoints."""
+    endpoints = gateway.view.endpoints
+    for name in news.heard:
+        endpoint = endpoints.get(name)
+        if endpoint is not None:
+            gateway.board.of(endpoint).note_heard(now)
+    for name, left in news.suspects.items():
+        endpoint = endpoints.get(name)
+        if endpoint is not None:
+            gateway.board.of(endpoint).note_suspicion(now + left, own=False)
+
+
+@asynccontextmanager
+async def open_peer_exchange(gateway: Gateway) -> AsyncIterator[PeerExchange]:
+    """
+    Exchange datagrams with the other gateways until the context ends.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        State of the process.
+    """
+    loop = asyncio.get_running_loop()
+    host, _, port = gateway.peers.own_address.rpartition(":")
+    transport, protocol = await loop.create_datagram_endpoint(
+        lambda: PeerExchange(gateway), local_addr=(host, int(port))
+    )
+    seeds = [f"{seed.rpartition(':')[0]}:{port}" for seed in gateway.settings.seeds]
+    gateway.peers.add_addresses(seeds, loop.time())
+    try:
+        yield protocol
+    finally:
+        transport.close()
--- /dev/null
+++ b/lentilhaven/peering/news.py
@@ -0,0 +1,104 @@
+"""The datagrams between gateways."""
+
+import json
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen
+class PeerNews:
+    """
+    What one gateway says.
+
+    Attributes
+    ----------
+    vm : str
+        Who says it.
+    run : str
+        Which process of that VM.
+    address : str
+        ``IP:PORT`` of its datagrams.
+    number : int
+        Counts the datagrams of a process; an older one is ignored.
+    relay : str
+        ``IP:PORT`` at which it passes on what it knows.
+    manifest_revision, endpoints_revision : int
+        What it knows.
+    loads : dict
+        Requests under way and their tokens times layers, by endpoint.
+    heard : tuple of str
+        Endpoints from which an event has come since the last datagram.
+    suspects : dict
+        Seconds for which an endpoint is still suspected, by endpoint.
+    members : tuple of str
+        Addresses of some other gateways.
+    ready : bool
+        Whether it serves callers.
+    """
+
+    vm: str
+    run: str
+    address: str
+    number: int
+    relay: str = ""
+    manifest_revision: int = 0
+    endpoints_revision: int = 0
+    loads: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+    heard: tuple[str, ...] = ()
+    suspects: dict[str, float] = attrs.field(factory=dict)
+    members: tuple[str, ...] = ()
+    ready: bool = True
+
+
+def encode_news(news: PeerNews) -> bytes:
+    """
+    Encode a datagram.
+
+    Parameters
+    ----------
+    news : PeerNews
+        What to say.
+
+    Examples
+    --------
+    >>> news = PeerNews("vm-1", "r", "10.0.0.1:7000", 1, loads={"e": (1, 5.0)})
+    >>> decode_news(encode_news(news)) == news
+    True
+    """
+    fields = attrs.asdict(news)
+    fields["loads"] = {name: list(load) for name, load in news.loads.items()}
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode_news(data: bytes) -> PeerNews | None:
+    """
+    Decode a datagram; None if it is not one.
+
+    Examples
+    --------
+    >>> decode_news(b"[1]")
+    """
+    try:
+        fields: dict[str, Any] = json.loads(data)
+        return PeerNews(
+            vm=str(fields["vm"]),
+            run=str(fields["run"]),
+            address=str(fields["address"]),
+            number=int(fields["number"]),
+            relay=str(fields["relay"]),
+            manifest_revision=int(fields["manifest_revision"]),
+            endpoints_revision=int(fields["endpoints_revision"]),
+            loads={
+                str(name): (int(load[0]), float(load[1]))
+                for name, load in fields["loads"].items()
+            },
+            heard=tuple(map(str, fields["heard"])),
+            suspects={
+                str(name): float(left) for name, left in fields["suspects"].items()
+            },
+            members=tuple(map(str, fields["members"])),
+            ready=bool(fields["ready"]),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError):
+        return None
--- a/lentilhaven/placement/coverage.py
+++ b/lentilhaven/placement/coverage.py
@@ -4,6 +4,10 @@
 
 from lentilhaven.fleet.layer_span import LayerSpan
 
+#: What a copy anywhere counts beside one in the same data centre: enough to
+#: decide between layers that are held equally often there.
+REMOTE_WEIGHT = 0.1
+
 #: Each copy of a layer makes the next one worth this much less.
 COPY_RATIO = 0.25
 
@@ -57,11 +61,11 @@
         >>> coverage = Coverage(3, 1)
         >>> coverage.add("a", LayerSpan(0, 2))
         >>> coverage.gains("a")
-        [0.5, 0.5, 2.0]
+        [0.275, 0.275, 1.1]
         """
         here = self.of(data_centre)
         share = max(1, self.data_centres)
         return [
-            COPY_RATIO**local + COPY_RATIO ** (total / share)
+            COPY_RATIO**local + REMOTE_WEIGHT * COPY_RATIO ** (total / share)
             for local, total in zip(here, self.total, strict=True)
         ]
--- a/lentilhaven/placement/placer.py
+++ b/lentilhaven/placement/placer.py
@@ -29,6 +29,10 @@
 #: no answer may be carried out as late as this.
 SETTLE_TIME = 4.0
 
+#: Seconds without a new engine after which the first placement begins: engines
+#: that start together are better placed together.
+GATHER_TIME = 1.0
+
 #: Seconds for which the lease must still be held when an order is sent.
 ORDER_SPAN = 0.2
 
@@ -73,6 +77,10 @@
         Returns whether an engine is thought to be dead.
     ordered : dict
         `Ordered` by the engine's id.
+    engines_seen : frozenset of str
+        Ids of the engines at the last look.
+    engines_since : float
+        Monotonic time at which they became these, in seconds.
     monotonic : callable
         Returns seconds.
     """
@@ -82,6 +90,8 @@
     fence: Callable[[float], int | None]
     is_suspected: Callable[[Endpoint], bool]
     ordered: dict[str, Ordered] = attrs.field(factory=dict)
+    engines_seen: frozenset[str] = frozenset()
+    engines_since: float = 0.0
     monotonic: Callable[[], float] = time.monotonic
 
     async def run(self) -> None:
@@ -120,6 +130,8 @@
             for engine in self.view.of_service(service)
             if not self.is_suspected(engine)
         ]
+        if not self.may_begin(engines):
+            return []
         pending = {name: order.layers for name, order in self.ordered.items()}
         plan = plan_layers(spec, engines, pending)
         return [
@@ -128,6 +140,17 @@
             if engine.id in plan and engine.layers is None and engine.id not in pending
         ]
 
+    def may_begin(self, engines: list[Endpoint]) -> bool:
+        """Return whether engines are placed now, or more are waited for."""
+        found = frozenset(engine.id for engine in engines)
+        now = self.monotonic()
+        if found != self.engines_seen:
+            self.engines_seen = found
+            self.engines_since = now
+        if self.ordered or any(engine.layers for engine in engines):
+            return True
+        return now - self.engines_since >= GATHER_TIME
+
     def settle(self) -> None:
         """Forget orders that show, or that can't take effect any more."""
         now = self.monotonic()
