--- a/lentilhaven/fleet/fleet_view.py
+++ b/lentilhaven/fleet/fleet_view.py
@@ -1,6 +1,9 @@
 """The newest manifest and endpoints that a process knows."""
 
-from collections.abc import Iterable
+import hashlib
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
 
 import attrs
 
@@ -10,6 +13,10 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.manifest import Manifest
 
+#: Seconds after an outage of the store within which the entries of endpoints that
+#: live are back.
+RETURN_TIME = 2.0
+
 log = get_logger("fleet")
 
 
@@ -30,16 +37,29 @@
         Revision of the store at which it was written.
     endpoints : dict
         `Endpoint` by id.
+    document : Any
+        The manifest as it was read, to be passed on.
     endpoints_revision : int
         Revision of the store up to which the endpoints are known.
+    lapsed : dict
+        Endpoints that vanished while the store was in trouble, by id, each with
+        the time until which it is still used.
+    doubt_until : float
+        Time until which a vanished endpoint may come back.
+    monotonic : callable
+        Returns seconds.
     changed : Signal
         Wakes whoever waits for a change.
     """
 
     manifest: Manifest | None = None
     manifest_revision: int = 0
+    document: Any = None
     endpoints: dict[str, Endpoint] = attrs.field(factory=dict)
     endpoints_revision: int = 0
+    lapsed: dict[str, tuple[Endpoint, float]] = attrs.field(factory=dict)
+    doubt_until: float = 0.0
+    monotonic: Callable[[], float] = time.monotonic
     changed: Signal = attrs.field(factory=Signal)
 
     @property
@@ -47,7 +67,17 @@
         """Return whether requests can be served."""
         return self.manifest is not None and self.endpoints_revision > 0
 
-    def adopt_manifest(self, manifest: Manifest, revision: int, source: str) -> bool:
+    def digest(self) -> str:
+        """Return a short text that two views share if they know the same endpoints."""
+        parts = sorted(
+            f"{it.id} {it.born} {it.draining} {it.layers}"
+            for it in self.endpoints.values()
+        )
+        return hashlib.blake2s("\n".join(parts).encode(), digest_size=6).hexdigest()
+
+    def adopt_manifest(
+        self, manifest: Manifest, revision: int, source: str, document: Any = None
+    ) -> bool:
         """
         Take a manifest if it is newer, and return whether it was.
 
@@ -59,6 +89,8 @@
             Revision at which it was written.
         source : str
             Where it was read, for the log.
+        document : Any
+            The manifest as it was read.
         """
         if revision <= self.manifest_revision:
             return False
@@ -70,6 +102,7 @@
         )
         self.manifest = manifest
         self.manifest_revision = revision
+        self.document = document
         log.info(
             "manifest adopted",
             version=manifest.version,
@@ -88,7 +121,7 @@
             return False
         found = {endpoint.id: endpoint for endpoint in endpoints}
         for gone in self.endpoints.keys() - found.keys():
-            self.log_endpoint("endpoint gone", self.endpoints[gone], revision, source)
+            self.note_gone(self.endpoints[gone], revision, source)
         for endpoint in found.values():
             if self.endpoints.get(endpoint.id) != endpoint:
                 self.log_endpoint("endpoint changed", endpoint, revision, source)
@@ -110,7 +143,7 @@
         for name in gone:
             endpoint = self.endpoints.pop(name, None)
             if endpoint is not None:
-                self.log_endpoint("endpoint gone", endpoint, revision, source)
+                self.note_gone(endpoint, revision, source)
         for endpoint in changed:
             if self.endpoints.get(endpoint.id) != endpoint:
                 self.log_endpoint("endpoint changed", endpoint, revision, source)
@@ -118,13 +151,35 @@
         self.endpoints_revision = revision
         self.changed.notify()
 
+    def note_gone(self, endpoint: Endpoint, revision: int, source: str) -> None:
+        """Note that an endpoint has vanished from the store's list."""
+        self.log_endpoint("endpoint gone", endpoint, revision, source)
+        now = self.monotonic()
+        if now < self.doubt_until and not endpoint.draining:
+            self.lapsed[endpoint.id] = (endpoint, self.doubt_until)
+
+    def note_trouble(self) -> None:
+        """
+        Note that the store does not answer.
+
+        Entries that lapse meanwhile are used until those that live are back.
+        """
+        self.doubt_until = self.monotonic() + RETURN_TIME
+
     def of_service(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that take new work."""
-        return [
+        found = [
             endpoint
             for endpoint in self.endpoints.values()
             if endpoint.service == service and not endpoint.draining
         ]
+        now = self.monotonic()
+        for name, (endpoint, until) in list(self.lapsed.items()):
+            if now >= until or name in self.endpoints:
+                del self.lapsed[name]
+            elif endpoint.service == service:
+                found.append(endpoint)
+        return found
 
     @staticmethod
     def log_endpoint(text: str, endpoint: Endpoint, revision: int, source: str) -> None:
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -9,6 +9,7 @@
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.gateway.budget import BudgetShare
 from lentilhaven.gateway.endpoint_board import EndpointBoard
+from lentilhaven.peering.news import PeerNews
 from lentilhaven.peering.peer_table import PeerTable
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.upstream.connection_pool import ConnectionPool
@@ -31,6 +32,15 @@
         What was seen of the endpoints.
     random : random.Random
         Source of chance.
+    digest : str
+        Of the endpoints that are known.
+    checked_at : float
+        Time at which the store was last read in full.
+    others_checked_at : float
+        The same, for the other gateways.
+    ahead : dict
+        Gateways that know something newer, by VM, each with what it said and
+        when it was first found ahead.
     budgets : dict
         `BudgetShare` by service.
     peers : PeerTable
@@ -50,6 +60,10 @@
     pool: ConnectionPool = attrs.field(factory=ConnectionPool)
     board: EndpointBoard = attrs.field(factory=EndpointBoard)
     random: Random = attrs.field(factory=Random)
+    digest: str = ""
+    checked_at: float = -1e6
+    others_checked_at: float = -1e6
+    ahead: dict[str, tuple[PeerNews, float]] = attrs.field(factory=dict)
     budgets: dict[str, BudgetShare] = attrs.field(factory=dict)
     peers: PeerTable = attrs.field()
     urgent: Signal = attrs.field(factory=Signal)
--- a/lentilhaven/peering/exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -113,6 +113,8 @@
             relay=gateway.settings.peers,
             manifest_revision=view.manifest_revision,
             endpoints_revision=view.endpoints_revision,
+            digest=gateway.digest,
+            checked=round(min(1e6, now - gateway.checked_at), 3),
             loads=loads,
             heard=tuple(heard),
             suspects=suspects,
@@ -123,6 +125,11 @@
 
 def learn(gateway: Gateway, news: PeerNews, now: float) -> None:
     """Take over what another gateway has seen of endpoints."""
+    gateway.others_checked_at = max(gateway.others_checked_at, now - news.checked)
+    if is_ahead(gateway, news):
+        gateway.ahead.setdefault(news.vm, (news, now))
+    else:
+        gateway.ahead.pop(news.vm, None)
     endpoints = gateway.view.endpoints
     for name in news.heard:
         endpoint = endpoints.get(name)
@@ -134,6 +141,17 @@
             gateway.board.of(endpoint).note_suspicion(now + left, own=False)
 
 
+def is_ahead(gateway: Gateway, news: PeerNews) -> bool:
+    """Return whether another gateway knows something newer."""
+    view = gateway.view
+    if not news.relay:
+        return False
+    if news.manifest_revision > view.manifest_revision:
+        return True
+    newer = news.endpoints_revision > view.endpoints_revision
+    return newer and news.digest != gateway.digest
+
+
 @asynccontextmanager
 async def open_peer_exchange(gateway: Gateway) -> AsyncIterator[PeerExchange]:
     """
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -14,6 +14,8 @@
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.listeners import open_caller_listener, open_ready_listener
+from lentilhaven.gateway.peer_relay import catch_up, open_relay
+from lentilhaven.gateway.store_check import check_store, keep_digest
 from lentilhaven.gateway.store_watching import (
     limit_calls,
     watch_manifest,
@@ -23,7 +25,7 @@
 from lentilhaven.leases.lease_settings import LeaseSettings
 from lentilhaven.objects.share import ShareRate
 from lentilhaven.objects.token_bucket import TokenBucket
-from lentilhaven.peering.exchange import open_peer_exchange
+from lentilhaven.gateway.peer_exchange import open_peer_exchange
 from lentilhaven.placement.placer import Placer
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.platform.store_client import StoreClient, open_store_client
@@ -106,11 +108,17 @@
             ),
         )
         exchange = await stack.enter_async_context(open_peer_exchange(gateway))
+        manifest = watch_manifest(gateway, client)
+        replicas = watch_replicas(gateway, client)
+        await stack.enter_async_context(open_relay(gateway))
         await stack.enter_async_context(
             running_tasks(
                 exchange.run_for_ever(),
-                watch_manifest(gateway, client).follow(),
-                watch_replicas(gateway, client).follow(),
+                manifest.follow(),
+                replicas.follow(),
+                check_store(gateway, manifest, replicas),
+                catch_up(gateway, session),
+                keep_digest(gateway),
                 placer.run(),
                 sweep(gateway),
             )
--- /dev/null
+++ b/lentilhaven/gateway/store_check.py
@@ -0,0 +1,68 @@
+"""Reading the store although nothing seems to have changed."""
+
+import asyncio
+
+from lentilhaven.core.logs import get_logger
+from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.store_watching import KindWatch
+
+#: Seconds after which some gateway reads the store again.  A watch that hears
+#: nothing of a change ends too late, and a change must be in force within two
+#: seconds; one gateway reads for all, since each call is paid for.
+CHECK_INTERVAL = 0.7
+
+#: Most seconds added at random, so that gateways do not read at the same time.
+CHECK_SPREAD = 0.4
+
+log = get_logger("store")
+
+
+async def check_store(
+    gateway: Gateway, manifest: KindWatch, replicas: KindWatch
+) -> None:
+    """
+    Read everything whenever no gateway has done so for a while.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        State of the process.
+    manifest, replicas : KindWatch
+        What is read.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        spread = gateway.random.uniform(0.0, CHECK_SPREAD)
+        newest = max(gateway.checked_at, gateway.others_checked_at)
+        wait = newest + CHECK_INTERVAL + spread - loop.time()
+        if wait > 0:
+            await asyncio.sleep(wait)
+            continue
+        began = loop.time()
+        if await read_all(manifest) and await read_all(replicas):
+            gateway.checked_at = began
+            gateway.urgent.notify()
+        else:
+            await asyncio.sleep(CHECK_INTERVAL)
+
+
+async def read_all(watch: KindWatch) -> bool:
+    """List all objects of a kind, and return whether the store has answered."""
+    listing = await watch.client.list_kind(watch.kind)
+    if listing.is_error():
+        watch.note_loss(listing.error)
+        return False
+    watch.on_listing(listing.ok)
+    return True
+
+
+async def keep_digest(gateway: Gateway) -> None:
+    """Renew the digest of the endpoints whenever they change, for ever."""
+    seen = -1
+    while True:
+        if gateway.view.endpoints_revision != seen:
+            seen = gateway.view.endpoints_revision
+            gateway.digest = gateway.view.digest()
+        await gateway.view.changed.wait_until(
+            lambda: gateway.view.endpoints_revision != seen, 1.0
+        )
--- a/lentilhaven/gateway/store_watching.py
+++ b/lentilhaven/gateway/store_watching.py
@@ -43,6 +43,8 @@
         Makes the calls.
     kind : str
         What is followed.
+    on_trouble : callable
+        Called after each failed call.
     on_listing : callable
         Takes a whole listing.
     on_changes : callable
@@ -59,6 +61,7 @@
 
     client: StoreClient
     kind: str
+    on_trouble: Callable[[], None]
     on_listing: Callable[[KindListing], None]
     on_changes: Callable[[KindListing], None]
     backoff: Backoff
@@ -105,6 +108,7 @@
 
     def note_loss(self, failure: Failure) -> None:
         """Note that a call failed."""
+        self.on_trouble()
         if not self.lost:
             self.lost = True
             log.warning(
@@ -134,7 +138,8 @@
             if change.name == MANIFEST and change.value is not None:
                 adopt(gateway, change.value, change.revision, "store")
 
-    return KindWatch(client, CONFIG, take, take, make_backoff(gateway))
+    trouble = gateway.view.note_trouble
+    return KindWatch(client, CONFIG, trouble, take, take, make_backoff(gateway))
 
 
 def adopt(gateway: Gateway, value: Any, revision: int, source: str) -> None:
@@ -147,7 +152,7 @@
         detail = f"{type(error).__name__}: {error}"
         log.error("manifest can't be read", revision=revision, detail=detail)
         return
-    gateway.view.adopt_manifest(manifest, revision, source)
+    gateway.view.adopt_manifest(manifest, revision, source, value)
 
 
 def watch_replicas(gateway: Gateway, client: StoreClient) -> KindWatch:
@@ -183,7 +188,9 @@
             "store",
         )
 
-    return KindWatch(client, REPLICAS, take_all, take_changes, make_backoff(gateway))
+    return KindWatch(
+        client, REPLICAS, view.note_trouble, take_all, take_changes, make_backoff(gateway)
+    )
 
 
 def make_backoff(gateway: Gateway) -> Backoff:
--- a/lentilhaven/peering/news.py
+++ b/lentilhaven/peering/news.py
@@ -25,6 +25,10 @@
         ``IP:PORT`` at which it passes on what it knows.
     manifest_revision, endpoints_revision : int
         What it knows.
+    digest : str
+        Of the endpoints that it knows.
+    checked : float
+        Seconds since it last read all of that from the store.
     loads : dict
         Requests under way and their tokens times layers, by endpoint.
     heard : tuple of str
@@ -44,6 +48,8 @@
     relay: str = ""
     manifest_revision: int = 0
     endpoints_revision: int = 0
+    digest: str = ""
+    checked: float = 1e6
     loads: dict[str, tuple[int, float]] = attrs.field(factory=dict)
     heard: tuple[str, ...] = ()
     suspects: dict[str, float] = attrs.field(factory=dict)
@@ -89,6 +95,8 @@
             relay=str(fields["relay"]),
             manifest_revision=int(fields["manifest_revision"]),
             endpoints_revision=int(fields["endpoints_revision"]),
+            digest=str(fields["digest"]),
+            checked=float(fields["checked"]),
             loads={
                 str(name): (int(load[0]), float(load[1]))
                 for name, load in fields["loads"].items()
