Back up large spans, move engines into gaps, reckon with busy pipes

A false trail: what peers had heard was stamped with the time of arrival, which cleared dead engines; ages are sent now.

--- a/lentilhaven/chains/chain_costs.py
+++ b/lentilhaven/chains/chain_costs.py
@@ -1,5 +1,7 @@
 """Estimates of the time that a request spends on the parts of a chain."""
 
+from collections.abc import Callable
+
 import attrs
 
 from lentilhaven.fleet.engine_spec import EngineSpec
@@ -11,9 +13,9 @@
 #: One-way time to another data centre that the list leaves out, in ms.
 REMOTE_HOP_MS = 0.75
 
-#: How many transfers a prompt waits for at the pipe between two data centres,
-#: its own among them: the mean of a queue that is half full.
-PIPE_SHARE = 2.0
+#: Largest share of a pipe's time that is reckoned with: beyond it the estimated
+#: wait grows without bound.
+MOST_BUSY = 0.9
 
 
 @attrs.frozen
@@ -27,11 +29,15 @@
         The engines.
     prompt, answer : float
         Tokens to read, and tokens to write.
+    pipe_tokens : callable
+        Takes two data centres and returns the tokens per second that go through
+        the pipe between them.
     """
 
     spec: EngineSpec
     prompt: float
     answer: float
+    pipe_tokens: Callable[[str, str], float] = lambda one, other: 0.0
 
     def layer_ms(self, card: str, slowdown: float, batch: float) -> float:
         """
@@ -58,14 +64,25 @@
         return slowdown * (token * self.answer + reading) / max(1, spec.layers)
 
     def hop_ms(self, origin: str, target: str) -> float:
-        """Return the time of a request between two parts, in ms."""
+        """
+        Return the time of a request between two parts, in ms.
+
+        Everything between two data centres goes through one pipe, one transfer
+        after another: each token may wait behind other requests' prompts, as in
+        a queue with one server (Pollaczek and Khinchine).
+        """
         spec = self.spec
-        kilobits = spec.activation_bytes * 8e-3 * self.prompt
+        kilobits = spec.activation_bytes * 8e-3
         if origin == target:
             transfer = kilobits / spec.link_mbps if spec.link_mbps else 0.0
-            return LOCAL_HOP_MS * self.answer + transfer
-        transfer = kilobits / spec.pipe_mbps if spec.pipe_mbps else 0.0
-        return REMOTE_HOP_MS * self.answer + PIPE_SHARE * transfer
+            return LOCAL_HOP_MS * self.answer + transfer * self.prompt
+        if not spec.pipe_mbps:
+            return REMOTE_HOP_MS * self.answer
+        token_ms = kilobits / spec.pipe_mbps
+        busy = min(MOST_BUSY, self.pipe_tokens(origin, target) * token_ms / 1000.0)
+        usual = token_ms * spec.usual_prompt
+        wait = busy / (1.0 - busy) * usual
+        return (REMOTE_HOP_MS + wait) * self.answer + token_ms * self.prompt + wait
 
     def state_tokens(self) -> float:
         """Return the tokens whose state the request holds at its end."""
--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -10,6 +10,7 @@
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.pipe_meter import pipe_name
 
 #: How much longer a request takes on an engine whose memory is full.
 FULLNESS_WEIGHT = 4.0
@@ -24,12 +25,22 @@
 log = get_logger("gateway")
 
 
-def costs_of(spec: EngineSpec, call: Call) -> ChainCosts:
+def costs_of(
+    gateway: Gateway, spec: EngineSpec, call: Call, now: float
+) -> ChainCosts:
     """Return the estimated times of a request."""
+    own = gateway.pipes.current(now)
+    others = gateway.peers.pipes
+
+    def pipe_tokens(one: str, other: str) -> float:
+        name = pipe_name(one, other)
+        return own.get(name, 0.0) + others.get(name, 0.0)
+
     answer = call.head.length_hint or spec.usual_answer or 1.0
     if call.head.most_output_tokens:
         answer = min(answer, call.head.most_output_tokens)
-    return ChainCosts(spec, call.head.prompt_tokens or spec.usual_prompt, answer)
+    prompt = call.head.prompt_tokens or spec.usual_prompt
+    return ChainCosts(spec, prompt, answer, pipe_tokens)
 
 
 def choose_chain(
@@ -60,7 +71,7 @@
     Chain or None
         None if the endpoints that can be used do not hold all layers.
     """
-    costs = costs_of(spec, call)
+    costs = costs_of(gateway, spec, call, now)
     candidates = [
         candidate
         for endpoint in gateway.view.of_service(call.service)
--- a/lentilhaven/gateway/endpoint_board.py
+++ b/lentilhaven/gateway/endpoint_board.py
@@ -12,6 +12,10 @@
 #: three heartbeats.
 SUSPICION = 4.0
 
+#: Seconds after a suspicion from which events refute it: what was on its way when
+#: an endpoint failed arrives a little later.
+REFUTE_MARGIN = 0.05
+
 #: Seconds for which a refusal keeps other requests away.
 REFUSAL = 0.3
 
@@ -37,6 +41,8 @@
         Time at which something last arrived from it or through it.
     suspected_until : float
         Time until which it gets no requests.
+    suspected_since : float
+        Time at which the suspicion arose.
     own_suspicion : bool
         Whether this gateway has noticed the fault, not another one.
     refused_until : float
@@ -50,6 +56,7 @@
     slowdown: float = 1.0
     heard_at: float = 0.0
     suspected_until: float = 0.0
+    suspected_since: float = 0.0
     own_suspicion: bool = False
     refused_until: float = 0.0
 
@@ -59,14 +66,34 @@
         known = self.latency or seconds
         self.latency = known + NEWEST * (seconds - known)
 
-    def note_heard(self, now: float) -> None:
-        """Note that something has come from the endpoint or through it."""
-        self.heard_at = now
-        self.suspected_until = 0.0
-
-    def note_suspicion(self, until: float, own: bool) -> None:
-        """Take the endpoint for dead until a time, unless it is heard of."""
+    def note_heard(self, at: float) -> None:
+        """
+        Note that something came from the endpoint or through it.
+
+        Parameters
+        ----------
+        at : float
+            When it came, in seconds of the event loop.
+        """
+        self.heard_at = max(self.heard_at, at)
+        if at > self.suspected_since + REFUTE_MARGIN:
+            self.suspected_until = 0.0
+
+    def note_suspicion(self, since: float, until: float, own: bool) -> None:
+        """
+        Take the endpoint for dead until a time, unless it is heard of.
+
+        Parameters
+        ----------
+        since : float
+            When the suspicion arose.
+        until : float
+            When it ends.
+        own : bool
+            Whether this gateway has noticed the fault, not another one.
+        """
         if until > self.suspected_until:
+            self.suspected_since = since
             self.suspected_until = until
             self.own_suspicion = own
 
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -9,6 +9,7 @@
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.gateway.budget import BudgetShare
 from lentilhaven.gateway.endpoint_board import EndpointBoard
+from lentilhaven.gateway.pipe_meter import PipeMeter
 from lentilhaven.peering.news import PeerNews
 from lentilhaven.peering.peer_table import PeerTable
 from lentilhaven.platform.settings import PlatformSettings
@@ -45,6 +46,8 @@
         `BudgetShare` by service.
     peers : PeerTable
         The other gateways.
+    pipes : PipeMeter
+        What own requests send between data centres.
     urgent : Signal
         Wakes what tells the others.
     leaving : bool
@@ -66,6 +69,7 @@
     ahead: dict[str, tuple[PeerNews, float]] = attrs.field(factory=dict)
     budgets: dict[str, BudgetShare] = attrs.field(factory=dict)
     peers: PeerTable = attrs.field()
+    pipes: PipeMeter = attrs.field(factory=PipeMeter)
     urgent: Signal = attrs.field(factory=Signal)
     leaving: bool = False
     counters: Counter[str] = attrs.field(factory=Counter)
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from lentilhaven.gateway.endpoint_board import REFUTE_MARGIN
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.peering.news import PeerNews, decode_news, encode_news
 
@@ -92,7 +93,7 @@
         gateway = self.gateway
         peers, view = gateway.peers, gateway.view
         names = {it.incarnation: it.id for it in view.endpoints.values()}
-        loads, heard, suspects = {}, [], {}
+        loads, heard, suspects = {}, {}, {}
         for incarnation, state in gateway.board.states.items():
             name = names.get(incarnation)
             if name is None:
@@ -100,9 +101,11 @@
             if state.requests:
                 loads[name] = (state.requests, round(state.state_tokens))
             if state.heard_at > self.told_at:
-                heard.append(name)
+                heard[name] = round(now - state.heard_at, 3)
             if state.suspected_until > now and state.own_suspicion:
-                suspects[name] = round(state.suspected_until - now, 2)
+                since = now - state.suspected_since
+                left = state.suspected_until - now
+                suspects[name] = (round(since, 3), round(left, 3))
         known = list(peers.addresses)
         count = min(MEMBERS_NAMED, len(known))
         return PeerNews(
@@ -116,7 +119,10 @@
             digest=gateway.digest,
             checked=round(min(1e6, now - gateway.checked_at), 3),
             loads=loads,
-            heard=tuple(heard),
+            pipes={
+                pipe: round(rate) for pipe, rate in gateway.pipes.current(now).items()
+            },
+            heard=heard,
             suspects=suspects,
             members=tuple(gateway.random.sample(known, count)),
             ready=gateway.ready,
@@ -131,14 +137,18 @@
     else:
         gateway.ahead.pop(news.vm, None)
     endpoints = gateway.view.endpoints
-    for name in news.heard:
+    for name, age in news.heard.items():
         endpoint = endpoints.get(name)
         if endpoint is not None:
-            gateway.board.of(endpoint).note_heard(now)
-    for name, left in news.suspects.items():
+            gateway.board.of(endpoint).note_heard(now - age)
+    for name, (age, left) in news.suspects.items():
         endpoint = endpoints.get(name)
-        if endpoint is not None:
-            gateway.board.of(endpoint).note_suspicion(now + left, own=False)
+        if endpoint is None:
+            continue
+        state = gateway.board.of(endpoint)
+        # A peer may not know yet that the endpoint was heard of since.
+        if state.heard_at <= now - age + REFUTE_MARGIN:
+            state.note_suspicion(now - age, now + left, own=False)
 
 
 def is_ahead(gateway: Gateway, news: PeerNews) -> bool:
--- /dev/null
+++ b/lentilhaven/gateway/pipe_meter.py
@@ -0,0 +1,72 @@
+"""How busy the pipes between data centres are."""
+
+import math
+from collections.abc import Sequence
+
+import attrs
+
+from lentilhaven.fleet.endpoint import Endpoint
+from lentilhaven.fleet.layer_span import LayerSpan
+
+#: Seconds after which a transfer counts 1/e of what it did.
+MEMORY = 1.0
+
+
+def pipe_name(one: str, other: str) -> str:
+    """Return the name of the pipe between two data centres."""
+    return "|".join(sorted((one, other)))
+
+
+@attrs.define
+class PipeMeter:
+    """
+    Tokens that this gateway's requests send through each pipe.
+
+    Attributes
+    ----------
+    rates : dict
+        Tokens per second by pipe, decayed to `updated`.
+    updated : float
+        Time of the event loop.
+
+    Examples
+    --------
+    >>> meter = PipeMeter()
+    >>> meter.record({"a|b": 2}, 100.0, now=0.0)
+    >>> round(meter.current(1.0)["a|b"], 1)
+    73.6
+    """
+
+    rates: dict[str, float] = attrs.field(factory=dict)
+    updated: float = 0.0
+
+    def decay(self, now: float) -> None:
+        """Let what is old count less."""
+        factor = math.exp(min(0.0, self.updated - now) / MEMORY)
+        self.updated = now
+        self.rates = {
+            pipe: rate * factor
+            for pipe, rate in self.rates.items()
+            if rate * factor >= 1.0
+        }
+
+    def record(self, crossings: dict[str, int], tokens: float, now: float) -> None:
+        """Count a request that crosses pipes a number of times each."""
+        self.decay(now)
+        for pipe, times in crossings.items():
+            self.rates[pipe] = self.rates.get(pipe, 0.0) + times * tokens / MEMORY
+
+    def current(self, now: float) -> dict[str, float]:
+        """Return the tokens per second by pipe."""
+        self.decay(now)
+        return self.rates
+
+
+def crossings_of(parts: Sequence[tuple[Endpoint, LayerSpan]]) -> dict[str, int]:
+    """Return how often a chain crosses each pipe."""
+    found: dict[str, int] = {}
+    for (one, _), (other, _) in zip(parts, parts[1:], strict=False):
+        if one.data_centre != other.data_centre:
+            name = pipe_name(one.data_centre, other.data_centre)
+            found[name] = found.get(name, 0) + 1
+    return found
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -149,7 +149,7 @@
     else:
         state.record(now - began, failed)
     if isinstance(outcome, Failure) and outcome.kind == "connect":
-        state.note_suspicion(now + SUSPICION, own=True)
+        state.note_suspicion(now, now + SUSPICION, own=True)
     log.info(
         "replica tried",
         request=call.id,
--- a/lentilhaven/gateway/silence.py
+++ b/lentilhaven/gateway/silence.py
@@ -101,7 +101,7 @@
     for endpoint, _ in chain.parts:
         state = gateway.board.of(endpoint)
         if state.heard_at <= since:
-            state.note_suspicion(now + SUSPICION, own=True)
+            state.note_suspicion(now, now + SUSPICION, own=True)
             suspects.append(endpoint.id)
     gateway.urgent.notify()
     log.warning(
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -16,6 +16,7 @@
 from lentilhaven.gateway.endpoint_board import REFUSAL, SUSPICION
 from lentilhaven.gateway.event_splitter import EventSplitter
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.pipe_meter import crossings_of
 from lentilhaven.gateway.refusals import refuse
 from lentilhaven.gateway.service_relay import MOST_REFUSALS, REFUSALS, Answer
 from lentilhaven.gateway.silence import (
@@ -191,6 +192,7 @@
         state = gateway.board.of(endpoint)
         state.requests += 1
         state.state_tokens += tokens * len(span)
+    gateway.pipes.record(crossings_of(chain.parts), tokens, began)
     outcome: Answer | Failure | None = None
     try:
         outcome = await exchange_on_chain(relay, chain)
@@ -231,7 +233,10 @@
     try:
         connection = await gateway.pool.acquire(first, call.deadline - loop.time())
     except UpstreamError as error:
-        gateway.board.of(first).note_suspicion(loop.time() + SUSPICION, own=True)
+        failed_at = loop.time()
+        gateway.board.of(first).note_suspicion(
+            failed_at, failed_at + SUSPICION, own=True
+        )
         relay.excluded.add(first.id)
         return Failure(Step.CONNECT, first.id, "connect", error.detail)
     try:
--- a/lentilhaven/peering/news.py
+++ b/lentilhaven/peering/news.py
@@ -31,10 +31,14 @@
         Seconds since it last read all of that from the store.
     loads : dict
         Requests under way and their tokens times layers, by endpoint.
-    heard : tuple of str
-        Endpoints from which an event has come since the last datagram.
+    pipes : dict
+        Tokens per second that its requests send through each pipe.
+    heard : dict
+        Seconds since an event has come from an endpoint, for those from which one
+        has come since the last datagram.
     suspects : dict
-        Seconds for which an endpoint is still suspected, by endpoint.
+        Seconds since which an endpoint is suspected and for which it still is,
+        by endpoint.
     members : tuple of str
         Addresses of some other gateways.
     ready : bool
@@ -51,8 +55,9 @@
     digest: str = ""
     checked: float = 1e6
     loads: dict[str, tuple[int, float]] = attrs.field(factory=dict)
-    heard: tuple[str, ...] = ()
-    suspects: dict[str, float] = attrs.field(factory=dict)
+    pipes: dict[str, float] = attrs.field(factory=dict)
+    heard: dict[str, float] = attrs.field(factory=dict)
+    suspects: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     members: tuple[str, ...] = ()
     ready: bool = True
 
@@ -73,7 +78,6 @@
     True
     """
     fields = attrs.asdict(news)
-    fields["loads"] = {name: list(load) for name, load in news.loads.items()}
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -101,9 +105,11 @@
                 str(name): (int(load[0]), float(load[1]))
                 for name, load in fields["loads"].items()
             },
-            heard=tuple(map(str, fields["heard"])),
+            pipes={str(name): float(rate) for name, rate in fields["pipes"].items()},
+            heard={str(name): float(age) for name, age in fields["heard"].items()},
             suspects={
-                str(name): float(left) for name, left in fields["suspects"].items()
+                str(name): (float(span[0]), float(span[1]))
+                for name, span in fields["suspects"].items()
             },
             members=tuple(map(str, fields["members"])),
             ready=bool(fields["ready"]),
--- a/lentilhaven/peering/peer_table.py
+++ b/lentilhaven/peering/peer_table.py
@@ -54,6 +54,8 @@
         Requests of the others under way, by endpoint.
     tokens : dict
         Tokens times layers that these need, by endpoint.
+    pipes : dict
+        Tokens per second that the others send through each pipe.
     addresses : dict
         Addresses to which datagrams are sent, each with the time at which it was
         last heard of.
@@ -73,6 +75,7 @@
     peers: dict[str, Peer] = attrs.field(factory=dict)
     requests: dict[str, int] = attrs.field(factory=lambda: defaultdict(int))
     tokens: dict[str, float] = attrs.field(factory=lambda: defaultdict(float))
+    pipes: dict[str, float] = attrs.field(factory=lambda: defaultdict(float))
     addresses: dict[str, float] = attrs.field(factory=dict)
 
     def take(self, news: PeerNews, now: float) -> bool:
@@ -111,6 +114,8 @@
 
     def count(self, news: PeerNews, sign: int) -> None:
         """Add a gateway's load to the totals, or take it out."""
+        for pipe, rate in news.pipes.items():
+            self.pipes[pipe] += sign * rate
         for endpoint, (requests, tokens) in news.loads.items():
             self.requests[endpoint] += sign * requests
             self.tokens[endpoint] += sign * tokens
--- a/lentilhaven/placement/coverage.py
+++ b/lentilhaven/placement/coverage.py
@@ -11,6 +11,14 @@
 #: Each copy of a layer makes the next one worth this much less.
 COPY_RATIO = 0.25
 
+#: What a layer counts that is held nowhere, beside one that is missing in a data
+#: centre only: without it nothing can be served.
+MISSING_WEIGHT = 3.0
+
+#: How much more a second copy counts where the only holder has all layers: the
+#: more layers one engine holds alone, the more its loss takes away.
+FRAGILITY = 1.0
+
 
 @attrs.define
 class Coverage:
@@ -25,6 +33,8 @@
         Data centres with engines.
     local : dict
         Copies of each layer by data centre.
+    widths : dict
+        Sum of the lengths of the spans that hold each layer, by data centre.
     total : list of int
         Copies of each layer over all data centres.
     """
@@ -32,6 +42,7 @@
     layers: int
     data_centres: int
     local: dict[str, list[int]] = attrs.field(factory=dict)
+    widths: dict[str, list[int]] = attrs.field(factory=dict)
     total: list[int] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -45,27 +56,35 @@
     def add(self, data_centre: str, span: LayerSpan, copies: int = 1) -> None:
         """Count an engine that holds a range, or one less with -1."""
         here = self.of(data_centre)
+        widths = self.widths.setdefault(data_centre, [0] * self.layers)
         for layer in range(span.start, min(span.end, self.layers)):
             here[layer] += copies
+            widths[layer] += copies * len(span)
             self.total[layer] += copies
 
     def gains(self, data_centre: str) -> list[float]:
         """
         Return what one more copy of each layer is worth in a data centre.
 
-        A layer that is missing there counts most, since a chain that leaves a
-        data centre is slower; then one that is rare everywhere.
+        A layer that is held nowhere counts most; then one that is missing there,
+        since a chain that leaves a data centre is slower; then one whose only
+        holder has many layers; then one that is rare everywhere.
 
         Examples
         --------
         >>> coverage = Coverage(3, 1)
         >>> coverage.add("a", LayerSpan(0, 2))
-        >>> coverage.gains("a")
-        [0.275, 0.275, 1.1]
+        >>> [round(gain, 2) for gain in coverage.gains("a")]
+        [0.44, 0.44, 4.1]
         """
         here = self.of(data_centre)
-        share = max(1, self.data_centres)
-        return [
-            COPY_RATIO**local + REMOTE_WEIGHT * COPY_RATIO ** (total / share)
-            for local, total in zip(here, self.total, strict=True)
-        ]
+        widths = self.widths.setdefault(data_centre, [0] * self.layers)
+        return [self.gain(here[at], widths[at], self.total[at]) for at in range(self.layers)]
+
+    def gain(self, copies: int, width: int, total: int) -> float:
+        """Return what one more copy of a layer is worth."""
+        value = COPY_RATIO**copies
+        if copies == 1:
+            value *= 1.0 + FRAGILITY * width / self.layers
+        value += REMOTE_WEIGHT * COPY_RATIO ** (total / max(1, self.data_centres))
+        return value + (0.0 if total else MISSING_WEIGHT)
--- a/lentilhaven/placement/placer.py
+++ b/lentilhaven/placement/placer.py
@@ -12,7 +12,7 @@
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.fleet.layer_span import LayerSpan
-from lentilhaven.placement.plan import plan_layers
+from lentilhaven.placement.plan import plan_layers, plan_moves
 from lentilhaven.platform.engine_calls import (
     OrderOutcome,
     fetch_report,
@@ -33,6 +33,13 @@
 #: that start together are better placed together.
 GATHER_TIME = 1.0
 
+#: Engines that may be under way to other layers at a time, so that what is left
+#: still serves.
+MOST_MOVES = 4
+
+#: Seconds after an order within which an engine is not moved again.
+MOVE_PAUSE = 6.0
+
 #: Seconds for which the lease must still be held when an order is sent.
 ORDER_SPAN = 0.2
 
@@ -77,6 +84,8 @@
         Returns whether an engine is thought to be dead.
     ordered : dict
         `Ordered` by the engine's id.
+    moved_at : dict
+        Monotonic time of the last order, by the engine's incarnation.
     engines_seen : frozenset of str
         Ids of the engines at the last look.
     engines_since : float
@@ -90,6 +99,7 @@
     fence: Callable[[float], int | None]
     is_suspected: Callable[[Endpoint], bool]
     ordered: dict[str, Ordered] = attrs.field(factory=dict)
+    moved_at: dict[tuple[str, int], float] = attrs.field(factory=dict)
     engines_seen: frozenset[str] = frozenset()
     engines_since: float = 0.0
     monotonic: Callable[[], float] = time.monotonic
@@ -124,7 +134,7 @@
     def missing(
         self, service: str, spec: EngineSpec
     ) -> list[tuple[Endpoint, LayerSpan]]:
-        """Return the engines that lack layers, with what they are to hold."""
+        """Return the engines to order, with what they are to hold."""
         engines = [
             engine
             for engine in self.view.of_service(service)
@@ -134,12 +144,26 @@
             return []
         pending = {name: order.layers for name, order in self.ordered.items()}
         plan = plan_layers(spec, engines, pending)
+        moves = {}
+        if len(pending) < MOST_MOVES:
+            moves = plan_moves(
+                spec, engines, plan, self.is_movable, MOST_MOVES - len(pending)
+            )
         return [
-            (engine, plan[engine.id])
+            (engine, moves.get(engine.id) or plan[engine.id])
             for engine in engines
-            if engine.id in plan and engine.layers is None and engine.id not in pending
+            if engine.id in plan
+            and engine.id not in pending
+            and (engine.layers is None or engine.id in moves)
         ]
 
+    def is_movable(self, engine: Endpoint) -> bool:
+        """Return whether an engine may be given other layers now."""
+        if engine.layers is None or engine.id in self.ordered:
+            return False
+        moved_at = self.moved_at.get(engine.incarnation, -MOVE_PAUSE)
+        return self.monotonic() - moved_at >= MOVE_PAUSE
+
     def may_begin(self, engines: list[Endpoint]) -> bool:
         """Return whether engines are placed now, or more are waited for."""
         found = frozenset(engine.id for engine in engines)
@@ -168,13 +192,14 @@
             log.info("engine does not report", endpoint=engine.id, detail=str(report.error))
             return
         found = report.ok
-        if found.busy or found.layers is not None:
+        if found.busy or found.layers != engine.layers:
             return
         fence = self.fence(ORDER_SPAN)
         if fence is None:
             return
         now = self.monotonic()
         self.ordered[engine.id] = Ordered(engine.incarnation, layers, now)
+        self.moved_at[engine.incarnation] = now
         outcome = await order_layers(
             self.session, engine, layers, fence, found.orders, CALL_TIMEOUT
         )
@@ -182,6 +207,7 @@
             "engine ordered",
             endpoint=engine.id,
             layers=f"{layers.start}-{layers.end}",
+            before=f"{held.start}-{held.end}" if (held := engine.layers) else "",
             card=engine.card,
             fence=fence,
             orders=found.orders,
--- a/lentilhaven/placement/plan.py
+++ b/lentilhaven/placement/plan.py
@@ -1,7 +1,7 @@
 """The layers that each engine is to hold."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from itertools import accumulate
 
 from lentilhaven.fleet.endpoint import Endpoint
@@ -13,6 +13,10 @@
 #: beside the weights: a chain is only as wide as its narrowest part.
 STATE_SHARE = 0.5
 
+#: How many times as much an engine must be worth elsewhere to be moved: a move
+#: costs a load, and its memory is of no use meanwhile.
+MOVE_RATIO = 2.0
+
 
 def plan_layers(
     spec: EngineSpec,
@@ -59,6 +63,71 @@
     return plan
 
 
+def plan_moves(
+    spec: EngineSpec,
+    engines: Iterable[Endpoint],
+    plan: Mapping[str, LayerSpan],
+    movable: Callable[[Endpoint], bool],
+    most: int,
+) -> dict[str, LayerSpan]:
+    """
+    Return ranges for engines that are worth much more elsewhere.
+
+    Parameters
+    ----------
+    spec : EngineSpec
+        The model.
+    engines : iterable of Endpoint
+        The engines that stay.
+    plan : mapping
+        What each of them holds or will hold, by id.
+    movable : callable
+        Returns whether an engine may be ordered now.
+    most : int
+        Most moves.
+
+    Returns
+    -------
+    dict
+        New range by the engine's id.
+    """
+    pool = [engine for engine in engines if engine.id in plan]
+    coverage = Coverage(spec.layers, len({engine.data_centre for engine in pool}))
+    for engine in pool:
+        coverage.add(engine.data_centre, plan[engine.id])
+    moves: dict[str, LayerSpan] = {}
+    while len(moves) < most:
+        found = [
+            move
+            for engine in pool
+            if engine.id not in moves
+            and movable(engine)
+            and (move := best_move(spec, engine, plan[engine.id], coverage))
+        ]
+        if not found:
+            break
+        _, engine, span = max(found, key=lambda move: (move[0], move[1].id))
+        coverage.add(engine.data_centre, plan[engine.id], -1)
+        coverage.add(engine.data_centre, span)
+        moves[engine.id] = span
+    return moves
+
+
+def best_move(
+    spec: EngineSpec, engine: Endpoint, held: LayerSpan, coverage: Coverage
+) -> tuple[float, Endpoint, LayerSpan] | None:
+    """Return the best move of an engine with its gain; None if it should stay."""
+    coverage.add(engine.data_centre, held, -1)
+    gains = coverage.gains(engine.data_centre)
+    span = best_span(spec, engine, coverage)
+    coverage.add(engine.data_centre, held)
+    before, after = value_of(held, gains), value_of(span, gains)
+    if after < MOVE_RATIO * before:
+        return None
+    # Loading takes time in proportion to the layers.
+    return (after - before) / len(span), engine, span
+
+
 def in_order(spec: EngineSpec, engines: list[Endpoint]) -> list[Endpoint]:
     """Return engines by speed, and within a kind by data centre in turn."""
     turns: dict[tuple[str, str], int] = defaultdict(int)
@@ -81,6 +150,28 @@
     """Return the range whose copy in the engine's data centre is worth most."""
     size = min(spec.layers, size_of(spec, engine.card))
     sums = [0.0, *accumulate(coverage.gains(engine.data_centre))]
-    starts = range(spec.layers - size + 1)
-    best = max(starts, key=lambda start: (sums[start + size] - sums[start], -start))
+    here = coverage.of(engine.data_centre)
+
+    def rank(start: int) -> tuple[float, int, int]:
+        value = round(sums[start + size] - sums[start], 6)
+        return value, touching(here, start, start + size), -start
+
+    best = max(range(spec.layers - size + 1), key=rank)
     return LayerSpan(best, best + size)
+
+
+def touching(copies: list[int], start: int, end: int) -> int:
+    """
+    Return at how many ends a range meets layers with more copies, or no layers.
+
+    A range that begins or ends where others do leaves no gap that is too short
+    for another engine.
+    """
+    left = start == 0 or copies[start - 1] > copies[start]
+    right = end == len(copies) or copies[end] > copies[end - 1]
+    return left + right
+
+
+def value_of(span: LayerSpan, gains: list[float]) -> float:
+    """Return what a copy of a range is worth."""
+    return sum(gains[span.start : span.end])
