Reload settings, settle orders that never show, drain without polling

Changes found by reading: SIGHUP ended the process, a settings file that changes without a signal was not noticed, an order that never shows blocked its engine.

--- a/lentilhaven/chains/chain.py
+++ b/lentilhaven/chains/chain.py
@@ -51,7 +51,9 @@
             ...
         lentilhaven.core.invariants.InvariantError: layers-covered-once: a=0-4
         """
-        text = ",".join(f"{part.id}={span.start}-{span.end}" for part, span in self.parts)
+        text = ",".join(
+            f"{part.id}={span.start}-{span.end}" for part, span in self.parts
+        )
         at = 0
         for endpoint, span in self.parts:
             held = endpoint.layers
--- a/lentilhaven/chains/chain_costs.py
+++ b/lentilhaven/chains/chain_costs.py
@@ -54,9 +54,7 @@
         """
         spec = self.spec
         kind = spec.cards.get(card)
-        step, prefill = (
-            (kind.step_factor, kind.prefill_factor) if kind else (1.0, 1.0)
-        )
+        step, prefill = (kind.step_factor, kind.prefill_factor) if kind else (1.0, 1.0)
         context = (self.prompt + self.answer / 2) / 1000.0
         per_sequence = spec.step_ms_per_sequence + spec.step_ms_per_k * context
         token = (spec.step_ms + batch * per_sequence) * step
--- a/lentilhaven/cli/system_status.py
+++ b/lentilhaven/cli/system_status.py
@@ -7,8 +7,8 @@
 from lentilhaven.cli.connection import Connection
 from lentilhaven.core.converter import to_document
 from lentilhaven.distribution.editing import read_current
-from lentilhaven.pipelines.bound import deployment_bounds
 from lentilhaven.objects.vm import ListedVm
+from lentilhaven.pipelines.bound import deployment_bounds
 
 
 @attrs.frozen
--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -25,9 +25,7 @@
 log = get_logger("gateway")
 
 
-def costs_of(
-    gateway: Gateway, spec: EngineSpec, call: Call, now: float
-) -> ChainCosts:
+def costs_of(gateway: Gateway, spec: EngineSpec, call: Call, now: float) -> ChainCosts:
     """Return the estimated times of a request."""
     own = gateway.pipes.current(now)
     others = gateway.peers.pipes
@@ -118,7 +116,11 @@
 
 
 def weigh(
-    gateway: Gateway, spec: EngineSpec, costs: ChainCosts, endpoint: Endpoint, now: float
+    gateway: Gateway,
+    spec: EngineSpec,
+    costs: ChainCosts,
+    endpoint: Endpoint,
+    now: float,
 ) -> Candidate | None:
     """Return an endpoint with the cost of its layers; None if it can't be used."""
     if endpoint.layers is None:
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -1,7 +1,7 @@
 """The state that a gateway's requests share."""
 
-from random import Random
 from collections import Counter
+from random import Random
 
 import attrs
 
@@ -56,6 +56,8 @@
         Events since the start, by name.
     active : int
         Requests that are being served.
+    ended : Signal
+        Wakes whoever waits for the end of requests.
     """
 
     settings: PlatformSettings
@@ -74,6 +76,7 @@
     leaving: bool = False
     counters: Counter[str] = attrs.field(factory=Counter)
     active: int = 0
+    ended: Signal = attrs.field(factory=Signal)
 
     @peers.default
     def no_peers(self) -> PeerTable:
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -6,9 +6,9 @@
 
 from aiohttp import web
 
+from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import describe_defect, get_logger
 from lentilhaven.core.ran import Ran
-from lentilhaven.core.failure import Failure
 from lentilhaven.core.step import Step
 from lentilhaven.fleet.route_rule import RouteKind
 from lentilhaven.gateway.call import Call
@@ -46,6 +46,7 @@
             response = await answer(gateway, request)
         finally:
             gateway.active -= 1
+            gateway.ended.notify()
         if gateway.leaving:
             response.force_close()
         return response
@@ -75,9 +76,7 @@
         place = describe_defect(error)
         log.error("request failed here", request=call.id, **place)
         detail = "the gateway failed"
-        response = refuse(
-            Failure(Step.INTERNAL, "", "defect", detail, Ran.UNKNOWN)
-        )
+        response = refuse(Failure(Step.INTERNAL, "", "defect", detail, Ran.UNKNOWN))
     gateway.counters[f"answered: {response.status}"] += 1
     log.info(
         "request ended",
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -93,7 +93,9 @@
         gateway = self.gateway
         peers, view = gateway.peers, gateway.view
         names = {it.incarnation: it.id for it in view.endpoints.values()}
-        loads, heard, suspects = {}, {}, {}
+        loads: dict[str, tuple[int, float]] = {}
+        heard: dict[str, float] = {}
+        suspects: dict[str, tuple[float, float]] = {}
         for incarnation, state in gateway.board.states.items():
             name = names.get(incarnation)
             if name is None:
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -7,6 +7,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import aiohttp
+import attrs
 
 from lentilhaven.core.clock import system_clock
 from lentilhaven.core.ids import VmId
@@ -14,6 +15,7 @@
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.listeners import open_caller_listener, open_ready_listener
+from lentilhaven.gateway.peer_exchange import open_peer_exchange
 from lentilhaven.gateway.peer_relay import catch_up, open_relay
 from lentilhaven.gateway.store_check import check_store, keep_digest
 from lentilhaven.gateway.store_watching import (
@@ -25,9 +27,12 @@
 from lentilhaven.leases.lease_settings import LeaseSettings
 from lentilhaven.objects.share import ShareRate
 from lentilhaven.objects.token_bucket import TokenBucket
-from lentilhaven.gateway.peer_exchange import open_peer_exchange
 from lentilhaven.placement.placer import Placer
-from lentilhaven.platform.settings import PlatformSettings
+from lentilhaven.platform.settings import (
+    PlatformSettings,
+    SettingsFileError,
+    read_settings,
+)
 from lentilhaven.platform.store_client import StoreClient, open_store_client
 from lentilhaven.platform.store_kinds import LEASES
 
@@ -48,8 +53,7 @@
 #: Seconds before the end of the grace period at which the process ends.
 GRACE_MARGIN = 0.6
 
-#: Seconds between two looks at the requests that are left, and two sweeps.
-DRAIN_INTERVAL = 0.05
+#: Seconds between two sweeps.
 SWEEP_INTERVAL = 1.0
 
 log = get_logger("gateway")
@@ -69,6 +73,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, gateway)
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(open_ready_listener(gateway))
         listener = await stack.enter_async_context(open_caller_listener(gateway))
@@ -80,6 +85,35 @@
     log.info("gateway stopped", active=gateway.active)
 
 
+def reload_settings(gateway: Gateway) -> None:
+    """
+    Take the bounds of a changed settings file; addresses stay as they are.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        State of the process.
+    """
+    try:
+        settings = read_settings()
+    except SettingsFileError as error:
+        log.error("settings can't be read; the old ones stay", detail=str(error))
+        return
+    changed = [
+        name
+        for name in attrs.fields_dict(PlatformSettings)
+        if getattr(settings, name) != getattr(gateway.settings, name)
+    ]
+    if not changed:
+        return
+    gateway.settings = settings
+    for budget in gateway.budgets.values():
+        budget.window = settings.budget_window
+        budget.ratio = settings.budget_ratio
+        budget.slack = settings.budget_slack
+    log.info("settings reloaded", changed=changed)
+
+
 @asynccontextmanager
 async def running_duties(gateway: Gateway) -> AsyncIterator[None]:
     """
@@ -103,8 +137,10 @@
             gateway.view,
             session,
             lease.fence,
-            lambda engine: not gateway.board.of(engine).available(
-                asyncio.get_running_loop().time()
+            lambda engine: (
+                not gateway.board.of(engine).available(
+                    asyncio.get_running_loop().time()
+                )
             ),
         )
         exchange = await stack.enter_async_context(open_peer_exchange(gateway))
@@ -146,6 +182,8 @@
         live = {it.incarnation for it in gateway.view.endpoints.values()}
         gateway.pool.sweep(live)
         gateway.board.sweep(live)
+        # The file may change without a signal.
+        reload_settings(gateway)
 
 
 async def drain(gateway: Gateway, listener: asyncio.Server) -> None:
@@ -165,5 +203,4 @@
     end = began + gateway.settings.grace - GRACE_MARGIN
     await asyncio.sleep(min(ACCEPT_TIME, end - began))
     listener.close()
-    while gateway.active and loop.time() < end:
-        await asyncio.sleep(DRAIN_INTERVAL)
+    await gateway.ended.wait_until(lambda: not gateway.active, end - loop.time())
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -50,6 +50,47 @@
         return self.head.status >= 500
 
 
+@attrs.define
+class Tries:
+    """
+    What has been tried for one request.
+
+    Attributes
+    ----------
+    endpoints : list of str
+        Ids of the replicas that were asked.
+    runs : int
+        Replicas that may have run it.
+    refusals : int
+        Replicas that turned it away.
+    last : Answer, Failure or None
+        Outcome of the last try.
+    """
+
+    endpoints: list[str] = attrs.field(factory=list)
+    runs: int = 0
+    refusals: int = 0
+    last: Answer | Failure | None = None
+
+    def record(self, outcome: Answer | Failure) -> None:
+        """Count the outcome of a try."""
+        self.last = outcome
+        if isinstance(outcome, Answer) or outcome.ran is not Ran.NO:
+            self.runs += 1
+        elif outcome.kind != "connect":
+            self.refusals += 1
+
+    def goes_on(self, call: Call) -> bool:
+        """Return whether the request may be sent to another replica."""
+        if self.refusals >= MOST_REFUSALS:
+            return False
+        if isinstance(self.last, Answer) and not self.last.failed:
+            return False
+        if not call.route.repeatable:
+            return self.runs == 0
+        return self.runs < call.route.attempts
+
+
 async def relay_call(gateway: Gateway, call: Call) -> web.Response:
     """
     Pass a request on to a replica and return its answer.
@@ -64,44 +105,20 @@
     loop = asyncio.get_running_loop()
     budget = gateway.budget_of(call.service)
     budget.record_request(loop.time())
-    tried: list[str] = []
-    runs = refusals = 0
-    last: Answer | Failure | None = None
-    while runs < call.route.attempts and refusals < MOST_REFUSALS:
+    tries = Tries()
+    while tries.goes_on(call):
         now = loop.time()
-        endpoint = choose_replica(gateway, call.service, tried, now)
+        endpoint = choose_replica(gateway, call.service, tries.endpoints, now)
         if endpoint is None or now >= call.deadline:
             break
-        sent_before = runs + refusals > 0
-        if sent_before and not budget.spend(now, gateway.count_gateways(now)):
-            log.info("retry budget used up", request=call.id, service=call.service)
-            break
-        tried.append(endpoint.id)
-        again = may_repeat(call, runs)
-        last = await try_replica(gateway, call, endpoint, again)
-        if isinstance(last, Answer):
-            if not last.failed:
+        if tries.runs + tries.refusals > 0:
+            if not budget.spend(now, gateway.count_gateways(now)):
+                log.info("retry budget used up", request=call.id, service=call.service)
                 break
-            runs += 1
-        elif last.kind == "connect":
-            continue
-        elif last.ran is Ran.NO:
-            refusals += 1
-        else:
-            runs += 1
-        if not call.route.repeatable and not is_untouched(last):
-            break
-    return answer_with(call, last)
-
-
-def may_repeat(call: Call, runs: int) -> bool:
-    """Return whether a request may be sent once more after this time."""
-    return call.route.repeatable and runs + 1 < call.route.attempts
-
-
-def is_untouched(outcome: Answer | Failure | None) -> bool:
-    """Return whether a request has certainly not run."""
-    return isinstance(outcome, Failure) and outcome.ran is Ran.NO
+        tries.endpoints.append(endpoint.id)
+        again = call.route.repeatable and tries.runs + 1 < call.route.attempts
+        tries.record(await try_replica(gateway, call, endpoint, again))
+    return answer_with(call, tries.last)
 
 
 def answer_with(call: Call, outcome: Answer | Failure | None) -> web.Response:
@@ -175,15 +192,11 @@
     loop = asyncio.get_running_loop()
     idle = MOST_IDLE if call.route.repeatable else UNSAFE_IDLE
     try:
-        connection = await gateway.pool.acquire(
-            endpoint, deadline - loop.time(), idle
-        )
+        connection = await gateway.pool.acquire(endpoint, deadline - loop.time(), idle)
     except UpstreamError as error:
         return Failure(Step.CONNECT, endpoint.id, "connect", error.detail)
     own = own_headers(endpoint, call.deadline - loop.time(), call.tenant)
-    request = encode_request(
-        call.method, call.target, call.head, len(call.body), own
-    )
+    request = encode_request(call.method, call.target, call.head, len(call.body), own)
     try:
         exchange = connection.begin(call.id, request, call.body)
         head = await exchange.wait_for_head(deadline)
--- a/lentilhaven/gateway/store_check.py
+++ b/lentilhaven/gateway/store_check.py
@@ -14,6 +14,9 @@
 #: Most seconds added at random, so that gateways do not read at the same time.
 CHECK_SPREAD = 0.4
 
+#: Seconds after which the digest is made again even if nothing has changed.
+DIGEST_INTERVAL = 1.0
+
 log = get_logger("store")
 
 
@@ -58,11 +61,17 @@
 
 async def keep_digest(gateway: Gateway) -> None:
     """Renew the digest of the endpoints whenever they change, for ever."""
-    seen = -1
     while True:
-        if gateway.view.endpoints_revision != seen:
-            seen = gateway.view.endpoints_revision
-            gateway.digest = gateway.view.digest()
-        await gateway.view.changed.wait_until(
-            lambda: gateway.view.endpoints_revision != seen, 1.0
-        )
+        gateway.digest = gateway.view.digest()
+        await wait_for_change(gateway)
+
+
+async def wait_for_change(gateway: Gateway) -> None:
+    """Wait until the endpoints change, but not for long."""
+    view = gateway.view
+    seen = view.endpoints_revision
+
+    def changed() -> bool:
+        return view.endpoints_revision != seen
+
+    await view.changed.wait_until(changed, DIGEST_INTERVAL)
--- a/lentilhaven/gateway/store_watching.py
+++ b/lentilhaven/gateway/store_watching.py
@@ -189,7 +189,12 @@
         )
 
     return KindWatch(
-        client, REPLICAS, view.note_trouble, take_all, take_changes, make_backoff(gateway)
+        client,
+        REPLICAS,
+        view.note_trouble,
+        take_all,
+        take_changes,
+        make_backoff(gateway),
     )
 
 
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -205,9 +205,7 @@
         log.info(
             "chain tried",
             request=call.id,
-            parts=[
-                f"{part.id}={span.start}-{span.end}" for part, span in chain.parts
-            ],
+            parts=[f"{part.id}={span.start}-{span.end}" for part, span in chain.parts],
             estimate_ms=round(chain.cost),
             ms=round((loop.time() - began) * 1000),
             events=relay.events,
--- a/lentilhaven/placement/__init__.py
+++ b/lentilhaven/placement/__init__.py
@@ -9,7 +9,7 @@
 has accepted, so that a late order of a former holder changes nothing.
 """
 
-from lentilhaven.placement.plan import plan_layers
 from lentilhaven.placement.placer import Placer
+from lentilhaven.placement.plan import plan_layers
 
 __all__ = ["Placer", "plan_layers"]
--- a/lentilhaven/placement/coverage.py
+++ b/lentilhaven/placement/coverage.py
@@ -79,7 +79,9 @@
         """
         here = self.of(data_centre)
         widths = self.widths.setdefault(data_centre, [0] * self.layers)
-        return [self.gain(here[at], widths[at], self.total[at]) for at in range(self.layers)]
+        return [
+            self.gain(here[at], widths[at], self.total[at]) for at in range(self.layers)
+        ]
 
     def gain(self, copies: int, width: int, total: int) -> float:
         """Return what one more copy of a layer is worth."""
--- a/lentilhaven/placement/placer.py
+++ b/lentilhaven/placement/placer.py
@@ -25,9 +25,12 @@
 #: Seconds between two looks at the fleet if nothing changes.
 INTERVAL = 0.5
 
-#: Seconds for which an order holds off another to the same engine: one that got
-#: no answer may be carried out as late as this.
-SETTLE_TIME = 4.0
+#: Seconds after which an order that does not show is given up: one that got no
+#: answer may be carried out as late as this.
+ORDER_TIMEOUT = 6.0
+
+#: Seconds added for each layer that is loaded, while others load too.
+LAYER_TIMEOUT = 1.0
 
 #: Seconds without a new engine after which the first placement begins: engines
 #: that start together are better placed together.
@@ -109,10 +112,16 @@
         while True:
             if self.fence(ORDER_SPAN) is not None:
                 await self.place_all()
-            revision = self.view.endpoints_revision
-            await self.view.changed.wait_until(
-                lambda seen=revision: self.view.endpoints_revision != seen, INTERVAL
-            )
+            await self.wait_for_change()
+
+    async def wait_for_change(self) -> None:
+        """Wait until the endpoints change, but not for long."""
+        seen = self.view.endpoints_revision
+
+        def changed() -> bool:
+            return self.view.endpoints_revision != seen
+
+        await self.view.changed.wait_until(changed, INTERVAL)
 
     async def place_all(self) -> None:
         """Plan for each model, and order what is missing."""
@@ -176,20 +185,28 @@
         return now - self.engines_since >= GATHER_TIME
 
     def settle(self) -> None:
-        """Forget orders that show, or that can't take effect any more."""
-        now = self.monotonic()
+        """Forget orders that show, and those of engines that are gone."""
         for name, order in list(self.ordered.items()):
             engine = self.view.endpoints.get(name)
             if engine is None or engine.incarnation != order.incarnation:
                 del self.ordered[name]
             elif engine.layers == order.layers:
                 del self.ordered[name]
+            elif self.monotonic() - order.sent > self.patience(order):
+                log.info("order did not take effect", endpoint=name)
+                del self.ordered[name]
+
+    def patience(self, order: Ordered) -> float:
+        """Return how long an order may take, in seconds."""
+        return ORDER_TIMEOUT + len(order.layers) * LAYER_TIMEOUT
 
     async def order(self, engine: Endpoint, layers: LayerSpan) -> None:
         """Order one engine to hold a range."""
         report = await fetch_report(self.session, engine, CALL_TIMEOUT)
         if report.is_error():
-            log.info("engine does not report", endpoint=engine.id, detail=str(report.error))
+            log.info(
+                "engine does not report", endpoint=engine.id, detail=str(report.error)
+            )
             return
         found = report.ok
         if found.busy or found.layers != engine.layers:
--- a/lentilhaven/platform/answer_head.py
+++ b/lentilhaven/platform/answer_head.py
@@ -61,9 +61,7 @@
     passed_on: tuple[tuple[str, str], ...] = ()
 
 
-def decode_answer_head(
-    status: int, fields: Sequence[tuple[str, str]]
-) -> AnswerHead:
+def decode_answer_head(status: int, fields: Sequence[tuple[str, str]]) -> AnswerHead:
     """
     Decode the head of an answer.
 
--- a/lentilhaven/platform/engine_calls.py
+++ b/lentilhaven/platform/engine_calls.py
@@ -187,9 +187,7 @@
     limit = aiohttp.ClientTimeout(total=timeout)
     own = {headers.EXPECT_REPLICA: endpoint.id}
     try:
-        async with session.post(
-            url, json=body, headers=own, timeout=limit
-        ) as response:
+        async with session.post(url, json=body, headers=own, timeout=limit) as response:
             return OUTCOMES.get(response.status, OrderOutcome.REFUSED)
     except LOST:
         return OrderOutcome.UNKNOWN
--- a/lentilhaven/platform/replica_format.py
+++ b/lentilhaven/platform/replica_format.py
@@ -35,11 +35,12 @@
     """
     if not isinstance(value, dict):
         return None
-    texts = [value.get(field) for field in ("service", "address", "zone", "state")]
+    fields: dict[str, Any] = value
+    texts = [fields.get(field) for field in ("service", "address", "zone", "state")]
     if not all(isinstance(text, str) and text for text in texts):
         return None
-    service, address, data_centre, state = texts
-    slots = value.get("slots")
+    service, address, data_centre, state = map(str, texts)
+    slots = fields.get("slots")
     if state not in (READY, DRAINING) or not is_count(slots):
         return None
     if not is_address(address):
@@ -51,7 +52,7 @@
         service=service,
         address=address,
         data_centre=data_centre,
-        slots=slots,
+        slots=int(slots or 0),
         draining=state == DRAINING,
         born=born if is_count(born) else 0,
         card=value["kind"] if isinstance(value.get("kind"), str) else "",
@@ -73,9 +74,10 @@
     if not isinstance(span, dict):
         return str(model), None
     start, end = span.get("from"), span.get("target")
-    if not is_count(start) or not is_count(end) or end <= start:
+    if not is_count(start) or not is_count(end):
         return str(model), None
-    return str(model), LayerSpan(start, end)
+    held = LayerSpan(int(start or 0), int(end or 0))
+    return str(model), held if len(held) else None
 
 
 def is_count(value: Any) -> bool:
--- a/lentilhaven/platform/request_head.py
+++ b/lentilhaven/platform/request_head.py
@@ -87,9 +87,7 @@
 
 def keep_end_to_end(fields: Mapping[str, str]) -> Iterable[tuple[str, str]]:
     """Yield the headers that the gateway passes on unchanged."""
-    listed = {
-        name.strip().lower() for name in fields.get("Connection", "").split(",")
-    }
+    listed = {name.strip().lower() for name in fields.get("Connection", "").split(",")}
     for name, value in fields.items():
         lower = name.lower()
         if lower not in headers.OWN_REQUEST_HEADERS and lower not in listed:
--- a/lentilhaven/upstream/exchange.py
+++ b/lentilhaven/upstream/exchange.py
@@ -158,7 +158,7 @@
 
     async def read_body(self, deadline: float) -> bytes | None:
         """Return the whole body, or None if it is not complete at a time."""
-        parts = []
+        parts: list[bytes] = []
         while True:
             chunk = await self.next_chunk(deadline)
             if chunk is None:
