--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -73,10 +73,8 @@
     costs = costs_of(gateway, spec, call, now)
     candidates = find_candidates(gateway, call, spec, excluded, costs, now)
     chain = find_chain(LayerSpan(0, spec.layers), candidates, costs.hop_ms)
-    if chain is None:
-        explain_absence(gateway, call, spec, candidates, now)
-        return None
-    chain.check(spec.layers)
+    if chain is not None:
+        chain.check(spec.layers)
     return chain
 
 
@@ -97,6 +95,25 @@
     ]
 
 
+def has_room_later(
+    gateway: Gateway,
+    call: Call,
+    spec: EngineSpec,
+    excluded: Collection[str],
+    now: float,
+) -> bool:
+    """Return whether engines that are thought to live hold all layers."""
+    live = [
+        Candidate(endpoint, 1.0)
+        for endpoint in gateway.view.of_service(call.service)
+        if endpoint.id not in excluded
+        and endpoint.layers
+        and now >= gateway.board.of(endpoint).suspected_until
+    ]
+    wanted = LayerSpan(0, spec.layers)
+    return find_chain(wanted, live, lambda one, other: 0.0) is not None
+
+
 def replace_parts(
     gateway: Gateway,
     call: Call,
@@ -145,10 +162,12 @@
     gateway: Gateway,
     call: Call,
     spec: EngineSpec,
-    candidates: list[Candidate],
+    excluded: Collection[str],
     now: float,
 ) -> None:
     """Log which layers no usable endpoint holds, and why the others are not used."""
+    costs = costs_of(gateway, spec, call, now)
+    candidates = find_candidates(gateway, call, spec, excluded, costs, now)
     held = {
         layer
         for it in candidates
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -58,8 +58,13 @@
         Wakes what tells the others.
     leaving : bool
         Whether the process is about to end.
+    closed : bool
+        Whether new requests are turned away, so that each can be finished that
+        has been taken.
     counters : Counter
         Events since the start, by name.
+    room : Signal
+        Wakes requests that wait for room at the engines.
     active : int
         Requests that are being served.
     ended : Signal
@@ -82,7 +87,9 @@
     pipes: PipeMeter = attrs.field(factory=PipeMeter)
     urgent: Signal = attrs.field(factory=Signal)
     leaving: bool = False
+    closed: bool = False
     counters: Counter[str] = attrs.field(factory=Counter)
+    room: Signal = attrs.field(factory=Signal)
     active: int = 0
     ended: Signal = attrs.field(factory=Signal)
 
--- a/lentilhaven/gateway/intake.py
+++ b/lentilhaven/gateway/intake.py
@@ -16,6 +16,9 @@
 #: Seconds after which a caller may come back to a gateway that knows no manifest.
 STARTING_RETRY_AFTER = 0.5
 
+#: Seconds after which a caller may come back to another gateway.
+ELSEWHERE_RETRY_AFTER = 0.02
+
 
 async def take_request(
     gateway: Gateway, request: web.BaseRequest
@@ -31,6 +34,13 @@
         The request; its body is read.
     """
     arrived = asyncio.get_running_loop().time()
+    if gateway.closed:
+        detail = "this gateway is about to end"
+        return Error(
+            Failure(
+                Step.ADMIT, "", "leaving", detail, retry_after=ELSEWHERE_RETRY_AFTER
+            )
+        )
     manifest = gateway.view.manifest
     if manifest is None or not gateway.view.known:
         detail = "no manifest is known yet"
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
+import attrs
 from aiohttp import web
 
 from lentilhaven.core.failure import Failure
@@ -110,8 +111,31 @@
     return round(seconds * 1000, 1)
 
 
+@attrs.frozen
+class CallerListener:
+    """
+    What callers are connected to.
+
+    Attributes
+    ----------
+    socket : asyncio.Server
+        Accepts connections.
+    server : aiohttp.web.Server
+        Knows the open connections.
+    """
+
+    socket: asyncio.Server
+    server: web.Server
+
+    def stop(self) -> None:
+        """Accept no more connections, and end those that are open when idle."""
+        self.socket.close()
+        for connection in list(self.server.connections):
+            connection.close()
+
+
 @asynccontextmanager
-async def open_caller_listener(gateway: Gateway) -> AsyncIterator[asyncio.Server]:
+async def open_caller_listener(gateway: Gateway) -> AsyncIterator[CallerListener]:
     """
     Listen for callers.
 
@@ -131,7 +155,7 @@
         lambda: CallerConnection(server, gateway), host, int(port), backlog=BACKLOG
     )
     try:
-        yield listener
+        yield CallerListener(listener, server)
     finally:
         listener.close()
         await server.shutdown(timeout=CLOSE_TIMEOUT)
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -12,7 +12,11 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.gateway.listeners import open_caller_listener, open_ready_listener
+from lentilhaven.gateway.listeners import (
+    CallerListener,
+    open_caller_listener,
+    open_ready_listener,
+)
 from lentilhaven.gateway.peer_exchange import open_peer_exchange
 from lentilhaven.gateway.peer_relay import catch_up, open_relay
 from lentilhaven.gateway.store_check import check_store, keep_digest
@@ -78,9 +82,11 @@
     loop.add_signal_handler(signal.SIGHUP, reload_settings, gateway)
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(open_ready_listener(gateway))
-        listener = await stack.enter_async_context(open_caller_listener(gateway))
+        # The listener is left first at the end: what the duties still have to do
+        # must not keep a caller waiting.
         await stack.enter_async_context(running_duties(gateway))
         await stack.enter_async_context(running_tasks(follow_settings(gateway)))
+        listener = await stack.enter_async_context(open_caller_listener(gateway))
         log.info("gateway started", vm=settings.vm, callers=settings.callers)
         await stop.wait()
         log.info("gateway stopping", active=gateway.active)
@@ -206,7 +212,7 @@
         gateway.board.sweep(live)
 
 
-async def drain(gateway: Gateway, listener: asyncio.Server) -> None:
+async def drain(gateway: Gateway, listener: CallerListener) -> None:
     """
     Finish the requests that are under way, within the grace period.
 
@@ -214,7 +220,7 @@
     ----------
     gateway : Gateway
         State of the process.
-    listener : asyncio.Server
+    listener : CallerListener
         Accepts callers' connections.
     """
     loop = asyncio.get_running_loop()
@@ -222,5 +228,6 @@
     began = loop.time()
     end = began + gateway.settings.grace - GRACE_MARGIN
     await asyncio.sleep(min(ACCEPT_TIME, end - began))
-    listener.close()
+    gateway.closed = True
+    listener.stop()
     await gateway.ended.wait_until(lambda: not gateway.active, end - loop.time())
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -14,7 +14,11 @@
 from lentilhaven.core.step import Step
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
-from lentilhaven.gateway.chain_choice import choose_chain
+from lentilhaven.gateway.chain_choice import (
+    choose_chain,
+    explain_absence,
+    has_room_later,
+)
 from lentilhaven.gateway.chain_move import MOST_MOVES, move_chain
 from lentilhaven.gateway.endpoint_board import REFUSAL, SUSPICION
 from lentilhaven.gateway.event_splitter import EventSplitter
@@ -32,6 +36,16 @@
 from lentilhaven.platform.request_head import encode_request, own_headers
 from lentilhaven.upstream.exchange import Exchange, UpstreamError
 
+#: Share of the target latency for which a request waits for room.  A longer wait
+#: only makes the refusals of an overload later.
+ROOM_PATIENCE = 0.12
+
+#: Seconds for which a stream that must go on waits for room at least.
+LEAST_WAIT = 0.05
+
+#: Seconds between two looks for room, if no request ends here meanwhile.
+ROOM_INTERVAL = 0.03
+
 #: Seconds beside the usual silence for the first event after a move.
 MOVE_TIME = 0.2
 
@@ -184,7 +198,7 @@
     outcome: Answer | Failure | None = None
     while True:
         now = loop.time()
-        chain = choose_chain(gateway, call, relay.spec, relay.excluded, now)
+        chain = await find_room(relay)
         if chain is None:
             if isinstance(outcome, Failure):
                 return outcome
@@ -203,6 +217,30 @@
             return outcome
 
 
+async def find_room(relay: StreamRelay) -> Chain | None:
+    """
+    Return a chain, and wait a little if all engines are full.
+
+    A request that is on time even after the wait is better served late than
+    sent away: room comes back with each stream that ends.
+    """
+    gateway, call = relay.gateway, relay.call
+    loop = asyncio.get_running_loop()
+    latest = call.arrived + ROOM_PATIENCE * call.route.target_latency
+    until = min(call.deadline, max(latest, loop.time() + LEAST_WAIT))
+    while True:
+        now = loop.time()
+        chain = choose_chain(gateway, call, relay.spec, relay.excluded, now)
+        if chain is not None:
+            return chain
+        if now >= until or not has_room_later(
+            gateway, call, relay.spec, relay.excluded, now
+        ):
+            explain_absence(gateway, call, relay.spec, relay.excluded, now)
+            return None
+        await gateway.room.wait_until(lambda: False, min(ROOM_INTERVAL, until - now))
+
+
 def goes_on(relay: StreamRelay, failure: Failure) -> bool:
     """Return whether another chain may be tried after a failure."""
     if relay.refusals >= MOST_REFUSALS:
@@ -232,6 +270,7 @@
             state = gateway.board.of(endpoint)
             state.requests -= 1
             state.state_tokens -= tokens * len(span)
+        gateway.room.notify()
         log.info(
             "chain tried",
             request=call.id,
--- a/lentilhaven/gateway/tests/platform_bed.py
+++ b/lentilhaven/gateway/tests/platform_bed.py
@@ -239,6 +239,7 @@
         gateway: int = 0,
         body: bytes = b"count 7",
         output: int = 40,
+        port: int = 7000,
         **headers: str,
     ) -> Reply:
         """Send a request and read what comes back, whole or not."""
@@ -253,7 +254,7 @@
             "Token-Count": f"100,{output}",
             "Length-Hint": str(output),
         } | {name.replace("_", "-"): value for name, value in headers.items()}
-        url = URL(f"http://10.0.0.{gateway + 1}:7000{path}", encoded=True)
+        url = URL(f"http://10.0.0.{gateway + 1}:{port}{path}", encoded=True)
         data = body if method == "POST" else None
         read = b""
         async with self.session.request(
--- /dev/null
+++ b/lentilhaven/gateway/tests/test_shutdown.py
@@ -0,0 +1,72 @@
+import asyncio
+import unittest
+
+import attrs
+
+from lentilhaven.gateway.listeners import open_caller_listener
+from lentilhaven.gateway.program import ACCEPT_TIME, drain
+from lentilhaven.gateway.tests.platform_bed import (
+    plain_replicas,
+    two_chains,
+    with_bed,
+)
+
+
+class ShutdownTests(unittest.TestCase):
+    """Pattern: callers keep using their connections while a gateway ends."""
+
+    def run_shutdown(self, use):
+        async def main(bed):
+            gateway = bed.gateways[0]
+            # A second listener of the same gateway, which this test ends.
+            gateway.settings = change_port(gateway.settings)
+            async with open_caller_listener(gateway) as listener:
+                return await use(bed, gateway, listener)
+
+        return with_bed(main, two_chains() + plain_replicas())
+
+    def test_a_stream_that_runs_is_finished(self):
+        async def use(bed, gateway, listener):
+            stream = asyncio.ensure_future(bed.call("/draft/1", output=800, port=7500))
+            await asyncio.sleep(0.5)
+            began = asyncio.get_running_loop().time()
+            await drain(gateway, listener)
+            took = asyncio.get_running_loop().time() - began
+            return await stream, took
+
+        reply, took = self.run_shutdown(use)
+        self.assertTrue(reply.complete)
+        self.assertEqual(reply.event_ids, list(range(1, 201)))
+        self.assertGreaterEqual(took, ACCEPT_TIME)
+
+    def test_nothing_is_taken_that_could_not_be_finished(self):
+        async def use(bed, gateway, listener):
+            await bed.call("/look/1", "GET", port=7500)
+            stream = asyncio.ensure_future(bed.call("/draft/1", output=800, port=7500))
+            ending = asyncio.ensure_future(drain(gateway, listener))
+            await asyncio.sleep(ACCEPT_TIME / 2)
+            early = await bed.call("/look/2", "GET", port=7500)
+            await asyncio.sleep(ACCEPT_TIME / 2 + 0.1)
+            gateway_closed = gateway.closed
+            await asyncio.gather(ending, stream)
+            return early, gateway_closed
+
+        early, closed = self.run_shutdown(use)
+        self.assertEqual(early.status, 200)
+        self.assertEqual(early.headers.get("Connection"), "close")
+        self.assertTrue(closed)
+
+    def test_a_request_on_a_connection_that_is_about_to_close_has_not_run(self):
+        async def use(bed, gateway, listener):
+            gateway.closed = True
+            reply = await bed.call("/post/1", port=7500)
+            return reply, bed.fleet.runs
+
+        reply, runs = self.run_shutdown(use)
+        self.assertEqual((reply.status, runs), (503, []))
+        self.assertIn("Retry-After", reply.headers)
+
+
+def change_port(settings):
+    """Return the settings with another port for callers."""
+    return attrs.evolve(settings, callers=f"{settings.address}:7500")
--- a/lentilhaven/placement/coverage.py
+++ b/lentilhaven/placement/coverage.py
@@ -4,9 +4,9 @@
 
 from lentilhaven.fleet.layer_span import LayerSpan
 
-#: What a copy anywhere counts beside one in the same data centre: enough to
-#: decide between layers that are held equally often there.
-REMOTE_WEIGHT = 0.1
+#: What a copy anywhere counts beside one in the same data centre: chains may leave
+#: a data centre, at the cost of a hop.
+REMOTE_WEIGHT = 1.0
 
 #: Each copy of a layer makes the next one worth this much less.
 COPY_RATIO = 0.25
@@ -15,6 +15,9 @@
 #: centre only: without it nothing can be served.
 MISSING_WEIGHT = 3.0
 
+#: Copies below which a layer counts as missing.
+LEAST_COPY = 0.01
+
 #: How much more a second copy counts where the only holder has all layers: the
 #: more layers one engine holds alone, the more its loss takes away.
 FRAGILITY = 1.0
@@ -32,35 +35,60 @@
     data_centres : int
         Data centres with engines.
     local : dict
-        Copies of each layer by data centre.
+        Copies of each layer by data centre.  A copy counts as much as it can
+        serve, so that the numbers are fractions.
+    holders : dict
+        Engines that hold each layer, by data centre.
     widths : dict
         Sum of the lengths of the spans that hold each layer, by data centre.
-    total : list of int
+    total : list of float
         Copies of each layer over all data centres.
     """
 
     layers: int
     data_centres: int
-    local: dict[str, list[int]] = attrs.field(factory=dict)
+    local: dict[str, list[float]] = attrs.field(factory=dict)
+    holders: dict[str, list[int]] = attrs.field(factory=dict)
     widths: dict[str, list[int]] = attrs.field(factory=dict)
-    total: list[int] = attrs.field(init=False)
+    total: list[float] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Start with no copies."""
-        self.total = [0] * self.layers
+        self.total = [0.0] * self.layers
 
-    def of(self, data_centre: str) -> list[int]:
+    def of(self, data_centre: str) -> list[float]:
         """Return the copies of each layer in a data centre."""
-        return self.local.setdefault(data_centre, [0] * self.layers)
+        return self.local.setdefault(data_centre, [0.0] * self.layers)
+
+    def holders_in(self, data_centre: str) -> list[int]:
+        """Return the engines that hold each layer in a data centre."""
+        return self.holders.setdefault(data_centre, [0] * self.layers)
 
-    def add(self, data_centre: str, span: LayerSpan, copies: int = 1) -> None:
-        """Count an engine that holds a range, or one less with -1."""
+    def add(
+        self, data_centre: str, span: LayerSpan, copies: float = 1.0, sign: int = 1
+    ) -> None:
+        """
+        Count an engine that holds a range.
+
+        Parameters
+        ----------
+        data_centre : str
+            Where it stands.
+        span : LayerSpan
+            What it holds.
+        copies : float
+            What it can serve, in usual copies.
+        sign : int
+            -1 to count one less.
+        """
         here = self.of(data_centre)
+        holders = self.holders_in(data_centre)
         widths = self.widths.setdefault(data_centre, [0] * self.layers)
         for layer in range(span.start, min(span.end, self.layers)):
-            here[layer] += copies
-            widths[layer] += copies * len(span)
-            self.total[layer] += copies
+            here[layer] += sign * copies
+            holders[layer] += sign
+            widths[layer] += sign * len(span)
+            self.total[layer] += sign * copies
 
     def gains(self, data_centre: str) -> list[float]:
         """
@@ -75,18 +103,21 @@
         >>> coverage = Coverage(3, 1)
         >>> coverage.add("a", LayerSpan(0, 2))
         >>> [round(gain, 2) for gain in coverage.gains("a")]
-        [0.44, 0.44, 4.1]
+        [0.67, 0.67, 5.0]
         """
         here = self.of(data_centre)
+        holders = self.holders_in(data_centre)
         widths = self.widths.setdefault(data_centre, [0] * self.layers)
         return [
-            self.gain(here[at], widths[at], self.total[at]) for at in range(self.layers)
+            self.gain(here[at], holders[at], widths[at], self.total[at])
+            for at in range(self.layers)
         ]
 
-    def gain(self, copies: int, width: int, total: int) -> float:
+    def gain(self, copies: float, holders: int, width: int, total: float) -> float:
         """Return what one more copy of a layer is worth."""
-        value = COPY_RATIO**copies
-        if copies == 1:
+        value = COPY_RATIO ** max(0.0, copies)
+        if holders == 1:
             value *= 1.0 + FRAGILITY * width / self.layers
-        value += REMOTE_WEIGHT * COPY_RATIO ** (total / max(1, self.data_centres))
-        return value + (0.0 if total else MISSING_WEIGHT)
+        elsewhere = max(0.0, total) / max(1, self.data_centres)
+        value += REMOTE_WEIGHT * COPY_RATIO**elsewhere
+        return value + (MISSING_WEIGHT if total < LEAST_COPY else 0.0)
--- a/lentilhaven/placement/plan.py
+++ b/lentilhaven/placement/plan.py
@@ -1,5 +1,6 @@
 """The layers that each engine is to hold."""
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from itertools import accumulate
@@ -15,7 +16,10 @@
 
 #: How many times as much an engine must be worth elsewhere to be moved: a move
 #: costs a load, and its memory is of no use meanwhile.
-MOVE_RATIO = 2.0
+MOVE_RATIO = 1.6
+
+#: Most usual copies that one engine counts for.
+MOST_COPIES = 2.0
 
 
 def plan_layers(
@@ -53,16 +57,32 @@
         held = ordered.get(engine.id) or engine.layers
         if held:
             plan[engine.id] = held
-            coverage.add(engine.data_centre, held)
+            coverage.add(engine.data_centre, held, copies_of(spec, engine, held))
         elif spec.most_layers(engine.card) > 0:
             empty.append(engine)
     for engine in in_order(spec, empty):
         span = best_span(spec, engine, coverage)
         plan[engine.id] = span
-        coverage.add(engine.data_centre, span)
+        coverage.add(engine.data_centre, span, copies_of(spec, engine, span))
     return plan
 
 
+def copies_of(spec: EngineSpec, engine: Endpoint, span: LayerSpan) -> float:
+    """
+    Return what an engine can serve of a range, in usual copies.
+
+    It is the room for requests beside the weights against the usual room, less
+    for slow cards: a request that takes longer holds its room for longer.
+    """
+    card = spec.cards.get(engine.card)
+    usual = STATE_SHARE * spec.usual_state_tokens
+    if card is None or not usual:
+        return 1.0
+    room = spec.tokens_beside(engine.card, len(span)) / usual
+    fastest = min(kind.step_factor for kind in spec.cards.values())
+    return min(MOST_COPIES, room) * math.sqrt(fastest / card.step_factor)
+
+
 def plan_moves(
     spec: EngineSpec,
     engines: Iterable[Endpoint],
@@ -94,7 +114,8 @@
     pool = [engine for engine in engines if engine.id in plan]
     coverage = Coverage(spec.layers, len({engine.data_centre for engine in pool}))
     for engine in pool:
-        coverage.add(engine.data_centre, plan[engine.id])
+        span = plan[engine.id]
+        coverage.add(engine.data_centre, span, copies_of(spec, engine, span))
     moves: dict[str, LayerSpan] = {}
     while len(moves) < most:
         found = [
@@ -107,8 +128,9 @@
         if not found:
             break
         _, engine, span = max(found, key=lambda move: (move[0], move[1].id))
-        coverage.add(engine.data_centre, plan[engine.id], -1)
-        coverage.add(engine.data_centre, span)
+        held = plan[engine.id]
+        coverage.add(engine.data_centre, held, copies_of(spec, engine, held), -1)
+        coverage.add(engine.data_centre, span, copies_of(spec, engine, span))
         moves[engine.id] = span
     return moves
 
@@ -117,10 +139,11 @@
     spec: EngineSpec, engine: Endpoint, held: LayerSpan, coverage: Coverage
 ) -> tuple[float, Endpoint, LayerSpan] | None:
     """Return the best move of an engine with its gain; None if it should stay."""
-    coverage.add(engine.data_centre, held, -1)
+    copies = copies_of(spec, engine, held)
+    coverage.add(engine.data_centre, held, copies, -1)
     gains = coverage.gains(engine.data_centre)
     span = best_span(spec, engine, coverage)
-    coverage.add(engine.data_centre, held)
+    coverage.add(engine.data_centre, held, copies)
     before, after = value_of(held, gains), value_of(span, gains)
     if after < MOVE_RATIO * before:
         return None
@@ -150,7 +173,7 @@
     """Return the range whose copy in the engine's data centre is worth most."""
     size = min(spec.layers, size_of(spec, engine.card))
     sums = [0.0, *accumulate(coverage.gains(engine.data_centre))]
-    here = coverage.of(engine.data_centre)
+    here = coverage.holders_in(engine.data_centre)
 
     def rank(start: int) -> tuple[float, int, int]:
         value = round(sums[start + size] - sums[start], 6)
