--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -11,10 +11,12 @@
 from lentilhaven.core.logs import describe_defect, get_logger
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
+from lentilhaven.core.tasks import running_tasks
 from lentilhaven.fleet.route_rule import RouteKind
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.caller_connection import (
     CallerConnection,
+    close_idle,
     make_request_factory,
 )
 from lentilhaven.gateway.gateway import Gateway
@@ -26,6 +28,9 @@
 #: Connections that wait to be accepted; a burst of callers on one VM.
 BACKLOG = 1024
 
+#: Seconds between two looks for idle connections.
+IDLE_INTERVAL = 1.0
+
 #: Seconds for handlers to end once the process ends; what was to be served has been
 #: served by then.  Zero would mean no limit.
 CLOSE_TIMEOUT = 0.1
@@ -51,6 +56,8 @@
             response = await answer(gateway, request)
         finally:
             gateway.active -= 1
+            if isinstance(request.protocol, CallerConnection):
+                request.protocol.used_at = asyncio.get_running_loop().time()
             gateway.ended.notify()
         if gateway.leaving:
             response.force_close()
@@ -63,8 +70,6 @@
     """Serve one request and log how it ended."""
     loop = asyncio.get_running_loop()
     began = loop.time()
-    if isinstance(request.protocol, CallerConnection):
-        request.protocol.follow_limits()
     taken = await take_request(gateway, request)
     if taken.is_error():
         failure = taken.error
@@ -131,7 +136,15 @@
         """Accept no more connections, and end those that are open when idle."""
         self.socket.close()
         for connection in list(self.server.connections):
-            connection.close()
+            if isinstance(connection, CallerConnection):
+                connection.end()
+
+    async def close_idle_ones(self, gateway: Gateway) -> None:
+        """Close connections that idle for too long, for ever."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(IDLE_INTERVAL)
+            close_idle(gateway, self.server, loop.time())
 
 
 @asynccontextmanager
@@ -152,10 +165,12 @@
     host, _, port = gateway.settings.callers.rpartition(":")
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(
-        lambda: CallerConnection(server, gateway), host, int(port), backlog=BACKLOG
+        lambda: CallerConnection(server), host, int(port), backlog=BACKLOG
     )
+    opened = CallerListener(listener, server)
     try:
-        yield CallerListener(listener, server)
+        async with running_tasks(opened.close_idle_ones(gateway)):
+            yield opened
     finally:
         listener.close()
         await server.shutdown(timeout=CLOSE_TIMEOUT)
--- a/lentilhaven/gateway/tests/test_shutdown.py
+++ b/lentilhaven/gateway/tests/test_shutdown.py
@@ -7,6 +7,7 @@
 from lentilhaven.gateway.program import ACCEPT_TIME, drain
 from lentilhaven.gateway.tests.platform_bed import (
     plain_replicas,
+    sample_manifest,
     two_chains,
     with_bed,
 )
@@ -56,6 +57,21 @@
         self.assertEqual(early.headers.get("Connection"), "close")
         self.assertTrue(closed)
 
+    def test_an_idle_connection_is_closed_and_not_left_unserved(self):
+        async def use(bed, gateway, listener):
+            reader, writer = await asyncio.open_connection("10.0.0.1", 7500)
+            request = (
+                "GET /look/1 HTTP/1.1\r\nHost: depot.example\r\nRequest-Id: x\r\n"
+                "Deadline-Ms: 1500\r\nAuthorization: Bearer key-of-depot\r\n\r\n"
+            )
+            writer.write(request.encode())
+            await reader.readuntil(b"\r\n\r\n")
+            await drain(gateway, listener)
+            await reader.read(1000)
+            return await asyncio.wait_for(reader.read(), 1.0)
+
+        self.assertEqual(self.run_shutdown(use), b"")
+
     def test_a_request_on_a_connection_that_is_about_to_close_has_not_run(self):
         async def use(bed, gateway, listener):
             gateway.closed = True
@@ -67,6 +83,22 @@
         self.assertIn("Retry-After", reply.headers)
 
 
+class IdleTests(unittest.TestCase):
+    def test_idle_connections_follow_the_manifest_that_is_in_force(self):
+        async def use(bed):
+            reader, writer = await asyncio.open_connection("10.0.0.1", 7000)
+            manifest = sample_manifest(2)
+            manifest["limits"]["idle_timeout_ms"] = 3_000
+            bed.store.put("config", "main", manifest)
+            await asyncio.sleep(4.0)
+            open_before = not reader.at_eof()
+            await asyncio.wait_for(reader.read(), 4.0)
+            writer.close()
+            return open_before
+
+        self.assertTrue(with_bed(use, plain_replicas()))
+
+
 def change_port(settings):
     """Return the settings with another port for callers."""
     return attrs.evolve(settings, callers=f"{settings.address}:7500")
