Give a silent run up only for another one

Change: a successor must exist; a run whose parts are all heard of elsewhere is waited for up to 0.8 s.

--- a/lentilhaven/gateway/silence.py
+++ b/lentilhaven/gateway/silence.py
@@ -98,11 +98,15 @@
         Ids of the suspects; empty if all parts were heard of since.
     """
     suspects = []
+    fresh = False
     for endpoint, _ in chain.parts:
         state = gateway.board.of(endpoint)
         if state.heard_at <= since:
+            fresh = fresh or state.suspected_until <= now
             state.note_suspicion(now, now + SUSPICION, own=True)
             suspects.append(endpoint.id)
+    if not fresh:
+        return suspects
     gateway.urgent.notify()
     log.warning(
         "endpoints suspected",
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -46,6 +46,13 @@
 #: Seconds between two looks for room, if no request ends here meanwhile.
 ROOM_INTERVAL = 0.03
 
+#: Seconds after which a silent run is given up although all of its parts are heard
+#: of; it waits behind other work, which a second run would do too.
+SLOW_LIMIT = 0.8
+
+#: Seconds between two looks at a silent run.
+RECHECK_INTERVAL = 0.04
+
 #: Seconds beside the usual silence for the first event after a move.
 MOVE_TIME = 0.2
 
@@ -409,24 +416,58 @@
     T or None
         None if the request should be run again.
     """
-    loop = asyncio.get_running_loop()
+    until = run.heard + limit
     while True:
-        again = relay.may_run_again
-        moves = run.moves < MOST_MOVES
-        until = run.heard + limit if again or moves else relay.call.deadline
-        found = await wait(until)
-        if found is not None or again or not moves:
+        found = await wait(min(until, relay.call.deadline))
+        now = asyncio.get_running_loop().time()
+        if found is not None or now >= relay.call.deadline:
             return found
-        run.moves += 1
-        now = loop.time()
         suspects = note_silence(relay.gateway, run.chain, relay.call.id, run.heard, now)
-        moved = await move_chain(
-            relay.gateway, relay.call, relay.spec, run.chain, suspects, now
-        )
-        if moved is not None:
-            run.chain = moved
-        # The new parts read everything so far before the next event.
-        run.heard = loop.time() + MOVE_TIME
+        if relay.may_run_again:
+            if find_replacement(relay, run, suspects, now):
+                return None
+            until = now + RECHECK_INTERVAL
+        elif run.moves < MOST_MOVES:
+            await move_run(relay, run, suspects, now)
+            until = run.heard + limit
+        else:
+            until = relay.call.deadline
+
+
+def find_replacement(
+    relay: StreamRelay, run: StreamRun, suspects: list[str], now: float
+) -> bool:
+    """
+    Return whether a silent run should be given up for another one.
+
+    A run whose parts are all heard of elsewhere is slow and not dead, and one
+    that has no successor is better waited for.
+    """
+    if not suspects and now - run.heard < SLOW_LIMIT:
+        return False
+    excluded = relay.excluded | set(suspects or [run.chain.first.id])
+    gateway, call = relay.gateway, relay.call
+    if choose_chain(gateway, call, relay.spec, excluded, now) is None:
+        return False
+    budget = gateway.budget_of(call.service)
+    if budget.left(now, gateway.count_gateways(now)) < 1.0:
+        return False
+    relay.excluded = excluded
+    return True
+
+
+async def move_run(
+    relay: StreamRelay, run: StreamRun, suspects: list[str], now: float
+) -> None:
+    """Replace the dead parts of a run's chain, and wait for its next event anew."""
+    run.moves += 1
+    moved = await move_chain(
+        relay.gateway, relay.call, relay.spec, run.chain, suspects, now
+    )
+    if moved is not None:
+        run.chain = moved
+    # The new parts read everything so far before the next event.
+    run.heard = asyncio.get_running_loop().time() + MOVE_TIME
 
 
 async def start_response(relay: StreamRelay, head: AnswerHead) -> web.StreamResponse:
@@ -469,13 +510,10 @@
 
 
 def fall_silent(relay: StreamRelay, run: StreamRun) -> Failure:
-    """Suspect a chain that has been silent for too long."""
-    now = asyncio.get_running_loop().time()
-    since, chain = run.heard, run.chain
-    suspects = note_silence(relay.gateway, chain, relay.call.id, since, now)
-    relay.excluded.update(suspects or [chain.first.id])
-    detail = f"no event for {now - since:.3f} s"
-    return Failure(Step.STREAM, chain.first.id, "silent", detail, Ran.UNKNOWN)
+    """Return the failure of a run that has been silent for too long."""
+    silence = asyncio.get_running_loop().time() - run.heard
+    detail = f"no event for {silence:.3f} s"
+    return Failure(Step.STREAM, run.chain.first.id, "silent", detail, Ran.UNKNOWN)
 
 
 def expected_first(relay: StreamRelay, chain: Chain) -> float:
--- a/lentilhaven/gateway/tests/test_streams.py
+++ b/lentilhaven/gateway/tests/test_streams.py
@@ -195,3 +195,36 @@
 def chain_uses(run, bed, name):
     """Return whether a run's chain goes through an engine."""
     return bed.fleet.replicas[name].address in run.fields["hop-count"]
+
+
+class SlowStreamTests(unittest.TestCase):
+    """Pattern: streams pause behind other work, and no other chain is free."""
+
+    def test_a_silent_run_without_a_successor_is_waited_for(self):
+        only = [engine("a0", 0, 4), engine("a4", 4, 8)]
+
+        async def use(bed):
+            async def pause():
+                await asyncio.sleep(0.15)
+                bed.fleet.replicas["i-a4"].faults.dark = True
+                await asyncio.sleep(0.6)
+                bed.fleet.replicas["i-a4"].faults.dark = False
+
+            reply, _ = await asyncio.gather(bed.call("/draft/1", output=80), pause())
+            return reply, len(bed.fleet.runs)
+
+        reply, runs = with_bed(use, only)
+        self.assertTrue(reply.complete)
+        self.assertEqual(runs, 1)
+
+    def test_a_run_whose_parts_are_heard_elsewhere_is_not_run_again(self):
+        async def use(bed):
+            # Two streams on the chain keep its parts heard of while one pauses.
+            replies = await asyncio.gather(
+                *(bed.call("/draft/1", output=80) for _ in range(8))
+            )
+            return replies, len(bed.fleet.runs)
+
+        replies, runs = with_bed(use, two_chains())
+        self.assertTrue(all(reply.complete for reply in replies))
+        self.assertEqual(runs, 8)
