Hold fewer layers and more room for requests on each engine

Change: room for all of the stated tokens beside the weights instead of half; engines that are moved go where a layer has few copies.

--- a/lentilhaven/placement/coverage.py
+++ b/lentilhaven/placement/coverage.py
@@ -15,6 +15,13 @@
 #: centre only: without it nothing can be served.
 MISSING_WEIGHT = 3.0
 
+#: A layer with fewer copies than the mean limits what the whole fleet can serve;
+#: this is the power with which its lack counts.
+NARROW_POWER = 3
+
+#: Most that a lack counts, as the mean over the layer's copies.
+MOST_NARROW = 2.5
+
 #: Copies below which a layer counts as missing.
 LEAST_COPY = 0.01
 
@@ -90,7 +97,7 @@
             widths[layer] += sign * len(span)
             self.total[layer] += sign * copies
 
-    def gains(self, data_centre: str) -> list[float]:
+    def gains(self, data_centre: str, settled: bool = False) -> list[float]:
         """
         Return what one more copy of each layer is worth in a data centre.
 
@@ -98,6 +105,14 @@
         since a chain that leaves a data centre is slower; then one whose only
         holder has many layers; then one that is rare everywhere.
 
+        Parameters
+        ----------
+        data_centre : str
+            Where the copy would be.
+        settled : bool
+            Whether all engines are filled, so that a layer with few copies is
+            one that limits the fleet and not one whose turn is still to come.
+
         Examples
         --------
         >>> coverage = Coverage(3, 1)
@@ -108,16 +123,33 @@
         here = self.of(data_centre)
         holders = self.holders_in(data_centre)
         widths = self.widths.setdefault(data_centre, [0] * self.layers)
+        mean = sum(self.total) / max(1, self.layers)
         return [
             self.gain(here[at], holders[at], widths[at], self.total[at])
+            + (narrowness(mean, self.total[at]) if settled else 0.0)
             for at in range(self.layers)
         ]
 
     def gain(self, copies: float, holders: int, width: int, total: float) -> float:
-        """Return what one more copy of a layer is worth."""
+        """Return what one more copy of a layer is worth, but for its narrowness."""
         value = COPY_RATIO ** max(0.0, copies)
         if holders == 1:
             value *= 1.0 + FRAGILITY * width / self.layers
         elsewhere = max(0.0, total) / max(1, self.data_centres)
         value += REMOTE_WEIGHT * COPY_RATIO**elsewhere
         return value + (MISSING_WEIGHT if total < LEAST_COPY else 0.0)
+
+
+def narrowness(mean: float, total: float) -> float:
+    """
+    Return what it counts that a layer has fewer copies than the mean.
+
+    Examples
+    --------
+    >>> narrowness(4.0, 4.0), narrowness(4.0, 2.0)
+    (0.0, 7.0)
+    """
+    if total >= mean:
+        return 0.0
+    lack = min(MOST_NARROW, mean / max(total, LEAST_COPY))
+    return lack**NARROW_POWER - 1.0
--- a/lentilhaven/placement/plan.py
+++ b/lentilhaven/placement/plan.py
@@ -12,7 +12,7 @@
 
 #: Share of the engines' stated memory for requests, in tokens, that must fit
 #: beside the weights: a chain is only as wide as its narrowest part.
-STATE_SHARE = 0.5
+STATE_SHARE = 1.0
 
 #: How many times as much an engine must be worth elsewhere to be moved: a move
 #: costs a load, and its memory is of no use meanwhile.
@@ -141,8 +141,8 @@
     """Return the best move of an engine with its gain; None if it should stay."""
     copies = copies_of(spec, engine, held)
     coverage.add(engine.data_centre, held, copies, -1)
-    gains = coverage.gains(engine.data_centre)
-    span = best_span(spec, engine, coverage)
+    gains = coverage.gains(engine.data_centre, settled=True)
+    span = best_span(spec, engine, coverage, settled=True)
     coverage.add(engine.data_centre, held, copies)
     before, after = value_of(held, gains), value_of(span, gains)
     if after < MOVE_RATIO * before:
@@ -169,10 +169,21 @@
     return spec.most_layers(card, room) or min(1, spec.most_layers(card))
 
 
-def best_span(spec: EngineSpec, engine: Endpoint, coverage: Coverage) -> LayerSpan:
-    """Return the range whose copy in the engine's data centre is worth most."""
+def best_span(
+    spec: EngineSpec, engine: Endpoint, coverage: Coverage, settled: bool = False
+) -> LayerSpan:
+    """
+    Return the range whose copy in the engine's data centre is worth most.
+
+    Parameters
+    ----------
+    spec, engine, coverage
+        The engine, and who holds what beside it.
+    settled : bool
+        As in `Coverage.gains`.
+    """
     size = min(spec.layers, size_of(spec, engine.card))
-    sums = [0.0, *accumulate(coverage.gains(engine.data_centre))]
+    sums = [0.0, *accumulate(coverage.gains(engine.data_centre, settled))]
     here = coverage.holders_in(engine.data_centre)
 
     def rank(start: int) -> tuple[float, int, int]:
