Test how gateways follow the store and each other

Fourteen cases on the stand-ins in virtual time. Found by them: the placer read the system's clock beside the gateway's, and took an engine that had refused one request for a dead one.

--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -1,5 +1,6 @@
 """The state that a gateway's requests share."""
 
+import asyncio
 from collections import Counter
 from random import Random
 
@@ -8,6 +9,7 @@
 
 from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.signal import Signal
+from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.gateway.budget import BudgetShare
 from lentilhaven.gateway.endpoint_board import EndpointBoard
@@ -109,6 +111,11 @@
         """Return how many gateways share the budget, 0 if it isn't known."""
         return self.peers.gateways(now) if self.peers.peers else 0
 
+    def is_suspected(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is thought to be dead."""
+        now = asyncio.get_running_loop().time()
+        return now < self.board.of(endpoint).suspected_until
+
     @property
     def ready(self) -> bool:
         """Return whether the balancer should send new connections."""
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -163,11 +163,8 @@
             gateway.view,
             session,
             lease.fence,
-            lambda engine: (
-                not gateway.board.of(engine).available(
-                    asyncio.get_running_loop().time()
-                )
-            ),
+            gateway.is_suspected,
+            monotonic=gateway.clock.monotonic,
         )
         exchange = await stack.enter_async_context(
             open_peer_exchange(gateway, wiring.open_datagrams)
--- /dev/null
+++ b/lentilhaven/gateway/tests/test_following.py
@@ -0,0 +1,231 @@
+import asyncio
+import unittest
+
+from lentilhaven.gateway.tests.platform_bed import (
+    engine,
+    plain_replicas,
+    sample_manifest,
+    sample_route,
+    two_chains,
+    with_bed,
+)
+from lentilhaven.standins.platform.fake_store import StoreState
+
+#: Seconds in which an accepted manifest must be in force.
+CONFIG_APPLY = 2.0
+
+#: Seconds by which that may be exceeded while the store turns a gateway away.
+EXTENSION = 5.0
+
+#: Seconds after which a leaving endpoint gets no new work.
+DRAIN_TIMEOUT = 2.0
+
+
+def changed_manifest(version=2):
+    """Return a manifest with a new route and without the key of the first."""
+    manifest = sample_manifest(version)
+    manifest["routes"].append(sample_route("new", "safe", "stock"))
+    manifest["tenants"] = [{"name": "depot", "api_keys": ["another-key"]}]
+    return manifest
+
+
+class ManifestTests(unittest.TestCase):
+    def test_a_change_is_in_force_everywhere_in_time(self):
+        async def use(bed):
+            bed.store.put("config", "main", changed_manifest())
+            await asyncio.sleep(CONFIG_APPLY)
+            key = "Bearer another-key"
+            return [
+                (
+                    (await bed.call("/new/1", "GET", n, Authorization=key)).status,
+                    (await bed.call("/look/1", "GET", n)).status,
+                )
+                for n in range(3)
+            ]
+
+        found = with_bed(use, plain_replicas(), gateways=3)
+        self.assertEqual(found, [(200, 401)] * 3)
+
+    def test_watches_that_hear_nothing_do_not_hold_it_up(self):
+        """Pattern: the store's history goes, and watches are never answered."""
+
+        async def use(bed):
+            bed.store.deaf_watches = True
+            await asyncio.sleep(11.0)
+            bed.store.put("config", "main", changed_manifest())
+            await asyncio.sleep(CONFIG_APPLY)
+            return [it.view.manifest.version for it in bed.gateways]
+
+        self.assertEqual(with_bed(use, plain_replicas(), gateways=3), [2, 2, 2])
+
+    def test_a_gateway_that_is_turned_away_learns_it_from_the_others(self):
+        async def use(bed):
+            bed.store.refused.add("front-dc-a-2")
+            await asyncio.sleep(1.0)
+            bed.store.put("config", "main", changed_manifest())
+            await asyncio.sleep(CONFIG_APPLY)
+            return [it.view.manifest.version for it in bed.gateways]
+
+        self.assertEqual(with_bed(use, plain_replicas(), gateways=3), [2, 2, 2])
+
+    def test_an_older_one_is_never_taken(self):
+        async def use(bed):
+            view = bed.gateways[0].view
+            older = view.manifest
+            bed.store.put("config", "main", changed_manifest())
+            await asyncio.sleep(CONFIG_APPLY)
+            taken = view.adopt_manifest(older, 1, "a stale read")
+            return taken, view.manifest.version
+
+        self.assertEqual(with_bed(use, plain_replicas()), (False, 2))
+
+    def test_one_that_can_not_be_read_leaves_the_present_one_in_force(self):
+        async def use(bed):
+            bed.store.put("config", "main", {"version": 2, "routes": [{}]})
+            await asyncio.sleep(CONFIG_APPLY)
+            return (await bed.call("/look/1", "GET")).status
+
+        self.assertEqual(with_bed(use, plain_replicas()), 200)
+
+    def test_history_that_is_gone_is_read_again(self):
+        async def use(bed):
+            bed.store.compact()
+            bed.store.put("config", "main", changed_manifest())
+            bed.store.compact()
+            await asyncio.sleep(CONFIG_APPLY)
+            return [it.view.manifest.version for it in bed.gateways]
+
+        self.assertEqual(with_bed(use, plain_replicas()), [2, 2])
+
+
+class EndpointTests(unittest.TestCase):
+    def test_a_leaving_endpoint_gets_no_new_work(self):
+        async def use(bed):
+            leaving = bed.fleet.replicas["i-stock-0"]
+            leaving.draining = True
+            bed.fleet.register(leaving)
+            await asyncio.sleep(DRAIN_TIMEOUT)
+            before = len(leaving.runs)
+            for number in range(6):
+                await bed.call(f"/look/{number}", "GET", gateway=number % 2)
+            return len(leaving.runs) - before
+
+        self.assertEqual(with_bed(use, plain_replicas()), 0)
+
+    def test_so_too_at_a_gateway_that_the_store_turns_away(self):
+        async def use(bed):
+            bed.store.refused.add("front-dc-a-2")
+            await asyncio.sleep(1.0)
+            leaving = bed.fleet.replicas["i-stock-0"]
+            leaving.draining = True
+            bed.fleet.register(leaving)
+            await asyncio.sleep(DRAIN_TIMEOUT)
+            for number in range(6):
+                await bed.call(f"/look/{number}", "GET", gateway=1)
+            return len(leaving.runs)
+
+        self.assertEqual(with_bed(use, plain_replicas(), gateways=3), 0)
+
+    def test_entries_that_lapse_in_an_outage_are_still_used_for_a_while(self):
+        async def use(bed):
+            bed.store.state = StoreState.BUSY
+            await asyncio.sleep(3.0)
+            for name in list(bed.fleet.replicas):
+                bed.store.delete("servers", name)
+            bed.store.state = StoreState.UP
+            await asyncio.sleep(1.0)
+            during = (await bed.call("/look/1", "GET")).status
+            await asyncio.sleep(5.0)
+            after = (await bed.call("/look/2", "GET")).status
+            return during, after
+
+        self.assertEqual(with_bed(use, plain_replicas()), (200, 503))
+
+    def test_malformed_entries_name_no_endpoint_and_harm_none(self):
+        async def use(bed):
+            for number, value in enumerate(
+                (
+                    None,
+                    "text",
+                    {"service": "stock"},
+                    {
+                        "service": "stock",
+                        "address": "nowhere",
+                        "zone": "dc-a",
+                        "state": "ready",
+                        "slots": 1,
+                    },
+                    {
+                        "service": "stock",
+                        "address": "10.3.0.9:8000",
+                        "zone": "dc-a",
+                        "state": "strange",
+                        "slots": 1,
+                    },
+                )
+            ):
+                bed.store.put("servers", f"x-{number}", value)
+            await asyncio.sleep(1.5)
+            view = bed.gateways[0].view
+            status = (await bed.call("/look/1", "GET")).status
+            return status, sorted(view.endpoints)
+
+        status, known = with_bed(use, plain_replicas())
+        self.assertEqual((status, known), (200, ["i-stock-0", "i-stock-1"]))
+
+    def test_listings_come_in_pages(self):
+        async def use(bed):
+            bed.store.page = 3
+            bed.store.compact()
+            bed.store.put("servers", "zz", {"service": "none"})
+            await asyncio.sleep(CONFIG_APPLY)
+            return len(bed.gateways[0].view.endpoints)
+
+        self.assertEqual(with_bed(use, plain_replicas(7)), 7)
+
+
+class OutageTests(unittest.TestCase):
+    def test_requests_are_served_while_the_store_is_silent(self):
+        async def use(bed):
+            bed.store.state = StoreState.SILENT
+            await asyncio.sleep(15.0)
+            return (
+                (await bed.call("/look/1", "GET")).status,
+                (await bed.call("/draft/1")).complete,
+            )
+
+        found = with_bed(use, plain_replicas() + two_chains())
+        self.assertEqual(found, (200, True))
+
+
+class PlacementTests(unittest.TestCase):
+    def test_empty_engines_are_filled_by_one_holder_of_the_lease(self):
+        engines = [engine(f"e{it}", 0, 0) for it in range(4)]
+
+        async def use(bed):
+            await asyncio.sleep(6.0)
+            held = [it.span for it in bed.fleet.replicas.values()]
+            orders = [it.orders for it in bed.fleet.replicas.values()]
+            return held, orders, await bed.call("/draft/1"), bed.fleet.wrong_paths
+
+        held, orders, reply, wrong = with_bed(use, engines, gateways=3)
+        self.assertTrue(all(held))
+        self.assertEqual(orders, [1] * 4)
+        self.assertTrue(reply.complete)
+        self.assertEqual(wrong, [])
+        memory, layer = 6_000.0, 1_000.0
+        for start, end in held:
+            self.assertLessEqual((end - start) * layer, memory)
+
+    def test_an_engine_that_starts_again_empty_is_filled_again(self):
+        engines = [engine(f"e{it}", 0, 0) for it in range(4)]
+
+        async def use(bed):
+            await asyncio.sleep(6.0)
+            replica = bed.fleet.replicas["i-e1"]
+            replica.restart()
+            bed.fleet.register(replica)
+            await asyncio.sleep(3.0)
+            return replica.span
+
+        self.assertIsNotNone(with_bed(use, engines))
