--- a/lentilhaven/platform/engine_calls.py
+++ b/lentilhaven/platform/engine_calls.py
@@ -103,13 +103,22 @@
                 detail = f"status {response.status}"
                 return Error(Failure(Step.ORDER, endpoint.id, "report", detail))
             return Ok(decode_report(await response.json()))
-    except (*LOST, KeyError, TypeError, AttributeError) as error:
+    except (*LOST, TypeError) as error:
         detail = f"{type(error).__name__}: {error}"
         return Error(Failure(Step.ORDER, endpoint.id, "report", detail))
 
 
 def decode_report(value: dict[str, Any]) -> EngineReport:
-    """Decode a report."""
+    """
+    Decode a report.
+
+    Raises
+    ------
+    TypeError, ValueError
+        If it is not one.
+    """
+    if not isinstance(value, dict):
+        raise TypeError(f"a report is an object, not {type(value).__name__}")
     return EngineReport(
         born=int(value.get("born") or 0),
         busy=bool(value.get("busy")),
--- /dev/null
+++ b/lentilhaven/platform/tests/test_formats.py
@@ -0,0 +1,169 @@
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from lentilhaven.fleet.endpoint import Endpoint
+from lentilhaven.fleet.layer_span import LayerSpan
+from lentilhaven.fleet.route_rule import RouteKind
+from lentilhaven.gateway.tests.platform_bed import sample_manifest, sample_settings
+from lentilhaven.platform.answer_head import decode_answer_head
+from lentilhaven.platform.engine_calls import decode_report
+from lentilhaven.platform.manifest_format import decode_manifest
+from lentilhaven.platform.replica_format import decode_replica
+from lentilhaven.platform.request_head import (
+    decode_request_head,
+    encode_request,
+    own_headers,
+)
+from lentilhaven.platform.settings import SettingsFileError, read_settings
+
+ENTRY = {
+    "service": "gen",
+    "address": "10.0.0.9:8080",
+    "zone": "dc-a",
+    "slots": 96,
+    "state": "ready",
+    "born": 1780,
+    "kind": "large",
+    "models": [{"name": "lentil-70", "version": 1, "adapters": []}],
+    "layers": {"from": 20, "target": 31, "version": 1},
+}
+
+
+class ReplicaTests(unittest.TestCase):
+    def test_an_engines_entry(self):
+        found = decode_replica("i-1", ENTRY)
+        self.assertEqual(found.layers, LayerSpan(20, 31))
+        self.assertEqual(
+            (found.card, found.model, found.born), ("large", "lentil-70", 1780)
+        )
+        self.assertFalse(found.draining)
+
+    def test_draining(self):
+        self.assertTrue(decode_replica("i-1", ENTRY | {"state": "draining"}).draining)
+
+    def test_a_field_that_is_missing_or_wrong_names_no_replica(self):
+        for field in ("service", "address", "zone", "slots", "state"):
+            for value in (None, 7.5, [], {}, True, ""):
+                with self.subTest(field=field, value=value):
+                    self.assertIsNone(decode_replica("i-1", ENTRY | {field: value}))
+        for value in (None, 3, "text", [ENTRY]):
+            self.assertIsNone(decode_replica("i-1", value))
+
+    def test_layers_that_are_wrong_are_no_layers(self):
+        for layers in (
+            None,
+            {},
+            {"from": 3, "target": 3},
+            {"from": -1, "target": 2},
+            5,
+        ):
+            found = decode_replica("i-1", ENTRY | {"layers": layers})
+            self.assertIsNone(found.layers)
+
+
+class ManifestTests(unittest.TestCase):
+    def test_routes_services_keys_and_limits(self):
+        manifest = decode_manifest(sample_manifest(7))
+        self.assertEqual(manifest.version, 7)
+        route = manifest.find_route("depot.example", "/draft/x")
+        self.assertIs(route.kind, RouteKind.STREAMING)
+        self.assertTrue(route.repeatable)
+        self.assertFalse(manifest.find_route("depot.example", "/once/x").repeatable)
+        self.assertEqual(manifest.services["gen"].engine.layers, 8)
+        self.assertEqual(manifest.tenants["key-of-depot"].name, "depot")
+        self.assertEqual(manifest.limits.idle_timeout, 30.0)
+
+    def test_a_split_route(self):
+        value = sample_manifest()
+        split = [{"service": "gen", "weight": 90}, {"service": "other", "weight": 10}]
+        value["routes"][0]["traffic_split"] = split
+        manifest = decode_manifest(value)
+        route = manifest.find_route("depot.example", "/draft/x")
+        self.assertEqual(route.services, (("gen", 90.0), ("other", 10.0)))
+
+    def test_without_tenants_no_key_is_needed(self):
+        value = sample_manifest()
+        del value["tenants"]
+        self.assertIsNone(decode_manifest(value).tenants)
+
+
+class SettingsTests(unittest.TestCase):
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.json"
+            path.write_text(text)
+            return read_settings(str(path))
+
+    def test_a_whole_file_with_fields_that_are_not_known(self):
+        found = self.read(json.dumps(sample_settings(0) | {"novelty": [1]}))
+        self.assertEqual((found.vm, found.data_centre), ("front-dc-a-1", "dc-a"))
+        self.assertEqual(found.grace, 8.0)
+
+    def test_errors_name_file_and_field(self):
+        value = sample_settings(0)
+        del value["bounds"]["grace_s"]
+        with self.assertRaisesRegex(SettingsFileError, "boot.json: field 'grace_s'"):
+            self.read(json.dumps(value))
+        with self.assertRaisesRegex(SettingsFileError, "boot.json"):
+            self.read("{")
+        with self.assertRaisesRegex(SettingsFileError, "nowhere.json"):
+            read_settings("nowhere.json")
+
+
+class HeadTests(unittest.TestCase):
+    def test_what_the_gateway_sets_can_not_be_forged(self):
+        forged = {
+            "Request-Id": "r",
+            "Tenant": "other",
+            "Hop-Count": "10.0.0.1:80=0-80",
+            "Expect-Replica": "x",
+            "Request-Priority": "0",
+            "Authorization": "Bearer k",
+            "Connection": "close, X-Private",
+            "X-Private": "1",
+            "X-Other": "2",
+        }
+        head = decode_request_head(forged)
+        self.assertEqual(head.key, "k")
+        self.assertEqual(dict(head.passed_on), {"Request-Id": "r", "X-Other": "2"})
+
+    def test_a_request_to_an_endpoint(self):
+        endpoint = Endpoint("i-1", "s", "10.0.0.1:80", "a")
+        own = own_headers(endpoint, 1.2345, "depot", 3)
+        head = decode_request_head({"Request-Id": "r"})
+        text = encode_request("POST", "/a?b", head, 5, own).decode()
+        self.assertTrue(text.startswith("POST /a?b HTTP/1.1\r\nRequest-Id: r\r\n"))
+        for line in ("Deadline-Ms: 1234", "Expect-Replica: i-1", "Tenant: depot"):
+            self.assertIn(f"\r\n{line}\r\n", text)
+        self.assertIn("\r\nContent-Length: 5\r\n\r\n", text)
+
+    def test_numbers_that_can_not_be_read_count_as_missing(self):
+        fields = {"Deadline-Ms": "soon", "Token-Count": "many", "Length-Hint": "-3"}
+        head = decode_request_head(fields)
+        self.assertEqual((head.patience, head.prompt_tokens), (None, 0))
+        self.assertEqual(head.length_hint, 0)
+
+    def test_a_promise_that_a_request_has_not_run(self):
+        self.assertTrue(decode_answer_head(503, [("Not-Executed", "1")]).not_executed)
+        self.assertTrue(decode_answer_head(421, []).not_executed)
+        self.assertFalse(decode_answer_head(503, []).not_executed)
+
+
+class ReportTests(unittest.TestCase):
+    def test_a_report(self):
+        found = decode_report(
+            {
+                "busy": True,
+                "sequence": 2,
+                "kv_used": 5,
+                "kv_total": 9,
+                "pace": 2.5,
+                "layers": {"from": 0, "target": 4},
+                "stalled": [{"id": "r", "address": "10.0.0.2:80"}],
+            }
+        )
+        self.assertEqual((found.orders, found.busy, found.pace), (2, True, 2.5))
+        self.assertEqual(found.layers, LayerSpan(0, 4))
+        self.assertEqual(found.stalled, (("r", "10.0.0.2:80"),))
