--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -18,6 +18,7 @@
 from lentilhaven.peering.news import PeerNews
 from lentilhaven.peering.peer_table import PeerTable
 from lentilhaven.platform.settings import PlatformSettings
+from lentilhaven.serving.metrics import Metrics
 from lentilhaven.upstream.connection_pool import ConnectionPool
 
 
@@ -40,6 +41,8 @@
         What was seen of the endpoints.
     session : aiohttp.ClientSession or None
         Connections for orders and reports; None before the duties run.
+    metrics : Metrics or None
+        Instruments; None if they are not served.
     places : callable
         Returns whether this gateway holds the lease for placement.
     random : random.Random
@@ -82,6 +85,7 @@
     pool: ConnectionPool = attrs.field(factory=ConnectionPool)
     board: EndpointBoard = attrs.field(factory=EndpointBoard)
     session: aiohttp.ClientSession | None = None
+    metrics: Metrics | None = None
     places: Callable[[], bool] = lambda: False
     random: Random = attrs.field(factory=Random)
     digest: str = ""
--- /dev/null
+++ b/lentilhaven/gateway/gateway_metrics.py
@@ -0,0 +1,122 @@
+"""Counters and histograms of a gateway, for a Prometheus scrape."""
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from functools import partial
+
+from aiohttp import web
+
+from lentilhaven.core.logs import get_logger
+from lentilhaven.gateway.call import Call
+from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.serving.metrics import Metrics, make_metrics
+
+#: Port and path of the metrics, as the deploy file names them; the usual port of
+#: OpenTelemetry's exporter.
+METRICS_PORT, METRICS_PATH = 9464, "/metrics"
+
+#: Seconds for a scrape to end once the process ends.
+CLOSE_TIMEOUT = 0.1
+
+log = get_logger("gateway")
+
+
+def make_gateway_metrics(gateway: Gateway) -> Metrics:
+    """
+    Return the instruments of a gateway.
+
+    Their labels are kinds of routes, services and status codes, so that neither
+    callers nor the number of routes make series.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        Whose state is observed.
+    """
+    settings = gateway.settings
+    metrics = make_metrics("lentilhaven-gateway", settings.vm, settings.data_centre)
+    metrics.observe_counts(
+        "lentilhaven.events",
+        "event",
+        "Events of this process since its start, by name.",
+        lambda: dict(gateway.counters),
+    )
+    gauges: Mapping[str, tuple[str, str]] = {
+        "lentilhaven.requests.active": ("{request}", "Requests under way."),
+        "lentilhaven.connections.opened": ("{connection}", "Connections opened."),
+        "lentilhaven.manifest.version": ("1", "Manifest in force."),
+        "lentilhaven.endpoints.known": ("{endpoint}", "Endpoints that are known."),
+        "lentilhaven.gateways.known": ("{gateway}", "Gateways, this one included."),
+    }
+    for name, (unit, description) in gauges.items():
+        read = partial(read_gauge, gateway, name)
+        metrics.observe_gauge(name, unit, description, read)
+    return metrics
+
+
+def read_gauge(gateway: Gateway, name: str) -> float:
+    """Return the present value of a gauge."""
+    manifest = gateway.view.manifest
+    values = {
+        "lentilhaven.requests.active": gateway.active,
+        "lentilhaven.connections.opened": gateway.pool.opened,
+        "lentilhaven.manifest.version": manifest.version if manifest else 0,
+        "lentilhaven.endpoints.known": len(gateway.view.endpoints),
+        "lentilhaven.gateways.known": 1 + len(gateway.peers.peers),
+    }
+    return float(values[name])
+
+
+def record_request(gateway: Gateway, call: Call, status: int, seconds: float) -> None:
+    """Count a request with its duration."""
+    if gateway.metrics is not None:
+        labels = {
+            "lentilhaven.route.kind": call.route.kind.value,
+            "lentilhaven.service": call.service,
+            "http.response.status_code": status,
+        }
+        gateway.metrics.request_duration.record(seconds, labels)
+
+
+def record_first_event(gateway: Gateway, call: Call, seconds: float) -> None:
+    """Count the first event of a stream with the time that it took."""
+    if gateway.metrics is not None:
+        gateway.metrics.first_token.record(
+            seconds, {"lentilhaven.service": call.service}
+        )
+
+
+@asynccontextmanager
+async def open_metrics_listener(gateway: Gateway) -> AsyncIterator[None]:
+    """
+    Serve the metrics until the context ends.
+
+    A port that is taken leaves the gateway without metrics, not without service.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        State of the process.
+    """
+    metrics = gateway.metrics = make_gateway_metrics(gateway)
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        if request.path != METRICS_PATH:
+            return web.Response(status=404)
+        return web.Response(body=metrics.render(), content_type="text/plain")
+
+    server = web.Server(handle, access_log=None)
+    loop = asyncio.get_running_loop()
+    listener: asyncio.Server | None = None
+    try:
+        address = gateway.settings.address
+        listener = await loop.create_server(server, address, METRICS_PORT)
+    except OSError as error:
+        log.error("metrics are not served", port=METRICS_PORT, detail=str(error))
+    try:
+        yield
+    finally:
+        if listener is not None:
+            listener.close()
+        await server.shutdown(timeout=CLOSE_TIMEOUT)
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -20,6 +20,7 @@
     make_request_factory,
 )
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.gateway_metrics import record_request
 from lentilhaven.gateway.intake import take_request
 from lentilhaven.gateway.refusals import refuse
 from lentilhaven.gateway.service_relay import relay_call
@@ -88,6 +89,7 @@
         detail = "the gateway failed"
         response = refuse(Failure(Step.INTERNAL, "", "defect", detail, Ran.UNKNOWN))
     gateway.counters[f"answered: {response.status}"] += 1
+    record_request(gateway, call, response.status, loop.time() - began)
     log.info(
         "request ended",
         request=call.id,
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -12,6 +12,7 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.gateway_metrics import open_metrics_listener
 from lentilhaven.gateway.listeners import (
     CallerListener,
     open_caller_listener,
@@ -82,6 +83,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload_settings, gateway)
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(open_ready_listener(gateway))
+        await stack.enter_async_context(open_metrics_listener(gateway))
         # The listener is left first at the end: what the duties still have to do
         # must not keep a caller waiting.
         await stack.enter_async_context(running_duties(gateway))
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -23,6 +23,7 @@
 from lentilhaven.gateway.endpoint_board import REFUSAL, SUSPICION
 from lentilhaven.gateway.event_splitter import EventSplitter
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.gateway_metrics import record_first_event
 from lentilhaven.gateway.pipe_meter import crossings_of
 from lentilhaven.gateway.refusals import refuse
 from lentilhaven.gateway.service_relay import MOST_REFUSALS, REFUSALS, Answer
@@ -355,6 +356,8 @@
     relay.weights = relay.weights or head.weights
     if relay.response is None:
         relay.response = await start_response(relay, head)
+        now = asyncio.get_running_loop().time()
+        record_first_event(relay.gateway, relay.call, now - relay.call.arrived)
     return await pass_events(relay, run, first)
 
 
