Tell from collected logs why a request ended as it did

lentilhaven explain request ID FILE... prints the request's lines, what was believed about its endpoints and a cause, and says what is missing. Lines name their VM; a refusal before the route names the request.

--- a/lentilhaven/cli/explain.py
+++ b/lentilhaven/cli/explain.py
@@ -1,4 +1,4 @@
-"""The commands ``explain route`` and ``explain bound``."""
+"""The commands ``explain route``, ``explain bound`` and ``explain request``."""
 
 import json
 from pathlib import Path
@@ -16,6 +16,7 @@
 from lentilhaven.core.json_text import load_json
 from lentilhaven.core.step import Step
 from lentilhaven.distribution.editing import read_current
+from lentilhaven.logbook import LogLine, read_lines, tell_story
 from lentilhaven.pipelines.bound import Bound, deployment_bounds
 
 explain_app = cyclopts.App(name="explain", help="Say why.")
@@ -129,3 +130,46 @@
         print(f"  {link.rate:.0f} tokens/s: link {ends}")
     if not bound.groups and not bound.links:
         print("  nothing: no endpoint covers some of the layers")
+
+
+@explain_app.command
+def request(id: str, *logs: Path) -> int:
+    """
+    Print what collected logs of gateways tell of one request, and its cause.
+
+    Parameters
+    ----------
+    id
+        The request's id.
+    logs
+        Files of JSON lines, of any number of gateways.
+    """
+    try:
+        texts = [
+            line
+            for path in logs
+            for line in path.read_text(encoding="utf-8", errors="replace").splitlines()
+        ]
+    except OSError as error:
+        failure = Failure(Step.PARSE, str(error.filename), "no-log", str(error))
+        return report(failure, ExitCode.INVALID)
+    story = tell_story(read_lines(texts), id)
+    print(f"request {story.request} at {story.vm or 'an unknown gateway'}")
+    for line in story.own:
+        print_line(line)
+    if story.beliefs:
+        print("\nabout its endpoints, by the clocks of those who wrote it:")
+    for line in story.beliefs:
+        print_line(line)
+    print(f"\ncause: {story.cause}")
+    for what in story.missing:
+        print(f"missing: {what}")
+    return ExitCode.OK if story.own else ExitCode.FAILED
+
+
+def print_line(line: LogLine) -> None:
+    """Print one line of a log, without what all lines say."""
+    common = {"component", "event", "level", "timestamp", "request", "vm"}
+    rest = {key: it for key, it in line.fields.items() if key not in common}
+    when = str(line.fields.get("timestamp", ""))[11:23]
+    print(f"  {when} {line.vm} {line.event}: {json.dumps(rest)}")
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -25,6 +25,7 @@
 from lentilhaven.gateway.refusals import refuse
 from lentilhaven.gateway.service_relay import relay_call
 from lentilhaven.gateway.stream_relay import relay_stream
+from lentilhaven.platform.request_head import decode_request_head
 
 #: Connections that wait to be accepted; a burst of callers on one VM.
 BACKLOG = 1024
@@ -74,7 +75,14 @@
     taken = await take_request(gateway, request)
     if taken.is_error():
         failure = taken.error
-        log.info("request refused", step=failure.step.value, kind=failure.kind)
+        head = decode_request_head(request.headers)
+        log.info(
+            "request refused",
+            request=head.request_id,
+            step=failure.step.value,
+            kind=failure.kind,
+            manifest_revision=gateway.view.manifest_revision,
+        )
         gateway.counters[f"refused: {failure.kind}"] += 1
         return refuse(failure)
     call: Call = taken.ok
--- a/lentilhaven/gateway/peer_relay.py
+++ b/lentilhaven/gateway/peer_relay.py
@@ -74,7 +74,7 @@
             take(gateway, await response.json(), news.vm)
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError) as error:
         detail = f"{type(error).__name__}: {error}"
-        log.info("gateway does not answer", vm=news.vm, step="relay", detail=detail)
+        log.info("gateway does not answer", peer=news.vm, step="relay", detail=detail)
 
 
 def take(gateway: Gateway, answer: dict[str, Any], source: str) -> None:
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import attrs
+import structlog
 
 from lentilhaven.core.ids import VmId
 from lentilhaven.core.logs import get_logger
@@ -75,6 +76,7 @@
     settings : PlatformSettings
         Settings of the process.
     """
+    structlog.contextvars.bind_contextvars(vm=settings.vm)
     gateway = Gateway(settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -89,7 +91,7 @@
         await stack.enter_async_context(running_duties(gateway))
         await stack.enter_async_context(running_tasks(follow_settings(gateway)))
         listener = await stack.enter_async_context(open_caller_listener(gateway))
-        log.info("gateway started", vm=settings.vm, callers=settings.callers)
+        log.info("gateway started", callers=settings.callers)
         await stop.wait()
         log.info("gateway stopping", active=gateway.active)
         await drain(gateway, listener)
--- a/lentilhaven/peering/peer_table.py
+++ b/lentilhaven/peering/peer_table.py
@@ -93,7 +93,7 @@
             return False
         known = self.peers.get(news.vm)
         if known is None:
-            log.info("gateway found", vm=news.vm, address=news.address)
+            log.info("gateway found", peer=news.vm, address=news.address)
         elif known.news.run == news.run and news.number <= known.news.number:
             return False
         elif known.counted:
@@ -129,7 +129,9 @@
             if peer.counted and now - peer.heard_at > FRESH:
                 self.count(peer.news, -1)
                 peer.counted = False
-                log.info("gateway silent", vm=vm, seconds=round(now - peer.heard_at, 1))
+                log.info(
+                    "gateway silent", peer=vm, seconds=round(now - peer.heard_at, 1)
+                )
             if now - peer.heard_at > FORGET:
                 del self.peers[vm]
         for address, heard_at in list(self.addresses.items()):
