--- a/lentilhaven/gateway/silence.py
+++ b/lentilhaven/gateway/silence.py
@@ -112,7 +112,7 @@
         "endpoints suspected",
         request=request_id,
         endpoints=suspects,
-        parts=len(chain.parts),
+        length=len(chain.parts),
         silent_ms=round((now - since) * 1000),
     )
     return suspects
