--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -269,9 +269,10 @@
         state.requests += 1
         state.state_tokens += tokens * len(span)
     gateway.pipes.record(crossings_of(chain.parts), tokens, began)
-    outcome: Answer | Failure | None = None
+    ended = "cancelled"
     try:
         outcome = await exchange_on_chain(relay, chain)
+        ended = "done" if outcome is None else describe(outcome)
         return outcome
     finally:
         for endpoint, span in chain.parts:
@@ -287,7 +288,7 @@
             ms=round((loop.time() - began) * 1000),
             events=relay.events,
             view=gateway.view.endpoints_revision,
-            outcome="done" if outcome is None else describe(outcome),
+            outcome=ended,
         )
 
 
--- a/lentilhaven/logbook/request_story.py
+++ b/lentilhaven/logbook/request_story.py
@@ -10,15 +10,13 @@
 #: longest suspicion, and as much again for clocks that differ.
 NEARBY = 8.0
 
-#: Events that change what a gateway believes about endpoints.
-BELIEFS = frozenset(
-    {
-        "endpoint changed",
-        "endpoint gone",
-        "endpoints suspected",
-        "engine ordered",
-        "order did not take effect",
-    }
+#: Events that change what a gateway believes about endpoints, and count at the
+#: gateway that served the request only: all gateways note them.
+BELIEFS = frozenset({"endpoint changed", "endpoint gone"})
+
+#: The same, at whichever gateway noticed or caused them.
+SHARED_BELIEFS = frozenset(
+    {"endpoints suspected", "engine ordered", "order did not take effect"}
 )
 
 #: Events about what a gateway depends on.
@@ -108,10 +106,12 @@
     for line in lines:
         if line in own or not begin <= line.time <= end:
             continue
+        own_belief = line.event in BELIEFS and line.vm == vm
         if line.event in DEPENDENCIES and line.vm == vm:
             found.append(line)
-        elif line.event in BELIEFS and endpoints & endpoints_of(line):
-            found.append(line)
+        elif own_belief or line.event in SHARED_BELIEFS:
+            if endpoints & endpoints_of(line):
+                found.append(line)
     return sorted(found, key=lambda line: (line.time, line.order))
 
 
--- a/lentilhaven/logbook/tests/test_request_story.py
+++ b/lentilhaven/logbook/tests/test_request_story.py
@@ -36,8 +36,9 @@
             ),
             line("stream broken off", 1.1, request="r1", events=7, kind="silent"),
             line("request ended", 1.1, request="r1", status=200),
+            line("endpoint gone", 4.0, endpoint="e2"),
             line("endpoint gone", 4.0, vm="vm-2", endpoint="e2"),
-            line("endpoint gone", 4.0, vm="vm-2", endpoint="e9"),
+            line("endpoint gone", 4.0, endpoint="e9"),
         )
         self.assertIn("after 7 events: silent", story.cause)
         self.assertEqual([it.fields["endpoint"] for it in story.beliefs], ["e2"])
