--- /dev/null
+++ b/lentilhaven/gateway/tests/test_random_days.py
@@ -0,0 +1,122 @@
+import asyncio
+import unittest
+from collections import Counter
+from random import Random
+
+from lentilhaven.core.invariants import VIOLATIONS
+from lentilhaven.gateway.tests.platform_bed import (
+    plain_replicas,
+    sample_manifest,
+    two_chains,
+    with_bed,
+)
+from lentilhaven.standins.platform.fake_replica import ReplicaFaults
+from lentilhaven.standins.platform.fake_store import StoreState
+
+#: Seeds that run in CI.  One that ever failed stays here with its cause.
+SEEDS = range(6)
+
+#: Requests and faults of each run, and the seconds over which they are spread.
+REQUESTS, FAULTS, SECONDS = 60, 14, 12.0
+
+#: Output tokens of each stream, and the events that they make.
+OUTPUT, EVENTS = 40, 10
+
+
+class Day:
+    """A run with random faults, and what callers got."""
+
+    def __init__(self, seed):
+        self.random = Random(seed)
+        self.replies = []
+
+    async def run(self, bed):
+        """Play faults and requests beside each other."""
+        times = sorted(self.random.uniform(0, SECONDS) for _ in range(REQUESTS))
+        calls = [asyncio.ensure_future(self.call(bed, at)) for at in times]
+        faults = [
+            asyncio.ensure_future(self.strike(bed, self.random.uniform(0, SECONDS)))
+            for _ in range(FAULTS)
+        ]
+        await asyncio.gather(*calls, *faults)
+        return bed.fleet, self.replies
+
+    async def call(self, bed, at):
+        """Send one request."""
+        await asyncio.sleep(at)
+        name = self.random.choice(("draft", "once", "post", "look"))
+        method = "GET" if name == "look" else "POST"
+        gateway = self.random.randrange(2)
+        bed.requests += 1
+        request = f"x{bed.requests}"
+        reply = await bed.call(
+            f"/{name}/{request}", method, gateway, output=OUTPUT, Request_Id=request
+        )
+        self.replies.append((name, request, reply))
+
+    async def strike(self, bed, at):
+        """Inject one fault for a while."""
+        await asyncio.sleep(at)
+        kind = self.random.randrange(4)
+        lasting = self.random.uniform(0.2, 3.0)
+        if kind == 0:
+            bed.store.state = self.random.choice((StoreState.BUSY, StoreState.SILENT))
+            await asyncio.sleep(lasting)
+            bed.store.state = StoreState.UP
+        elif kind == 1:
+            bed.store.put("config", "main", sample_manifest(bed.store.revision + 10))
+        else:
+            replica = self.random.choice(list(bed.fleet.replicas.values()))
+            faults = ("dark", "shed", "lose_answer", "truncate", "extra", "unframed")
+            setattr(replica.faults, self.random.choice((*faults, "fail")), True)
+            if self.random.random() < 0.3:
+                replica.faults.stop_after = 3
+            await asyncio.sleep(lasting)
+            replica.faults = ReplicaFaults()
+
+
+class PromiseTests(unittest.TestCase):
+    def play(self, seed):
+        """Return the stand-ins and replies of one run."""
+        VIOLATIONS.clear()
+        replicas = two_chains() + plain_replicas(3)
+        return with_bed(Day(seed).run, replicas, seed=seed + 1)
+
+    def test_promises_hold_in_random_runs(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                fleet, replies = self.play(seed)
+                self.assertEqual(len(replies), REQUESTS)
+                self.assertEqual(dict(VIOLATIONS), {})
+                self.assertEqual(fleet.wrong_paths, [])
+                runs = Counter(run.request_id for run in fleet.runs)
+                for name, request, reply in replies:
+                    self.check(name, request, reply, runs[request])
+                for run in fleet.runs:
+                    self.assertEqual(run.fields["tenant"], "depot")
+
+    def check(self, name, request, reply, runs):
+        """Check one reply against what the replicas ran."""
+        if name in ("post", "once"):
+            self.assertLessEqual(runs, 1, request)
+        else:
+            self.assertLessEqual(runs, 2, request)
+        if reply.status in (408, 421, 429, 503) and name != "look":
+            self.assertEqual(runs, 0, request)
+        if reply.status != 200 or not reply.complete:
+            return
+        signature = reply.headers["Replica-Signature"]
+        self.assertTrue(signature.endswith(f".{request}"), signature)
+        if name in ("draft", "once"):
+            self.assertEqual(reply.event_ids, list(range(1, EVENTS + 1)), request)
+        else:
+            self.assertIn(f"/{name}/{request}".encode(), reply.body)
+
+    def test_most_requests_are_served(self):
+        served = total = 0
+        for seed in SEEDS:
+            _, replies = self.play(seed)
+            served += sum(reply.status == 200 for _, _, reply in replies)
+            total += len(replies)
+        # Each run has at most a few faults at a time on replicas that stand twice.
+        self.assertGreater(served, 0.75 * total)
