--- /dev/null
+++ b/lentilhaven/gateway/stream_events.py
@@ -0,0 +1,109 @@
+"""Passing the events of a run on."""
+
+import asyncio
+
+from aiohttp import web
+
+from lentilhaven.chains.chain import Chain
+from lentilhaven.core.failure import Failure
+from lentilhaven.core.ran import Ran
+from lentilhaven.core.step import Step
+from lentilhaven.gateway.event_splitter import EventSplitter
+from lentilhaven.gateway.gateway_metrics import record_first_event
+from lentilhaven.gateway.service_relay import Answer
+from lentilhaven.gateway.silence import (
+    PauseWatch,
+    first_event_limit,
+    note_heard,
+)
+from lentilhaven.gateway.stream_failures import fall_silent, take_failure
+from lentilhaven.gateway.stream_state import StreamRelay, StreamRun
+from lentilhaven.gateway.stream_waiting import wait_or_move
+from lentilhaven.platform.answer_head import AnswerHead
+
+
+async def pass_on(relay: StreamRelay, run: StreamRun) -> Answer | Failure | None:
+    """Wait for the head of an answer, then pass the stream on."""
+    exchange = run.exchange
+    limit = first_event_limit(expected_first(relay, run.chain))
+    head = await wait_or_move(relay, run, exchange.wait_for_head, limit)
+    if head is None:
+        return fall_silent(relay, run)
+    if head.status != 200:
+        return await take_failure(relay, run.chain, exchange, head)
+    first = await wait_or_move(relay, run, exchange.next_chunk, limit)
+    if first is None:
+        return fall_silent(relay, run)
+    relay.weights = relay.weights or head.weights
+    if relay.response is None:
+        relay.response = await start_response(relay, head)
+        now = asyncio.get_running_loop().time()
+        record_first_event(relay.gateway, relay.call, now - relay.call.arrived)
+    return await pass_events(relay, run, first)
+
+
+async def pass_events(
+    relay: StreamRelay, run: StreamRun, chunk: bytes | None
+) -> Failure | None:
+    """Pass events on as they arrive, until the end or a silence."""
+    loop = asyncio.get_running_loop()
+    assert relay.response is not None
+    splitter = EventSplitter()
+    pauses = PauseWatch(expected_pause(relay, run.chain))
+    run.heard = loop.time()
+    while chunk:
+        now = loop.time()
+        note_heard(relay.gateway, run.chain, now)
+        events = splitter.feed(chunk)
+        if events.data:
+            if events.ids:
+                relay.last_event_id = events.ids[-1]
+            relay.events += len(events.ids)
+            await relay.response.write(events.data)
+            pauses.record(now - run.heard)
+            run.heard = now
+        next_chunk = run.exchange.next_chunk
+        chunk = await wait_or_move(relay, run, next_chunk, pauses.limit())
+    if chunk is None:
+        return fall_silent(relay, run)
+    if splitter.rest:
+        if relay.call.route.resumable:
+            detail = "the stream ended within an event"
+            peer = run.chain.first.id
+            return Failure(Step.STREAM, peer, "truncated", detail, Ran.UNKNOWN)
+        await relay.response.write(splitter.rest)
+    await relay.response.write_eof()
+    return None
+
+
+async def start_response(relay: StreamRelay, head: AnswerHead) -> web.StreamResponse:
+    """Send the head of the answer."""
+    response = web.StreamResponse(status=head.status, headers=list(head.passed_on))
+    response.enable_chunked_encoding()
+    if relay.gateway.leaving:
+        response.force_close()
+    await response.prepare(relay.request)
+    return response
+
+
+def expected_first(relay: StreamRelay, chain: Chain) -> float:
+    """Return the estimated time to the first event, in seconds."""
+    tokens = max(1.0, float(relay.call.head.length_hint or 1))
+    spec = relay.spec
+    prompt = relay.call.head.prompt_tokens
+    reading = sum(
+        prompt
+        / spec.prefill_tokens_per_s
+        * (kind.prefill_factor if (kind := spec.cards.get(part.card)) else 1.0)
+        * len(span)
+        / spec.layers
+        for part, span in chain.parts
+    )
+    return reading + spec.stride * chain.cost / 1000.0 / max(tokens, spec.usual_answer)
+
+
+def expected_pause(relay: StreamRelay, chain: Chain) -> float:
+    """Return the estimated pause between two events, in seconds."""
+    spec = relay.spec
+    tokens = relay.call.head.length_hint or spec.usual_answer or 1.0
+    return spec.stride * chain.cost / 1000.0 / tokens
--- /dev/null
+++ b/lentilhaven/gateway/stream_run.py
@@ -0,0 +1,102 @@
+"""One run of a stream on one chain."""
+
+import asyncio
+
+from lentilhaven.chains.chain import Chain
+from lentilhaven.core.failure import Failure
+from lentilhaven.core.logs import get_logger
+from lentilhaven.core.ran import Ran
+from lentilhaven.core.step import Step
+from lentilhaven.gateway.endpoint_board import REFUSAL, SUSPICION
+from lentilhaven.gateway.pipe_meter import crossings_of
+from lentilhaven.gateway.service_relay import Answer
+from lentilhaven.gateway.stream_events import pass_on
+from lentilhaven.gateway.stream_state import StreamRelay, StreamRun
+from lentilhaven.platform.request_head import encode_request, own_headers
+from lentilhaven.upstream.exchange import UpstreamError
+
+log = get_logger("gateway")
+
+
+async def run_on_chain(relay: StreamRelay, chain: Chain) -> Answer | Failure | None:
+    """Run a request on one chain, and account for it meanwhile."""
+    gateway, call = relay.gateway, relay.call
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    tokens = float(call.head.prompt_tokens + (call.head.length_hint or 0))
+    for endpoint, span in chain.parts:
+        state = gateway.board.of(endpoint)
+        state.requests += 1
+        state.state_tokens += tokens * len(span)
+    gateway.pipes.record(crossings_of(chain.parts), tokens, began)
+    ended = "cancelled"
+    try:
+        outcome = await exchange_on_chain(relay, chain)
+        ended = "done" if outcome is None else describe(outcome)
+        return outcome
+    finally:
+        for endpoint, span in chain.parts:
+            state = gateway.board.of(endpoint)
+            state.requests -= 1
+            state.state_tokens -= tokens * len(span)
+        gateway.room.notify()
+        log.info(
+            "chain tried",
+            request=call.id,
+            parts=[f"{part.id}={span.start}-{span.end}" for part, span in chain.parts],
+            estimate_ms=round(chain.cost),
+            ms=round((loop.time() - began) * 1000),
+            events=relay.events,
+            view=gateway.view.endpoints_revision,
+            outcome=ended,
+        )
+
+
+def describe(outcome: Answer | Failure) -> str:
+    """Return an outcome in a few words."""
+    if isinstance(outcome, Answer):
+        return f"status {outcome.head.status}"
+    return f"{outcome.kind} at {outcome.peer}, ran {outcome.ran.value}"
+
+
+async def exchange_on_chain(
+    relay: StreamRelay, chain: Chain
+) -> Answer | Failure | None:
+    """Send a request to the first part of a chain and pass its answer on."""
+    gateway, call = relay.gateway, relay.call
+    loop = asyncio.get_running_loop()
+    first = chain.first
+    try:
+        connection = await gateway.pool.acquire(first, call.deadline - loop.time())
+    except UpstreamError as error:
+        failed_at = loop.time()
+        gateway.board.of(first).note_suspicion(
+            failed_at, failed_at + SUSPICION, own=True
+        )
+        relay.excluded.add(first.id)
+        return Failure(Step.CONNECT, first.id, "connect", error.detail)
+    try:
+        own = own_headers(
+            first,
+            call.deadline - loop.time(),
+            call.tenant,
+            call.priority,
+            chain.parts,
+            relay.last_event_id,
+            relay.weights,
+        )
+        head = encode_request(call.method, call.target, call.head, len(call.body), own)
+        exchange = connection.begin(call.id, head, call.body)
+        relay.runs += 1
+        return await pass_on(relay, StreamRun(chain, exchange, loop.time()))
+    except UpstreamError as error:
+        if error.sent:
+            gateway.board.of(first).refused_until = loop.time() + REFUSAL
+        relay.excluded.add(first.id)
+        ran = Ran.UNKNOWN if error.sent else Ran.NO
+        return Failure(Step.STREAM, first.id, error.kind, error.detail, ran)
+    finally:
+        if connection.exchange is not None or not connection.usable:
+            connection.abort()
+        else:
+            gateway.pool.release(first, connection)
--- a/lentilhaven/platform/headers.py
+++ b/lentilhaven/platform/headers.py
@@ -1,5 +1,7 @@
 """Names of the headers."""
 
+from lentilhaven.core.hop_by_hop import HOP_BY_HOP
+
 REQUEST_ID = "Request-Id"
 LAST_EVENT_ID = "Last-Event-Id"
 MODEL = "Model"
@@ -33,21 +35,6 @@
 #: Scheme of the keys in `AUTHORIZATION`.
 KEY_SCHEME = "Bearer"
 
-#: Headers that concern one connection only (RFC 9110, section 7.6.1).
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
 #: Request headers that the gateway sets itself or keeps.
 OWN_REQUEST_HEADERS = HOP_BY_HOP | {
     name.lower()
--- a/lentilhaven/router/service_headers.py
+++ b/lentilhaven/router/service_headers.py
@@ -8,20 +8,7 @@
 
 from collections.abc import Iterable
 
-#: Headers that belong to one connection.
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+from lentilhaven.core.hop_by_hop import HOP_BY_HOP
 
 #: Headers that the router sets or keeps to itself.
 OWN = frozenset({"host", "content-length", "authorization", "content-encoding"})
