Extend only the best way into an engine when searching for a chain

Cause: each way into an engine was extended by each other engine: 3.8 ms for 38 engines, 30 ms for 93, 18 s for 3,700, on the event loop. Ways into one engine differ by a constant from where the later one begins, so that one of them is the best for all that follows.

--- a/lentilhaven/chains/chain_search.py
+++ b/lentilhaven/chains/chain_search.py
@@ -1,6 +1,7 @@
 """The search for the cheapest chain."""
 
-from collections.abc import Callable, Sequence
+from bisect import bisect_left
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -97,13 +98,15 @@
     best_cost = 0.0
     for index, candidate in enumerate(held):
         end = span_of(candidate).end
-        for leg in legs[index].values():
-            if end >= layers:
-                cost = leg.cost + candidate.layer_cost * (layers - leg.start)
-                if best is None or cost < best_cost:
-                    best, best_cost = leg, cost
-            elif leg.parts < MOST_PARTS:
-                extend(leg, index, held, legs, hop_cost)
+        ways = Ways.of(candidate, legs[index].values())
+        if end < layers:
+            extend(ways, index, held, legs, hop_cost)
+            continue
+        leg = ways.best_before(layers)
+        if leg is not None:
+            cost = ways.cost_at(leg, layers)
+            if best is None or cost < best_cost:
+                best, best_cost = leg, cost
     return chain_of(best, layers, best_cost) if best is not None else None
 
 
@@ -114,26 +117,76 @@
     return span
 
 
+@attrs.frozen
+class Ways:
+    """
+    The ways to enter one candidate, of which few matter.
+
+    What a way costs at a later layer differs from any other's by a constant, so
+    that among those that begin before a layer one is the best for all that
+    follows.
+
+    Attributes
+    ----------
+    candidate : Candidate
+        Which is entered.
+    starts : list of int
+        Layers at which it is entered, in order.
+    bests : list of Leg
+        The best way that begins at each of these layers or before.
+    """
+
+    candidate: Candidate
+    starts: list[int]
+    bests: list[Leg]
+
+    @classmethod
+    def of(cls, candidate: Candidate, legs: Iterable[Leg]) -> "Ways":
+        """Return the ways that may be extended, in the order of their layers."""
+        ways = cls(candidate, [], [])
+        for leg in sorted(legs, key=lambda it: it.start):
+            if leg.parts > MOST_PARTS:
+                continue
+            ways.starts.append(leg.start)
+            known = ways.bests[-1] if ways.bests else None
+            if known is None or leg.cost < ways.cost_at(known, leg.start):
+                known = leg
+            ways.bests.append(known)
+        return ways
+
+    def cost_at(self, leg: Leg, layer: int) -> float:
+        """Return what a way costs up to a layer."""
+        return leg.cost + self.candidate.layer_cost * (layer - leg.start)
+
+    def best_before(self, layer: int) -> Leg | None:
+        """Return the best way that begins before a layer."""
+        count = bisect_left(self.starts, layer)
+        return self.bests[count - 1] if count else None
+
+
 def extend(
-    leg: Leg,
+    ways: Ways,
     index: int,
     held: Sequence[Candidate],
     legs: list[dict[int, Leg]],
     hop_cost: Callable[[str, str], float],
 ) -> None:
-    """Extend a way by each candidate that may come next."""
-    end = span_of(leg.candidate).end
-    place = leg.candidate.endpoint.data_centre
+    """Extend the ways to a candidate by each other one that may come next."""
+    end = span_of(ways.candidate).end
+    place = ways.candidate.endpoint.data_centre
     for after in range(index + 1, len(held)):
         following = held[after]
         span = span_of(following)
         if span.start > end or span.end == end:
             continue
-        hop = leg.cost + hop_cost(place, following.endpoint.data_centre)
+        hop = hop_cost(place, following.endpoint.data_centre)
         # Costs are linear in the layers: changing as early or as late as
         # possible is never worse than anywhere between.
-        for boundary in {end, span.start} if span.start > leg.start else {end}:
-            cost = hop + leg.candidate.layer_cost * (boundary - leg.start)
+        for boundary in {end, span.start}:
+            leg = ways.best_before(boundary)
+            if leg is None or leg.parts >= MOST_PARTS:
+                continue
+            cost = hop + ways.cost_at(leg, boundary)
             known = legs[after].get(boundary)
             if known is None or cost < known.cost:
                 legs[after][boundary] = Leg(
--- a/lentilhaven/chains/tests/test_chain_search.py
+++ b/lentilhaven/chains/tests/test_chain_search.py
@@ -61,7 +61,7 @@
 
 
 class SearchTests(unittest.TestCase):
-    @settings(max_examples=150, derandomize=True, deadline=None)
+    @settings(max_examples=400, derandomize=True, deadline=None)
     @given(st.integers(0, 10**6))
     def test_finds_what_trying_each_chain_finds(self, seed):
         random = Random(seed)
