--- a/lentilhaven/gateway/stream_waiting.py
+++ b/lentilhaven/gateway/stream_waiting.py
@@ -4,13 +4,9 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from lentilhaven.gateway.chain_choice import (
-    choose_chain,
-)
+from lentilhaven.gateway.chain_choice import choose_chain
 from lentilhaven.gateway.chain_move import MOST_MOVES, move_chain
-from lentilhaven.gateway.silence import (
-    note_silence,
-)
+from lentilhaven.gateway.silence import note_silence
 from lentilhaven.gateway.stream_state import StreamRelay, StreamRun
 
 #: Seconds after which a silent run is given up although all of its parts are heard
--- a/lentilhaven/gateway/tests/test_streams.py
+++ b/lentilhaven/gateway/tests/test_streams.py
@@ -51,14 +51,8 @@
 
     def test_the_stream_goes_on_at_another_chain_without_a_late_pause(self):
         async def use(bed):
-            async def darken():
-                await asyncio.sleep(0.15)
-                for name in ("i-a4", "i-b4"):
-                    if any(chain_uses(run, bed, name) for run in bed.fleet.runs):
-                        bed.fleet.replicas[name].faults.dark = True
-                        return
-
-            reply, _ = await asyncio.gather(bed.call("/draft/1", output=80), darken())
+            stream = bed.call("/draft/1", output=80)
+            reply, _ = await asyncio.gather(stream, darken_second_part(bed))
             return reply, bed.fleet
 
         reply, fleet = with_bed(use, two_chains())
@@ -97,14 +91,8 @@
 
     def test_a_stream_that_must_not_be_repeated_is_moved_to_another_part(self):
         async def use(bed):
-            async def darken():
-                await asyncio.sleep(0.15)
-                for name in ("i-a4", "i-b4"):
-                    if any(chain_uses(run, bed, name) for run in bed.fleet.runs):
-                        bed.fleet.replicas[name].faults.dark = True
-                        return
-
-            reply, _ = await asyncio.gather(bed.call("/once/1", output=80), darken())
+            stream = bed.call("/once/1", output=80)
+            reply, _ = await asyncio.gather(stream, darken_second_part(bed))
             return reply, bed.fleet
 
         reply, fleet = with_bed(use, two_chains())
@@ -192,6 +180,15 @@
         self.assertLess(reply.seconds, 0.9)
 
 
+async def darken_second_part(bed):
+    """Silence the second part of a chain that is in use, after a few events."""
+    await asyncio.sleep(0.15)
+    for name in ("i-a4", "i-b4"):
+        if any(chain_uses(run, bed, name) for run in bed.fleet.runs):
+            bed.fleet.replicas[name].faults.dark = True
+            return
+
+
 def chain_uses(run, bed, name):
     """Return whether a run's chain goes through an engine."""
     return bed.fleet.replicas[name].address in run.fields["hop-count"]
--- a/lentilhaven/router/services.py
+++ b/lentilhaven/router/services.py
@@ -19,9 +19,7 @@
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.request_context import current_request
 from lentilhaven.core.step import Step
-from lentilhaven.endpoints.service_client import (
-    ServiceCall,
-)
+from lentilhaven.endpoints.service_client import ServiceCall
 from lentilhaven.idempotency.dispatch import DispatchPorts, dispatch
 from lentilhaven.idempotency.guarded_call import GuardedCall
 from lentilhaven.router.admission import within_quota
