--- a/lentilhaven/bench/soak/gateway_process.py
+++ b/lentilhaven/bench/soak/gateway_process.py
@@ -44,6 +44,8 @@
         Time of the event loop at which a fault last touched it.
     failed_exits : list of int
         Exit codes of processes that ended by themselves.
+    starting : asyncio.Lock
+        Held while a process is started: faults overlap.
     """
 
     settings: dict[str, Any]
@@ -53,6 +55,7 @@
     starts: int = 0
     troubled_at: float = 0.0
     failed_exits: list[int] = attrs.field(factory=list)
+    starting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     @property
     def name(self) -> str:
@@ -71,7 +74,13 @@
         return path
 
     async def start(self) -> None:
-        """Start the process, and note how the one before has ended."""
+        """Start the process unless it runs, and note how the last one ended."""
+        async with self.starting:
+            if not self.running:
+                await self.spawn()
+
+    async def spawn(self) -> None:
+        """Start a process."""
         self.starts += 1
         self.note_exit()
         environment = {**os.environ, "LENTILHAVEN_SETTINGS": str(self.write_settings())}
@@ -107,7 +116,8 @@
     def note_exit(self) -> None:
         """Note an exit that no signal of the soak explains."""
         code = self.process.returncode if self.process is not None else None
-        if code not in (None, 0, -signal.SIGKILL):
+        # A process that is asked to end before it listens ends by the signal.
+        if code not in (None, 0, -signal.SIGKILL, -signal.SIGTERM):
             self.failed_exits.append(code)
 
     async def kill(self) -> None:
--- a/lentilhaven/bench/soak/loopback_proxy.py
+++ b/lentilhaven/bench/soak/loopback_proxy.py
@@ -72,6 +72,8 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in self.writers:
+            if writer.transport.is_closing():
+                continue
             sock = writer.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
             writer.transport.abort()
--- a/lentilhaven/bench/soak/soak_faults.py
+++ b/lentilhaven/bench/soak/soak_faults.py
@@ -43,8 +43,7 @@
     gateway = world.random.choice(world.gateways)
     await gateway.kill()
     await asyncio.sleep(seconds / 2)
-    if not gateway.running:
-        await gateway.start()
+    await gateway.start()
 
 
 async def kill_all(world: SoakWorld, seconds: float) -> None:
@@ -52,8 +51,7 @@
     await asyncio.gather(*(it.kill() for it in world.gateways))
     await asyncio.sleep(seconds / 2)
     for gateway in world.gateways:
-        if not gateway.running:
-            await gateway.start()
+        await gateway.start()
 
 
 async def restart_gateway(world: SoakWorld, seconds: float) -> None:
@@ -61,8 +59,7 @@
     gateway = world.random.choice(world.gateways)
     if gateway.running:
         await gateway.stop()
-    if not gateway.running:
-        await gateway.start()
+    await gateway.start()
 
 
 async def reload_gateway(world: SoakWorld, seconds: float) -> None:
@@ -197,6 +194,5 @@
             await asyncio.sleep(world.random.expovariate(2.0))
     for gateway in world.gateways:
         gateway.send(signal.SIGCONT)
-        if not gateway.running:
-            await gateway.start()
+        await gateway.start()
     return names
--- /dev/null
+++ b/lentilhaven/gateway/tests/test_start.py
@@ -0,0 +1,23 @@
+import os
+import signal
+import subprocess
+import sys
+import unittest
+
+
+class EarlySignalTests(unittest.TestCase):
+    """Pattern: settings change while a process starts (soak seed 30)."""
+
+    def test_a_reload_during_the_start_does_not_end_the_process(self):
+        environment = {**os.environ, "LENTILHAVEN_SETTINGS": "/nowhere/settings.json"}
+        command = [sys.executable, "-X", "importtime", "-m", "lentilhaven.gateway"]
+        with subprocess.Popen(
+            command, stderr=subprocess.PIPE, text=True, env=environment
+        ) as process:
+            for line in process.stderr:
+                if "lentilhaven.core.logs" in line:
+                    break
+            process.send_signal(signal.SIGHUP)
+            process.communicate(timeout=30)
+        # It goes on to its settings, which are not there.
+        self.assertEqual(process.returncode, 2)
