Begin no more chains at an engine than it has slots

Cause: the slots of an engine limit what it takes as the first part of a chain; the search looked at memory alone. Change: an engine whose known requests reach 0.95 of its slots may not be a first part.

--- a/lentilhaven/chains/chain_search.py
+++ b/lentilhaven/chains/chain_search.py
@@ -24,10 +24,13 @@
         It holds layers.
     layer_cost : float
         Time that a request spends there on each layer, in ms.
+    may_begin : bool
+        Whether it may be the first part of a chain.
     """
 
     endpoint: Endpoint
     layer_cost: float
+    may_begin: bool = True
 
 
 @attrs.frozen
@@ -90,7 +93,7 @@
     start, layers = wanted.start, wanted.end
     legs: list[dict[int, Leg]] = [
         {start: Leg(it, start, 0.0, 1)}
-        if span_of(it).start <= start < span_of(it).end
+        if it.may_begin and span_of(it).start <= start < span_of(it).end
         else {}
         for it in held
     ]
--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -21,6 +21,10 @@
 #: estimate of its use is rough, and a full engine preempts.
 MOST_FULL = 0.95
 
+#: Share of an engine's slots beyond which it begins no more chains; others may send
+#: it requests before they are told of this one.
+MOST_BUSY = 0.95
+
 #: Spread of the noise by which gateways with the same knowledge differ.
 NOISE = 0.1
 
@@ -219,4 +223,6 @@
     batch = state.requests + requests
     cost = costs.layer_ms(endpoint.card, state.slowdown, batch)
     cost *= 1.0 + FULLNESS_WEIGHT * fullness * fullness
-    return Candidate(endpoint, cost * gateway.random.uniform(1 - NOISE, 1 + NOISE))
+    cost *= gateway.random.uniform(1 - NOISE, 1 + NOISE)
+    # The slots limit what an engine takes as the first part of a chain.
+    return Candidate(endpoint, cost, may_begin=batch < MOST_BUSY * endpoint.slots)
