Tell all gateways of an engine that turned a chain away

Ruled out: full slots and full memory, the first part never refused. Change: such a refusal is a suspicion, told to the others at once; an event through the engine ends it, so that a full one is back in a moment.

--- a/lentilhaven/gateway/stream_failures.py
+++ b/lentilhaven/gateway/stream_failures.py
@@ -4,14 +4,17 @@
 
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
+from lentilhaven.core.logs import get_logger
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
-from lentilhaven.gateway.endpoint_board import REFUSAL
+from lentilhaven.gateway.endpoint_board import REFUSAL, SUSPICION
 from lentilhaven.gateway.service_relay import REFUSALS, Answer
 from lentilhaven.gateway.stream_state import StreamRelay, StreamRun
 from lentilhaven.platform.answer_head import AnswerHead
 from lentilhaven.upstream.exchange import Exchange
 
+log = get_logger("gateway")
+
 
 async def take_failure(
     relay: StreamRelay, chain: Chain, exchange: Exchange, head: AnswerHead
@@ -34,12 +37,31 @@
 def blame_refusal(
     relay: StreamRelay, chain: Chain, head: AnswerHead, now: float
 ) -> None:
-    """Keep requests away from the part of a chain that refused one."""
+    """
+    Keep requests away from the part of a chain that refused one.
+
+    The first part answers for another one that is dead, leaves, has lost its layers
+    or is full.  Only a full one is heard of soon, which ends the suspicion; all
+    gateways need not learn of the others one by one.
+    """
     address = head.at_fault or chain.first.address
     for endpoint in chain.endpoints:
-        if endpoint.address == address:
-            relay.gateway.board.of(endpoint).refused_until = now + REFUSAL
-            relay.excluded.add(endpoint.id)
+        if endpoint.address != address:
+            continue
+        state = relay.gateway.board.of(endpoint)
+        state.refused_until = now + REFUSAL
+        relay.excluded.add(endpoint.id)
+        if endpoint is chain.first:
+            continue
+        if state.note_suspicion(now, now + SUSPICION, own=True):
+            relay.gateway.urgent.notify()
+            log.warning(
+                "endpoint suspected after a refusal",
+                request=relay.call.id,
+                endpoint=endpoint.id,
+                status=head.status,
+                view=relay.gateway.view.endpoints_revision,
+            )
 
 
 def fall_silent(relay: StreamRelay, run: StreamRun) -> Failure:
--- a/lentilhaven/gateway/tests/test_streams.py
+++ b/lentilhaven/gateway/tests/test_streams.py
@@ -46,6 +46,62 @@
         self.assertEqual(with_bed(use, two_chains()).event_ids, [5, 6, 7, 8, 9, 10])
 
 
+class FirstPartTests(unittest.TestCase):
+    """Pattern: streams crowd into chains that begin at the same engine."""
+
+    def test_an_engine_begins_no_more_streams_than_it_has_slots(self):
+        engines = two_chains()
+        for each in engines:
+            each.slots = 4
+        # The fastest way would be the same for all.
+        engines[2].faults.delay = 0.02
+
+        async def use(bed):
+            calls = []
+            for gateway, count in ((0, 6), (1, 4)):
+                for _ in range(count):
+                    call = bed.call("/draft/1", gateway=gateway, output=200)
+                    calls.append(asyncio.create_task(call))
+                # Long enough for the gateways to tell each other.
+                await asyncio.sleep(0.4)
+            replies = await asyncio.gather(*calls)
+            begun = [len(bed.fleet.replicas[it].runs) for it in ("i-a0", "i-b0")]
+            return sorted(reply.status for reply in replies), begun
+
+        statuses, begun = with_bed(use, engines)
+        self.assertEqual(begun, [4, 4])
+        self.assertEqual(statuses, [200] * 8 + [503] * 2)
+
+
+class LostLayersTests(unittest.TestCase):
+    """Pattern: an engine restarts empty, and its old entry still names layers."""
+
+    def test_all_gateways_avoid_it_after_the_first_refusal(self):
+        async def use(bed):
+            bed.fleet.replicas["i-a4"].span = None
+            bed.fleet.replicas["i-b0"].faults.delay = 0.01
+            while not bed.fleet.refused:
+                await bed.call("/draft/1", gateway=0)
+            await asyncio.sleep(0.05)
+            before = bed.fleet.refused
+            replies = [await bed.call("/draft/1", gateway=1) for _ in range(4)]
+            return bed.fleet.refused - before, [it.complete for it in replies]
+
+        refused, complete = with_bed(use, two_chains())
+        self.assertEqual((refused, complete), (0, [True] * 4))
+
+    def test_one_that_serves_after_a_refusal_is_used_again(self):
+        async def use(bed):
+            endpoint = bed.gateways[0].view.endpoints["i-a4"]
+            state = bed.gateways[0].board.of(endpoint)
+            now = asyncio.get_running_loop().time()
+            state.note_suspicion(now, now + 4.0, own=True)
+            state.note_heard(now + 0.1)
+            return bed.gateways[0].is_suspected(endpoint)
+
+        self.assertFalse(with_bed(use, two_chains()))
+
+
 class SilentStageTests(unittest.TestCase):
     """Pattern: a part in the middle of a chain goes dark under its streams."""
 
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -44,6 +44,8 @@
         Layers of the model.
     moved : dict
         Parts of chains that were replaced under a stream, by the request's id.
+    refused : int
+        Requests that were turned away since a part of their chain was not there.
     wrong_paths : list of str
         Chains that did not run each layer once and in order.
     """
@@ -52,6 +54,7 @@
     replicas: dict[str, FakeReplica] = attrs.field(factory=dict)
     layers: int = 8
     moved: dict[str, list[tuple[str, int, int]]] = attrs.field(factory=dict)
+    refused: int = 0
     wrong_paths: list[str] = attrs.field(factory=list)
 
     def register(self, replica: FakeReplica) -> None:
@@ -160,9 +163,11 @@
         for address, start, end in parts:
             part = self.at(address)
             if part is None or part.draining:
+                self.refused += 1
                 return await answer(writer, request, 503, b"", True, address)
             held = part.span
             if held is None or not (held[0] <= start and end <= held[1]):
+                self.refused += 1
                 return await answer(writer, request, 421, b"", True, address)
         note_run(replica, request)
         watch = asyncio.ensure_future(reader.read(1))
