Answer each gateway of a large fleet from one leader; write it all down

Change: one leader answers each report, the other one in four, and both once the first is silent for 0.4 s.

--- a/lentilhaven/bench/soak/soak_faults.py
+++ b/lentilhaven/bench/soak/soak_faults.py
@@ -15,18 +15,26 @@
 #: Shortest and longest time of a fault, in seconds.
 SHORTEST, LONGEST = 0.2, 3.0
 
-#: What a replica may do wrong for a while, with the value.
-REPLICA_FAULTS = {
-    "dark": True,
-    "shed": True,
-    "lose_answer": True,
-    "truncate": True,
-    "extra": True,
-    "unframed": True,
-    "early": True,
-    "fail": True,
-    "stop_after": 3,
-    "delay": 0.3,
+#: What a replica of a plain service may do wrong for a while, with the value and with
+#: how often it is drawn: an answer that is lost decides most about repeats.
+PLAIN_FAULTS = {
+    "lose_answer": (True, 4),
+    "dark": (True, 1),
+    "shed": (True, 1),
+    "truncate": (True, 1),
+    "extra": (True, 1),
+    "unframed": (True, 1),
+    "early": (True, 1),
+    "fail": (True, 1),
+    "delay": (0.3, 1),
+}
+
+#: The same for an engine.
+ENGINE_FAULTS = {
+    "dark": (True, 2),
+    "shed": (True, 1),
+    "stop_after": (3, 2),
+    "delay": (0.3, 1),
 }
 
 
@@ -124,8 +132,10 @@
 async def harm_replica(world: SoakWorld, seconds: float) -> None:
     """Let a replica do something wrong for a while."""
     replica = pick_replica(world)
-    name = world.random.choice(sorted(REPLICA_FAULTS))
-    setattr(replica.faults, name, REPLICA_FAULTS[name])
+    faults = ENGINE_FAULTS if replica.card else PLAIN_FAULTS
+    weights = [weight for _, weight in faults.values()]
+    name = world.random.choices([*faults], weights)[0]
+    setattr(replica.faults, name, faults[name][0])
     await asyncio.sleep(seconds)
     replica.faults = ReplicaFaults()
 
@@ -148,8 +158,11 @@
 
 
 def pick_replica(world: SoakWorld) -> FakeReplica:
-    """Return a replica by chance."""
-    names = sorted(world.fleet.replicas)
+    """Return a replica by chance, as often a plain one as an engine."""
+    engines = world.random.random() < 0.5
+    names = sorted(
+        name for name, it in world.fleet.replicas.items() if bool(it.card) is engines
+    )
     return world.fleet.replicas[world.random.choice(names)]
 
 
@@ -165,6 +178,8 @@
     confuse_store,
     harm_replica,
     harm_replica,
+    harm_replica,
+    harm_replica,
     restart_replica,
     edit_manifest,
     kill_all,
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -29,6 +29,14 @@
 #: at 366 of them, a third of 1,100, it decodes 800 datagrams a second.
 INTERVAL_PER_MEMBER = 0.001
 
+#: Seconds without the sum of all after which it is asked of every leader; three
+#: datagrams.
+LEADER_SILENCE = 0.4
+
+#: Reports of which one is answered by the leaders that need not; two such answers
+#: come within the time in which a leader is thought to be gone.
+ANSWERS_APART = 4
+
 #: Seconds between two datagrams to gateways chosen at random, in a large fleet.
 EXPLORE_INTERVAL = 1.0
 
@@ -52,12 +60,15 @@
         The socket.
     explored_at : float
         Time of the last datagram to a gateway chosen at random.
+    reports : int
+        How often the leaders were told of the own load.
     """
 
     gateway: Gateway
     composer: NewsComposer = attrs.field()
     transport: asyncio.DatagramTransport | None = None
     explored_at: float = 0.0
+    reports: int = 0
 
     @composer.default
     def make_composer(self) -> NewsComposer:
@@ -111,15 +122,41 @@
             return
         own = peers.own
         leaders = directory.leaders(own.data_centre, now)
-        self.send(Scope.OWN, [it.address for it in leaders if it != own], now)
+        self.report([it.address for it in leaders if it != own], now)
         if own in leaders:
             self.send(Scope.DATA_CENTRE, self.other_leaders(now), now)
-        reporting = [it for it in peers.peers.values() if it.is_fresh(now)]
-        self.send(Scope.FLEET, [it.news.address for it in reporting], now)
+        asking = [
+            it.news.address
+            for it in peers.peers.values()
+            if it.is_fresh(now) and it.news.wants_answer
+        ]
+        self.send(Scope.FLEET, asking, now)
         if now - self.explored_at > EXPLORE_INTERVAL:
             self.explored_at = now
             self.send(Scope.PROBE, self.pick_unknown(), now)
 
+    def report(self, leaders: Sequence[str], now: float) -> None:
+        """
+        Tell the leaders of the own load.
+
+        One of them answers each time; the others do seldom, so that it shows
+        whether they live, and all do once the first has fallen silent.
+        """
+        if not leaders:
+            return
+        self.reports += 1
+        news = self.composer.compose(Scope.OWN, now)
+        self.send_news(news, leaders[:1], now)
+        heard = [
+            it.heard_at
+            for it in self.gateway.peers.fleets.values()
+            if it.news.address == leaders[0]
+        ]
+        silent = not heard or now - heard[0] > LEADER_SILENCE
+        wanted = silent or self.reports % ANSWERS_APART == 0
+        later = attrs.evolve(news, wants_answer=wanted)
+        self.send_news(later, leaders[1:], now)
+
     def other_leaders(self, now: float) -> list[str]:
         """Return the leaders of the other data centres, and who tells us as one."""
         peers = self.gateway.peers
@@ -152,10 +189,15 @@
         return [f"{seed.rpartition(':')[0]}:{port}" for seed in settings.seeds]
 
     def send(self, scope: Scope, addresses: Sequence[str], now: float) -> None:
+        """Compose a datagram and send it to some gateways."""
+        if addresses:
+            self.send_news(self.composer.compose(scope, now), addresses, now)
+
+    def send_news(self, news: PeerNews, addresses: Sequence[str], now: float) -> None:
         """Send one datagram to some gateways."""
         if self.transport is None or not addresses:
             return
-        data = encode_news(self.composer.compose(scope, now))
+        data = encode_news(news)
         for address in addresses:
             host, _, port = address.rpartition(":")
             self.transport.sendto(data, (host, int(port)))
--- a/lentilhaven/peering/news.py
+++ b/lentilhaven/peering/news.py
@@ -77,6 +77,8 @@
         Some other gateways.
     changes : EndpointChanges or None
         Latest changes of endpoints.
+    wants_answer : bool
+        Whether a leader should tell the sender the sum of all.
     ready : bool
         Whether it serves callers.
     places : bool
@@ -102,6 +104,7 @@
     suspects: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     members: tuple[Member, ...] = ()
     changes: EndpointChanges | None = None
+    wants_answer: bool = True
     ready: bool = True
     places: bool = False
 
@@ -183,6 +186,7 @@
                 for address, data_centre, capacity in fields["members"]
             ),
             changes=decode_changes(fields["changes"]),
+            wants_answer=bool(fields["wants_answer"]),
             ready=bool(fields["ready"]),
             places=bool(fields["places"]),
         )
