Draw whole faults of replicas in the soak

Cause: names of fields with values of two types, which the type checker refuses. Change: tables of faults with their weights.

--- a/lentilhaven/bench/soak/soak_faults.py
+++ b/lentilhaven/bench/soak/soak_faults.py
@@ -17,27 +17,27 @@
 #: Shortest and longest time of a fault, in seconds.
 SHORTEST, LONGEST = 0.2, 3.0
 
-#: What a replica of a plain service may do wrong for a while, with the value and with
-#: how often it is drawn: an answer that is lost decides most about repeats.
-PLAIN_FAULTS = {
-    "lose_answer": (True, 4),
-    "dark": (True, 1),
-    "shed": (True, 1),
-    "truncate": (True, 1),
-    "extra": (True, 1),
-    "unframed": (True, 1),
-    "early": (True, 1),
-    "fail": (True, 1),
-    "delay": (0.3, 1),
-}
+#: What a replica of a plain service may do wrong for a while, and how often it is
+#: drawn: an answer that is lost decides most about repeats.
+PLAIN_FAULTS = (
+    (ReplicaFaults(lose_answer=True), 4),
+    (ReplicaFaults(dark=True), 1),
+    (ReplicaFaults(shed=True), 1),
+    (ReplicaFaults(truncate=True), 1),
+    (ReplicaFaults(extra=True), 1),
+    (ReplicaFaults(unframed=True), 1),
+    (ReplicaFaults(early=True), 1),
+    (ReplicaFaults(fail=True), 1),
+    (ReplicaFaults(delay=0.3), 1),
+)
 
 #: The same for an engine.
-ENGINE_FAULTS = {
-    "dark": (True, 2),
-    "shed": (True, 1),
-    "stop_after": (3, 2),
-    "delay": (0.3, 1),
-}
+ENGINE_FAULTS = (
+    (ReplicaFaults(dark=True), 2),
+    (ReplicaFaults(shed=True), 1),
+    (ReplicaFaults(stop_after=3), 2),
+    (ReplicaFaults(delay=0.3), 1),
+)
 
 
 async def pause_gateway(world: SoakWorld, seconds: float) -> None:
@@ -135,10 +135,10 @@
     """Let a replica do something wrong for a while."""
     replica = pick_replica(world)
     faults = ENGINE_FAULTS if replica.card else PLAIN_FAULTS
-    weights = [weight for _, weight in faults.values()]
-    name = world.random.choices([*faults], weights)[0]
+    weights = [weight for _, weight in faults]
+    drawn = world.random.choices([fault for fault, _ in faults], weights)[0]
     # One at a time: an answer that is both cut short and without a length looks whole.
-    replica.faults = attrs.evolve(ReplicaFaults(), **{name: faults[name][0]})
+    replica.faults = attrs.evolve(drawn)
     await asyncio.sleep(seconds)
     replica.faults = ReplicaFaults()
 
