Keep the platform's names out of the soak, and share its files with the tests

Cause: the check of the adapter's boundary found header and field names in the soak; its settings, engines and routes were written twice beside those of the gateway's tests. Change: standins/platform/sample_files.py writes them for both.

--- a/lentilhaven/bench/soak/gateway_process.py
+++ b/lentilhaven/bench/soak/gateway_process.py
@@ -13,6 +13,8 @@
 import aiohttp
 import attrs
 
+from lentilhaven.platform.settings import PlatformSettings, decode_settings
+
 #: Seconds in which a gateway must be ready after its start.
 START_TIMEOUT = 20.0
 
@@ -70,10 +72,15 @@
     failed_exits: list[int] = attrs.field(factory=list)
     starting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
+    @property
+    def decoded(self) -> PlatformSettings:
+        """Return the settings as the program reads them."""
+        return decode_settings(self.settings)
+
     @property
     def name(self) -> str:
         """Return its VM's name."""
-        return self.settings["node_name"]
+        return self.decoded.vm
 
     @property
     def running(self) -> bool:
@@ -132,7 +139,7 @@
         """Ask the process to end; kill it after its grace period; return if in time."""
         assert self.process is not None
         self.send(signal.SIGTERM)
-        limit = float(self.settings["bounds"]["grace_s"]) + KILL_MARGIN
+        limit = self.decoded.grace + KILL_MARGIN
         try:
             async with asyncio.timeout(limit):
                 await self.process.wait()
@@ -156,7 +163,7 @@
 
     async def is_ready(self) -> bool:
         """Return whether it says that it is ready."""
-        url = f"http://{self.settings['listen_addrs']['ready']}/readyz"
+        url = f"http://{self.decoded.ready}/readyz"
         limit = aiohttp.ClientTimeout(total=0.5)
         try:
             async with self.session.get(url, timeout=limit) as response:
--- a/lentilhaven/bench/soak/soak.py
+++ b/lentilhaven/bench/soak/soak.py
@@ -67,7 +67,7 @@
     most = options.size or (10**6 if options.minutes else DEFAULT_ROUNDS)
     rounds = served = asked = 0
     async with open_world(options.seed, GATEWAYS, folder) as world:
-        addresses = [it.settings["listen_addrs"]["front"] for it in world.gateways]
+        addresses = [it.decoded.callers for it in world.gateways]
         callers = SoakCallers(world.random, addresses)
         calls = [
             callers.call_for_ever(number)
--- a/lentilhaven/bench/soak/soak_callers.py
+++ b/lentilhaven/bench/soak/soak_callers.py
@@ -8,7 +8,8 @@
 import aiohttp
 import attrs
 
-from lentilhaven.bench.soak.soak_tables import HOST, KEYS
+from lentilhaven.bench.soak.soak_tables import KEYS
+from lentilhaven.standins.platform.sample_files import read_headers, request_headers
 
 #: Seconds after which a caller leaves.
 PATIENCE = 8.0
@@ -129,15 +130,9 @@
 
     async def perform(self, session: aiohttp.ClientSession, attempt: Attempt) -> float:
         """Send a request, and return for how long the caller should stay away."""
-        headers = {
-            "Host": HOST,
-            "Request-Id": attempt.id,
-            "Deadline-Ms": str(int(PATIENCE * 1000)),
-            "Authorization": f"Bearer {KEYS[attempt.tenant]}",
-        }
-        if attempt.events:
-            headers["Token-Count"] = f"100,{4 * attempt.events}"
-            headers["Length-Hint"] = str(4 * attempt.events)
+        headers = request_headers(
+            attempt.id, KEYS[attempt.tenant], PATIENCE, 4 * attempt.events
+        )
         posts = attempt.method == "POST"
         body = f"body of {attempt.id}".encode() if posts else None
         wait = 0.0
@@ -150,8 +145,7 @@
                 timeout=aiohttp.ClientTimeout(total=PATIENCE, connect=1.0),
             ) as response:
                 attempt.status = response.status
-                attempt.signature = response.headers.get("Replica-Signature", "")
-                wait = float(response.headers.get("Retry-After", "0"))
+                attempt.signature, wait = read_headers(response.headers)
                 async for part in response.content.iter_any():
                     attempt.body += part
                 attempt.complete = True
--- a/lentilhaven/bench/soak/soak_faults.py
+++ b/lentilhaven/bench/soak/soak_faults.py
@@ -11,6 +11,7 @@
 from lentilhaven.bench.soak.soak_world import SoakWorld
 from lentilhaven.standins.platform.fake_replica import FakeReplica, ReplicaFaults
 from lentilhaven.standins.platform.fake_store import StoreState
+from lentilhaven.standins.platform.sample_files import change_slack
 
 Fault = Callable[[SoakWorld, float], Coroutine[Any, Any, None]]
 
@@ -75,7 +76,7 @@
 async def reload_gateway(world: SoakWorld, seconds: float) -> None:
     """Change a bound in the settings of a process and tell it so."""
     gateway = world.random.choice(world.gateways)
-    gateway.settings["bounds"]["retry_budget_slack"] = world.random.randint(50, 300)
+    change_slack(gateway.settings, world.random.randint(50, 300))
     gateway.write_settings()
     gateway.send(signal.SIGHUP)
 
--- a/lentilhaven/bench/soak/soak_world.py
+++ b/lentilhaven/bench/soak/soak_world.py
@@ -6,7 +6,6 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from random import Random
-from typing import Any
 
 import aiohttp
 import attrs
@@ -16,10 +15,11 @@
 from lentilhaven.bench.soak.soak_tables import (
     soak_manifest,
     soak_replicas,
-    soak_settings,
 )
 from lentilhaven.core.serving import serve_app
+from lentilhaven.platform.settings import decode_settings
 from lentilhaven.standins.platform import FakeFleet, FakeReplica, FakeStore, store_app
+from lentilhaven.standins.platform.sample_files import settings_file
 
 #: Ports on loopback addresses that belong to this process alone.
 STORE_PORT, PROXY_PORT = 9000, 9001
@@ -139,10 +139,9 @@
     hidden = address_of(block, 3, number)
     host = address_of(block, 0, number)
     seeds = [address_of(block, 0, it) for it in range(2)]
-    settings: dict[str, Any] = soak_settings(
-        number, host, seeds, f"{hidden}:{PROXY_PORT}"
-    )
-    app = store_app(world.store, settings["node_name"])
+    data_centre = f"dc-{'abc'[number % 3]}"
+    settings = settings_file(number, host, data_centre, seeds, f"{hidden}:{PROXY_PORT}")
+    app = store_app(world.store, decode_settings(settings).vm)
     await stack.enter_async_context(serve_app(app, host=hidden, port=STORE_PORT))
     link = open_proxy(hidden, PROXY_PORT, hidden, STORE_PORT)
     world.store_links.append(await stack.enter_async_context(link))
--- a/lentilhaven/gateway/tests/platform_bed.py
+++ b/lentilhaven/gateway/tests/platform_bed.py
@@ -18,12 +18,20 @@
 from lentilhaven.peering.directory import SMALL_FLEET
 from lentilhaven.platform.settings import PlatformSettings, decode_settings
 from lentilhaven.standins.platform import FakeFleet, FakeReplica, FakeStore, store_app
+from lentilhaven.standins.platform.sample_files import (
+    engine_entry,
+    request_headers,
+    routes_of_each_kind,
+    settings_file,
+)
 from lentilhaven.standins.virtual import VirtualConnector, run_virtual
 
-HOST = "depot.example"
 LAYERS = 8
 KEY = "key-of-depot"
 
+#: Seconds for which callers wait.
+PATIENCE = 20.0
+
 #: Seconds in which gateways find each other.
 MEETING_TIME = 0.5
 
@@ -35,88 +43,22 @@
     number: int, seeds: int = 2, data_centres: int = 1
 ) -> dict[str, Any]:
     """Return the settings file of a gateway; they stand in data centres by turns."""
-    address = f"10.0.0.{number + 1}"
-    data_centre = f"dc-{'abc'[number % data_centres]}"
-    return {
-        "node_name": f"front-{data_centre}-{number + 1}",
-        "ip_address": address,
-        "zone": data_centre,
-        "listen_addrs": {
-            "front": f"{address}:7000",
-            "ready": f"{address}:7001",
-            "control": f"{address}:7002",
-        },
-        "internal_ports": [7100, 7110],
-        "seeds": [f"10.0.0.{it + 1}:7002" for it in range(seeds)],
-        "limits": {"max_fds": 4100},
-        "bounds": {
-            "drain_timeout_ms": 2000,
-            "grace_s": 8,
-            "config_apply_ms": 2000,
-            "budget_window_s": 10,
-            "retry_budget_ratio": 0.2,
-            "retry_budget_slack": 200,
-            "stall_ms": 3000,
-            "require_fencing": True,
-        },
-        "platform": {"address": f"10.9.0.1:{9000 + number}", "writes_per_s": 400},
-    }
-
-
-def sample_engine() -> dict[str, Any]:
-    """Return what a manifest says of engines: two kinds of cards, 8 layers."""
-    return {
-        "slots": 8,
-        "kv_capacity_tokens": 2000,
-        "kv_bytes": 800_000,
-        "stride": 4,
-        "models": [{"name": "lentil-70", "pace": 1.0, "load_s": 4.0}],
-        "step_ms": 4.0,
-        "per_seq_ms": 0.01,
-        "context_per_k": 0.01,
-        "read_per_s": 100_000.0,
-        "loads_at_once": 6,
-        "usual": {"prompt": 100, "answer": 40},
-        "layers": LAYERS,
-        "layer_mb": 1000.0,
-        "activation_bytes": 1000,
-        "link_mbps": 100_000.0,
-        "pipe_mbps": 10_000.0,
-        "kinds": [
-            {"name": "large", "mb": 12_000.0, "pace": 1.0, "read_x": 1.0},
-            {"name": "small", "mb": 6_000.0, "pace": 3.0, "read_x": 2.0},
-        ],
-    }
-
-
-def sample_route(name: str, kind: str, service: str, **other: Any) -> dict[str, Any]:
-    """Return a route at ``/NAME/``."""
-    return {
-        "name": name,
-        "host": HOST,
-        "path_prefix": f"/{name}/",
-        "kind": kind,
-        "timeout_ms": 20_000 if kind == "streaming" else 800,
-        "target_latency_ms": 500 if kind == "streaming" else 100,
-        "priority": 1,
-        "service": service,
-        "attempts": 1 if kind == "unsafe" else 2,
-        **other,
-    }
+    return settings_file(
+        number,
+        f"10.0.0.{number + 1}",
+        f"dc-{'abc'[number % data_centres]}",
+        [f"10.0.0.{it + 1}" for it in range(seeds)],
+        f"10.9.0.1:{9000 + number}",
+    )
 
 
 def sample_manifest(version: int = 1, **other: Any) -> dict[str, Any]:
     """Return a manifest with a route of each kind."""
     return {
         "version": version,
-        "routes": [
-            sample_route("draft", "streaming", "gen", resumable=True),
-            sample_route("once", "streaming", "gen"),
-            sample_route("post", "unsafe", "stock"),
-            sample_route("look", "safe", "stock"),
-        ],
+        "routes": routes_of_each_kind(),
         "services": [
-            {"name": "gen", "engine": sample_engine(), "max_connections": 100},
+            {"name": "gen", "engine": engine_entry(), "max_connections": 100},
             {"name": "stock", "health_path": "/healthz", "max_connections": 50},
         ],
         "limits": {"max_body_bytes": 1_000_000, "idle_timeout_ms": 30_000},
@@ -250,14 +192,8 @@
         self.requests += 1
         loop = asyncio.get_running_loop()
         began = loop.time()
-        fields = {
-            "Host": HOST,
-            "Request-Id": f"r{self.requests}",
-            "Deadline-Ms": "20000",
-            "Authorization": f"Bearer {KEY}",
-            "Token-Count": f"100,{output}",
-            "Length-Hint": str(output),
-        } | {name.replace("_", "-"): value for name, value in headers.items()}
+        fields = request_headers(f"r{self.requests}", KEY, PATIENCE, output)
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
         url = URL(f"http://10.0.0.{gateway + 1}:{port}{path}", encoded=True)
         data = body if method == "POST" else None
         read = b""
--- a/lentilhaven/gateway/tests/test_following.py
+++ b/lentilhaven/gateway/tests/test_following.py
@@ -5,11 +5,11 @@
     engine,
     plain_replicas,
     sample_manifest,
-    sample_route,
     two_chains,
     with_bed,
 )
 from lentilhaven.standins.platform.fake_store import StoreState
+from lentilhaven.standins.platform.sample_files import route_entry
 
 #: Seconds in which an accepted manifest must be in force.
 CONFIG_APPLY = 2.0
@@ -24,7 +24,7 @@
 def changed_manifest(version=2):
     """Return a manifest with a new route and without the key of the first."""
     manifest = sample_manifest(version)
-    manifest["routes"].append(sample_route("new", "safe", "stock"))
+    manifest["routes"].append(route_entry("new", "safe", "stock"))
     manifest["tenants"] = [{"name": "depot", "api_keys": ["another-key"]}]
     return manifest
 
--- a/lentilhaven/gateway/tests/test_large_fleet.py
+++ b/lentilhaven/gateway/tests/test_large_fleet.py
@@ -7,12 +7,12 @@
 from lentilhaven.gateway.tests.platform_bed import (
     plain_replicas,
     sample_manifest,
-    sample_route,
     two_chains,
     with_bed,
 )
 from lentilhaven.peering.directory import QUIET
 from lentilhaven.peering.peer_table import FRESH
+from lentilhaven.standins.platform.sample_files import route_entry
 
 #: Seconds in which an accepted manifest must be in force.
 CONFIG_APPLY = 2.0
@@ -117,7 +117,7 @@
     @staticmethod
     async def edit(bed):
         manifest = sample_manifest(2)
-        manifest["routes"].append(sample_route("new", "safe", "stock"))
+        manifest["routes"].append(route_entry("new", "safe", "stock"))
         bed.store.put("config", "main", manifest)
         await asyncio.sleep(CONFIG_APPLY)
         return [it.view.manifest.version for it in bed.gateways]
--- a/lentilhaven/gateway/tests/test_plain_services.py
+++ b/lentilhaven/gateway/tests/test_plain_services.py
@@ -3,9 +3,9 @@
 from lentilhaven.gateway.tests.platform_bed import (
     plain_replicas,
     sample_manifest,
-    sample_route,
     with_bed,
 )
+from lentilhaven.standins.platform.sample_files import route_entry
 
 
 class RoutingTests(unittest.TestCase):
@@ -20,7 +20,7 @@
 
     def test_the_longest_prefix_wins_and_unknown_paths_are_404(self):
         manifest = sample_manifest()
-        deep = sample_route("look", "safe", "other") | {
+        deep = route_entry("look", "safe", "other") | {
             "name": "deep",
             "path_prefix": "/look/deep/",
         }
--- /dev/null
+++ b/lentilhaven/standins/platform/sample_files.py
@@ -0,0 +1,166 @@
+"""Settings files, manifests and requests as the platform writes them."""
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+HOST = "depot.example"
+
+
+def settings_file(
+    number: int, host: str, data_centre: str, seeds: Sequence[str], store: str
+) -> dict[str, Any]:
+    """
+    Return the settings file of a gateway.
+
+    Parameters
+    ----------
+    number : int
+        Which gateway it is.
+    host, data_centre : str
+        Its IP address, and where it stands.
+    seeds : sequence of str
+        IP addresses of some gateways.
+    store : str
+        ``IP:PORT`` of the store.
+    """
+    return {
+        "node_name": f"front-{data_centre}-{number + 1}",
+        "ip_address": host,
+        "zone": data_centre,
+        "listen_addrs": {
+            "front": f"{host}:7000",
+            "ready": f"{host}:7001",
+            "control": f"{host}:7002",
+        },
+        "internal_ports": [7100, 7110],
+        "seeds": [f"{seed}:7002" for seed in seeds],
+        "limits": {"max_fds": 4100},
+        "bounds": {
+            "drain_timeout_ms": 2000,
+            "grace_s": 8,
+            "config_apply_ms": 2000,
+            "budget_window_s": 10,
+            "retry_budget_ratio": 0.2,
+            "retry_budget_slack": 200,
+            "stall_ms": 3000,
+            "require_fencing": True,
+        },
+        "platform": {"address": store, "writes_per_s": 400},
+    }
+
+
+def change_slack(settings: dict[str, Any], slack: int) -> None:
+    """Change the repeats that are allowed beside a share of the requests."""
+    settings["bounds"]["retry_budget_slack"] = slack
+
+
+def engine_entry(**other: Any) -> dict[str, Any]:
+    """Return what a manifest says of engines: two kinds of cards, 8 layers."""
+    return {
+        "slots": 8,
+        "kv_capacity_tokens": 2000,
+        "kv_bytes": 800_000,
+        "stride": 4,
+        "models": [{"name": "lentil-70", "pace": 1.0, "load_s": 4.0}],
+        "step_ms": 4.0,
+        "per_seq_ms": 0.01,
+        "context_per_k": 0.01,
+        "read_per_s": 100_000.0,
+        "loads_at_once": 6,
+        "usual": {"prompt": 100, "answer": 40},
+        "layers": 8,
+        "layer_mb": 1000.0,
+        "activation_bytes": 1000,
+        "link_mbps": 100_000.0,
+        "pipe_mbps": 10_000.0,
+        "kinds": [
+            {"name": "large", "mb": 12_000.0, "pace": 1.0, "read_x": 1.0},
+            {"name": "small", "mb": 6_000.0, "pace": 3.0, "read_x": 2.0},
+        ],
+        **other,
+    }
+
+
+def route_entry(name: str, kind: str, service: str, **other: Any) -> dict[str, Any]:
+    """Return a route at ``/NAME/``."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 20_000 if kind == "streaming" else 800,
+        "target_latency_ms": 500 if kind == "streaming" else 100,
+        "priority": 1,
+        "service": service,
+        "attempts": 1 if kind == "unsafe" else 2,
+        **other,
+    }
+
+
+def patient_route(name: str, kind: str, service: str, **other: Any) -> dict[str, Any]:
+    """Return a route whose times suit processes on a busy machine."""
+    streams = kind == "streaming"
+    times = {
+        "timeout_ms": 8000 if streams else 1500,
+        "target_latency_ms": 500 if streams else 150,
+    }
+    return route_entry(name, kind, service, **times, **other)
+
+
+def routes_of_each_kind(
+    make_route: Callable[..., dict[str, Any]] = route_entry,
+) -> list[dict[str, Any]]:
+    """
+    Return a route of each kind, to the services ``gen`` and ``stock``.
+
+    Parameters
+    ----------
+    make_route : callable
+        `route_entry` or `patient_route`.
+    """
+    return [
+        make_route("draft", "streaming", "gen", resumable=True),
+        make_route("once", "streaming", "gen"),
+        make_route("post", "unsafe", "stock"),
+        make_route("look", "safe", "stock"),
+    ]
+
+
+def request_headers(
+    request_id: str, key: str, patience: float, output: int = 0
+) -> dict[str, str]:
+    """
+    Return the headers of a caller's request.
+
+    Parameters
+    ----------
+    request_id, key : str
+        Id of the attempt, and the caller's key.
+    patience : float
+        Seconds for which the caller waits.
+    output : int
+        Tokens that a stream should have; 0 for other requests.
+    """
+    fields = {
+        "Host": HOST,
+        "Request-Id": request_id,
+        "Deadline-Ms": str(int(patience * 1000)),
+        "Authorization": f"Bearer {key}",
+    }
+    if output:
+        fields |= {"Token-Count": f"100,{output}", "Length-Hint": str(output)}
+    return fields
+
+
+def read_headers(fields: Mapping[str, str]) -> tuple[str, float]:
+    """
+    Return what a caller needs of an answer's headers.
+
+    Returns
+    -------
+    tuple of (str, float)
+        The replica's signature, empty if there is none, and the seconds for which
+        the caller should stay away.
+    """
+    signature = fields.get("Replica-Signature", "")
+    return signature, float(fields.get("Retry-After", "0"))
