--- a/lentilhaven/fleet/endpoint.py
+++ b/lentilhaven/fleet/endpoint.py
@@ -1,7 +1,9 @@
 """One replica of a service."""
 
 import attrs
+from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
 
+from lentilhaven.core.converter import CONVERTER
 from lentilhaven.fleet.layer_span import LayerSpan
 
 
@@ -32,6 +34,9 @@
         Layers that it holds; None if it holds none.
     model : str
         Name of the model whose layers it holds; empty if it holds none.
+    sequence : int
+        Number of the heartbeat that wrote the entry, counted from the start of the
+        replica.  It is not compared and not passed on to other gateways.
     """
 
     id: str
@@ -44,8 +49,23 @@
     card: str = ""
     layers: LayerSpan | None = None
     model: str = ""
+    sequence: int = attrs.field(default=0, eq=False)
+
+    @property
+    def written_order(self) -> tuple[int, int]:
+        """Return a key by which the entries of one replica are ordered in time."""
+        return (self.born, self.sequence)
 
     @property
     def incarnation(self) -> tuple[str, int]:
         """Return a key that differs for every start of the replica."""
         return (self.id, self.born)
+
+
+CONVERTER.register_structure_hook(
+    Endpoint, make_dict_structure_fn(Endpoint, CONVERTER, sequence=override(omit=True))
+)
+CONVERTER.register_unstructure_hook(
+    Endpoint,
+    make_dict_unstructure_fn(Endpoint, CONVERTER, sequence=override(omit=True)),
+)
--- a/lentilhaven/fleet/endpoint_history.py
+++ b/lentilhaven/fleet/endpoint_history.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lentilhaven.core.store_position import StorePosition
 from lentilhaven.fleet.endpoint import Endpoint
 
 #: Seconds for which a change is kept, long enough to cover several lost datagrams.
@@ -13,20 +14,20 @@
 @attrs.frozen
 class EndpointChanges:
     """
-    Endpoint changes between two revisions of the store.
+    Endpoint changes between two positions of the store, in the same era.
 
     Attributes
     ----------
-    since, until : int
-        Revision before the changes, and revision that includes them.
+    since, until : StorePosition
+        Position before the changes, and position that includes them.
     changed : tuple of Endpoint
         New and changed endpoints.
     gone : tuple of str
         Ids of removed endpoints.
     """
 
-    since: int
-    until: int
+    since: StorePosition
+    until: StorePosition
     changed: tuple[Endpoint, ...] = ()
     gone: tuple[str, ...] = ()
 
@@ -46,19 +47,29 @@
     --------
     >>> history = EndpointHistory()
     >>> one = Endpoint("a", "s", "10.0.0.1:80", "z")
-    >>> history.add(EndpointChanges(3, 5, (one,)), now=0.0)
-    >>> history.add(EndpointChanges(5, 6, (), ("a",)), now=1.0)
-    >>> history.recent_changes(now=1.0)
-    EndpointChanges(since=3, until=6, changed=(), gone=('a',))
+    >>> at = [StorePosition(0, revision) for revision in range(7)]
+    >>> history.add(EndpointChanges(at[3], at[5], (one,)), now=0.0)
+    >>> history.add(EndpointChanges(at[5], at[6], (), ("a",)), now=1.0)
+    >>> changes = history.recent_changes(now=1.0)
+    >>> str(changes.since), str(changes.until), changes.changed, changes.gone
+    ('0/3', '0/6', (), ('a',))
     >>> history.recent_changes(now=9.0)
     """
 
     entries: deque[tuple[float, EndpointChanges]] = attrs.field(factory=deque)
 
     def add(self, changes: EndpointChanges, now: float) -> None:
-        """Append changes; a gap in the revisions discards the earlier ones."""
+        """
+        Append changes; a gap in the positions discards the earlier ones.
+
+        So does a new era: a gateway that missed a part of the earlier one must fetch
+        all endpoints.
+        """
         if self.entries and self.entries[-1][1].until != changes.since:
             self.entries.clear()
+        if changes.since.era != changes.until.era:
+            self.entries.clear()
+            return
         self.entries.append((now, changes))
 
     def recent_changes(self, now: float) -> EndpointChanges | None:
--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -167,23 +167,50 @@
     spec: EngineSpec,
     excluded: Collection[str],
     now: float,
+    until: float,
 ) -> bool:
     """
     Return whether the engines that are not suspected together hold all layers.
 
-    Their load and recent refusals are ignored, as both may pass soon.
+    Their load and recent refusals are ignored, as both may pass soon.  An engine that
+    has asked for a pause beyond `until`, an event loop time, is left out.
     """
+    states = gateway.endpoint_states
     live = [
         Candidate(endpoint, 1.0)
         for endpoint in gateway.view.of_service(call.service)
         if endpoint.id not in excluded
         and endpoint.layers
-        and now >= gateway.endpoint_states.of(endpoint).suspected_until
+        and now >= states.of(endpoint).suspected_until
+        and until >= states.of(endpoint).paused_until
     ]
     layers = LayerSpan(0, spec.layers)
     return find_chain(layers, live, lambda origin, target: 0.0) is not None
 
 
+def time_to_cover(
+    gateway: Gateway,
+    call: Call,
+    spec: EngineSpec,
+    excluded: Collection[str],
+    now: float,
+) -> float | None:
+    """
+    Return the seconds until engines that asked for pauses complete a chain again.
+
+    Returns None if no engine has asked for one, or if they would not suffice.
+    """
+    pauses = {
+        gateway.endpoint_states.of(endpoint).paused_until
+        for endpoint in gateway.view.of_service(call.service)
+        if endpoint.id not in excluded
+    }
+    for until in sorted(it for it in pauses if it > now):
+        if live_engines_cover_model(gateway, call, spec, excluded, now, until):
+            return until - now
+    return None
+
+
 def replace_parts(
     gateway: Gateway,
     call: Call,
@@ -264,7 +291,7 @@
         suspected=suspected,
         prompt=call.head.prompt_tokens,
         hint=call.head.length_hint,
-        view=gateway.view.endpoints_revision,
+        view=str(gateway.view.endpoints_position),
     )
 
 
--- a/lentilhaven/gateway/chain_move.py
+++ b/lentilhaven/gateway/chain_move.py
@@ -59,7 +59,12 @@
     """
     if gateway.session is None:
         return None
-    report = await fetch_report(gateway.session, chain.first, CALL_TIMEOUT)
+    if gateway.is_paused(chain.first):
+        log.info("first part wants no requests", request=call.id)
+        return None
+    report = await fetch_report(
+        gateway.session, chain.first, CALL_TIMEOUT, gateway.note_head
+    )
     if report.is_error():
         log.info("first part is silent", request=call.id, detail=str(report.error))
         return None
@@ -73,7 +78,12 @@
         log.info("no other parts", request=call.id, dead=sorted(dead))
         return None
     outcome = await order_path(
-        gateway.session, chain.first, call.id, moved.parts, CALL_TIMEOUT
+        gateway.session,
+        chain.first,
+        call.id,
+        moved.parts,
+        CALL_TIMEOUT,
+        gateway.note_head,
     )
     log.info(
         "stream moved",
--- a/lentilhaven/gateway/endpoint_states.py
+++ b/lentilhaven/gateway/endpoint_states.py
@@ -51,6 +51,8 @@
         Whether this gateway, not another one, has detected the fault.
     refused_until : float
         Time until which the endpoint gets no requests because it has refused one.
+    paused_until : float
+        Time until which the endpoint has asked this gateway for no requests at all.
     """
 
     requests: int = 0
@@ -64,6 +66,7 @@
     suspected_since: float = 0.0
     own_suspicion: bool = False
     refused_until: float = 0.0
+    paused_until: float = 0.0
 
     def record(self, seconds: float, failed: bool) -> None:
         """Update the averages with an attempt and the seconds that it took."""
@@ -120,7 +123,7 @@
 
     def available(self, now: float) -> bool:
         """Return whether the endpoint may get a request."""
-        return now >= self.suspected_until and now >= self.refused_until
+        return now >= max(self.suspected_until, self.refused_until, self.paused_until)
 
 
 @attrs.define
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -13,11 +13,13 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.gateway.budget import RetryBudgetShare
+from lentilhaven.gateway.endpoint_signals import note_signals
 from lentilhaven.gateway.endpoint_states import EndpointStates
 from lentilhaven.gateway.pipe_meter import PipeMeter
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.peer_table import PeerTable
+from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.serving.metrics import Metrics
 from lentilhaven.upstream.connection_pool import ConnectionPool
@@ -114,6 +116,16 @@
     active: int = 0
     request_finished: Signal = attrs.field(factory=Signal)
 
+    def __attrs_post_init__(self) -> None:
+        """Apply what endpoints say about themselves in the heads of their answers."""
+        self.pool.on_head = self.note_head
+
+    def note_head(self, endpoint: Endpoint, head: ResponseHead) -> None:
+        """Apply what the head of an answer says about its endpoint."""
+        note_signals(
+            self.view, self.endpoint_states, self.urgent_signal, endpoint, head
+        )
+
     @view.default
     def empty_view(self) -> FleetView:
         """Return a view without a manifest or endpoints."""
@@ -136,6 +148,21 @@
         known = self.peers.count_gateways(now)
         return known if known > 1 else 0
 
+    def accepts_new_work(self, endpoint: Endpoint) -> bool:
+        """
+        Return whether an endpoint may be sent anything new by this gateway.
+
+        It may not once its incarnation is known to be leaving, and not while it has
+        asked for a pause.
+        """
+        is_leaving = endpoint.incarnation in self.view.leaving
+        return not is_leaving and not self.is_paused(endpoint)
+
+    def is_paused(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint has asked this gateway for no requests now."""
+        now = asyncio.get_running_loop().time()
+        return now < self.endpoint_states.of(endpoint).paused_until
+
     def is_suspected(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint is suspected to have failed."""
         now = asyncio.get_running_loop().time()
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -84,7 +84,7 @@
             request=head.request_id,
             step=failure.step.value,
             kind=failure.kind,
-            manifest_revision=gateway.view.manifest_revision,
+            manifest_position=str(gateway.view.manifest_position),
         )
         gateway.counters[f"refused: {failure.kind}"] += 1
         return make_error_response(failure)
--- a/lentilhaven/gateway/message_composer.py
+++ b/lentilhaven/gateway/message_composer.py
@@ -74,8 +74,8 @@
             capacity=peers.own.capacity,
             gateways=self.count_gateways(scope, now),
             relay=gateway.settings.peers,
-            manifest_revision=view.manifest_revision,
-            endpoints_revision=view.endpoints_revision,
+            manifest_revision=view.manifest_position.revision,
+            endpoints_revision=view.endpoints_position.revision,
             digest=gateway.digest,
             checked=round(min(1e6, now - checked_at), 3),
             loads={
@@ -89,6 +89,9 @@
             changes=view.history.recent_changes(view.monotonic()) if is_sum else None,
             ready=gateway.ready,
             places=gateway.holds_placement_lease() or self.sum_has_placer(scope, now),
+            era=view.endpoints_position.era,
+            manifest_version=view.manifest.version if view.manifest else 0,
+            leaving=view.leaving.recent(view.monotonic()),
         )
 
     def endpoint_states(self) -> dict[str, EndpointState]:
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from lentilhaven.fleet.endpoint_history import EndpointChanges
 from lentilhaven.gateway.connection_factories import OpenDatagrams
 from lentilhaven.gateway.endpoint_states import REFUTE_MARGIN
 from lentilhaven.gateway.gateway import Gateway
@@ -241,13 +242,7 @@
     gateway.peers_store_read_at = max(
         gateway.peers_store_read_at, now - message.checked
     )
-    if message.changes is not None:
-        gateway.view.apply_peer_changes(message.changes, message.vm)
-    if is_ahead(gateway, message):
-        gateway.gateways_ahead.setdefault(message.vm, (message, now))
-        gateway.behind_signal.notify()
-    else:
-        gateway.gateways_ahead.pop(message.vm, None)
+    merge_store_state(gateway, message, now)
     endpoints = gateway.view.endpoints
     for name, age in message.heard.items():
         endpoint = endpoints.get(name)
@@ -265,20 +260,60 @@
     return is_new
 
 
+def merge_store_state(gateway: Gateway, message: PeerMessage, now: float) -> None:
+    """Apply what a datagram says about the store and about leaving endpoints."""
+    view = gateway.view
+    if message.era is not None:
+        view.era.learn(message.era, message.vm)
+    if message.changes is not None:
+        apply_changes(gateway, message, message.changes)
+    for incarnation in message.leaving:
+        view.mark_leaving(incarnation, message.vm)
+    if is_ahead(gateway, message):
+        gateway.gateways_ahead.setdefault(message.vm, (message, now))
+        gateway.behind_signal.notify()
+    else:
+        gateway.gateways_ahead.pop(message.vm, None)
+
+
+def apply_changes(
+    gateway: Gateway, message: PeerMessage, changes: EndpointChanges
+) -> None:
+    """Apply the changes of endpoints that another gateway reports."""
+    if message.era is None:
+        era = gateway.view.era.position(None, 0).era
+        changes = attrs.evolve(
+            changes,
+            since=attrs.evolve(changes.since, era=era),
+            until=attrs.evolve(changes.until, era=era),
+        )
+    gateway.view.apply_peer_changes(changes, message.vm)
+
+
 def is_ahead(gateway: Gateway, message: PeerMessage) -> bool:
     """
     Return whether newer state can be fetched from another gateway.
 
-    A newer revision of the same endpoints does not count, and neither does a gateway
+    A newer position of the same endpoints does not count, and neither does a gateway
     that states no address from which to fetch its state.
     """
     view = gateway.view
     if not message.relay:
         return False
-    if message.manifest_revision > view.manifest_revision:
+    if has_newer_manifest(gateway, message):
         return True
-    newer = message.endpoints_revision > view.endpoints_revision
-    return newer and message.digest != gateway.digest
+    position = view.era.position(message.era, message.endpoints_revision)
+    return position > view.endpoints_position and message.digest != gateway.digest
+
+
+def has_newer_manifest(gateway: Gateway, message: PeerMessage) -> bool:
+    """Return whether the sender of a datagram holds a newer manifest."""
+    view = gateway.view
+    if message.manifest_version is None:
+        # A release that compares manifests by revision.
+        position = view.era.position(None, message.manifest_revision)
+        return position > view.manifest_position
+    return message.manifest_version > (view.manifest.version if view.manifest else 0)
 
 
 @asynccontextmanager
--- a/lentilhaven/gateway/peer_relay.py
+++ b/lentilhaven/gateway/peer_relay.py
@@ -13,6 +13,7 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.peer_exchange import has_newer_manifest
 from lentilhaven.gateway.store_watch import adopt_manifest
 from lentilhaven.peering.messages import PeerMessage
 
@@ -76,15 +77,19 @@
             newest = max(
                 due,
                 key=lambda message: (
+                    message.manifest_version or 0,
+                    message.era or 0,
                     message.manifest_revision,
                     message.endpoints_revision,
                 ),
             )
             gateway.gateways_ahead.clear()
-            behind = newest.manifest_revision > gateway.view.manifest_revision
+            behind = has_newer_manifest(gateway, newest)
             if behind and gateway.peers.is_large_fleet(now):
                 await asyncio.sleep(gateway.random.uniform(0.0, READ_JITTER))
-                if await read_manifest():
+                answered = await read_manifest()
+                # A restored store may hold an older manifest than the gateway.
+                if answered and not has_newer_manifest(gateway, newest):
                     continue
             await fetch_newer(gateway, session, newest)
 
@@ -100,8 +105,10 @@
     """
     view = gateway.view
     query = {
-        "manifest": str(view.manifest_revision),
-        "endpoints": str(view.endpoints_revision),
+        "manifest": str(view.manifest_position.revision),
+        "endpoints": str(view.endpoints_position.revision),
+        "manifest_version": str(view.manifest.version if view.manifest else 0),
+        "era": str(view.endpoints_position.era),
     }
     limit = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT)
     try:
@@ -118,39 +125,59 @@
 
 def apply_answer(gateway: Gateway, answer: dict[str, Any], source: str) -> None:
     """Apply the manifest and endpoints that another gateway has sent."""
+    view = gateway.view
     if answer.get("manifest") is not None:
-        adopt_manifest(
-            gateway, answer["manifest"], int(answer["manifest_revision"]), source
+        position = view.era.position(
+            answer.get("manifest_era"), int(answer["manifest_revision"])
         )
+        adopt_manifest(gateway, answer["manifest"], position, source)
     if answer.get("endpoints") is not None:
         endpoints = CONVERTER.structure(answer["endpoints"], list[Endpoint])
-        revision = int(answer["endpoints_revision"])
-        gateway.view.replace_endpoints(endpoints, revision, source)
+        position = view.era.position(
+            answer.get("era"), int(answer["endpoints_revision"])
+        )
+        view.replace_endpoints(endpoints, position, source)
 
 
 def make_answer(gateway: Gateway, query: Any) -> dict[str, Any]:
     """
-    Return this gateway's revisions, and the state that the query lacks.
+    Return this gateway's positions, and the state that the query lacks.
 
     Parameters
     ----------
     gateway : Gateway
         State of the process.
     query : mapping
-        Revisions of the ``manifest`` and ``endpoints`` that the asking gateway holds.
+        Revisions of the ``manifest`` and ``endpoints`` that the asking gateway holds,
+        and, unless it is of a release that knows no eras, its ``manifest_version`` and
+        ``era``.
     """
     view = gateway.view
     answer: dict[str, Any] = {
-        "manifest_revision": view.manifest_revision,
-        "endpoints_revision": view.endpoints_revision,
+        "manifest_revision": view.manifest_position.revision,
+        "manifest_era": view.manifest_position.era,
+        "endpoints_revision": view.endpoints_position.revision,
+        "era": view.endpoints_position.era,
     }
-    if view.manifest_revision > int(query.get("manifest", 0)):
+    if lacks_manifest(gateway, query):
         answer["manifest"] = view.document
-    if view.endpoints_revision > int(query.get("endpoints", 0)):
-        answer["endpoints"] = CONVERTER.unstructure(list(view.endpoints.values()))
+    era = int(query["era"]) if "era" in query else None
+    asked = view.era.position(era, int(query.get("endpoints", 0)))
+    if view.endpoints_position > asked:
+        answer["endpoints"] = CONVERTER.unstructure(view.confirmed_endpoints)
     return answer
 
 
+def lacks_manifest(gateway: Gateway, query: Any) -> bool:
+    """Return whether a gateway that sends a query holds an older manifest."""
+    view = gateway.view
+    if "manifest_version" in query:
+        own = view.manifest.version if view.manifest else 0
+        return own > int(query["manifest_version"])
+    asked = view.era.position(None, int(query.get("manifest", 0)))
+    return view.manifest_position > asked
+
+
 @asynccontextmanager
 async def open_relay(gateway: Gateway) -> AsyncIterator[None]:
     """
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -165,7 +165,11 @@
     async with AsyncExitStack() as stack:
         client = await stack.enter_async_context(
             open_store_client(
-                settings.store, STORE_TIMEOUT, limit, factories.store_connector
+                settings.store,
+                STORE_TIMEOUT,
+                limit,
+                factories.store_connector,
+                note_era=lambda era: note_store_era(gateway, era),
             )
         )
         session = await stack.enter_async_context(
@@ -179,6 +183,8 @@
             session,
             lease.fencing_number,
             gateway.is_suspected,
+            gateway.accepts_new_work,
+            gateway.note_head,
             monotonic=gateway.clock.monotonic,
         )
         exchange = await stack.enter_async_context(
@@ -212,9 +218,16 @@
         gateway.clock,
         PLACEMENT_LEASE,
         should_acquire=gateway.wants_placement_lease,
+        current_era=lambda: gateway.view.era.current,
     )
 
 
+def note_store_era(gateway: Gateway, era: int) -> None:
+    """Take note of the era that an answer of the store names."""
+    if gateway.view.era.learn(era, "store"):
+        gateway.urgent_signal.notify()
+
+
 async def sweep_endpoints(gateway: Gateway) -> None:
     """Periodically remove connections and states of endpoints that are gone."""
     while True:
@@ -222,6 +235,7 @@
         live = {it.incarnation for it in gateway.view.endpoints.values()}
         gateway.pool.close_stale(live)
         gateway.endpoint_states.remove_gone(live)
+        gateway.view.expire()
 
 
 async def drain(gateway: Gateway, listener: CallerListener) -> None:
--- a/lentilhaven/gateway/replica_choice.py
+++ b/lentilhaven/gateway/replica_choice.py
@@ -37,10 +37,15 @@
     Returns
     -------
     Endpoint or None
-        None if all have been tried.  A replica that is suspected or has recently
-        refused a request is chosen only if no other is left.
+        None if all have been tried or want no requests for a stated time.  A replica
+        that is suspected or has recently refused a request is chosen only if no other
+        is left.
     """
-    candidates = [it for it in gateway.view.of_service(service) if it.id not in tried]
+    candidates = [
+        it
+        for it in gateway.view.of_service(service)
+        if it.id not in tried and gateway.accepts_new_work(it)
+    ]
     if not candidates:
         return None
     available = [
@@ -49,6 +54,23 @@
     return min(available or candidates, key=lambda it: expected_wait(gateway, it))
 
 
+def pause_left(
+    gateway: Gateway, service: str, tried: Collection[str], now: float
+) -> float | None:
+    """
+    Return the seconds until the first replica that asked for a pause may be used.
+
+    Returns None if none of the replicas that are left has asked for one.
+    """
+    left = [
+        state.paused_until - now
+        for it in gateway.view.of_service(service)
+        if it.id not in tried
+        and (state := gateway.endpoint_states.of(it)).paused_until > now
+    ]
+    return min(left, default=None)
+
+
 def expected_wait(gateway: Gateway, endpoint: Endpoint) -> float:
     """Return the expected time to a response, in seconds, with some random noise."""
     state = gateway.endpoint_states.of(endpoint)
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -14,7 +14,7 @@
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.gateway.replica_choice import choose_replica
+from lentilhaven.gateway.replica_choice import choose_replica, pause_left
 from lentilhaven.platform.request_head import encode_request, gateway_headers
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.upstream.connection_pool import MAX_IDLE_TIME
@@ -31,6 +31,9 @@
 #: Status codes with which a replica refuses a request without running it.
 REFUSAL_STATUSES = (421, 429, 503)
 
+#: Kinds of failure of an attempt in which the replica received nothing.
+UNSENT_KINDS = ("connect", "withheld")
+
 #: Number of replicas that may refuse a request before the gateway refuses it.
 MAX_REFUSALS = 3
 
@@ -76,13 +79,13 @@
         """
         Record the outcome of an attempt.
 
-        A replica to which no connection could be made counts neither as a possible run
-        nor as a refusal.
+        A replica that received nothing counts neither as a possible run nor as a
+        refusal.
         """
         self.last_outcome = outcome
         if isinstance(outcome, UpstreamResponse) or outcome.ran is not Ran.NO:
             self.possible_runs += 1
-        elif outcome.kind != "connect":
+        elif outcome.kind not in UNSENT_KINDS:
             self.refusals += 1
 
     def may_continue(self, call: Call) -> bool:
@@ -119,8 +122,7 @@
         endpoint = choose_replica(gateway, call.service, attempts.endpoints, now)
         if endpoint is None or now >= call.deadline:
             break
-        # While only connections have failed, no replica has received the request, and
-        # another attempt is no retry.
+        # While no replica has received the request, another attempt is no retry.
         if attempts.possible_runs + attempts.refusals > 0:
             if not budget.try_spend(now, gateway.count_gateways(now)):
                 log.info("retry budget used up", request=call.id, service=call.service)
@@ -130,13 +132,26 @@
             call.route.repeatable and attempts.possible_runs + 1 < call.route.attempts
         )
         attempts.record(await try_replica(gateway, call, endpoint, may_retry))
-    return make_response(call, attempts.last_outcome)
+    pause = pause_left(gateway, call.service, attempts.endpoints, loop.time())
+    return make_response(call, attempts.last_outcome, pause)
 
 
 def make_response(
-    call: Call, outcome: UpstreamResponse | Failure | None
+    call: Call, outcome: UpstreamResponse | Failure | None, pause: float | None = None
 ) -> web.Response:
-    """Return the final response to a request."""
+    """
+    Return the final response to a request.
+
+    Parameters
+    ----------
+    call : Call
+        The request.
+    outcome : UpstreamResponse, Failure or None
+        Outcome of the last attempt; None if there was none.
+    pause : float or None
+        Seconds until a replica that has asked for a pause may be used; None if none
+        has.
+    """
     if isinstance(outcome, UpstreamResponse):
         return web.Response(
             status=outcome.head.status,
@@ -145,7 +160,11 @@
         )
     if outcome is None:
         detail = f"no replica of {call.service} is there"
+        if pause is not None:
+            detail = f"all replicas of {call.service} want no requests"
         outcome = Failure(Step.CHOOSE, "", "no-endpoint", detail)
+    if pause is not None and outcome.retry_after is None:
+        outcome = attrs.evolve(outcome, retry_after=pause)
     return make_error_response(outcome)
 
 
@@ -187,7 +206,9 @@
         state.requests -= 1
     now = loop.time()
     failed = not isinstance(outcome, UpstreamResponse) or outcome.failed
-    if isinstance(outcome, Failure) and outcome.ran is Ran.NO:
+    if isinstance(outcome, Failure) and outcome.kind == "withheld":
+        pass
+    elif isinstance(outcome, Failure) and outcome.ran is Ran.NO:
         state.refused_until = now + REFUSAL_BACKOFF
     else:
         state.record(now - began, failed)
@@ -231,6 +252,10 @@
         )
     except UpstreamError as error:
         return Failure(Step.CONNECT, endpoint.id, "connect", error.detail)
+    if not gateway.accepts_new_work(endpoint):
+        gateway.pool.release(endpoint, connection)
+        detail = "it refused another request while this one waited for a connection"
+        return Failure(Step.CONNECT, endpoint.id, "withheld", detail)
     own = gateway_headers(endpoint, call.deadline - loop.time(), call.tenant)
     request = encode_request(call.method, call.target, call.head, len(call.body), own)
     try:
--- a/lentilhaven/gateway/store_check.py
+++ b/lentilhaven/gateway/store_check.py
@@ -75,9 +75,9 @@
 async def wait_for_change(gateway: Gateway) -> None:
     """Wait until the endpoints change, for at most `DIGEST_INTERVAL` seconds."""
     view = gateway.view
-    seen = view.endpoints_revision
+    seen = view.endpoints_position
 
     def changed() -> bool:
-        return view.endpoints_revision != seen
+        return view.endpoints_position != seen
 
     await view.changed.wait_until(changed, DIGEST_INTERVAL)
--- a/lentilhaven/gateway/store_watch.py
+++ b/lentilhaven/gateway/store_watch.py
@@ -5,15 +5,17 @@
 from typing import Any
 
 import attrs
-from expression import Result
+from expression import Error, Result
 
 from lentilhaven.core.backoff import Backoff
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
+from lentilhaven.core.store_position import START, StorePosition
 from lentilhaven.fleet.endpoint import Endpoint
+from lentilhaven.fleet.store_era import StoreEra
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.platform.manifest_format import decode_manifest
+from lentilhaven.platform.manifest_format import decode_manifest, read_version
 from lentilhaven.platform.replica_format import decode_replica
 from lentilhaven.platform.store_client import ObjectListing, StoreClient
 from lentilhaven.platform.store_kinds import CONFIG, MANIFEST, REPLICAS
@@ -29,6 +31,9 @@
 #: Seconds between two checks of whether this process should follow the store.
 FOLLOW_CHECK_INTERVAL = 0.5
 
+#: Kinds of failure after which the objects must be listed again.
+HISTORY_GONE = ("compacted", "restored")
+
 #: Bounds of the pause after a failed call, in seconds.
 MIN_PAUSE, MAX_PAUSE = 0.1, 0.5
 
@@ -47,8 +52,8 @@
     kind : str
         Kind of the objects.
     on_failure : callable
-        Called after each failed call, except one that fails because the store has
-        discarded the history after `revision`.
+        Called after each failed call, except one that fails because the store does not
+        have the history after `position`.
     on_listing : callable
         Takes a full listing.
     on_changes : callable
@@ -57,15 +62,17 @@
         Returns whether this process should follow the kind itself.
     backoff : Backoff
         Pauses after failed calls.
-    revision : int
-        Revision from which the next watch call continues; 0 if the next call must
-        be a listing: before the first listing, and after the store has discarded
-        the history.
+    era : StoreEra
+        Newest known era of the store.
+    position : StorePosition
+        Position from which the next watch call continues; `START` if the next call
+        must be a listing: before the first listing, after the store has discarded the
+        history, and after it was restored.
     answered_at : float
         Event loop time of the last successful call, in seconds.
     lost : bool
         Whether the last call failed; unchanged by a call that fails because the
-        store has discarded the history after `revision`.
+        store does not have the history after `position`.
     """
 
     client: StoreClient
@@ -75,14 +82,15 @@
     on_changes: Callable[[ObjectListing], None]
     is_wanted: Callable[[], bool]
     backoff: Backoff
-    revision: int = 0
+    era: StoreEra
+    position: StorePosition = START
     answered_at: float = 0.0
     lost: bool = False
 
     async def follow(self) -> None:
         """List the objects, then watch for changes, until cancelled."""
         while True:
-            if self.revision and not self.is_wanted():
+            if self.position > START and not self.is_wanted():
                 # Other gateways report changes in the meantime.
                 await asyncio.sleep(FOLLOW_CHECK_INTERVAL)
                 continue
@@ -92,26 +100,39 @@
                 if answer.ok.changes:
                     await asyncio.sleep(BATCH_DELAY)
                 continue
-            if answer.error.kind == "compacted":
-                log.info("history is gone", kind=self.kind, revision=self.revision)
-                self.revision = 0
+            if answer.error.kind in HISTORY_GONE:
+                log.info(
+                    "history is gone",
+                    kind=self.kind,
+                    position=str(self.position),
+                    reason=answer.error.kind,
+                )
+                self.position = START
                 continue
             self.note_failure(answer.error)
             await asyncio.sleep(self.backoff.next_delay())
 
     async def call_store(self) -> Result[ObjectListing, Failure]:
-        """Make one call, list or watch, and pass its answer to the handler."""
-        if not self.revision:
+        """
+        Make one call, list or watch, and pass its answer to the handler.
+
+        A position of an earlier era is not watched: the store may have given its
+        revision to another change.
+        """
+        lists = self.position.era < self.era.current or self.position == START
+        if lists:
             answer = await self.client.list_kind(self.kind)
-            handle: Callable[[ObjectListing], None] = self.on_listing
         else:
             answer = await self.client.watch_kind(
-                self.kind, self.revision, WATCH_TIMEOUT
+                self.kind, self.position, WATCH_TIMEOUT
             )
-            handle = self.on_changes
         if answer.is_ok():
-            handle(answer.ok)
-            self.revision = max(self.revision, answer.ok.revision)
+            listing = answer.ok
+            if listing.position.era < self.era.current:
+                detail = f"{listing.position} is older than era {self.era.current}"
+                return Error(Failure(Step.READ_OBJECT, "store", "outdated", detail))
+            (self.on_listing if lists else self.on_changes)(listing)
+            self.position = max(self.position, listing.position)
         return answer
 
     def note_answer(self) -> None:
@@ -120,7 +141,7 @@
         self.backoff.reset()
         if self.lost:
             self.lost = False
-            log.info("store regained", kind=self.kind, revision=self.revision)
+            log.info("store regained", kind=self.kind, position=str(self.position))
 
     def note_failure(self, failure: Failure) -> None:
         """Record that a call has failed."""
@@ -133,7 +154,7 @@
                 step=failure.step.value,
                 reason=failure.kind,
                 detail=failure.detail,
-                revision=self.revision,
+                position=str(self.position),
             )
 
 
@@ -152,16 +173,25 @@
     def apply(listing: ObjectListing) -> None:
         for change in listing.changes:
             if change.name == MANIFEST and change.value is not None:
-                adopt_manifest(gateway, change.value, change.revision, "store")
+                adopt_manifest(gateway, change.value, change.position, "store")
 
     on_failure = gateway.view.record_store_failure
     is_wanted = make_follow_check(gateway)
     return KindWatch(
-        client, CONFIG, on_failure, apply, apply, is_wanted, make_backoff(gateway)
+        client,
+        CONFIG,
+        on_failure,
+        apply,
+        apply,
+        is_wanted,
+        make_backoff(gateway),
+        gateway.view.era,
     )
 
 
-def adopt_manifest(gateway: Gateway, value: Any, revision: int, source: str) -> None:
+def adopt_manifest(
+    gateway: Gateway, value: Any, position: StorePosition, source: str
+) -> None:
     """
     Decode a manifest and make it the current one if it is newer.
 
@@ -173,20 +203,24 @@
         The gateway.
     value : Any
         The manifest as read.
-    revision : int
-        Revision of the store at which the manifest was written.
+    position : StorePosition
+        Position of the store at which the manifest was written.
     source : str
         Where the manifest was read, for the log.
     """
-    if revision <= gateway.view.manifest_revision:
-        return
+    view = gateway.view
+    if view.manifest is not None and position <= view.manifest_position:
+        # Decoding takes long, and most reads return the current manifest.
+        version = read_version(value)
+        if version is not None and version <= view.manifest.version:
+            return
     try:
         manifest = decode_manifest(value)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         detail = f"{type(error).__name__}: {error}"
-        log.error("manifest can't be read", revision=revision, detail=detail)
+        log.error("manifest can't be read", position=str(position), detail=detail)
         return
-    gateway.view.adopt_manifest(manifest, revision, source, value)
+    view.adopt_manifest(manifest, position, source, value)
 
 
 def watch_replicas(gateway: Gateway, client: StoreClient) -> KindWatch:
@@ -208,7 +242,7 @@
             for change in listing.changes
             if (endpoint := decode_replica(change.name, change.value)) is not None
         ]
-        view.replace_endpoints(found, listing.revision, "store")
+        view.replace_endpoints(found, listing.position, "store")
 
     def apply_changes(listing: ObjectListing) -> None:
         # The last change of each replica; None if it was deleted or can't be decoded,
@@ -220,7 +254,7 @@
         view.apply_changes(
             [endpoint for endpoint in changed.values() if endpoint is not None],
             [name for name, endpoint in changed.items() if endpoint is None],
-            listing.revision,
+            listing.position,
             "store",
         )
 
@@ -232,6 +266,7 @@
         apply_changes,
         make_follow_check(gateway),
         make_backoff(gateway),
+        view.era,
     )
 
 
--- a/lentilhaven/gateway/stream_failures.py
+++ b/lentilhaven/gateway/stream_failures.py
@@ -63,6 +63,7 @@
             continue
         state = relay.gateway.endpoint_states.of(endpoint)
         state.refused_until = now + REFUSAL_BACKOFF
+        state.paused_until = max(state.paused_until, now + head.refusal_pause)
         relay.excluded.add(endpoint.id)
         if endpoint is chain.first:
             continue
@@ -73,7 +74,7 @@
                 request=relay.call.id,
                 endpoint=endpoint.id,
                 status=head.status,
-                view=relay.gateway.view.endpoints_revision,
+                view=str(relay.gateway.view.endpoints_position),
             )
 
 
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 from aiohttp import web
 
 from lentilhaven.chains.chain import Chain
@@ -15,6 +16,7 @@
     choose_chain,
     live_engines_cover_model,
     log_missing_layers,
+    time_to_cover,
 )
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
@@ -116,10 +118,13 @@
         now = loop.time()
         chain = await wait_for_chain(relay)
         if chain is None:
-            if isinstance(outcome, Failure):
-                return outcome
-            detail = f"no chain of {call.service} covers the model"
-            return Failure(Step.CHOOSE, "", "no-chain", detail)
+            pause = time_to_cover(
+                gateway, call, relay.spec, relay.excluded, loop.time()
+            )
+            if not isinstance(outcome, Failure):
+                detail = f"no chain of {call.service} covers the model"
+                outcome = Failure(Step.CHOOSE, "", "no-chain", detail)
+            return attrs.evolve(outcome, retry_after=outcome.retry_after or pause)
         if relay.runs + relay.refusals > 0:
             budget = gateway.budget_of(call.service)
             if not budget.try_spend(now, gateway.count_gateways(now)):
@@ -151,7 +156,7 @@
         if chain is not None:
             return chain
         if now >= until or not live_engines_cover_model(
-            gateway, call, relay.spec, relay.excluded, now
+            gateway, call, relay.spec, relay.excluded, now, until
         ):
             log_missing_layers(gateway, call, relay.spec, relay.excluded, now)
             return None
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -55,7 +55,7 @@
             estimate_ms=round(chain.cost),
             ms=round((loop.time() - began) * 1000),
             events=relay.events,
-            view=gateway.view.endpoints_revision,
+            view=str(gateway.view.endpoints_position),
             outcome=ended,
         )
 
@@ -96,6 +96,10 @@
         )
         relay.excluded.add(first.id)
         return Failure(Step.CONNECT, first.id, "connect", error.detail)
+    if not all(gateway.accepts_new_work(part) for part in chain.endpoints):
+        gateway.pool.release(first, connection)
+        detail = "a part refused another request while this one waited for a connection"
+        return Failure(Step.CONNECT, first.id, "withheld", detail)
     try:
         own = gateway_headers(
             first,
--- a/lentilhaven/gateway/tests/test_following.py
+++ b/lentilhaven/gateway/tests/test_following.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 
+from lentilhaven.core.store_position import START
 from lentilhaven.gateway.tests.platform_testbed import (
     engine,
     plain_replicas,
@@ -74,7 +75,7 @@
             older = view.manifest
             bed.store.put("config", "main", changed_manifest())
             await asyncio.sleep(CONFIG_APPLY)
-            adopted = view.adopt_manifest(older, 1, "a stale read")
+            adopted = view.adopt_manifest(older, START, "a stale read")
             return adopted, view.manifest.version
 
         self.assertEqual(run_on_testbed(use, plain_replicas()), (False, 2))
--- a/lentilhaven/leases/lease.py
+++ b/lentilhaven/leases/lease.py
@@ -68,6 +68,16 @@
         Monotonic time at which the term expires unless renewed, in seconds.
     observation : Observation or None
         What this process last read from or wrote to the lease object.
+    current_era : callable
+        Returns the newest known era of the store.  A term ends with the era in which
+        it began: the restored store may name another holder.
+    era : int
+        Era of the current or last term.
+    written_era : int or None
+        Era in which this process last tried to write the lease object; None before
+        the first attempt.
+    highest_fence : int
+        Highest fencing number that this process has read or written.
     """
 
     store: LeaseStore
@@ -81,6 +91,10 @@
     record: LeaseRecord | None = None
     valid_until: float = 0.0
     observation: Observation | None = None
+    current_era: Callable[[], int] = lambda: 0
+    era: int = 0
+    written_era: int | None = None
+    highest_fence: int = 0
 
     def fencing_number(self, span: float = 0.0) -> int | None:
         """
@@ -101,6 +115,8 @@
             return None
         if self.state != "held" or self.record is None:
             return None
+        if self.current_era() > self.era:
+            return None
         return self.record.fence
 
     def fire_trigger(self, trigger: str) -> None:
@@ -122,7 +138,12 @@
         The delay is in seconds.
         """
         if self.state == "held" and self.fencing_number() is None:
-            log.warning("lease lapsed before it was renewed", lease=self.name)
+            log.warning(
+                "lease lapsed before it was renewed",
+                lease=self.name,
+                era=self.era,
+                current_era=self.current_era(),
+            )
             self.fire_trigger("lapse")
         if self.state == "held":
             return await self.renew()
@@ -138,7 +159,7 @@
         """
         assert self.record is not None and self.observation is not None
         renewed = attrs.evolve(self.record, renewal=self.record.renewal + 1)
-        if await self.write(renewed, self.observation.version):
+        if await self.write(renewed, self.observation):
             return self.settings.renewal_interval
         # If only the response was lost, the store contains this record.
         await self.refresh(renewed)
@@ -156,37 +177,61 @@
         assert observation is not None
         now = self.clock.monotonic()
         # If the response to this process's own takeover was lost, waiting for
-        # that term to expire is unnecessary.
-        is_own = observation.record is not None and observation.record.run == self.run
+        # that term to expire is unnecessary.  A record that a restore brought back
+        # does not count: another process may have taken the lease over after it.
+        is_own = (
+            observation.record is not None
+            and observation.record.run == self.run
+            and observation.era == self.written_era
+        )
         if not is_own and not may_take_over(observation, self.settings, now):
             return self.settings.poll_interval
-        record = takeover_record(observation.record, self.vm, self.run)
-        if await self.write(record, observation.version):
+        record = takeover_record(observation, self.vm, self.run, self.highest_fence)
+        if await self.write(record, observation):
             return self.settings.renewal_interval
         return self.settings.poll_interval
 
-    async def write(self, record: LeaseRecord, version: int) -> bool:
+    async def write(self, record: LeaseRecord, observation: Observation) -> bool:
         """
-        Write a record, and return whether the write was confirmed.
+        Replace what was observed by a record, and return whether this was confirmed.
 
-        The term that a confirmed write grants starts when the write was sent.
+        The term that a confirmed write grants starts when the write was sent.  A write
+        that took effect in a later era than that of the observation confirms nothing:
+        the version may have been given to another holder's record.
         """
+        if self.current_era() > observation.era:
+            return False
         sent_at = self.clock.monotonic()
-        outcome = await self.store.write(self.name, to_document(record), version)
+        self.written_era = observation.era
+        outcome = await self.store.write(
+            self.name, to_document(record), observation.version
+        )
         if not isinstance(outcome, Written):
             return False
-        self.apply_write(record, outcome.version, sent_at)
+        if outcome.era != observation.era:
+            log.warning(
+                "lease written in another era",
+                lease=self.name,
+                era=outcome.era,
+                observed_era=observation.era,
+            )
+            return False
+        self.apply_write(record, outcome, sent_at)
         return True
 
-    def apply_write(self, record: LeaseRecord, version: int, sent_at: float) -> None:
+    def apply_write(
+        self, record: LeaseRecord, outcome: Written, sent_at: float
+    ) -> None:
         """Start or extend the term with a confirmed record."""
         now = self.clock.monotonic()
         if self.record is not None:
             ensure(record.fence >= self.record.fence, "fence-rises", record)
         self.fire_trigger("renew" if self.state == "held" else "take")
         self.record = record
+        self.era = outcome.era
+        self.highest_fence = max(self.highest_fence, record.fence)
         self.valid_until = sent_at + self.settings.duration
-        self.observation = Observation(version, record, now)
+        self.observation = Observation(outcome.version, record, now, outcome.era)
 
     async def refresh(self, unconfirmed: LeaseRecord | None) -> bool:
         """
@@ -208,17 +253,22 @@
         stored = found.ok
         record = CONVERTER.structure(stored.value, LeaseRecord) if stored else None
         version = stored.version if stored else 0
+        era = stored.era if stored else self.current_era()
+        if record is not None:
+            self.highest_fence = max(self.highest_fence, record.fence)
         now = self.clock.monotonic()
-        self.observation = update_observation(self.observation, version, record, now)
-        if self.state == "held" and record != self.record:
-            self.handle_record_change(record, version, unconfirmed)
+        self.observation = update_observation(
+            self.observation, version, record, now, era
+        )
+        if self.state == "held" and (record != self.record or era != self.era):
+            self.handle_record_change(record, era, unconfirmed)
         return True
 
     def handle_record_change(
-        self, record: LeaseRecord | None, version: int, unconfirmed: LeaseRecord | None
+        self, record: LeaseRecord | None, era: int, unconfirmed: LeaseRecord | None
     ) -> None:
-        """Keep a renewal that took effect, or end the term."""
-        if record is not None and record == unconfirmed:
+        """Keep a renewal that took effect in the era of the term, or end the term."""
+        if record is not None and record == unconfirmed and era == self.era:
             # The send time is no longer known, so `valid_until` is not extended.
             self.record = record
             return
@@ -230,6 +280,8 @@
         if self.state != "held" or self.record is None or self.observation is None:
             return
         self.fire_trigger("lapse")
+        if self.current_era() > self.era:
+            return
         released = LeaseRecord(VmId(""), "", self.record.fence)
         await self.store.write(
             self.name, to_document(released), self.observation.version
--- a/lentilhaven/objects/stored_object.py
+++ b/lentilhaven/objects/stored_object.py
@@ -18,8 +18,12 @@
         Version, which the platform increases with every write to any object.
     value : Any
         JSON value; None when the object has been deleted.
+    era : int
+        Number of times that the store has been restored from a copy; its versions
+        count anew from the copy each time.
     """
 
     name: str
     version: int
     value: Any
+    era: int = 0
--- a/lentilhaven/objects/write_outcome.py
+++ b/lentilhaven/objects/write_outcome.py
@@ -14,9 +14,12 @@
     ----------
     version : int
         The object's new version.
+    era : int
+        Number of times that the store has been restored from a copy.
     """
 
     version: int
+    era: int = 0
 
 
 @attrs.frozen
--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lentilhaven.core.converter import CONVERTER
+from lentilhaven.core.store_position import StorePosition
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.endpoint_history import EndpointChanges
 from lentilhaven.peering.member import Member
@@ -61,7 +62,15 @@
         ``IP:PORT`` from which other gateways can fetch the manifest and endpoints
         that the sender holds.
     manifest_revision, endpoints_revision : int
-        Revisions of the manifest and endpoints that the sender holds.
+        Revisions of the store at which the sender has read its manifest and its
+        endpoints.
+    era : int or None
+        Era of the endpoints' revisions; None from a release that knows no eras.
+    manifest_version : int or None
+        Version of the manifest that the sender holds; None from a release that
+        compares manifests by revision.
+    leaving : tuple of (str, int)
+        Incarnations of endpoints that have recently said that they are leaving.
     digest : str
         Digest of the endpoints that the sender holds.
     checked : float
@@ -113,6 +122,9 @@
     wants_answer: bool = True
     ready: bool = True
     places: bool = False
+    era: int | None = None
+    manifest_version: int | None = None
+    leaving: tuple[tuple[str, int], ...] = ()
 
     @property
     def sender(self) -> Member:
@@ -142,6 +154,7 @@
         for member in message.members
     ]
     fields["changes"] = encode_changes(message.changes)
+    fields["leaving"] = [list(incarnation) for incarnation in message.leaving]
     text = json.dumps(fields, separators=(",", ":")).encode()
     return zlib.compress(text, COMPRESSION_LEVEL)
 
@@ -151,7 +164,8 @@
     if changes is None:
         return None
     changed = [CONVERTER.unstructure(endpoint) for endpoint in changes.changed]
-    return [changes.since, changes.until, changed, list(changes.gone)]
+    since, until = changes.since.revision, changes.until.revision
+    return [since, until, changed, list(changes.gone)]
 
 
 def decode_message(data: bytes) -> PeerMessage | None:
@@ -164,6 +178,7 @@
     """
     try:
         fields: dict[str, Any] = json.loads(decompress(data))
+        era = decode_optional_int(fields.get("era"))
         return PeerMessage(
             vm=str(fields["vm"]),
             run=str(fields["run"]),
@@ -192,10 +207,15 @@
                 Member(str(address), str(data_centre), float(capacity))
                 for address, data_centre, capacity in fields["members"]
             ),
-            changes=decode_changes(fields["changes"]),
+            changes=decode_changes(fields["changes"], era or 0),
             wants_answer=bool(fields["wants_answer"]),
             ready=bool(fields["ready"]),
             places=bool(fields["places"]),
+            era=era,
+            manifest_version=decode_optional_int(fields.get("manifest_version")),
+            leaving=tuple(
+                (str(name), int(born)) for name, born in fields.get("leaving", ())
+            ),
         )
     except (ValueError, KeyError, TypeError, AttributeError, IndexError, zlib.error):
         return None
@@ -220,9 +240,14 @@
     return text
 
 
-def decode_changes(value: list[Any] | None) -> EndpointChanges | None:
+def decode_optional_int(value: Any) -> int | None:
+    """Return an integer, or None for None."""
+    return None if value is None else int(value)
+
+
+def decode_changes(value: list[Any] | None, era: int) -> EndpointChanges | None:
     """
-    Decode changes of endpoints.
+    Decode changes of endpoints whose revisions are of an era.
 
     Raises
     ------
@@ -236,4 +261,9 @@
         changed = CONVERTER.structure(encoded, list[Endpoint])
     except Exception as error:  # cattrs raises groups of errors
         raise ValueError(f"endpoints: {error}") from error
-    return EndpointChanges(int(since), int(until), tuple(changed), tuple(gone))
+    return EndpointChanges(
+        StorePosition(era, int(since)),
+        StorePosition(era, int(until)),
+        tuple(changed),
+        tuple(gone),
+    )
--- a/lentilhaven/placement/placer.py
+++ b/lentilhaven/placement/placer.py
@@ -14,6 +14,7 @@
 from lentilhaven.fleet.layer_span import LayerSpan
 from lentilhaven.placement.plan import plan_layers, plan_moves
 from lentilhaven.platform.engine_calls import (
+    NoteHead,
     OrderOutcome,
     fetch_report,
     order_layers,
@@ -87,6 +88,10 @@
         is not certain to be held for that long.
     is_suspected : callable
         Returns whether an engine is suspected to be dead.
+    accepts_new_work : callable
+        Returns whether an engine may be sent anything new.
+    note_head : callable
+        Takes an engine and the head of an answer that it has sent.
     pending : dict
         `PendingOrder` by engine id.
     converged : dict
@@ -107,6 +112,8 @@
     session: aiohttp.ClientSession
     fencing_number: Callable[[float], int | None]
     is_suspected: Callable[[Endpoint], bool]
+    accepts_new_work: Callable[[Endpoint], bool] = lambda engine: True
+    note_head: NoteHead = lambda engine, head: None
     pending: dict[str, PendingOrder] = attrs.field(factory=dict)
     converged: dict[str, tuple[EngineSpec, frozenset]] = attrs.field(factory=dict)
     ordered_at: dict[tuple[str, int], float] = attrs.field(factory=dict)
@@ -123,10 +130,10 @@
 
     async def wait_for_change(self) -> None:
         """Wait until the endpoints change, for at most `CHECK_INTERVAL` seconds."""
-        seen = self.view.endpoints_revision
+        seen = self.view.endpoints_position
 
         def changed() -> bool:
-            return self.view.endpoints_revision != seen
+            return self.view.endpoints_position != seen
 
         await self.view.changed.wait_until(changed, CHECK_INTERVAL)
 
@@ -143,7 +150,7 @@
                     "placement planned",
                     service=service.name,
                     orders=len(required),
-                    revision=self.view.endpoints_revision,
+                    position=str(self.view.endpoints_position),
                 )
             await asyncio.gather(*(self.send_order(*pair) for pair in required))
 
@@ -237,7 +244,9 @@
         layers than its entry in the store, or if the lease is not certain to be held.
         An order that the engine may carry out stays in `pending`.
         """
-        report = await fetch_report(self.session, engine, CALL_TIMEOUT)
+        if not self.accepts_new_work(engine):
+            return
+        report = await fetch_report(self.session, engine, CALL_TIMEOUT, self.note_head)
         if report.is_error():
             log.info(
                 "engine does not report", endpoint=engine.id, detail=str(report.error)
@@ -246,6 +255,8 @@
         reported = report.ok
         if reported.busy or reported.layers != engine.layers:
             return
+        if not self.accepts_new_work(engine):
+            return
         token = self.fencing_number(ORDER_LEASE_TIME)
         if token is None:
             return
@@ -253,7 +264,13 @@
         self.pending[engine.id] = PendingOrder(engine.incarnation, layers, now)
         self.ordered_at[engine.incarnation] = now
         outcome = await order_layers(
-            self.session, engine, layers, token, reported.accepted_orders, CALL_TIMEOUT
+            self.session,
+            engine,
+            layers,
+            token,
+            reported.accepted_orders,
+            CALL_TIMEOUT,
+            self.note_head,
         )
         log.info(
             "engine ordered",
--- a/lentilhaven/placement/tests/test_placer.py
+++ b/lentilhaven/placement/tests/test_placer.py
@@ -3,6 +3,7 @@
 
 import attrs
 
+from lentilhaven.core.store_position import StorePosition
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.engine_spec import AcceleratorType, EngineSpec
 from lentilhaven.fleet.fleet_view import FleetView
@@ -17,6 +18,8 @@
     Placer,
 )
 
+AT_1 = StorePosition(0, 1)
+
 
 class ManualClock:
     """A clock whose time a test sets."""
@@ -104,7 +107,7 @@
         self.placer.pending["a"] = PendingOrder(("a", 1), self.span, self.clock.now)
 
     def pending_after(self, *engines):
-        self.placer.view.replace_endpoints(engines, 1, "test")
+        self.placer.view.replace_endpoints(engines, AT_1, "test")
         self.placer.drop_finished_orders()
         return "a" in self.placer.pending
 
@@ -134,8 +137,8 @@
         placer = make_placer(clock, token)
         spec = EngineSpec("m", 8, 1.0, 1.0, {"k": AcceleratorType("k", 100.0)})
         service = ServiceSpec("gen", engine=spec)
-        placer.view.adopt_manifest(Manifest(1, {}, {"gen": service}), 1, "test")
-        placer.view.replace_endpoints([engine("a")], 1, "test")
+        placer.view.adopt_manifest(Manifest(1, {}, {"gen": service}), AT_1, "test")
+        placer.view.replace_endpoints([engine("a")], AT_1, "test")
         placer.known_engines = frozenset({"a"})
         done = []
 
--- a/lentilhaven/platform/engine_calls.py
+++ b/lentilhaven/platform/engine_calls.py
@@ -1,7 +1,7 @@
 """Calls to engines: status reports and orders."""
 
 import enum
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import aiohttp
@@ -15,8 +15,12 @@
 from lentilhaven.platform import headers
 from lentilhaven.platform.replica_format import decode_layers
 from lentilhaven.platform.request_head import ChainPart, encode_path
+from lentilhaven.platform.response_head import ResponseHead, decode_response_head
 from lentilhaven.platform.store_client import REQUEST_ERRORS
 
+#: Takes an endpoint and the head of an answer that it has sent.
+NoteHead = Callable[[Endpoint, ResponseHead], None]
+
 
 @attrs.frozen
 class EngineReport:
@@ -85,7 +89,10 @@
 
 
 async def fetch_report(
-    session: aiohttp.ClientSession, endpoint: Endpoint, timeout: float
+    session: aiohttp.ClientSession,
+    endpoint: Endpoint,
+    timeout: float,
+    note_head: NoteHead,
 ) -> Result[EngineReport, Failure]:
     """
     Request the status report of an engine.
@@ -98,6 +105,8 @@
         Engine to ask.
     timeout : float
         Timeout of the request, in seconds.
+    note_head : callable
+        Takes the engine and the head of its answer.
 
     Returns
     -------
@@ -109,6 +118,7 @@
     request_headers = {headers.EXPECT_REPLICA: endpoint.id}
     try:
         async with session.get(url, headers=request_headers, timeout=limit) as response:
+            note_head(endpoint, read_head(response))
             if response.status != 200:
                 detail = f"status {response.status}"
                 return Error(Failure(Step.ORDER, endpoint.id, "report", detail))
@@ -153,6 +163,7 @@
     fence: int,
     orders: int,
     timeout: float,
+    note_head: NoteHead,
 ) -> OrderOutcome:
     """
     Order an engine to hold a range of layers.
@@ -173,6 +184,8 @@
         its last report; it refuses if the number differs.
     timeout : float
         Timeout of the request, in seconds.
+    note_head : callable
+        Takes the engine and the head of its answer.
     """
     body = {
         "operation": "place",
@@ -182,7 +195,7 @@
         "fencing_token": fence,
         "precondition": orders,
     }
-    return await post_order(session, endpoint, body, timeout)
+    return await post_order(session, endpoint, body, timeout, note_head)
 
 
 async def order_path(
@@ -191,6 +204,7 @@
     request_id: str,
     path: Sequence[ChainPart],
     timeout: float,
+    note_head: NoteHead,
 ) -> OrderOutcome:
     """
     Order an engine to move a request to the chain `path`.
@@ -198,7 +212,7 @@
     The engine is the first of the request's current chain.
     """
     body = {"operation": "repath", "id": request_id, "path": encode_path(path)}
-    return await post_order(session, endpoint, body, timeout)
+    return await post_order(session, endpoint, body, timeout, note_head)
 
 
 async def post_order(
@@ -206,6 +220,7 @@
     endpoint: Endpoint,
     body: dict[str, Any],
     timeout: float,
+    note_head: NoteHead,
 ) -> OrderOutcome:
     """Send an order and return its outcome; raise no error if there is no response."""
     url = f"http://{endpoint.address}/order"
@@ -215,6 +230,12 @@
         async with session.post(
             url, json=body, headers=request_headers, timeout=limit
         ) as response:
+            note_head(endpoint, read_head(response))
             return OUTCOME_BY_STATUS.get(response.status, OrderOutcome.REFUSED)
     except REQUEST_ERRORS:
         return OrderOutcome.UNKNOWN
+
+
+def read_head(response: aiohttp.ClientResponse) -> ResponseHead:
+    """Return the decoded head of an answer."""
+    return decode_response_head(response.status, list(response.headers.items()))
--- a/lentilhaven/platform/headers.py
+++ b/lentilhaven/platform/headers.py
@@ -31,7 +31,12 @@
 #: Address of the part of a chain that caused the failure.
 AT_SERVER = "At-Server"
 WEIGHT_VERSIONS = "Weight-Versions"
+#: Seconds; from an endpoint with status 503, how long it wants no requests.
 RETRY_AFTER = "Retry-After"
+#: Present, with a value other than 0, if the endpoint is leaving the fleet.
+SERVER_LEAVING = "Server-Leaving"
+#: Number that rises whenever the store is restored from a copy.
+STORE_ERA = "Store-Era"
 
 #: Authentication scheme of the API keys in `AUTHORIZATION`.
 KEY_SCHEME = "Bearer"
--- a/lentilhaven/platform/manifest_format.py
+++ b/lentilhaven/platform/manifest_format.py
@@ -8,6 +8,18 @@
 from lentilhaven.fleet.service_spec import ServiceSpec
 
 
+def read_version(value: Any) -> int | None:
+    """
+    Return the version of a manifest without decoding the rest.
+
+    Returns None if there is no valid version.
+    """
+    version = value.get("version") if isinstance(value, dict) else None
+    if isinstance(version, bool) or not isinstance(version, int):
+        return None
+    return version
+
+
 def decode_manifest(value: dict[str, Any]) -> Manifest:
     """
     Decode a manifest.
--- a/lentilhaven/platform/replica_format.py
+++ b/lentilhaven/platform/replica_format.py
@@ -46,7 +46,7 @@
     if not is_address(address):
         return None
     model, layers = decode_layers(value)
-    born = value.get("born", 0)
+    born, sequence = value.get("born", 0), value.get("sequence", 0)
     return Endpoint(
         id=name,
         service=service,
@@ -58,6 +58,7 @@
         card=value["kind"] if isinstance(value.get("kind"), str) else "",
         layers=layers,
         model=model,
+        sequence=sequence if is_non_negative_int(sequence) else 0,
     )
 
 
--- a/lentilhaven/platform/response_head.py
+++ b/lentilhaven/platform/response_head.py
@@ -1,11 +1,17 @@
 """Response heads (status and headers) from endpoints."""
 
-from collections.abc import Iterable, Sequence
+import email.utils
+import math
+import time
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 
 from lentilhaven.platform import headers
 
+#: Longest pause that an endpoint may ask for, in seconds.
+MAX_REFUSAL_PAUSE = 3600.0
+
 
 @attrs.frozen
 class ReportedLoad:
@@ -48,6 +54,10 @@
         head does not say.
     closes_connection : bool
         Whether the endpoint closes the connection after this response.
+    leaving : bool
+        Whether the endpoint is leaving the fleet.
+    refusal_pause : float
+        Seconds for which the endpoint wants no further requests; 0 without a refusal.
     forwarded_headers : tuple of (str, str)
         Headers that are forwarded unchanged to the caller.
     """
@@ -60,6 +70,8 @@
     load: ReportedLoad | None = None
     keep_alive: float | None = None
     closes_connection: bool = False
+    leaving: bool = False
+    refusal_pause: float = 0.0
     forwarded_headers: tuple[tuple[str, str], ...] = ()
 
 
@@ -87,10 +99,73 @@
         load=decode_load(named.get(headers.REPLICA_LOAD.lower(), "")),
         keep_alive=decode_keep_alive(named.get("keep-alive", "")),
         closes_connection="close" in named.get("connection", "").lower(),
+        leaving=decode_leaving(named),
+        refusal_pause=decode_refusal_pause(status, named),
         forwarded_headers=tuple(end_to_end_headers(fields)),
     )
 
 
+def decode_leaving(named: Mapping[str, str]) -> bool:
+    """
+    Return whether the headers of an answer, by lower-case name, say "leaving".
+
+    Examples
+    --------
+    >>> decode_leaving({"server-leaving": "1"}), decode_leaving({})
+    (True, False)
+    >>> decode_leaving({"server-leaving": "0"})
+    False
+    """
+    return named.get(headers.SERVER_LEAVING.lower(), "").strip() not in ("", "0")
+
+
+def decode_refusal_pause(
+    status: int, named: Mapping[str, str], clock: Callable[[], float] = time.time
+) -> float:
+    """
+    Return for how many seconds an endpoint that refuses wants no requests.
+
+    Parameters
+    ----------
+    status : int
+        Status of the answer.
+    named : mapping
+        Its headers by lower-case name.
+    clock : callable
+        Returns the Unix time in seconds, for a value that is a date.
+
+    Returns
+    -------
+    float
+        Zero without a pause, or if its value is invalid; `MAX_REFUSAL_PAUSE` at most.
+
+    Examples
+    --------
+    >>> decode_refusal_pause(503, {"retry-after": "2.5"})
+    2.5
+    >>> [decode_refusal_pause(503, {"retry-after": it}) for it in ("-1", "nan", "soon")]
+    [0.0, 0.0, 0.0]
+    >>> decode_refusal_pause(200, {"retry-after": "2"})
+    0.0
+    >>> date = {"retry-after": "Thu, 01 Jan 1970 00:01:40 GMT"}
+    >>> decode_refusal_pause(503, date, lambda: 90.0)
+    10.0
+    """
+    text = named.get(headers.RETRY_AFTER.lower(), "").strip()
+    if status != 503 or not text:
+        return 0.0
+    try:
+        seconds = float(text)
+    except ValueError:
+        try:
+            seconds = email.utils.parsedate_to_datetime(text).timestamp() - clock()
+        except ValueError:
+            return 0.0
+    if math.isnan(seconds):
+        return 0.0
+    return min(max(seconds, 0.0), MAX_REFUSAL_PAUSE)
+
+
 def end_to_end_headers(
     fields: Sequence[tuple[str, str]],
 ) -> Iterable[tuple[str, str]]:
--- a/lentilhaven/platform/store_client.py
+++ b/lentilhaven/platform/store_client.py
@@ -12,6 +12,7 @@
 
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.step import Step
+from lentilhaven.core.store_position import StorePosition
 from lentilhaven.objects.stored_object import StoredObject
 from lentilhaven.objects.write_outcome import (
     Ambiguous,
@@ -20,6 +21,7 @@
     WriteOutcome,
     Written,
 )
+from lentilhaven.platform import headers
 
 #: TCP keep-alive options: the first probe is sent after one second without traffic
 #: and others at intervals of one second.  The connection ends after two probes
@@ -50,14 +52,14 @@
     ----------
     name : str
         Name of the object.
-    revision : int
-        Store revision of its last change.
+    position : StorePosition
+        Position of the store at its last change.
     value : Any
         Content of the object; None if it has been deleted.
     """
 
     name: str
-    revision: int
+    position: StorePosition
     value: Any
 
 
@@ -70,12 +72,12 @@
     ----------
     changes : list of ObjectChange
         The objects.
-    revision : int
-        Store revision from which a watch continues.
+    position : StorePosition
+        Position of the store from which a watch continues.
     """
 
     changes: list[ObjectChange]
-    revision: int
+    position: StorePosition
 
 
 @attrs.define
@@ -94,46 +96,51 @@
     acquire_permit : callable
         Rate limiter: called before each call with the step; returns a failure if
         the call must not be made.
+    note_era : callable
+        Takes the era of the store that an answer names.
     """
 
     base_url: str
     session: aiohttp.ClientSession
     call_timeout: float
     acquire_permit: Callable[[Step], Awaitable[Failure | None]]
+    note_era: Callable[[int], None] = lambda era: None
 
     async def list_kind(self, kind: str) -> Result[ObjectListing, Failure]:
         """Read all objects of a kind, page by page."""
         found: list[ObjectChange] = []
         query: dict[str, str] = {}
-        revision = 0
+        first: StorePosition | None = None
         while True:
             answer = await self.get(Step.READ_OBJECT, kind, query, self.call_timeout)
             if answer.is_error():
                 return Error(answer.error)
-            page = answer.ok
+            page, era = answer.ok
             try:
-                found += [decode_change(item, False) for item in page["items"]]
+                found += [decode_change(item, False, era) for item in page["items"]]
                 # Later pages may contain later changes.  A watch from the first
-                # page's revision returns these again, which is harmless.
-                revision = revision or int(page["current_rev"])
+                # page's position returns these again, which is harmless.
+                first = first or StorePosition(era, int(page["current_rev"]))
+                if era != first.era:
+                    return Error(restored_failure(Step.READ_OBJECT, first.era, era))
                 if not page.get("has_more"):
-                    return Ok(ObjectListing(found, revision))
+                    return Ok(ObjectListing(found, first))
             except (KeyError, TypeError, ValueError) as error:
                 return Error(malformed_failure(Step.READ_OBJECT, error))
             query = {"after": found[-1].name}
 
     async def watch_kind(
-        self, kind: str, revision: int, timeout: float
+        self, kind: str, position: StorePosition, timeout: float
     ) -> Result[ObjectListing, Failure]:
         """
-        Wait for changes of a kind after a revision.
+        Wait for changes of a kind after a position.
 
         Parameters
         ----------
         kind : str
             Kind of the objects.
-        revision : int
-            Store revision; only later changes are returned.
+        position : StorePosition
+            Position of the store; only later changes are returned.
         timeout : float
             Maximum time to wait for a change, in seconds.
 
@@ -141,20 +148,28 @@
         -------
         Result
             The changed objects; none if nothing has changed in time.  A failure of
-            kind ``"compacted"`` means that the store no longer has the history since
-            `revision`, so that the objects must be listed again.
+            kind ``"compacted"`` or ``"restored"`` means that the store does not have
+            the history since `position`, so that the objects must be listed again.
         """
-        query = {"watch": str(revision), "wait_ms": str(int(timeout * 1000))}
+        query = {
+            "watch": str(position.revision),
+            "wait_ms": str(int(timeout * 1000)),
+        }
         limit = timeout + self.call_timeout
         answer = await self.get(Step.WATCH, kind, query, limit)
         if answer.is_error():
             return Error(answer.error)
+        body, era = answer.ok
+        if era != position.era:
+            return Error(restored_failure(Step.WATCH, position.era, era))
         try:
             changes = [
-                decode_change(event["object"], bool(event.get("deleted")))
-                for event in answer.ok["events"]
+                decode_change(event["object"], bool(event.get("deleted")), era)
+                for event in body["events"]
             ]
-            return Ok(ObjectListing(changes, int(answer.ok["current_rev"])))
+            return Ok(
+                ObjectListing(changes, StorePosition(era, int(body["current_rev"])))
+            )
         except (KeyError, TypeError, ValueError) as error:
             return Error(malformed_failure(Step.WATCH, error))
 
@@ -165,9 +180,10 @@
             if answer.error.kind == "missing":
                 return Ok(None)
             return Error(answer.error)
+        body, era = answer.ok
         try:
-            meta = answer.ok["metadata"]
-            return Ok(StoredObject(name, int(meta["rev"]), answer.ok.get("spec")))
+            version = int(body["metadata"]["rev"])
+            return Ok(StoredObject(name, version, body.get("spec"), era))
         except (KeyError, TypeError, ValueError) as error:
             return Error(malformed_failure(Step.READ_OBJECT, error))
 
@@ -207,6 +223,7 @@
             async with self.session.request(
                 method, url, json=body, timeout=limit
             ) as response:
+                era = self.read_era(response)
                 if response.status in (409, 404):
                     return Conflict()
                 if response.status in NO_EFFECT_STATUSES:
@@ -214,7 +231,7 @@
                 if response.status >= 400:
                     return Ambiguous(status_failure(Step.WRITE_OBJECT, response.status))
                 answer = await response.json()
-                return Written(int(answer["metadata"]["rev"]))
+                return Written(int(answer["metadata"]["rev"]), era)
         except aiohttp.ClientConnectorError as error:
             # No connection was made, so the request was not sent.
             return Refused(no_answer_failure(Step.WRITE_OBJECT, error))
@@ -223,8 +240,8 @@
 
     async def get(
         self, step: Step, path: str, query: dict[str, str], timeout: float
-    ) -> Result[Any, Failure]:
-        """Make a GET call and return the decoded body, or a failure."""
+    ) -> Result[tuple[Any, int], Failure]:
+        """Make a GET call and return the decoded body and the era, or a failure."""
         limited = await self.acquire_permit(step)
         if limited is not None:
             return Error(limited)
@@ -232,18 +249,34 @@
         url = f"{self.base_url}/objects/{path}"
         try:
             async with self.session.get(url, params=query, timeout=limit) as response:
+                era = self.read_era(response)
                 if response.status == 200:
-                    return Ok(await response.json())
+                    return Ok((await response.json(), era))
                 return Error(status_failure(step, response.status))
         except REQUEST_ERRORS as error:
             return Error(no_answer_failure(step, error))
 
+    def read_era(self, response: aiohttp.ClientResponse) -> int:
+        """Return the era that an answer names, and report it; 0 without one."""
+        text = response.headers.get(headers.STORE_ERA, "")
+        if not (text.isascii() and text.isdigit()):
+            return 0
+        era = int(text)
+        self.note_era(era)
+        return era
 
-def decode_change(item: dict[str, Any], deleted: bool) -> ObjectChange:
+
+def decode_change(item: dict[str, Any], deleted: bool, era: int) -> ObjectChange:
     """Decode one object; one that is being deleted counts as deleted."""
     meta = item["metadata"]
     value = None if deleted or meta.get("is_deleting") else item.get("spec")
-    return ObjectChange(str(meta["name"]), int(meta.get("rev") or 0), value)
+    position = StorePosition(era, int(meta.get("rev") or 0))
+    return ObjectChange(str(meta["name"]), position, value)
+
+
+def restored_failure(step: Step, before: int, era: int) -> Failure:
+    """Return the failure of a call whose answer belongs to another era."""
+    return Failure(step, PEER, "restored", f"era {era} instead of {before}")
 
 
 def status_failure(step: Step, status: int) -> Failure:
@@ -283,6 +316,7 @@
     call_timeout: float,
     acquire_permit: Callable[[Step], Awaitable[Failure | None]],
     make_connector: Callable[[], aiohttp.BaseConnector] | None = None,
+    note_era: Callable[[int], None] = lambda era: None,
 ) -> AsyncIterator[StoreClient]:
     """
     Open a client, and close its connections on exit.
@@ -297,7 +331,11 @@
         Rate limiter, as in `StoreClient`.
     make_connector : callable or None
         Returns the connector; None to use `make_store_connector`.
+    note_era : callable
+        Takes the era of the store that an answer names.
     """
     connector = (make_connector or make_store_connector)()
     async with aiohttp.ClientSession(connector=connector) as session:
-        yield StoreClient(f"http://{address}", session, call_timeout, acquire_permit)
+        yield StoreClient(
+            f"http://{address}", session, call_timeout, acquire_permit, note_era
+        )
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -122,13 +122,14 @@
             await asyncio.sleep(HANG_TIME)
         expected = request.fields.get("expect-replica", replica.id)
         if expected != replica.id:
-            return await send_response(writer, request, 421, b"", not_run=True)
+            return await send_response(replica, writer, request, 421, b"", not_run=True)
         if request.target == "/report":
-            return await send_json(writer, request, replica.report())
+            return await send_json(replica, writer, request, replica.report())
         if request.target == "/order":
             return await self.handle_order(replica, request, writer)
+        replica.arrivals.append(asyncio.get_running_loop().time())
         if replica.faults.shed:
-            return await send_response(writer, request, 503, b"", not_run=True)
+            return await send_response(replica, writer, request, 503, b"", not_run=True)
         if "hop-count" in request.fields:
             return await self.serve_chain(replica, request, reader, writer)
         return await self.serve_plain(replica, request, writer)
@@ -180,11 +181,15 @@
             part = self.find_replica(address)
             if part is None or part.draining:
                 self.refused += 1
-                return await send_response(writer, request, 503, b"", True, address)
+                return await send_response(
+                    replica, writer, request, 503, b"", True, address
+                )
             held = part.span
             if held is None or not (held[0] <= start and end <= held[1]):
                 self.refused += 1
-                return await send_response(writer, request, 421, b"", True, address)
+                return await send_response(
+                    replica, writer, request, 421, b"", True, address
+                )
         record_run(replica, request)
         # Completes once the caller closes the connection.
         disconnect = asyncio.ensure_future(reader.read(1))
@@ -297,18 +302,18 @@
             parts = decode_path(order["path"])
             self.check_path(order["path"], parts)
             self.replaced_paths[order["id"]] = parts
-            return await send_response(writer, request, 202, b"")
+            return await send_response(replica, writer, request, 202, b"")
         fence = order.get("fencing_token", 0)
         if fence < replica.fence:
-            return await send_response(writer, request, 412, b"")
+            return await send_response(replica, writer, request, 412, b"")
         replica.fence = fence
         if order.get("precondition", replica.orders) != replica.orders:
-            return await send_response(writer, request, 409, b"")
+            return await send_response(replica, writer, request, 409, b"")
         replica.orders += 1
         task = asyncio.ensure_future(self.execute_order(replica, order))
         # Raises an error of the task again, so that the event loop reports it.
         task.add_done_callback(lambda done: done.cancelled() or done.result())
-        return await send_response(writer, request, 202, b"")
+        return await send_response(replica, writer, request, 202, b"")
 
     async def execute_order(self, replica: FakeReplica, order: dict[str, Any]) -> None:
         """Load the ordered layers, then write the new entry of the replica."""
--- a/lentilhaven/standins/platform/fake_replica.py
+++ b/lentilhaven/standins/platform/fake_replica.py
@@ -22,6 +22,8 @@
     shed : bool
         Whether the replica refuses requests with status 503 and guarantees, by the
         header ``Not-Executed``, that they have not run.
+    pause : str
+        Value of the header ``Retry-After`` of these refusals; empty for none.
     lose_answer : bool
         Whether a plain service runs a request and then resets the connection.
     truncate : bool
@@ -44,6 +46,7 @@
 
     dark: bool = False
     shed: bool = False
+    pause: str = ""
     lose_answer: bool = False
     truncate: bool = False
     extra: bool = False
@@ -120,6 +123,11 @@
         Requests that the replica has started to run, oldest first.
     broken_runs : list of str
         Ids of requests whose caller closed the connection while they ran.
+    announces_leaving : bool
+        Whether all answers say that the replica is leaving.
+    arrivals : list of float
+        Event loop times at which requests arrived, except reports and orders, in
+        seconds.
     last_response : bytes
         Newest response of a plain service, repeated by the fault `extra`.
     """
@@ -142,6 +150,8 @@
     faults: ReplicaFaults = attrs.field(factory=ReplicaFaults)
     runs: list[Run] = attrs.field(factory=list)
     broken_runs: list[str] = attrs.field(factory=list)
+    announces_leaving: bool = False
+    arrivals: list[float] = attrs.field(factory=list)
     last_response: bytes = b""
 
     @property
@@ -203,6 +213,7 @@
         self.born += 1000
         self.span = None if self.card else self.span
         self.orders = self.fence = 0
+        self.announces_leaving = False
         self.faults = ReplicaFaults()
 
     async def load_layers(self, start: int, end: int) -> None:
--- a/lentilhaven/standins/platform/fake_store.py
+++ b/lentilhaven/standins/platform/fake_store.py
@@ -1,6 +1,7 @@
 """State of the platform's store."""
 
 import asyncio
+import copy
 import enum
 from collections import Counter
 from typing import Any
@@ -62,6 +63,26 @@
     deleted: bool
 
 
+@attrs.frozen
+class StoreCopy:
+    """
+    A copy of the content of a store.
+
+    Attributes
+    ----------
+    kinds : dict
+        For each kind, `StoreEntry` by name.
+    revision : int
+        Revision of the store at the time of the copy.
+    history : list of Change
+        Changes that watches returned at that time.
+    """
+
+    kinds: dict[str, dict[str, StoreEntry]]
+    revision: int
+    history: list[Change]
+
+
 @attrs.define
 class FakeStore:
     """
@@ -73,6 +94,9 @@
         For each kind, `StoreEntry` by name.
     revision : int
         Number that increases with each change.
+    era : int
+        Number of times that the store was restored from a copy, which every answer
+        names.
     history : list of Change
         Changes that watches return, oldest first.
     state : StoreState
@@ -95,6 +119,7 @@
 
     kinds: dict[str, dict[str, StoreEntry]] = attrs.field(factory=dict)
     revision: int = 1
+    era: int = 0
     history: list[Change] = attrs.field(factory=list)
     state: StoreState = StoreState.UP
     refused_callers: set[str] = attrs.field(factory=set)
@@ -128,6 +153,19 @@
         self.history.append(change)
         self.changed.notify()
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy of the content, to be restored later."""
+        kinds = copy.deepcopy(self.kinds)
+        return StoreCopy(kinds, self.revision, list(self.history))
+
+    def restore(self, earlier: StoreCopy) -> None:
+        """Lose all that was written since a copy, and begin a new era."""
+        self.kinds = copy.deepcopy(earlier.kinds)
+        self.revision = earlier.revision
+        self.history = list(earlier.history)
+        self.era += 1
+        self.changed.notify()
+
     def compact(self) -> None:
         """Discard the history, so that older watches fail."""
         # The new entry, of no kind, marks the revision at which the history now begins.
@@ -135,7 +173,13 @@
         self.history.append(Change(self.revision, "", "", None, True))
 
     def changes_since(self, kind: str, revision: int) -> list[Change] | None:
-        """Return the changes of a kind after a revision; None if some are discarded."""
+        """
+        Return the changes of a kind after a revision.
+
+        Returns None if some are discarded, or if the store does not have the revision.
+        """
+        if revision > self.revision:
+            return None
         if self.history and self.history[0].revision > revision + 1:
             return None
         return [it for it in self.history if it.kind == kind and it.revision > revision]
@@ -147,7 +191,8 @@
         Wait for changes of a kind after a revision and return them.
 
         Returns an empty list if there are none, and None if some are discarded, in both
-        cases after the whole time.
+        cases after the whole time.  If the store does not have the revision, or is
+        restored meanwhile, returns None at once.
 
         Parameters
         ----------
@@ -160,7 +205,15 @@
         """
         if self.unresponsive_watches:
             await asyncio.sleep(3600.0)
+        era = self.era
         await self.changed.wait_until(
-            lambda: bool(self.changes_since(kind, revision)), seconds
+            lambda: (
+                bool(self.changes_since(kind, revision))
+                or self.era != era
+                or revision > self.revision
+            ),
+            seconds,
         )
+        if self.era != era:
+            return None
         return self.changes_since(kind, revision)
--- a/lentilhaven/standins/platform/replica_wire.py
+++ b/lentilhaven/standins/platform/replica_wire.py
@@ -116,11 +116,17 @@
         f"Request-Id: {request.fields.get('request-id', '')}",
         f"Replica-Signature: {replica.id}.{request.fields.get('request-id', '')}",
         "Weight-Versions: 1",
+        *leaving_lines(replica),
         *lines,
     ]
     return ("\r\n".join(head) + "\r\n\r\n").encode()
 
 
+def leaving_lines(replica: FakeReplica) -> list[str]:
+    """Return the header with which a replica says that it is leaving, if it is."""
+    return ["Server-Leaving: 1"] if replica.announces_leaving else []
+
+
 def encode_response(
     replica: FakeReplica,
     request: RequestReader,
@@ -138,6 +144,7 @@
 
 
 async def send_response(
+    replica: FakeReplica,
     writer: asyncio.StreamWriter,
     request: RequestReader,
     status: int,
@@ -152,6 +159,8 @@
 
     Parameters
     ----------
+    replica : FakeReplica
+        Replica that answers.
     writer : asyncio.StreamWriter
         Stream to the caller.
     request : RequestReader
@@ -171,7 +180,10 @@
         f"Request-Id: {request.fields.get('request-id', '')}",
         f"Content-Length: {len(body)}",
         "Content-Type: application/json",
+        *leaving_lines(replica),
     ]
+    if status == 503 and replica.faults.pause:
+        lines.append(f"Retry-After: {replica.faults.pause}")
     if not_run:
         lines.append("Not-Executed: 1")
     if failed_address:
@@ -182,7 +194,11 @@
 
 
 async def send_json(
-    writer: asyncio.StreamWriter, request: RequestReader, value: Any
+    replica: FakeReplica,
+    writer: asyncio.StreamWriter,
+    request: RequestReader,
+    value: Any,
 ) -> bool:
     """Send a JSON value with status 200, and return that the connection stays open."""
-    return await send_response(writer, request, 200, json.dumps(value).encode())
+    body = json.dumps(value).encode()
+    return await send_response(replica, writer, request, 200, body)
--- a/lentilhaven/standins/platform/store_app.py
+++ b/lentilhaven/standins/platform/store_app.py
@@ -61,12 +61,16 @@
             self.store.callers[self.caller] += 1
             if self.store.state is StoreState.SILENT:
                 await asyncio.sleep(HANG_TIME)
+            era = str(self.store.era)
             if (
                 self.store.state is StoreState.BUSY
                 or self.caller in self.store.refused_callers
             ):
-                return web.json_response({"error": "busy"}, status=503)
-            return await handler(request)
+                response = web.json_response({"error": "busy"}, status=503)
+            else:
+                response = await handler(request)
+            response.headers["Store-Era"] = era
+            return response
 
         return apply_faults
 
--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -36,6 +36,8 @@
         Number of exchanges begun.
     on_lost : callable
         Called with this connection when it is lost.
+    on_head : callable
+        Called with the head of each response.
     parser : httptools.HttpResponseParser
         Parser of the responses.
     fields : list of (str, str)
@@ -52,7 +54,11 @@
         Whether the endpoint has closed its side of the connection.
     """
 
-    def __init__(self, on_lost: Callable[["UpstreamConnection"], None]) -> None:
+    def __init__(
+        self,
+        on_lost: Callable[["UpstreamConnection"], None],
+        on_head: Callable[[ResponseHead], None] = lambda head: None,
+    ) -> None:
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.usable = True
@@ -60,6 +66,7 @@
         self.idle_since = 0.0
         self.exchange_count = 0
         self.on_lost = on_lost
+        self.on_head = on_head
         self.parser = httptools.HttpResponseParser(self)
         self.fields: list[tuple[str, str]] = []
         self.head: ResponseHead | None = None
@@ -129,6 +136,7 @@
         if status < 200 or self.exchange is None:
             return
         head = decode_response_head(status, self.fields)
+        self.on_head(head)
         self.head = head
         self.ends_at_eof = not self.is_self_delimited()
         # Only a response with a status of 300 or more may lack the request's id.
--- a/lentilhaven/upstream/connection_pool.py
+++ b/lentilhaven/upstream/connection_pool.py
@@ -1,10 +1,13 @@
 """Pool of idle connections to endpoints."""
 
 import asyncio
+from collections.abc import Callable
+from functools import partial
 
 import attrs
 
 from lentilhaven.fleet.endpoint import Endpoint
+from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.upstream.connection import UpstreamConnection
 from lentilhaven.upstream.exchange import UpstreamError
 
@@ -35,10 +38,14 @@
         Lists of idle connections by incarnation, the most recently used last.
     opened : int
         Number of connections opened since the start, including failed attempts.
+    on_head : callable
+        Called with an endpoint and the head of each answer that it sends, even if the
+        answer belongs to no request in progress.
     """
 
     idle: dict[tuple[str, int], list[UpstreamConnection]] = attrs.field(factory=dict)
     opened: int = 0
+    on_head: Callable[[Endpoint, ResponseHead], None] = lambda endpoint, head: None
 
     async def acquire(
         self, endpoint: Endpoint, timeout: float, max_idle_time: float = MAX_IDLE_TIME
@@ -70,7 +77,11 @@
         try:
             async with asyncio.timeout(min(timeout, CONNECT_TIMEOUT)):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self.remove_lost), host, int(port)
+                    lambda: UpstreamConnection(
+                        self.remove_lost, partial(self.on_head, endpoint)
+                    ),
+                    host,
+                    int(port),
                 )
         except (OSError, TimeoutError) as error:
             detail = f"{type(error).__name__}: {error}"
