--- a/lentilhaven/gateway/endpoint_states.py
+++ b/lentilhaven/gateway/endpoint_states.py
@@ -16,6 +16,11 @@
 #: that was in transit when the endpoint failed still arrives.
 REFUTE_MARGIN = 0.05
 
+#: Largest distance of an observation that a gateway passes on: the distance is 0 for
+#: its own, 1 for one that another gateway has reported of itself, 2 for one in the sum
+#: of a data centre, and 3 for one in the sum of all.
+MAX_PASSED_DISTANCE = 2
+
 #: Seconds for which an endpoint gets no requests after it has refused one.
 REFUSAL_BACKOFF = 0.3
 
@@ -41,14 +46,15 @@
         Time that the endpoint takes, relative to the usual time of its kind.
     heard_at : float
         Time at which data last arrived at any gateway from the endpoint or through it.
-    own_heard_at : float
-        Time at which such data last arrived at this gateway.
+    heard_within : list of float
+        For each distance up to `MAX_PASSED_DISTANCE`, the time at which such data last
+        arrived, as known from observations of at most that distance.
     suspected_until : float
         Time until which the endpoint is suspected and gets no requests.
     suspected_since : float
         Time at which the suspicion arose.
-    own_suspicion : bool
-        Whether this gateway, not another one, has detected the fault.
+    suspicion_distance : int
+        Distance of the observation that led to the suspicion.
     refused_until : float
         Time until which the endpoint gets no requests because it has refused one.
     paused_until : float
@@ -61,10 +67,12 @@
     failures: float = 0.0
     slowdown: float = 1.0
     heard_at: float = 0.0
-    own_heard_at: float = 0.0
+    heard_within: list[float] = attrs.field(
+        factory=lambda: [0.0] * (MAX_PASSED_DISTANCE + 1)
+    )
     suspected_until: float = 0.0
     suspected_since: float = 0.0
-    own_suspicion: bool = False
+    suspicion_distance: int = 0
     refused_until: float = 0.0
     paused_until: float = 0.0
 
@@ -74,7 +82,7 @@
         known = self.latency or seconds
         self.latency = known + EWMA_WEIGHT * (seconds - known)
 
-    def note_heard(self, at: float, own: bool = True) -> None:
+    def note_heard(self, at: float, distance: int = 0) -> None:
         """
         Record that data arrived from the endpoint or through it.
 
@@ -85,16 +93,16 @@
         ----------
         at : float
             Event loop time of the arrival, in seconds.
-        own : bool
-            Whether the data arrived at this gateway, not at another one.
+        distance : int
+            Distance of the observation; 0 if the data arrived at this gateway.
         """
         self.heard_at = max(self.heard_at, at)
-        if own:
-            self.own_heard_at = max(self.own_heard_at, at)
+        for limit in range(distance, MAX_PASSED_DISTANCE + 1):
+            self.heard_within[limit] = max(self.heard_within[limit], at)
         if at > self.suspected_since + REFUTE_MARGIN:
             self.suspected_until = 0.0
 
-    def note_suspicion(self, since: float, until: float, own: bool) -> bool:
+    def note_suspicion(self, since: float, until: float, distance: int = 0) -> bool:
         """
         Suspect the endpoint until a time, unless its activity ends the suspicion first.
 
@@ -106,8 +114,8 @@
             Event loop time at which the suspicion arose, in seconds.
         until : float
             Event loop time at which the suspicion ends, in seconds.
-        own : bool
-            Whether this gateway, not another one, has detected the fault.
+        distance : int
+            Distance of the observation; 0 if this gateway has detected the fault.
 
         Returns
         -------
@@ -118,9 +126,40 @@
         if until > self.suspected_until:
             self.suspected_since = since
             self.suspected_until = until
-            self.own_suspicion = own
+            self.suspicion_distance = distance
         return fresh
 
+    def note_reported_suspicion(
+        self, since: float, until: float, distance: int, now: float
+    ) -> bool:
+        """
+        Suspect the endpoint because another gateway says so.
+
+        The report is ignored if the endpoint has been active since, as the other
+        gateway may not know of that.  It is also ignored if a suspicion from as near
+        is in force: it may be the same one, and the time in transit, which its age
+        leaves out, would prolong it.
+
+        Parameters
+        ----------
+        since, until : float
+            Event loop times between which the other gateway suspects it, in seconds.
+        distance : int
+            Distance of the observation, at least 1.
+        now : float
+            Time of the event loop, in seconds.
+
+        Returns
+        -------
+        bool
+            As for `note_suspicion`.
+        """
+        if now < self.suspected_until and distance >= self.suspicion_distance:
+            return False
+        if self.heard_at > since + REFUTE_MARGIN:
+            return False
+        return self.note_suspicion(since, until, distance)
+
     def available(self, now: float) -> bool:
         """Return whether the endpoint may get a request."""
         return now >= max(self.suspected_until, self.refused_until, self.paused_until)
--- a/lentilhaven/gateway/message_composer.py
+++ b/lentilhaven/gateway/message_composer.py
@@ -84,7 +84,7 @@
             },
             pipes={name: round(rate) for name, rate in sums.pipes.items()},
             heard=self.heard_ages(scope, states, now),
-            suspects=suspicions(states, now, is_sum),
+            suspects=suspicions(states, now, scope.distance),
             members=self.listed_members(scope, now),
             changes=view.history.recent_changes(view.monotonic()) if is_sum else None,
             ready=gateway.ready,
@@ -174,7 +174,7 @@
         if scope in SCOPES_WITHOUT_LOAD:
             return ages
         for name, state in states.items():
-            at = state.own_heard_at if scope is Scope.OWN else state.heard_at
+            at = state.heard_within[scope.distance - 1]
             if at > self.reported_heard_at.get((scope, name), 0.0):
                 self.reported_heard_at[(scope, name)] = at
                 ages[name] = round(now - at, 3)
@@ -196,7 +196,7 @@
 
 
 def suspicions(
-    states: dict[str, EndpointState], now: float, include_reported: bool
+    states: dict[str, EndpointState], now: float, distance: int
 ) -> dict[str, tuple[float, float]]:
     """
     Return the suspected endpoints.
@@ -207,8 +207,8 @@
         Observed state of endpoints, by id.
     now : float
         Time of the event loop.
-    include_reported : bool
-        Whether to include suspicions that other gateways have reported.
+    distance : int
+        Distance that the suspicions have for the receiver.
 
     Returns
     -------
@@ -221,5 +221,5 @@
             round(state.suspected_until - now, 3),
         )
         for name, state in states.items()
-        if state.suspected_until > now and (include_reported or state.own_suspicion)
+        if state.suspected_until > now and state.suspicion_distance < distance
     }
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -9,7 +9,6 @@
 
 from lentilhaven.fleet.endpoint_history import EndpointChanges
 from lentilhaven.gateway.connection_factories import OpenDatagrams
-from lentilhaven.gateway.endpoint_states import REFUTE_MARGIN
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.message_composer import MessageComposer
 from lentilhaven.peering.member import Member
@@ -244,19 +243,18 @@
     )
     merge_store_state(gateway, message, now)
     endpoints = gateway.view.endpoints
+    distance = message.scope.distance
     for name, age in message.heard.items():
         endpoint = endpoints.get(name)
         if endpoint is not None:
-            gateway.endpoint_states.of(endpoint).note_heard(now - age, own=False)
+            gateway.endpoint_states.of(endpoint).note_heard(now - age, distance)
     is_new = False
     for name, (age, left) in message.suspects.items():
         endpoint = endpoints.get(name)
         if endpoint is None:
             continue
         state = gateway.endpoint_states.of(endpoint)
-        # The peer may not know of an event that came after its suspicion began.
-        if state.heard_at <= now - age + REFUTE_MARGIN:
-            is_new |= state.note_suspicion(now - age, now + left, own=False)
+        is_new |= state.note_reported_suspicion(now - age, now + left, distance, now)
     return is_new
 
 
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -213,7 +213,7 @@
     else:
         state.record(now - began, failed)
     if isinstance(outcome, Failure) and outcome.kind == "connect":
-        state.note_suspicion(now, now + SUSPICION_TIME, own=True)
+        state.note_suspicion(now, now + SUSPICION_TIME)
     log.info(
         "replica tried",
         request=call.id,
--- a/lentilhaven/gateway/silence.py
+++ b/lentilhaven/gateway/silence.py
@@ -107,7 +107,7 @@
         state = gateway.endpoint_states.of(endpoint)
         if state.heard_at <= since:
             fresh = fresh or state.suspected_until <= now
-            state.note_suspicion(now, now + SUSPICION_TIME, own=True)
+            state.note_suspicion(now, now + SUSPICION_TIME)
             suspects.append(endpoint.id)
     if not fresh:
         return suspects
--- a/lentilhaven/gateway/stream_failures.py
+++ b/lentilhaven/gateway/stream_failures.py
@@ -67,7 +67,7 @@
         relay.excluded.add(endpoint.id)
         if endpoint is chain.first:
             continue
-        if state.note_suspicion(now, now + SUSPICION_TIME, own=True):
+        if state.note_suspicion(now, now + SUSPICION_TIME):
             relay.gateway.urgent_signal.notify()
             log.warning(
                 "endpoint suspected after a refusal",
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -92,7 +92,7 @@
     except UpstreamError as error:
         failed_at = loop.time()
         gateway.endpoint_states.of(first).note_suspicion(
-            failed_at, failed_at + SUSPICION_TIME, own=True
+            failed_at, failed_at + SUSPICION_TIME
         )
         relay.excluded.add(first.id)
         return Failure(Step.CONNECT, first.id, "connect", error.detail)
--- a/lentilhaven/gateway/tests/test_large_fleet.py
+++ b/lentilhaven/gateway/tests/test_large_fleet.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from lentilhaven.gateway.endpoint_states import SUSPICION_TIME
 from lentilhaven.gateway.program import PLACEMENT_LEASE
+from lentilhaven.gateway.tests import platform_testbed
 from lentilhaven.gateway.tests.platform_testbed import (
     plain_replicas,
     run_on_testbed,
@@ -106,7 +109,7 @@
             endpoint = bed.gateways[11].view.endpoints["i-a4"]
             now = asyncio.get_running_loop().time()
             state = bed.gateways[11].endpoint_states.of(endpoint)
-            state.note_suspicion(now, now + 4.0, own=True)
+            state.note_suspicion(now, now + SUSPICION_TIME)
             bed.gateways[11].urgent_signal.notify()
             await asyncio.sleep(0.1)
             return [gateway.is_suspected(endpoint) for gateway in bed.gateways]
@@ -114,6 +117,56 @@
         self.assertEqual(in_large_fleet(use, two_chains()), [True] * 12)
 
 
+class SlowDatagramTests(unittest.TestCase):
+    """
+    Guards against knowledge that outlives its cause.
+
+    Gateways at the limit of their processors handle datagrams late.  The leaders of
+    the data centres send each other sums; if each repeats what the others repeat, and
+    its age leaves out the time in transit, a suspicion that one gateway had once never
+    ends, and an endpoint that has fallen silent is heard of for ever.
+    """
+
+    #: Seconds from sending a datagram to handling it.
+    LATENCY = 0.15
+
+    #: Datagrams from any gateway to any other, by way of leaders, and the intervals
+    #: between them.
+    SPREAD_TIME = 4 * (LATENCY + 0.15)
+
+    def in_slow_fleet(self, use):
+        with mock.patch.object(platform_testbed, "DATAGRAM_LATENCY", self.LATENCY):
+            return in_large_fleet(use, two_chains())
+
+    def test_suspicion_ends_everywhere(self):
+        async def use(bed):
+            await asyncio.sleep(3.0)
+            endpoint = bed.gateways[11].view.endpoints["i-a4"]
+            now = asyncio.get_running_loop().time()
+            state = bed.gateways[11].endpoint_states.of(endpoint)
+            state.note_suspicion(now, now + SUSPICION_TIME)
+            bed.gateways[11].urgent_signal.notify()
+            await asyncio.sleep(self.SPREAD_TIME)
+            spread = [gateway.is_suspected(endpoint) for gateway in bed.gateways]
+            await asyncio.sleep(SUSPICION_TIME)
+            ended = [not gateway.is_suspected(endpoint) for gateway in bed.gateways]
+            return all(spread), all(ended)
+
+        self.assertEqual(self.in_slow_fleet(use), (True, True))
+
+    def test_silent_endpoint_is_heard_of_no_longer(self):
+        async def use(bed):
+            await asyncio.sleep(3.0)
+            endpoint = bed.gateways[11].view.endpoints["i-a4"]
+            now = asyncio.get_running_loop().time()
+            bed.gateways[11].endpoint_states.of(endpoint).note_heard(now)
+            await asyncio.sleep(6.0)
+            heard = [it.endpoint_states.of(endpoint).heard_at for it in bed.gateways]
+            return min(heard) >= now, max(heard) <= now + self.SPREAD_TIME
+
+        self.assertEqual(self.in_slow_fleet(use), (True, True))
+
+
 class FollowingTests(unittest.TestCase):
     """Guards against late changes: only the leaders follow the store."""
 
--- a/lentilhaven/gateway/tests/test_streams.py
+++ b/lentilhaven/gateway/tests/test_streams.py
@@ -101,7 +101,7 @@
             endpoint = bed.gateways[0].view.endpoints["i-a4"]
             state = bed.gateways[0].endpoint_states.of(endpoint)
             now = asyncio.get_running_loop().time()
-            state.note_suspicion(now, now + 4.0, own=True)
+            state.note_suspicion(now, now + 4.0)
             state.note_heard(now + 0.1)
             return bed.gateways[0].is_suspected(endpoint)
 
--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -33,6 +33,16 @@
     DATA_CENTRE = "data-centre"
     FLEET = "fleet"
 
+    @property
+    def distance(self) -> int:
+        """
+        Return through how many gateways its observations may have come.
+
+        A gateway passes on only what has come through fewer.  Otherwise gateways would
+        repeat each other's observations for ever.
+        """
+        return {Scope.DATA_CENTRE: 2, Scope.FLEET: 3}.get(self, 1)
+
 
 @attrs.frozen
 class PeerMessage:
