--- a/lentilhaven/chains/chain_costs.py
+++ b/lentilhaven/chains/chain_costs.py
@@ -108,6 +108,18 @@
             + wait
         )
 
+    def mean_pause(self, cost: float) -> float:
+        """
+        Return the mean pause between two events of a request, in seconds.
+
+        Parameters
+        ----------
+        cost : float
+            Time that the request spends on its chain, in ms.
+        """
+        events = max(1.0, self.output_tokens / max(1, self.spec.tokens_per_step))
+        return cost / 1000.0 / events
+
     def state_tokens(self) -> float:
         """Return the number of tokens in the KV cache when the request ends."""
         return self.prompt_tokens + self.output_tokens
--- a/lentilhaven/fleet/route_rule.py
+++ b/lentilhaven/fleet/route_rule.py
@@ -4,6 +4,12 @@
 
 import attrs
 
+#: Callers leave a stream after a pause of this many seconds, of `PATIENCE_IN_TARGETS`
+#: target latencies or of `PATIENCE_IN_GAPS` target gaps, whichever is longest.
+MIN_PATIENCE = 2.0
+PATIENCE_IN_TARGETS = 4.0
+PATIENCE_IN_GAPS = 8.0
+
 
 class RouteKind(enum.Enum):
     """
@@ -64,6 +70,15 @@
     resumable: bool = False
     gap_target: float = 0.0
 
+    @property
+    def stream_patience(self) -> float:
+        """Return the pause between two events after which callers leave, in seconds."""
+        return max(
+            MIN_PATIENCE,
+            PATIENCE_IN_TARGETS * self.target_latency,
+            PATIENCE_IN_GAPS * self.gap_target,
+        )
+
     @property
     def repeatable(self) -> bool:
         """Return whether a request may run more than once."""
--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -9,6 +9,7 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.fleet.layer_span import LayerSpan
+from lentilhaven.fleet.route_rule import RouteRule
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.pipe_meter import pipe_name
@@ -27,6 +28,11 @@
 #: those that this gateway has sent.
 MAX_SLOT_USE = 0.95
 
+#: Longest mean pause of a stream on a chain that is still used, as a share of the pause
+#: after which its caller leaves.  Pauses vary: of those behind a busy pipe, which are
+#: about exponentially distributed, one in 55 is longer than four times their mean.
+MAX_PAUSE_SHARE = 0.25
+
 #: Relative half-width of the random factor on an engine's cost.  It keeps gateways
 #: with the same information from choosing the same chain.
 COST_JITTER = 0.1
@@ -58,10 +64,15 @@
     spec: EngineSpec,
     excluded: Collection[str],
     now: float,
+    continues: bool = False,
 ) -> Chain | None:
     """
     Return the chain on which a request is expected to finish first.
 
+    A chain on which the caller would leave before the end is not used: its work would
+    be in vain, and would slow down the streams beside it.  For a stream that has
+    already begun, it is better than none.
+
     Parameters
     ----------
     gateway : Gateway
@@ -74,11 +85,13 @@
         Ids of endpoints that must not be used.
     now : float
         Time of the event loop.
+    continues : bool
+        Whether the request continues a stream of which the caller has events.
 
     Returns
     -------
     Chain or None
-        None if no chain of usable endpoints covers all layers.
+        None if no chain of usable endpoints covers all layers in time.
 
     Raises
     ------
@@ -89,11 +102,26 @@
     candidates = find_candidates(gateway, call, spec, excluded, costs, now)
     candidates = drop_dominated(candidates)
     chain = find_chain(LayerSpan(0, spec.layers), candidates, costs.hop_ms)
-    if chain is not None:
-        chain.check(spec.layers)
+    if chain is None:
+        return None
+    chain.check(spec.layers)
+    if not continues and is_too_slow(costs, chain.cost, call.route):
+        log.info(
+            "chain too slow",
+            request=call.id,
+            pause=round(costs.mean_pause(chain.cost), 3),
+            patience=call.route.stream_patience,
+            parts=len(chain.parts),
+        )
+        return None
     return chain
 
 
+def is_too_slow(costs: ChainCosts, cost: float, route: RouteRule) -> bool:
+    """Return whether callers of a route would leave a stream on a chain of a cost."""
+    return costs.mean_pause(cost) > MAX_PAUSE_SHARE * route.stream_patience
+
+
 def find_candidates(
     gateway: Gateway,
     call: Call,
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -152,7 +152,8 @@
     until = min(call.deadline, max(latest, loop.time() + MIN_CAPACITY_WAIT))
     while True:
         now = loop.time()
-        chain = choose_chain(gateway, call, relay.spec, relay.excluded, now)
+        continues = relay.response is not None
+        chain = choose_chain(gateway, call, relay.spec, relay.excluded, now, continues)
         if chain is not None:
             return chain
         if now >= until or not live_engines_cover_model(
