--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -68,12 +68,24 @@
         Number of replicas that refused the request.
     last_outcome : UpstreamResponse, Failure or None
         Outcome of the last attempt.
+    last_run : UpstreamResponse, Failure or None
+        Outcome of the last attempt that may have run the request.
     """
 
     endpoints: list[str] = attrs.field(factory=list)
     possible_runs: int = 0
     refusals: int = 0
     last_outcome: UpstreamResponse | Failure | None = None
+    last_run: UpstreamResponse | Failure | None = None
+
+    @property
+    def final_outcome(self) -> UpstreamResponse | Failure | None:
+        """
+        Return the outcome that the caller is told.
+
+        A later refusal does not change that the request may have run.
+        """
+        return self.last_run or self.last_outcome
 
     def record(self, outcome: UpstreamResponse | Failure) -> None:
         """
@@ -85,6 +97,7 @@
         self.last_outcome = outcome
         if isinstance(outcome, UpstreamResponse) or outcome.ran is not Ran.NO:
             self.possible_runs += 1
+            self.last_run = outcome
         elif outcome.kind not in UNSENT_KINDS:
             self.refusals += 1
 
@@ -133,7 +146,7 @@
         )
         attempts.record(await try_replica(gateway, call, endpoint, may_retry))
     pause = pause_left(gateway, call.service, attempts.endpoints, loop.time())
-    return make_response(call, attempts.last_outcome, pause)
+    return make_response(call, attempts.final_outcome, pause)
 
 
 def make_response(
@@ -248,7 +261,7 @@
     max_idle = MAX_IDLE_TIME if call.route.repeatable else MAX_IDLE_UNSAFE
     try:
         connection = await gateway.pool.acquire(
-            endpoint, deadline - loop.time(), max_idle
+            endpoint, call.id, deadline - loop.time(), max_idle
         )
     except UpstreamError as error:
         return Failure(Step.CONNECT, endpoint.id, "connect", error.detail)
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -78,6 +78,9 @@
             abort_stream(relay, outcome)
         return relay.response
     if isinstance(outcome, Failure):
+        if relay.runs > 0 and outcome.ran is Ran.NO:
+            # Only the last chain has refused; an earlier run may have begun.
+            outcome = attrs.evolve(outcome, ran=Ran.UNKNOWN)
         return make_error_response(outcome)
     assert isinstance(outcome, UpstreamResponse)
     return web.Response(
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -88,7 +88,9 @@
     loop = asyncio.get_running_loop()
     first = chain.first
     try:
-        connection = await gateway.pool.acquire(first, call.deadline - loop.time())
+        connection = await gateway.pool.acquire(
+            first, call.id, call.deadline - loop.time()
+        )
     except UpstreamError as error:
         failed_at = loop.time()
         gateway.endpoint_states.of(first).note_suspicion(
--- a/lentilhaven/gateway/tests/test_plain_services.py
+++ b/lentilhaven/gateway/tests/test_plain_services.py
@@ -132,6 +132,32 @@
         self.assertEqual(run_on_testbed(scenario, plain_replicas(1)), (503, []))
 
 
+class TruthTests(unittest.TestCase):
+    """Guards against "not run" after a first run whose answer was lost or a failure."""
+
+    def reply_after(self, first_fault):
+        async def scenario(bed):
+            first, second = bed.fleet.replicas.values()
+            setattr(first.faults, first_fault, True)
+            second.faults.shed = True
+            # The second replica is slower, so that the first one is chosen.
+            state = bed.gateways[0].endpoint_states
+            endpoint = bed.gateways[0].view.endpoints[second.id]
+            state.of(endpoint).latency = 0.5
+            return await bed.call("/look/1", "GET"), len(first.runs)
+
+        return run_on_testbed(scenario, plain_replicas())
+
+    def test_lost_answer_then_refusal_promises_nothing(self):
+        reply, runs = self.reply_after("lose_answer")
+        self.assertEqual((reply.status, runs), (502, 1))
+
+    def test_failure_then_refusal_passes_the_failure_on(self):
+        reply, runs = self.reply_after("fail")
+        self.assertEqual((reply.status, runs), (500, 1))
+        self.assertIn("Replica-Signature", reply.headers)
+
+
 class SafeTests(unittest.TestCase):
     def test_a_failure_is_tried_once_more_elsewhere(self):
         for fault in ("lose_answer", "truncate", "fail", "shed"):
--- a/lentilhaven/gateway/tests/test_streams.py
+++ b/lentilhaven/gateway/tests/test_streams.py
@@ -48,6 +48,24 @@
         )
 
 
+class TruthTests(unittest.TestCase):
+    """Guards against "not run" after a run that gave no event."""
+
+    def test_silent_run_then_refusal_promises_nothing(self):
+        async def use(bed):
+            for name in ("i-a0", "i-a4"):
+                bed.fleet.replicas[name].faults.dark = True
+            for name in ("i-b0", "i-b4"):
+                bed.fleet.replicas[name].faults.shed = True
+                endpoint = bed.gateways[0].view.endpoints[name]
+                bed.gateways[0].endpoint_states.of(endpoint).slowdown = 3.0
+            reply = await bed.call("/draft/1")
+            return reply.status, len(bed.fleet.replicas["i-b0"].arrivals)
+
+        status, refused = run_on_testbed(use, two_chains())
+        self.assertEqual((status, refused), (502, 1))
+
+
 class FirstPartTests(unittest.TestCase):
     """Guard against chains that all begin at the same engine and overload it."""
 
--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -32,8 +32,8 @@
         the endpoint has not stated it.
     idle_since : float
         Event loop time at which the last exchange ended, in seconds.
-    exchange_count : int
-        Number of exchanges begun.
+    request_ids : set of str
+        Ids of the requests that the connection has carried.
     on_lost : callable
         Called with this connection when it is lost.
     on_head : callable
@@ -64,7 +64,7 @@
         self.usable = True
         self.keep_alive: float | None = None
         self.idle_since = 0.0
-        self.exchange_count = 0
+        self.request_ids: set[str] = set()
         self.on_lost = on_lost
         self.on_head = on_head
         self.parser = httptools.HttpResponseParser(self)
@@ -190,7 +190,7 @@
         if self.transport is None or self.transport.is_closing():
             raise UpstreamError("closed", "the connection was lost", sent=False)
         self.exchange = Exchange(request_id, resume_reading=self.resume_reading)
-        self.exchange_count += 1
+        self.request_ids.add(request_id)
         self.transport.write(head + body if body else head)
         return self.exchange
 
--- a/lentilhaven/upstream/connection_pool.py
+++ b/lentilhaven/upstream/connection_pool.py
@@ -48,7 +48,11 @@
     on_head: Callable[[Endpoint, ResponseHead], None] = lambda endpoint, head: None
 
     async def acquire(
-        self, endpoint: Endpoint, timeout: float, max_idle_time: float = MAX_IDLE_TIME
+        self,
+        endpoint: Endpoint,
+        request_id: str,
+        timeout: float,
+        max_idle_time: float = MAX_IDLE_TIME,
     ) -> UpstreamConnection:
         """
         Return an idle or a new connection for one exchange.
@@ -57,6 +61,9 @@
         ----------
         endpoint : Endpoint
             Endpoint to connect to.
+        request_id : str
+            Id of the request to send.  A connection that has carried it before is not
+            used: a late copy of the earlier answer could not be told from the new one.
         timeout : float
             Maximum time to wait for a new connection, in seconds.
         max_idle_time : float
@@ -68,7 +75,7 @@
         UpstreamError
             If no connection can be established; nothing is sent in this case.
         """
-        idle_connection = self.take_idle(endpoint, max_idle_time)
+        idle_connection = self.take_idle(endpoint, request_id, max_idle_time)
         if idle_connection is not None:
             return idle_connection
         host, _, port = endpoint.address.rpartition(":")
@@ -89,7 +96,7 @@
         return connection
 
     def take_idle(
-        self, endpoint: Endpoint, max_idle_time: float
+        self, endpoint: Endpoint, request_id: str, max_idle_time: float
     ) -> UpstreamConnection | None:
         """
         Remove and return an idle connection, or return None if there is none.
@@ -104,7 +111,8 @@
             limit = max_idle_time
             if connection.keep_alive is not None:
                 limit = min(limit, connection.keep_alive - KEEP_ALIVE_MARGIN)
-            if connection.usable and now - connection.idle_since < limit:
+            is_fresh = connection.usable and now - connection.idle_since < limit
+            if is_fresh and request_id not in connection.request_ids:
                 return connection
             connection.abort()
         return None
--- a/lentilhaven/upstream/tests/test_connection.py
+++ b/lentilhaven/upstream/tests/test_connection.py
@@ -43,7 +43,7 @@
 
 async def ask(pool, name="r1", timeout=1.0):
     """Send a request and return the status and the body, or None at the timeout."""
-    connection = await pool.acquire(ENDPOINT, 1.0)
+    connection = await pool.acquire(ENDPOINT, name, 1.0)
     exchange = connection.begin(name, REQUEST.replace(b"r1", name.encode()), b"")
     deadline = asyncio.get_running_loop().time() + timeout
     head = await exchange.wait_for_head(deadline)
@@ -192,10 +192,10 @@
 
     def test_does_not_share_connections_between_incarnations(self):
         async def use(pool):
-            connection = await pool.acquire(ENDPOINT, 1.0)
+            connection = await pool.acquire(ENDPOINT, "r1", 1.0)
             pool.release(ENDPOINT, connection)
             restarted = Endpoint("e", "s", ENDPOINT.address, "a", born=7)
-            return await pool.acquire(restarted, 1.0) is connection
+            return await pool.acquire(restarted, "r2", 1.0) is connection
 
         found, _ = self.count_connections(lambda name: make_response(name=name), use)
         self.assertFalse(found)
@@ -204,9 +204,30 @@
 class ConnectTests(unittest.TestCase):
     def test_a_refused_connection_sends_nothing(self):
         async def main():
-            await ConnectionPool().acquire(ENDPOINT, 1.0)
+            await ConnectionPool().acquire(ENDPOINT, "r1", 1.0)
 
         with self.assertRaises(UpstreamError) as caught:
             run_virtual(main())
         self.assertFalse(caught.exception.sent)
         self.assertLessEqual(CONNECT_TIMEOUT, 1.0)
+
+
+class RepeatedRequestTests(unittest.TestCase):
+    """Guards against a late second copy of an answer to the same request."""
+
+    def test_copy_of_the_earlier_answer_is_not_taken_for_the_new_one(self):
+        async def script(reader, writer):
+            await read_head(reader)
+            writer.write(make_response(b"first"))
+            await read_head(reader)
+            writer.write(make_response(b"first"))
+            writer.write(make_response(b"second"))
+
+        async def use(pool):
+            first = await ask(pool)
+            second = await ask(pool)
+            return first, second, pool.opened
+
+        first, second, opened = run_with_server(script, use)
+        # The second request goes out on a connection of its own.
+        self.assertEqual((first, second, opened), ((200, b"first"),) * 2 + (2,))
