--- a/lentilhaven/bench/soak/soak_environment.py
+++ b/lentilhaven/bench/soak/soak_environment.py
@@ -69,6 +69,10 @@
     def edit_manifest(self) -> None:
         """Write the next manifest, which adds a route for its version."""
         self.version += 1
+        self.rewrite_manifest()
+
+    def rewrite_manifest(self) -> None:
+        """Write the newest manifest again."""
         self.store.put("config", "main", soak_manifest(self.version))
 
 
--- a/lentilhaven/bench/soak/soak_faults.py
+++ b/lentilhaven/bench/soak/soak_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 
 import attrs
@@ -18,12 +19,19 @@
 #: Minimum and maximum duration of a fault, in seconds.
 MIN_DURATION, MAX_DURATION = 0.2, 3.0
 
+#: Maximum time for which the store is away before it is restored, in seconds.
+MAX_RESTORE_TIME = 0.5
+
+#: Maximum time after a restore at which an object is written again, in seconds.
+MAX_REWRITE_TIME = 1.5
+
 #: Faults of a replica of a plain service, with their weights.  A lost response has the
 #: largest weight because it tests the handling of retries most.
 PLAIN_REPLICA_FAULTS = (
     (ReplicaFaults(lose_answer=True), 4),
     (ReplicaFaults(dark=True), 1),
     (ReplicaFaults(shed=True), 1),
+    (ReplicaFaults(shed=True, pause="1"), 1),
     (ReplicaFaults(truncate=True), 1),
     (ReplicaFaults(extra=True), 1),
     (ReplicaFaults(unframed=True), 1),
@@ -36,6 +44,7 @@
 ENGINE_FAULTS = (
     (ReplicaFaults(dark=True), 2),
     (ReplicaFaults(shed=True), 1),
+    (ReplicaFaults(shed=True, pause="0.5"), 1),
     (ReplicaFaults(stop_after=3), 2),
     (ReplicaFaults(delay=0.3), 1),
 )
@@ -136,6 +145,47 @@
         store.unresponsive_watches = False
 
 
+async def restore_store(environment: SoakEnvironment, seconds: float) -> None:
+    """
+    Restore the store from a copy that is some time old.
+
+    The operator and the replicas then write their objects again, each at its own time.
+    """
+    store, random = environment.store, environment.random
+    earlier = store.make_copy()
+    await asyncio.sleep(seconds)
+    store.state = StoreState.BUSY
+    await asyncio.sleep(random.uniform(0.0, MAX_RESTORE_TIME))
+    store.restore(earlier)
+    store.state = StoreState.UP
+    replicas = list(environment.fleet.replicas.values())
+    await asyncio.gather(
+        rewrite(random.uniform(0.0, MAX_REWRITE_TIME), environment.rewrite_manifest),
+        *(
+            rewrite(
+                random.uniform(0.0, MAX_REWRITE_TIME),
+                partial(environment.fleet.register, replica),
+            )
+            for replica in replicas
+        ),
+    )
+
+
+async def rewrite(delay: float, write: Callable[[], None]) -> None:
+    """Write an object again after a delay, in seconds."""
+    await asyncio.sleep(delay)
+    write()
+
+
+async def announce_leaving(environment: SoakEnvironment, seconds: float) -> None:
+    """Let a replica say in its answers that it leaves, and restart it later."""
+    replica = pick_replica(environment)
+    replica.announces_leaving = True
+    await asyncio.sleep(seconds)
+    replica.restart()
+    environment.fleet.register(replica)
+
+
 async def harm_replica(environment: SoakEnvironment, seconds: float) -> None:
     """Inject a fault into a replica for some time."""
     replica = pick_replica(environment)
@@ -193,6 +243,8 @@
     harm_replica,
     harm_replica,
     restart_replica,
+    announce_leaving,
+    restore_store,
     edit_manifest,
     kill_all,
 )
