--- a/lentilhaven/gateway/endpoint_states.py
+++ b/lentilhaven/gateway/endpoint_states.py
@@ -16,10 +16,16 @@
 #: that was in transit when the endpoint failed still arrives.
 REFUTE_MARGIN = 0.05
 
-#: Largest distance of an observation that a gateway passes on: the distance is 0 for
-#: its own, 1 for one that another gateway has reported of itself, 2 for one in the sum
-#: of a data centre, and 3 for one in the sum of all.
-MAX_PASSED_DISTANCE = 2
+#: Largest distance of an observation: it is 0 for a gateway's own, 1 for one that
+#: another gateway has reported of itself, 2 for one in the sum of a data centre, and 3
+#: for one in the sum of all.
+MAX_DISTANCE = 3
+
+#: Largest distance of an observation that a gateway passes on.
+MAX_PASSED_DISTANCE = MAX_DISTANCE - 1
+
+#: Start and end of a suspicion that does not exist.
+NO_SUSPICION = (0.0, 0.0)
 
 #: Seconds for which an endpoint gets no requests after it has refused one.
 REFUSAL_BACKOFF = 0.3
@@ -53,8 +59,9 @@
         Time until which the endpoint is suspected and gets no requests.
     suspected_since : float
         Time at which the suspicion arose.
-    suspicion_distance : int
-        Distance of the observation that led to the suspicion.
+    suspicions : list of (float, float)
+        For each distance, the start and the end of the latest suspicion that arose
+        from an observation of that distance; zeros if there is none.
     refused_until : float
         Time until which the endpoint gets no requests because it has refused one.
     paused_until : float
@@ -72,7 +79,9 @@
     )
     suspected_until: float = 0.0
     suspected_since: float = 0.0
-    suspicion_distance: int = 0
+    suspicions: list[tuple[float, float]] = attrs.field(
+        factory=lambda: [NO_SUSPICION] * (MAX_DISTANCE + 1)
+    )
     refused_until: float = 0.0
     paused_until: float = 0.0
 
@@ -99,14 +108,16 @@
         self.heard_at = max(self.heard_at, at)
         for limit in range(distance, MAX_PASSED_DISTANCE + 1):
             self.heard_within[limit] = max(self.heard_within[limit], at)
-        if at > self.suspected_since + REFUTE_MARGIN:
+        if self.suspected_until and at > self.suspected_since + REFUTE_MARGIN:
+            self.suspicions = [NO_SUSPICION] * (MAX_DISTANCE + 1)
             self.suspected_until = 0.0
 
     def note_suspicion(self, since: float, until: float, distance: int = 0) -> bool:
         """
         Suspect the endpoint until a time, unless its activity ends the suspicion first.
 
-        A suspicion that ends no later than the current one changes nothing.
+        A suspicion that ends no later than the current one of the same distance changes
+        nothing.
 
         Parameters
         ----------
@@ -123,42 +134,14 @@
             Whether the endpoint was not suspected at the time `since`.
         """
         fresh = self.suspected_until <= since
-        if until > self.suspected_until:
-            self.suspected_since = since
-            self.suspected_until = until
-            self.suspicion_distance = distance
+        if until > self.suspicions[distance][1]:
+            self.suspicions[distance] = (since, until)
+        self.suspected_since, self.suspected_until = self.suspicion_within(MAX_DISTANCE)
         return fresh
 
-    def note_reported_suspicion(
-        self, since: float, until: float, distance: int, now: float
-    ) -> bool:
-        """
-        Suspect the endpoint because another gateway says so.
-
-        The report is ignored if the endpoint has been active since, as the other
-        gateway may not know of that.  It is also ignored if a suspicion from as near
-        is in force: it may be the same one, and the time in transit, which its age
-        leaves out, would prolong it.
-
-        Parameters
-        ----------
-        since, until : float
-            Event loop times between which the other gateway suspects it, in seconds.
-        distance : int
-            Distance of the observation, at least 1.
-        now : float
-            Time of the event loop, in seconds.
-
-        Returns
-        -------
-        bool
-            As for `note_suspicion`.
-        """
-        if now < self.suspected_until and distance >= self.suspicion_distance:
-            return False
-        if self.heard_at > since + REFUTE_MARGIN:
-            return False
-        return self.note_suspicion(since, until, distance)
+    def suspicion_within(self, distance: int) -> tuple[float, float]:
+        """Return the suspicion of at most a distance that ends last."""
+        return max(self.suspicions[: distance + 1], key=lambda found: found[1])
 
     def available(self, now: float) -> bool:
         """Return whether the endpoint may get a request."""
--- a/lentilhaven/gateway/message_composer.py
+++ b/lentilhaven/gateway/message_composer.py
@@ -215,11 +215,13 @@
     dict
         Seconds since the suspicion began and seconds until it ends, by id.
     """
-    return {
-        name: (
-            round(now - state.suspected_since, 3),
-            round(state.suspected_until - now, 3),
-        )
+    found = {
+        name: state.suspicion_within(distance - 1)
         for name, state in states.items()
-        if state.suspected_until > now and state.suspicion_distance < distance
+        if state.suspected_until > now
+    }
+    return {
+        name: (round(now - since, 3), round(until - now, 3))
+        for name, (since, until) in found.items()
+        if until > now
     }
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -9,6 +9,7 @@
 
 from lentilhaven.fleet.endpoint_history import EndpointChanges
 from lentilhaven.gateway.connection_factories import OpenDatagrams
+from lentilhaven.gateway.endpoint_states import REFUTE_MARGIN
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.message_composer import MessageComposer
 from lentilhaven.peering.member import Member
@@ -254,7 +255,9 @@
         if endpoint is None:
             continue
         state = gateway.endpoint_states.of(endpoint)
-        is_new |= state.note_reported_suspicion(now - age, now + left, distance, now)
+        # The peer may not know of an event that came after its suspicion began.
+        if state.heard_at <= now - age + REFUTE_MARGIN:
+            is_new |= state.note_suspicion(now - age, now + left, distance)
     return is_new
 
 
