--- /dev/null
+++ b/lentilhaven/peering/tests/test_previous_release.py
@@ -0,0 +1,80 @@
+"""Datagrams of the release before, which knows no eras, no marks and no versions."""
+
+import json
+import unittest
+import zlib
+
+from lentilhaven.core.store_position import StorePosition
+from lentilhaven.fleet.endpoint import Endpoint
+from lentilhaven.fleet.endpoint_history import EndpointChanges
+from lentilhaven.fleet.store_era import StoreEra
+from lentilhaven.peering.messages import PeerMessage, decode_message, encode_message
+
+#: Fields of a datagram that the release before neither sends nor reads.
+NEW_FIELDS = ("era", "manifest_version", "leaving")
+
+#: Fields of an endpoint that the release before accepts; it refuses any other.
+ENDPOINT_FIELDS = {
+    "id",
+    "service",
+    "address",
+    "data_centre",
+    "slots",
+    "draining",
+    "born",
+    "card",
+    "layers",
+    "model",
+}
+
+
+def message_with_changes(era):
+    changes = EndpointChanges(
+        StorePosition(era, 3),
+        StorePosition(era, 5),
+        (Endpoint("a", "s", "10.0.0.1:80", "z", sequence=7),),
+        ("b",),
+    )
+    return PeerMessage(
+        "vm-1",
+        "r",
+        "10.0.0.1:7000",
+        1,
+        endpoints_revision=5,
+        changes=changes,
+        era=era,
+        manifest_version=4,
+        leaving=(("c", 9),),
+    )
+
+
+def fields_of(data):
+    return json.loads(zlib.decompress(data))
+
+
+class MixedReleaseTests(unittest.TestCase):
+    def test_own_datagram_is_read_back(self):
+        message = message_with_changes(2)
+        self.assertEqual(decode_message(encode_message(message)), message)
+
+    def test_datagram_without_the_new_fields_is_read(self):
+        fields = fields_of(encode_message(message_with_changes(0)))
+        for name in NEW_FIELDS:
+            del fields[name]
+        message = decode_message(zlib.compress(json.dumps(fields).encode()))
+        self.assertEqual((message.era, message.manifest_version), (None, None))
+        self.assertEqual(message.leaving, ())
+        self.assertEqual(message.changes.until, StorePosition(0, 5))
+
+    def test_changes_hold_only_what_the_release_before_accepts(self):
+        fields = fields_of(encode_message(message_with_changes(2)))
+        since, until, changed, gone = fields["changes"]
+        self.assertEqual((since, until, gone), (3, 5, ["b"]))
+        self.assertEqual(set(changed[0]), ENDPOINT_FIELDS)
+
+    def test_its_positions_count_until_the_store_is_restored(self):
+        era = StoreEra()
+        era.learn(1, "store")
+        self.assertEqual(era.position(None, 8), StorePosition(1, 8))
+        era.learn(2, "store")
+        self.assertLess(era.position(None, 8), StorePosition(1, 0))
