--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -347,7 +347,7 @@
     if memory_use > MAX_MEMORY_USE:
         return None
     batch = state.requests + requests
-    cost = costs.layer_ms(endpoint.card, state.slowdown, batch)
+    cost = costs.layer_ms(endpoint.card, state.current_slowdown(now), batch)
     cost *= 1.0 + MEMORY_USE_WEIGHT * memory_use * memory_use
     cost *= gateway.random.uniform(1 - COST_JITTER, 1 + COST_JITTER)
     # The slots limit only the requests that an engine takes as the first part.
--- a/lentilhaven/gateway/endpoint_states.py
+++ b/lentilhaven/gateway/endpoint_states.py
@@ -27,6 +27,13 @@
 #: Start and end of a suspicion that does not exist.
 NO_SUSPICION = (0.0, 0.0)
 
+#: Seconds for which a stated pace is used.
+PACE_EXPIRY = 4.0
+
+#: Seconds by which a stated pace must be later to replace one from a nearer gateway:
+#: more than datagrams are in transit.
+PACE_MARGIN = 0.5
+
 #: Seconds for which an endpoint gets no requests after it has refused one.
 REFUSAL_BACKOFF = 0.3
 
@@ -49,7 +56,12 @@
     failures : float
         Moving average of the failure rate, from 0 to 1.
     slowdown : float
-        Time that the endpoint takes, relative to the usual time of its kind.
+        Time that the endpoint takes, relative to the usual time of its kind, as it has
+        last stated.
+    pace_at : float
+        Time at which it was last asked for that, by any gateway.
+    pace_distance : int
+        Distance of that observation.
     heard_at : float
         Time at which data last arrived at any gateway from the endpoint or through it.
     heard_within : list of float
@@ -73,6 +85,8 @@
     latency: float = 0.0
     failures: float = 0.0
     slowdown: float = 1.0
+    pace_at: float = -PACE_EXPIRY
+    pace_distance: int = 0
     heard_at: float = 0.0
     heard_within: list[float] = attrs.field(
         factory=lambda: [0.0] * (MAX_PASSED_DISTANCE + 1)
@@ -91,6 +105,28 @@
         known = self.latency or seconds
         self.latency = known + EWMA_WEIGHT * (seconds - known)
 
+    def note_pace(self, slowdown: float, at: float, distance: int = 0) -> None:
+        """
+        Record the pace that the endpoint has stated.
+
+        Parameters
+        ----------
+        slowdown : float
+            As in `slowdown`.
+        at : float
+            Event loop time of the statement, in seconds.
+        distance : int
+            Distance of the observation; 0 if the endpoint told this gateway.
+        """
+        is_repeated = at < self.pace_at + PACE_MARGIN
+        if distance and is_repeated and distance >= self.pace_distance:
+            return
+        self.slowdown, self.pace_at, self.pace_distance = slowdown, at, distance
+
+    def current_slowdown(self, now: float) -> float:
+        """Return `slowdown` if it was stated recently, else 1."""
+        return self.slowdown if now - self.pace_at < PACE_EXPIRY else 1.0
+
     def note_heard(self, at: float, distance: int = 0) -> None:
         """
         Record that data arrived from the endpoint or through it.
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -78,6 +78,10 @@
         Traffic of this gateway's requests between data centres.
     urgent_signal : Signal
         Wakes the task that sends messages to the other gateways.
+    pace_questions : dict
+        Engines to ask for their pace, by incarnation.
+    pace_signal : Signal
+        Wakes the task that asks them.
     leaving : bool
         Whether the process is shutting down.
     refuses_requests : bool
@@ -110,6 +114,8 @@
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
     urgent_signal: Signal = attrs.field(factory=Signal)
+    pace_questions: dict[tuple[str, int], Endpoint] = attrs.field(factory=dict)
+    pace_signal: Signal = attrs.field(factory=Signal)
     leaving: bool = False
     refuses_requests: bool = False
     counters: Counter[str] = attrs.field(factory=Counter)
--- a/lentilhaven/gateway/message_composer.py
+++ b/lentilhaven/gateway/message_composer.py
@@ -91,6 +91,7 @@
             places=gateway.holds_placement_lease() or self.sum_has_placer(scope, now),
             era=view.endpoints_position.era,
             manifest_version=view.manifest.version if view.manifest else 0,
+            paces=stated_paces(states, now, scope.distance),
             leaving=view.leaving.recent(view.monotonic()),
         )
 
@@ -195,6 +196,33 @@
         return tuple(sorted(listed, key=lambda member: member.sort_key))
 
 
+def stated_paces(
+    states: dict[str, EndpointState], now: float, distance: int
+) -> dict[str, tuple[float, float]]:
+    """
+    Return the slowdowns that slow endpoints have stated.
+
+    Parameters
+    ----------
+    states : dict
+        Observed state of endpoints, by id.
+    now : float
+        Time of the event loop.
+    distance : int
+        Distance that the statements have for the receiver.
+
+    Returns
+    -------
+    dict
+        Slowdown and seconds since it was stated, by id.
+    """
+    return {
+        name: (round(state.slowdown, 2), round(now - state.pace_at, 3))
+        for name, state in states.items()
+        if state.pace_distance < distance and state.current_slowdown(now) > 1.0
+    }
+
+
 def suspicions(
     states: dict[str, EndpointState], now: float, distance: int
 ) -> dict[str, tuple[float, float]]:
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -249,6 +249,11 @@
         endpoint = endpoints.get(name)
         if endpoint is not None:
             gateway.endpoint_states.of(endpoint).note_heard(now - age, distance)
+    for name, (slowdown, age) in message.paces.items():
+        endpoint = endpoints.get(name)
+        if endpoint is not None:
+            state = gateway.endpoint_states.of(endpoint)
+            state.note_pace(slowdown, now - age, distance)
     is_new = False
     for name, (age, left) in message.suspects.items():
         endpoint = endpoints.get(name)
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -21,6 +21,7 @@
     open_caller_listener,
     open_ready_listener,
 )
+from lentilhaven.gateway.pace_check import check_paces
 from lentilhaven.gateway.peer_exchange import open_peer_exchange
 from lentilhaven.gateway.peer_relay import catch_up, open_relay
 from lentilhaven.gateway.store_check import check_store, read_all, refresh_digest
@@ -202,6 +203,7 @@
                 catch_up(gateway, session, partial(read_all, manifest_watch)),
                 refresh_digest(gateway),
                 placer.run(),
+                check_paces(gateway),
                 sweep_endpoints(gateway),
             )
         )
--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -10,6 +10,7 @@
 from lentilhaven.core.step import Step
 from lentilhaven.gateway.event_splitter import EventSplitter
 from lentilhaven.gateway.gateway_metrics import record_first_event
+from lentilhaven.gateway.pace_check import note_pause
 from lentilhaven.gateway.service_relay import UpstreamResponse
 from lentilhaven.gateway.silence import (
     PauseEstimator,
@@ -66,7 +67,9 @@
     loop = asyncio.get_running_loop()
     assert relay.response is not None
     splitter = EventSplitter()
-    pauses = PauseEstimator(expected_pause(relay, run.chain))
+    expected = expected_pause(relay, run.chain)
+    pauses = PauseEstimator(expected)
+    event_count = 0
     run.silent_since = loop.time()
     while chunk:
         now = loop.time()
@@ -78,6 +81,8 @@
             relay.events += len(events.ids)
             await relay.response.write(events.data)
             pauses.record(now - run.silent_since)
+            event_count += 1
+            note_pause(relay.gateway, run.chain, event_count, pauses.mean, expected)
             run.silent_since = now
         next_chunk = run.exchange.next_chunk
         chunk = await wait_or_move(relay, run, next_chunk, pauses.limit())
--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -79,6 +79,9 @@
     manifest_version : int or None
         Version of the manifest that the sender holds; None from a release that
         compares manifests by revision.
+    paces : dict
+        Slowdown that an endpoint has stated, and seconds since then, by endpoint, for
+        slow endpoints.
     leaving : tuple of (str, int)
         Incarnations of endpoints that have recently said that they are leaving.
     digest : str
@@ -134,6 +137,7 @@
     places: bool = False
     era: int | None = None
     manifest_version: int | None = None
+    paces: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     leaving: tuple[tuple[str, int], ...] = ()
 
     @property
@@ -223,6 +227,10 @@
             places=bool(fields["places"]),
             era=era,
             manifest_version=decode_optional_int(fields.get("manifest_version")),
+            paces={
+                str(name): (float(pace[0]), float(pace[1]))
+                for name, pace in fields.get("paces", {}).items()
+            },
             leaving=tuple(
                 (str(name), int(born)) for name, born in fields.get("leaving", ())
             ),
--- a/lentilhaven/peering/tests/test_previous_release.py
+++ b/lentilhaven/peering/tests/test_previous_release.py
@@ -11,7 +11,7 @@
 from lentilhaven.peering.messages import PeerMessage, decode_message, encode_message
 
 #: Fields of a datagram that the release before neither sends nor reads.
-NEW_FIELDS = ("era", "manifest_version", "leaving")
+NEW_FIELDS = ("era", "manifest_version", "paces", "leaving")
 
 #: Fields of an endpoint that the release before accepts; it refuses any other.
 ENDPOINT_FIELDS = {
@@ -44,6 +44,7 @@
         changes=changes,
         era=era,
         manifest_version=4,
+        paces={"a": (3.0, 0.2)},
         leaving=(("c", 9),),
     )
 
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -247,7 +247,8 @@
                 return False
             writer.write(encode_chunk(event))
             await writer.drain()
-            await asyncio.sleep(replica.event_time + replica.faults.delay)
+            pace = max(self.pace_at(address) for address, _, _ in parts)
+            await asyncio.sleep(replica.event_time * pace + replica.faults.delay)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
@@ -268,6 +269,11 @@
                 return False
             await asyncio.sleep(0.05)
 
+    def pace_at(self, address: str) -> float:
+        """Return the pace of the replica at an address; 1 if it is unknown."""
+        part = self.find_replica(address)
+        return part.pace if part is not None else 1.0
+
     def is_unresponsive(self, address: str) -> bool:
         """Return whether the replica at an address is unknown or does not respond."""
         part = self.find_replica(address)
--- a/lentilhaven/standins/platform/fake_replica.py
+++ b/lentilhaven/standins/platform/fake_replica.py
@@ -123,6 +123,8 @@
         Requests that the replica has started to run, oldest first.
     broken_runs : list of str
         Ids of requests whose caller closed the connection while they ran.
+    pace : float
+        Time that an engine takes, relative to the usual time.
     announces_leaving : bool
         Whether all answers say that the replica is leaving.
     arrivals : list of float
@@ -150,6 +152,7 @@
     faults: ReplicaFaults = attrs.field(factory=ReplicaFaults)
     runs: list[Run] = attrs.field(factory=list)
     broken_runs: list[str] = attrs.field(factory=list)
+    pace: float = 1.0
     announces_leaving: bool = False
     arrivals: list[float] = attrs.field(factory=list)
     last_response: bytes = b""
@@ -198,7 +201,7 @@
             "active": 0,
             "kv_used": 0,
             "kv_total": 1_000_000,
-            "pace": 1.0,
+            "pace": self.pace,
             "stalled": [],
             "born": self.born,
             **self.layer_fields(),
