--- a/lentilhaven/router/tests/test_signals.py
+++ b/lentilhaven/router/tests/test_signals.py
@@ -31,10 +31,11 @@
 
             async def on_token(answer):
                 if len(answer.tokens) == 5:
-                    for _ in range(signal_count):
+                    for number in range(signal_count):
+                        if number:
+                            # Signals sent at the same moment are delivered as one.
+                            await wait_until_leaving(session, url)
                         router.process.send_signal(signal.SIGTERM)
-                        # Signals sent at the same moment are delivered as one.
-                        await wait_until_leaving(session, url)
 
             answer = await request_completion(
                 session,
