--- a/lentilhaven/logbook/request_story.py
+++ b/lentilhaven/logbook/request_story.py
@@ -13,17 +13,31 @@
 
 #: Events that change the state of an endpoint as a gateway knows it.  Every gateway
 #: logs them, so only those of the gateway that served the request count.
-ENDPOINT_EVENTS = frozenset({"endpoint changed", "endpoint gone"})
+ENDPOINT_EVENTS = frozenset(
+    {"endpoint changed", "endpoint gone", "endpoint wants no requests"}
+)
 
 #: Events that change the state of endpoints and count at any gateway: the gateway that
 #: noticed or caused the change logs them.
 SHARED_ENDPOINT_EVENTS = frozenset(
-    {"endpoints suspected", "engine ordered", "order did not take effect"}
+    {
+        "endpoints suspected",
+        "engine ordered",
+        "order did not take effect",
+        "endpoint is leaving",
+        "pace of an engine",
+    }
 )
 
 #: Events about the store and the other gateways, which a gateway depends on.
 DEPENDENCY_EVENTS = frozenset(
-    {"store lost", "store regained", "history is gone", "gateway silent"}
+    {
+        "store lost",
+        "store regained",
+        "store restored",
+        "history is gone",
+        "gateway silent",
+    }
 )
 
 
@@ -160,6 +174,20 @@
     return f"refused at the step {line.fields.get('step')}: {line.fields.get('kind')}"
 
 
+def explain_slow_chain(line: LogLine, lines: list[LogLine]) -> str:
+    """Explain a refusal because of a slow chain; empty if layers were missing too."""
+    if any(it.event == "no chain" and it.fields.get("missing") for it in lines):
+        return ""
+    if not any(it.fields.get("status") == 503 for it in lines):
+        return ""
+    fields = line.fields
+    return (
+        f"refused, as the best of the chains ({fields.get('parts')} parts) would have "
+        f"paused for {fields.get('pause')} s on average, and callers leave after "
+        f"{fields.get('patience')} s: its engines or pipes are overloaded"
+    )
+
+
 def explain_no_chain(line: LogLine, lines: list[LogLine]) -> str:
     """Explain that no chain had free capacity."""
     fields = line.fields
@@ -219,6 +247,7 @@
     ("request failed here", explain_internal_error),
     ("caller left", explain_disconnect),
     ("stream broken off", explain_broken_stream),
+    ("chain too slow", explain_slow_chain),
     ("no chain", explain_no_chain),
     ("replica tried", explain_replica_attempts),
     ("request refused", explain_refusal),
--- a/lentilhaven/logbook/tests/test_request_story.py
+++ b/lentilhaven/logbook/tests/test_request_story.py
@@ -26,6 +26,35 @@
         self.assertIn("layers 3 to 4 were full", diagnosis.cause)
         self.assertIn("2 of 7", diagnosis.cause)
 
+    def test_no_chain_in_time_for_the_caller(self):
+        slow = log_line(
+            "chain too slow", 1.0, request="r1", pause=3.2, patience=2.4, parts=5
+        )
+        covered = log_line("no chain", 1.0, request="r1", missing=[])
+        missing = log_line("no chain", 1.0, request="r1", missing=[3])
+        refused = log_line("request ended", 1.1, request="r1", status=503)
+        served = log_line("request ended", 1.1, request="r1", status=200)
+        self.assertIn("paused for 3.2 s", diagnose(slow, covered, refused).cause)
+        self.assertIn("layers 3 to 3", diagnose(slow, missing, refused).cause)
+        self.assertNotIn("paused", diagnose(slow, served).cause)
+
+    def test_pause_that_a_replica_asked_for_stands_beside_the_request(self):
+        diagnosis = diagnose(
+            log_line("endpoint wants no requests", 0.5, endpoint="s1", seconds=3.0),
+            log_line(
+                "replica tried",
+                1.0,
+                request="r1",
+                endpoint="s1",
+                outcome="withheld, ran no",
+            ),
+            log_line("request ended", 1.1, request="r1", status=503),
+        )
+        self.assertEqual(
+            [it.event for it in diagnosis.related_lines],
+            ["endpoint wants no requests"],
+        )
+
     def test_stream_broken_off_by_a_silent_stage(self):
         diagnosis = diagnose(
             log_line("endpoints suspected", 1.0, request="r1", endpoints=["e2"]),
