--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -111,7 +111,7 @@
             request=call.id,
             pause=round(costs.mean_pause(chain.cost), 3),
             patience=call.route.stream_patience,
-            parts=len(chain.parts),
+            length=len(chain.parts),
         )
         return None
     return chain
--- a/lentilhaven/logbook/request_story.py
+++ b/lentilhaven/logbook/request_story.py
@@ -182,7 +182,7 @@
         return ""
     fields = line.fields
     return (
-        f"refused, as the best of the chains ({fields.get('parts')} parts) would have "
+        f"refused, as the best of the chains ({fields.get('length')} parts) would have "
         f"paused for {fields.get('pause')} s on average, and callers leave after "
         f"{fields.get('patience')} s: its engines or pipes are overloaded"
     )
--- a/lentilhaven/logbook/tests/test_request_story.py
+++ b/lentilhaven/logbook/tests/test_request_story.py
@@ -28,7 +28,7 @@
 
     def test_no_chain_in_time_for_the_caller(self):
         slow = log_line(
-            "chain too slow", 1.0, request="r1", pause=3.2, patience=2.4, parts=5
+            "chain too slow", 1.0, request="r1", pause=3.2, patience=2.4, length=5
         )
         covered = log_line("no chain", 1.0, request="r1", missing=[])
         missing = log_line("no chain", 1.0, request="r1", missing=[3])
