--- a/lentilhaven/gateway/pace_check.py
+++ b/lentilhaven/gateway/pace_check.py
@@ -8,12 +8,15 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.logs import get_logger
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.endpoint_states import PACE_EXPIRY
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.objects.share import RateLimit
+from lentilhaven.objects.token_bucket import TokenBucket
 from lentilhaven.platform.engine_calls import fetch_report
 
 #: A stream whose mean pause is this many times the estimate is slow.
@@ -25,6 +28,13 @@
 #: Seconds from one question to an engine to the next.
 ASK_INTERVAL = 1.0
 
+#: Questions that all gateways together ask in a second.  In an overload all streams are
+#: slow, and each gateway would ask all engines.
+FLEET_QUESTION_RATE = 60.0
+
+#: Seconds in which questions gather before some of them are asked.
+GATHER_TIME = 0.05
+
 #: Timeout of a question, in seconds.  The engine answers from its own state.
 CALL_TIMEOUT = 0.3
 
@@ -62,15 +72,53 @@
 
 
 async def check_paces(gateway: Gateway) -> None:
-    """Ask the engines of slow chains for their pace, until cancelled."""
+    """
+    Ask the engines of slow chains for their pace, until cancelled.
+
+    Known slow engines come first, then the others by chance: chains cross, so that the
+    gateways together ask each of them soon.
+    """
+    loop = asyncio.get_running_loop()
+    bucket = TokenBucket.full(gateway.clock, question_limit(1))
     while True:
         await gateway.pace_signal.wait(ASK_INTERVAL)
+        await asyncio.sleep(GATHER_TIME)
+        bucket.limit = question_limit(gateway.peers.count_gateways(loop.time()))
         questions, gateway.pace_questions = gateway.pace_questions, {}
-        for endpoint in slow_endpoints(gateway):
-            questions[endpoint.incarnation] = endpoint
-        await asyncio.gather(
-            *(ask_pace(gateway, endpoint) for endpoint in questions.values())
-        )
+        known = slow_endpoints(gateway)
+        for endpoint in known:
+            questions.pop(endpoint.incarnation, None)
+        others = list(questions.values())
+        gateway.random.shuffle(others)
+        asked = take_affordable([*known, *others], bucket)
+        await asyncio.gather(*(ask_pace(gateway, endpoint) for endpoint in asked))
+
+
+def question_limit(gateways: int) -> RateLimit:
+    """
+    Return the rate limit of one gateway's questions.
+
+    Examples
+    --------
+    >>> question_limit(6)
+    RateLimit(rate=10.0, burst=10.0)
+    >>> question_limit(600)
+    RateLimit(rate=0.1, burst=1.0)
+    """
+    share = FLEET_QUESTION_RATE / max(1, gateways)
+    return RateLimit(share, max(1.0, share))
+
+
+def take_affordable(
+    endpoints: Iterable[Endpoint], bucket: TokenBucket
+) -> list[Endpoint]:
+    """Return the first endpoints for which a bucket has tokens left now."""
+    found = []
+    for endpoint in endpoints:
+        if bucket.reserve(0.0) is None:
+            break
+        found.append(endpoint)
+    return found
 
 
 def slow_endpoints(gateway: Gateway) -> list[Endpoint]:
--- a/lentilhaven/gateway/tests/test_slow_engines.py
+++ b/lentilhaven/gateway/tests/test_slow_engines.py
@@ -7,8 +7,16 @@
 import asyncio
 import unittest
 
+from lentilhaven.core.clock import Clock
+from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.endpoint_states import PACE_EXPIRY, EndpointState
+from lentilhaven.gateway.pace_check import (
+    FLEET_QUESTION_RATE,
+    question_limit,
+    take_affordable,
+)
 from lentilhaven.gateway.tests.platform_testbed import run_on_testbed, two_chains
+from lentilhaven.objects.token_bucket import TokenBucket
 
 #: Seconds within which all gateways avoid a slow engine.
 NOTICE_TIME = 1.5
@@ -88,6 +96,31 @@
         self.assertEqual(set(asked_at), {-PACE_EXPIRY})
 
 
+class QuestionLimitTests(unittest.TestCase):
+    """Guards against questions that grow with gateways times engines in an overload."""
+
+    def ask_for(self, gateways, seconds):
+        """Return the questions of a fleet in which all chains of all are slow."""
+        now = [0.0]
+        clock = Clock(lambda: now[0], lambda: now[0], asyncio.sleep)
+        engines = [Endpoint(f"e{n}", "s", f"10.0.0.{n}:80", "z") for n in range(200)]
+        buckets = [
+            TokenBucket.full(clock, question_limit(gateways)) for _ in range(gateways)
+        ]
+        count = 0
+        while now[0] < seconds:
+            now[0] += 0.1
+            count += sum(len(take_affordable(engines, bucket)) for bucket in buckets)
+        return count
+
+    def test_all_gateways_together_keep_to_the_rate(self):
+        for gateways in (1, 9, 195, 1100):
+            with self.subTest(gateways=gateways):
+                # Each may ask one engine at once, whatever its share.
+                most = 20 * FLEET_QUESTION_RATE + max(gateways, FLEET_QUESTION_RATE)
+                self.assertLessEqual(self.ask_for(gateways, 20.0), most + gateways)
+
+
 class PaceTests(unittest.TestCase):
     def test_report_from_farther_away_does_not_replace_the_same_statement(self):
         state = EndpointState()
