Let stand-in replicas crash, fall silent and answer without end

An engine may crash on a part of a prompt and is back after a while; a replica may send nothing for a second and then go on; streams may come without length and end inside an event with an orderly close; a head, a body or an event may never end.

--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -29,6 +29,11 @@
 #: Delay of a response from an unresponsive replica, in seconds of the event loop.
 HANG_TIME = 3600.0
 
+#: Bytes in each write of a response without end, and the pause after each, in seconds
+#: of the event loop.
+ENDLESS_BYTES = 65_536
+ENDLESS_INTERVAL = 0.001
+
 
 @attrs.define(eq=False)
 class FakeFleet:
@@ -54,6 +59,17 @@
     invalid_paths : list of str
         Texts of the chains, from requests and orders, that do not run each layer once
         and in order.
+    crashing_part : str
+        Id of a part of prompts; an engine that begins to write an answer on a prompt
+        with it crashes.  Empty for none.
+    crash_time : float
+        Seconds of the event loop after which a crashed replica is back.
+    keeps_layers : bool
+        Whether a crashed engine is back with the layers that it held.
+    servers : dict
+        Server of each replica that is up, by replica id.
+    crash_tasks : set of asyncio.Future
+        Running crashes.
     """
 
     store: FakeStore
@@ -62,6 +78,11 @@
     replaced_paths: dict[str, list[tuple[str, int, int]]] = attrs.field(factory=dict)
     refused: int = 0
     invalid_paths: list[str] = attrs.field(factory=list)
+    crashing_part: str = ""
+    crash_time: float = 2.0
+    keeps_layers: bool = False
+    servers: dict[str, asyncio.Server] = attrs.field(factory=dict)
+    crash_tasks: set[asyncio.Future[None]] = attrs.field(factory=set)
 
     def register(self, replica: FakeReplica) -> None:
         """Write the entry of a replica to the store."""
@@ -82,28 +103,50 @@
     @asynccontextmanager
     async def open(self, *replicas: FakeReplica) -> AsyncIterator["FakeFleet"]:
         """Start the servers of replicas, register the replicas and yield the fleet."""
-        servers = []
         for replica in replicas:
             self.replicas[replica.id] = replica
-            serve = self.make_connection_handler(replica)
-            host = replica.listen_host or replica.host
-            servers.append(await asyncio.start_server(serve, host, replica.port))
+            await self.start_server(replica)
             self.register(replica)
         try:
             yield self
         finally:
-            for server in servers:
+            for server in self.servers.values():
                 server.close()
 
+    async def start_server(self, replica: FakeReplica) -> None:
+        """Accept connections to a replica."""
+        serve = self.make_connection_handler(replica)
+        host = replica.listen_host or replica.host
+        server = await asyncio.start_server(serve, host, replica.port)
+        self.servers[replica.id] = server
+
+    async def crash(self, replica: FakeReplica) -> None:
+        """Close all connections of a replica, and start it again after a while."""
+        if replica.id not in self.servers:
+            return
+        replica.crashes.append(asyncio.get_running_loop().time())
+        self.servers.pop(replica.id).close()
+        for writer in list(replica.writers):
+            writer.close()
+        await asyncio.sleep(self.crash_time)
+        span = replica.span
+        replica.restart()
+        if self.keeps_layers:
+            replica.span = span
+        await self.start_server(replica)
+        self.register(replica)
+
     def make_connection_handler(self, replica: FakeReplica) -> Any:
         """Return the callback that serves all requests on a connection to a replica."""
 
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
+            replica.writers.add(writer)
             with contextlib.suppress(OSError, asyncio.CancelledError):
                 while await self.serve_request(replica, reader, writer):
                     pass
+            replica.writers.discard(writer)
             writer.close()
 
         return serve
@@ -120,6 +163,7 @@
             return False
         if replica.faults.dark:
             await asyncio.sleep(HANG_TIME)
+        await wait_while_silent(replica)
         expected = request.fields.get("expect-replica", replica.id)
         if expected != replica.id:
             return await send_response(replica, writer, request, 421, b"", not_run=True)
@@ -128,6 +172,22 @@
         if request.target == "/order":
             return await self.handle_order(replica, request, writer)
         replica.arrivals.append(asyncio.get_running_loop().time())
+        return await self.serve_work(replica, request, reader, writer)
+
+    async def serve_work(
+        self,
+        replica: FakeReplica,
+        request: RequestReader,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """
+        Serve a caller's request, whatever the service.
+
+        Returns whether the connection stays open.
+        """
+        if replica.faults.endless in ("head", "body"):
+            return await send_endlessly(replica, writer, request)
         if replica.faults.shed:
             return await send_response(replica, writer, request, 503, b"", not_run=True)
         if "hop-count" in request.fields:
@@ -148,6 +208,7 @@
         record_run(replica, request)
         faults = replica.faults
         await asyncio.sleep(0.01 + faults.delay)
+        await wait_while_silent(replica)
         if faults.lose_answer:
             writer.transport.abort()
             return False
@@ -226,12 +287,36 @@
         disconnect : asyncio.Future of bytes
             Done once the caller has closed the connection.
         """
+        await asyncio.sleep(replica.event_time)
+        if self.has_crashing_part(request):
+            self.crash_tasks.add(asyncio.ensure_future(self.crash(replica)))
+            return False
+        unframed = replica.faults.unframed
+        frame = "Connection: close" if unframed else "Transfer-Encoding: chunked"
+        writer.write(encode_head(replica, request, 200, frame))
+        if replica.faults.endless == "event":
+            return await send_endlessly(replica, writer, request)
+        return await self.send_events(replica, request, parts, writer, disconnect)
+
+    async def send_events(
+        self,
+        replica: FakeReplica,
+        request: RequestReader,
+        parts: list[tuple[str, int, int]],
+        writer: asyncio.StreamWriter,
+        disconnect: asyncio.Future[bytes],
+    ) -> bool:
+        """
+        Send the events of a stream after its head.
+
+        Parameters and the returned value are those of `send_stream`.
+        """
+        unframed = replica.faults.unframed
+        encode = bytes if unframed else encode_chunk
         _, _, output = request.fields.get("token-count", "8,40").partition(",")
         # One event stands for 4 tokens of the output.
         event_count = int(output) // 4
         last_received = int(request.fields.get("last-event-id") or 0)
-        await asyncio.sleep(replica.event_time)
-        writer.write(encode_head(replica, request, 200, "Transfer-Encoding: chunked"))
         for number in range(last_received + 1, event_count + 1):
             if not await self.wait_for_parts(request.fields["request-id"], parts):
                 writer.transport.abort()
@@ -241,17 +326,25 @@
                 return False
             event = f"id: {number}\ndata: word-{number}\n\n".encode()
             if replica.faults.stop_after and number > replica.faults.stop_after:
-                writer.write(encode_chunk(event[:-4]))
+                writer.write(encode(event[:-4]))
                 await writer.drain()
-                writer.transport.abort()
+                if not replica.faults.ends_inside:
+                    writer.transport.abort()
                 return False
-            writer.write(encode_chunk(event))
+            writer.write(encode(event))
             await writer.drain()
             pace = max(self.pace_at(address) for address, _, _ in parts)
             await asyncio.sleep(replica.event_time * pace + replica.faults.delay)
-        writer.write(b"0\r\n\r\n")
+        if not unframed:
+            writer.write(b"0\r\n\r\n")
         await writer.drain()
-        return True
+        return not unframed
+
+    def has_crashing_part(self, request: RequestReader) -> bool:
+        """Return whether a request has the part of prompts that crashes engines."""
+        entries = request.fields.get("prompt-prefix", "").split(",")
+        parts = [entry.partition(":")[0].strip() for entry in entries]
+        return bool(self.crashing_part) and self.crashing_part in parts
 
     async def wait_for_parts(
         self, request_id: str, parts: list[tuple[str, int, int]]
@@ -275,9 +368,11 @@
         return part.pace if part is not None else 1.0
 
     def is_unresponsive(self, address: str) -> bool:
-        """Return whether the replica at an address is unknown or does not respond."""
+        """Return whether the replica at an address is unknown or unresponsive now."""
         part = self.find_replica(address)
-        return part is None or part.faults.dark
+        if part is None or part.faults.dark or part.id not in self.servers:
+            return True
+        return asyncio.get_running_loop().time() < part.faults.silent_until
 
     def check_path(self, path: str, parts: list[tuple[str, int, int]]) -> None:
         """Record a path whose parts do not run each layer once and in order."""
@@ -327,6 +422,36 @@
         self.register(replica)
 
 
+async def wait_while_silent(replica: FakeReplica) -> None:
+    """Wait until a replica is no longer silent."""
+    left = replica.faults.silent_until - asyncio.get_running_loop().time()
+    await asyncio.sleep(max(0.0, left))
+
+
+async def send_endlessly(
+    replica: FakeReplica, writer: asyncio.StreamWriter, request: RequestReader
+) -> bool:
+    """
+    Send a head, a body or an event without end until the caller closes.
+
+    Returns that the connection does not stay open.
+    """
+    if replica.faults.endless == "head":
+        writer.write(b"HTTP/1.1 200 -\r\n")
+        data = b"X-Filler: %b\r\n" % (b"x" * 1000) * (ENDLESS_BYTES // 1000)
+    else:
+        if replica.faults.endless == "body":
+            writer.write(encode_head(replica, request, 200, "Connection: close"))
+        data = b"x" * ENDLESS_BYTES
+        is_chunked = replica.faults.endless == "event" and not replica.faults.unframed
+        data = encode_chunk(data) if is_chunked else data
+    while not writer.is_closing():
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(ENDLESS_INTERVAL)
+    return False
+
+
 def record_run(replica: FakeReplica, request: RequestReader) -> None:
     """Record that a replica has started to run a request."""
     run = Run(
--- a/lentilhaven/standins/platform/fake_replica.py
+++ b/lentilhaven/standins/platform/fake_replica.py
@@ -31,7 +31,7 @@
     extra : bool
         Whether a plain service repeats its previous response before the next one.
     unframed : bool
-        Whether responses of a plain service have no length and end with the connection.
+        Whether responses have neither a length nor chunks and end with the connection.
     early : bool
         Whether the replica responds once it has read the head of a request, and a
         plain service then closes the connection.
@@ -39,6 +39,14 @@
         Whether a plain service responds with status 500.
     stop_after : int
         Number of events after which a stream breaks off inside an event; 0 for never.
+    ends_inside : bool
+        Whether a stream that `stop_after` breaks off ends with an orderly close.
+    endless : str
+        Which part of a response comes without end until the caller closes: ``"head"``,
+        ``"body"`` or, in a stream, ``"event"``; empty for none.
+    silent_until : float
+        Event loop time until which the replica sends nothing and a chain through it
+        stands still, in seconds; afterwards it goes on.
     delay : float
         Time added to each response of a plain service and to each event of a stream,
         in seconds of the event loop.
@@ -54,6 +62,9 @@
     early: bool = False
     fail: bool = False
     stop_after: int = 0
+    ends_inside: bool = False
+    endless: str = ""
+    silent_until: float = 0.0
     delay: float = 0.0
 
 
@@ -132,6 +143,10 @@
         seconds.
     last_response : bytes
         Newest response of a plain service, repeated by the fault `extra`.
+    writers : set of asyncio.StreamWriter
+        Streams to the callers with open connections.
+    crashes : list of float
+        Event loop times at which the replica has crashed, in seconds.
     """
 
     id: str
@@ -156,6 +171,8 @@
     announces_leaving: bool = False
     arrivals: list[float] = attrs.field(factory=list)
     last_response: bytes = b""
+    writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+    crashes: list[float] = attrs.field(factory=list)
 
     @property
     def address(self) -> str:
