--- a/lentilhaven/gateway/tests/test_silent_replicas.py
+++ b/lentilhaven/gateway/tests/test_silent_replicas.py
@@ -2,6 +2,7 @@
 import unittest
 
 from lentilhaven.gateway.tests.platform_testbed import (
+    LAYERS,
     plain_replicas,
     run_on_testbed,
     sample_manifest,
@@ -38,11 +39,8 @@
                 for replica in bed.fleet.replicas.values():
                     if replica.address not in chain:
                         break_others(bed, replica)
-                used = [it.address in chain for it in bed.fleet.replicas.values()]
-                last = [
-                    it for it, here in zip(bed.fleet.replicas.values(), used) if here
-                ][-1]
-                silence(last)
+                    elif replica.span[1] == LAYERS:
+                        silence(replica)
 
             reply, _ = await asyncio.gather(bed.call(path, output=80), disturb())
             return reply, bed.fleet
