Let the kernel tell a silent process from a peer that is gone

Callers waited for a dead endpoint until their deadline if nothing was left to be acknowledged: TCP_USER_TIMEOUT alone acts only on bytes in flight. Keep-alive probes after 1 s end such a connection after TCP_USER_TIMEOUT (1.5 s), while a process that is merely silent is acknowledged by its kernel. The new test failed before (SO_KEEPALIVE 0).

--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -15,6 +15,14 @@
 USER_TIMEOUT_MS = 1500
 
 
+#: Seconds of silence after which the kernel asks whether the peer is still there, and
+#: seconds between two questions.  A silent process answers through its kernel; a peer
+#: that has lost power, or is cut off, does not, and the connection ends after
+#: `USER_TIMEOUT_MS`.
+KEEPALIVE_IDLE = 1
+KEEPALIVE_INTERVAL = 1
+
+
 class UpstreamConnection(asyncio.Protocol):
     """
     One connection, which carries one exchange at a time.
@@ -84,9 +92,7 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             with contextlib.suppress(OSError):
-                sock.setsockopt(
-                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-                )
+                set_liveness_options(sock)
 
     def data_received(self, data: bytes) -> None:
         """Parse received data; close the connection if no request is in progress."""
@@ -238,3 +244,23 @@
         self.usable = False
         if self.transport is not None:
             self.transport.abort()
+
+
+def set_liveness_options(sock: socket.socket) -> None:
+    """
+    Let the kernel end a connection whose peer no longer acknowledges anything.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        Socket of a TCP connection.
+
+    Raises
+    ------
+    OSError
+        If the system does not know an option.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
--- a/lentilhaven/upstream/tests/test_connection.py
+++ b/lentilhaven/upstream/tests/test_connection.py
@@ -1,8 +1,14 @@
 import asyncio
+import socket
 import unittest
 
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.standins.virtual import run_virtual
+from lentilhaven.upstream.connection import (
+    KEEPALIVE_IDLE,
+    KEEPALIVE_INTERVAL,
+    USER_TIMEOUT_MS,
+)
 from lentilhaven.upstream.connection_pool import (
     CONNECT_TIMEOUT,
     MAX_IDLE_TIME,
@@ -231,3 +237,35 @@
         first, second, opened = run_with_server(script, use)
         # The second request goes out on a connection of its own.
         self.assertEqual((first, second, opened), ((200, b"first"),) * 2 + (2,))
+
+
+class LivenessTests(unittest.TestCase):
+    """
+    Guard against waiting for a peer that has lost power until the deadline.
+
+    A silent process acknowledges through its kernel; the kernel tells the two apart.
+    """
+
+    def test_kernel_asks_whether_a_silent_peer_is_still_there(self):
+        async def main():
+            server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            endpoint = Endpoint("e", "s", f"127.0.0.1:{port}", "a")
+            connection = await ConnectionPool().acquire(endpoint, "r1", 5.0)
+            sock = connection.transport.get_extra_info("socket")
+            keepalive = sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            options = [
+                sock.getsockopt(socket.IPPROTO_TCP, name)
+                for name in (
+                    socket.TCP_KEEPIDLE,
+                    socket.TCP_KEEPINTVL,
+                    socket.TCP_USER_TIMEOUT,
+                )
+            ]
+            connection.abort()
+            server.close()
+            return keepalive, options
+
+        keepalive, options = asyncio.run(main())
+        self.assertTrue(keepalive)
+        self.assertEqual(options, [KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, USER_TIMEOUT_MS])
