Begin a second run beside a silent stream instead of giving the first one up

Callers' streams were broken off after 0.14 to 0.6 s of silence of a sound engine: the first run was aborted before it was known that a second one would begin, and if that was refused, could not connect or broke off, nothing was left. Class: a resource is released before its replacement is in hand.

Now the silent run goes on; a second run begins beside it, with the same limits (attempts, retry budget), and takes over with its first whole event. Whichever has an event first goes on, the other one is ended. A run that has read data is never superseded, so that no event comes twice.

TruthTests: its engines were silent for ever and the run was given up after 0.6 s; now it ends when its connection does, which the test plays after 2 s; it still asserts 502 after exactly one refusal. Log line: second run begins.

--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -8,27 +8,26 @@
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
-from lentilhaven.gateway.event_splitter import EventSplitter
+from lentilhaven.gateway.event_splitter import Events, EventSplitter
 from lentilhaven.gateway.gateway_metrics import record_first_event
 from lentilhaven.gateway.pace_check import note_pause
-from lentilhaven.gateway.service_relay import UpstreamResponse
 from lentilhaven.gateway.silence import (
     PauseEstimator,
     first_event_limit,
     note_heard,
 )
 from lentilhaven.gateway.stream_failures import interpret_error_answer, silence_failure
-from lentilhaven.gateway.stream_state import StreamRelay, StreamRun
+from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay, StreamRun
 from lentilhaven.gateway.stream_waiting import wait_or_move
 from lentilhaven.platform.response_head import ResponseHead
 
 
-async def relay_answer(
-    relay: StreamRelay, run: StreamRun
-) -> UpstreamResponse | Failure | None:
+async def relay_answer(relay: StreamRelay, run: StreamRun) -> RunOutcome:
     """
     Wait for the head of an answer, then relay its stream to the caller.
 
+    A run that has begun beside another one takes over from it with its first event.
+
     Returns
     -------
     UpstreamResponse, Failure or None
@@ -45,16 +44,11 @@
     first_chunk = await wait_or_move(relay, run, exchange.next_chunk, limit)
     if first_chunk is None:
         return silence_failure(relay, run)
-    relay.weights = relay.weights or head.weights_version
-    if relay.response is None:
-        relay.response = await start_response(relay, head)
-        now = asyncio.get_running_loop().time()
-        record_first_event(relay.gateway, relay.call, now - relay.call.arrived)
-    return await relay_events(relay, run, first_chunk)
+    return await relay_events(relay, run, head, first_chunk)
 
 
 async def relay_events(
-    relay: StreamRelay, run: StreamRun, chunk: bytes | None
+    relay: StreamRelay, run: StreamRun, head: ResponseHead, chunk: bytes | None
 ) -> Failure | None:
     """
     Relay events as they arrive, until the stream ends or is silent for too long.
@@ -65,7 +59,6 @@
         None if the stream was relayed completely.
     """
     loop = asyncio.get_running_loop()
-    assert relay.response is not None
     splitter = EventSplitter()
     expected = expected_pause(relay, run.chain)
     pauses = PauseEstimator(expected)
@@ -76,10 +69,9 @@
         note_heard(relay.gateway, run.chain, now)
         events = splitter.feed(chunk)
         if events.data:
-            if events.ids:
-                relay.last_event_id = events.ids[-1]
-            relay.events += len(events.ids)
-            await relay.response.write(events.data)
+            if not run.take_over(relay):
+                return silence_failure(relay, run)
+            await write_events(relay, head, events)
             pauses.record(now - run.silent_since)
             event_count += 1
             note_pause(relay.gateway, run.chain, event_count, pauses.mean, expected)
@@ -88,16 +80,59 @@
         chunk = await wait_or_move(relay, run, next_chunk, pauses.limit())
     if chunk is None:
         return silence_failure(relay, run)
-    if splitter.remainder:
-        if relay.call.route.resumable:
-            detail = "the stream ended within an event"
-            peer = run.chain.first.id
-            return Failure(Step.STREAM, peer, "truncated", detail, Ran.UNKNOWN)
-        await relay.response.write(splitter.remainder)
-    await relay.response.write_eof()
+    return await finish_stream(relay, run, head, splitter.remainder)
+
+
+async def write_events(relay: StreamRelay, head: ResponseHead, events: Events) -> None:
+    """Send complete events to the caller, and record how far the stream has come."""
+    response = await ensure_response(relay, head)
+    if events.ids:
+        relay.last_event_id = events.ids[-1]
+    relay.events += len(events.ids)
+    await response.write(events.data)
+
+
+async def finish_stream(
+    relay: StreamRelay, run: StreamRun, head: ResponseHead, remainder: bytes
+) -> Failure | None:
+    """
+    End the answer to the caller after the run has ended.
+
+    Parameters
+    ----------
+    relay, run, head
+        The stream, the run and the head of its answer.
+    remainder : bytes
+        Start of an event whose end has not arrived.
+
+    Returns
+    -------
+    Failure or None
+        None if the stream was relayed completely.
+    """
+    if remainder and relay.call.route.resumable:
+        detail = "the stream ended within an event"
+        peer = run.chain.first.id
+        return Failure(Step.STREAM, peer, "truncated", detail, Ran.UNKNOWN)
+    if not run.take_over(relay):
+        return silence_failure(relay, run)
+    response = await ensure_response(relay, head)
+    if remainder:
+        await response.write(remainder)
+    await response.write_eof()
     return None
 
 
+async def ensure_response(relay: StreamRelay, head: ResponseHead) -> web.StreamResponse:
+    """Return the answer to the caller; its first run sends its head."""
+    if relay.response is None:
+        relay.weights = relay.weights or head.weights_version
+        relay.response = await start_response(relay, head)
+        now = asyncio.get_running_loop().time()
+        record_first_event(relay.gateway, relay.call, now - relay.call.arrived)
+    return relay.response
+
+
 async def start_response(relay: StreamRelay, head: ResponseHead) -> web.StreamResponse:
     """Send the head of the answer to the caller."""
     response = web.StreamResponse(
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -22,7 +22,7 @@
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.service_relay import MAX_REFUSALS, UpstreamResponse
 from lentilhaven.gateway.stream_run import run_on_chain
-from lentilhaven.gateway.stream_state import StreamRelay
+from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
 
 #: Share of the target latency for which a request waits for capacity.  Under overload,
 #: a longer wait only delays the refusals.
@@ -64,7 +64,12 @@
         detail = f"no engine of {call.service} is known"
         return make_error_response(Failure(Step.CHOOSE, "", "no-chain", detail))
     relay = StreamRelay(
-        gateway, request, call, spec, last_event_id=call.head.last_event_id
+        gateway,
+        request,
+        call,
+        spec,
+        run_on_chain,
+        last_event_id=call.head.last_event_id,
     )
     gateway.budget_of(call.service).record_request(asyncio.get_running_loop().time())
     try:
@@ -73,6 +78,8 @@
     except TimeoutError:
         detail = "no whole answer in time"
         outcome = Failure(Step.STREAM, "", "timeout", detail, Ran.UNKNOWN)
+    finally:
+        relay.drop_successor()
     if relay.response is not None:
         if isinstance(outcome, Failure):
             abort_stream(relay, outcome)
@@ -104,7 +111,7 @@
         relay.request.transport.abort()
 
 
-async def run_until_done(relay: StreamRelay) -> UpstreamResponse | Failure | None:
+async def run_until_done(relay: StreamRelay) -> RunOutcome:
     """
     Run a request until it is answered or can't be retried.
 
@@ -116,7 +123,7 @@
     """
     loop = asyncio.get_running_loop()
     call, gateway = relay.call, relay.gateway
-    outcome: UpstreamResponse | Failure | None = None
+    outcome: RunOutcome = None
     while True:
         now = loop.time()
         chain = await wait_for_chain(relay)
@@ -134,13 +141,32 @@
                 log.info("retry budget used up", request=call.id, service=call.service)
                 assert isinstance(outcome, Failure)
                 return outcome
-        outcome = await run_on_chain(relay, chain)
+        outcome = await run_with_successors(relay, chain)
         if not isinstance(outcome, Failure):
             return outcome
         if not may_retry(relay, outcome):
             return outcome
 
 
+async def run_with_successors(relay: StreamRelay, chain: Chain) -> RunOutcome:
+    """
+    Run a request on a chain, and follow the runs that begin beside it if it fails.
+
+    Returns
+    -------
+    UpstreamResponse, Failure or None
+        As in `run_on_chain`, of the last run.
+    """
+    outcome = await run_on_chain(relay, chain)
+    while isinstance(outcome, Failure) and relay.successor is not None:
+        successor, relay.successor = relay.successor, None
+        outcome = await successor
+    if isinstance(outcome, UpstreamResponse) and relay.response is not None:
+        detail = f"status {outcome.head.status} within a stream"
+        return Failure(Step.STREAM, "", "failed", detail, Ran.UNKNOWN)
+    return outcome
+
+
 async def wait_for_chain(relay: StreamRelay) -> Chain | None:
     """
     Return a chain, or None if no capacity becomes free in time.
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -11,7 +11,12 @@
 from lentilhaven.gateway.pipe_meter import count_crossings
 from lentilhaven.gateway.service_relay import UpstreamResponse
 from lentilhaven.gateway.stream_events import relay_answer
-from lentilhaven.gateway.stream_state import StreamRelay, StreamRun
+from lentilhaven.gateway.stream_state import (
+    RunOutcome,
+    StreamRelay,
+    StreamRun,
+    SupersededError,
+)
 from lentilhaven.platform.request_head import encode_request, gateway_headers
 from lentilhaven.upstream.exchange import UpstreamError
 
@@ -19,11 +24,20 @@
 
 
 async def run_on_chain(
-    relay: StreamRelay, chain: Chain
-) -> UpstreamResponse | Failure | None:
+    relay: StreamRelay, chain: Chain, predecessor: StreamRun | None = None
+) -> RunOutcome:
     """
     Run a request on one chain, and add its load to the endpoints while it runs.
 
+    Parameters
+    ----------
+    relay : StreamRelay
+        The stream.
+    chain : Chain
+        The chain.
+    predecessor : StreamRun or None
+        Silent run that goes on beside this one until this one takes over.
+
     Returns
     -------
     UpstreamResponse, Failure or None
@@ -40,7 +54,7 @@
     gateway.link_traffic.record(count_crossings(chain.parts), tokens, began)
     ended = "cancelled"
     try:
-        outcome = await exchange_on_chain(relay, chain)
+        outcome = await exchange_on_chain(relay, chain, predecessor)
         ended = "done" if outcome is None else describe_outcome(outcome)
         return outcome
     finally:
@@ -68,8 +82,8 @@
 
 
 async def exchange_on_chain(
-    relay: StreamRelay, chain: Chain
-) -> UpstreamResponse | Failure | None:
+    relay: StreamRelay, chain: Chain, predecessor: StreamRun | None
+) -> RunOutcome:
     """
     Send a request to the first engine of a chain and relay the response.
 
@@ -115,7 +129,12 @@
         head = encode_request(call.method, call.target, call.head, len(call.body), own)
         exchange = connection.begin(call.id, head, call.body)
         relay.runs += 1
-        return await relay_answer(relay, StreamRun(chain, exchange, loop.time()))
+        run = StreamRun(chain, exchange, loop.time(), predecessor=predecessor)
+        if predecessor is None:
+            relay.leader = run
+        return await relay_answer(relay, run)
+    except SupersededError as error:
+        return Failure(Step.STREAM, first.id, error.kind, error.detail, Ran.UNKNOWN)
     except UpstreamError as error:
         if error.sent:
             gateway.endpoint_states.of(first).refused_until = (
--- a/lentilhaven/gateway/stream_state.py
+++ b/lentilhaven/gateway/stream_state.py
@@ -1,13 +1,25 @@
 """The state of a stream and of its runs."""
 
+import asyncio
+from collections.abc import Awaitable, Callable
+
 import attrs
 from aiohttp import web
 
 from lentilhaven.chains.chain import Chain
+from lentilhaven.core.failure import Failure
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.upstream.exchange import Exchange
+from lentilhaven.gateway.service_relay import UpstreamResponse
+from lentilhaven.upstream.exchange import Exchange, UpstreamError
+
+#: Outcome of a run: None if the stream was relayed completely, or an answer that is no
+#: stream.
+RunOutcome = UpstreamResponse | Failure | None
+
+#: Runs a request on a chain, beside another run if that is given.
+RunOnChain = Callable[["StreamRelay", Chain, "StreamRun | None"], Awaitable[RunOutcome]]
 
 
 @attrs.define(eq=False)
@@ -25,6 +37,8 @@
         The decoded request.
     spec : EngineSpec
         Specification of the engines that run the request.
+    run_on_chain : callable
+        Runs the request on a chain.
     response : aiohttp.web.StreamResponse or None
         The answer to the caller; None until its head is sent.
     last_event_id : str
@@ -41,12 +55,19 @@
         Ids of endpoints that have failed or refused this request.
     events : int
         Number of events that were relayed.
+    leader : StreamRun or None
+        The run whose events are relayed; None before the first run.
+    successor : asyncio.Task or None
+        Second run, which has begun while the leader is silent and replaces it if its
+        first event is earlier; its result is an outcome of `run_on_chain`.  None if
+        there is none.
     """
 
     gateway: Gateway
     request: web.BaseRequest
     call: Call
     spec: EngineSpec
+    run_on_chain: RunOnChain
     response: web.StreamResponse | None = None
     last_event_id: str = ""
     weights: str = ""
@@ -54,12 +75,25 @@
     refusals: int = 0
     excluded: set[str] = attrs.field(factory=set)
     events: int = 0
+    leader: "StreamRun | None" = None
+    successor: asyncio.Task[RunOutcome] | None = None
 
     @property
     def may_run_again(self) -> bool:
-        """Return whether another run is allowed after the current one."""
+        """Return whether another run is allowed beside or after the current one."""
         return self.call.route.repeatable and self.runs < self.call.route.attempts
 
+    @property
+    def has_successor(self) -> bool:
+        """Return whether a second run is trying to begin its answer."""
+        return self.successor is not None and not self.successor.done()
+
+    def drop_successor(self) -> None:
+        """End the second run, if there is one, since the leader has gone on."""
+        if self.successor is not None:
+            self.successor.cancel()
+            self.successor = None
+
 
 @attrs.define(eq=False)
 class StreamRun:
@@ -78,9 +112,41 @@
         future.
     moves : int
         Number of attempts to move the run to other endpoints.
+    predecessor : StreamRun or None
+        Run beside which this one has begun; None if it has begun alone.
     """
 
     chain: Chain
     exchange: Exchange
     silent_since: float
     moves: int = 0
+    predecessor: "StreamRun | None" = None
+
+    def take_over(self, relay: StreamRelay) -> bool:
+        """
+        Make this run the leader, unless its predecessor has gone on meanwhile.
+
+        The run that loses the lead fails with `SupersededError`.  If this run leads
+        already, its successor is dropped.
+
+        Returns
+        -------
+        bool
+            Whether this run is the leader now.
+        """
+        if relay.leader is self:
+            relay.drop_successor()
+            return True
+        assert self.predecessor is not None
+        if self.predecessor.exchange.has_unread_news:
+            return False
+        self.predecessor.exchange.fail(SupersededError())
+        relay.leader = self
+        return True
+
+
+class SupersededError(UpstreamError):
+    """Error of a run whose successor has begun to answer before it went on."""
+
+    def __init__(self) -> None:
+        super().__init__("superseded", "another run has begun to answer", sent=True)
--- a/lentilhaven/gateway/stream_waiting.py
+++ b/lentilhaven/gateway/stream_waiting.py
@@ -4,14 +4,17 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+from lentilhaven.core.logs import get_logger
+from lentilhaven.core.tasks import report_task_failure
 from lentilhaven.gateway.chain_choice import choose_chain
 from lentilhaven.gateway.chain_move import MAX_MOVES, move_chain
+from lentilhaven.gateway.service_relay import MAX_REFUSALS
 from lentilhaven.gateway.silence import suspect_silent_parts
 from lentilhaven.gateway.stream_state import StreamRelay, StreamRun
 
-#: Seconds after which a silent run is given up although all of its endpoints are
-#: active.  Until then, the run is assumed to wait behind other work, as a second run
-#: would too.
+#: Seconds after which a second run begins beside a silent one although all of its
+#: endpoints are active.  Until then, the run is assumed to wait behind other work, as
+#: a second run would too.
 SLOW_RUN_LIMIT = 0.8
 
 #: Seconds between two checks of a silent run.
@@ -22,6 +25,8 @@
 
 T = TypeVar("T")
 
+log = get_logger("gateway")
+
 
 async def wait_or_move(
     relay: StreamRelay,
@@ -30,7 +35,11 @@
     limit: float,
 ) -> T | None:
     """
-    Wait for the next data of an answer, and replace failed parts of the chain.
+    Wait for the next data of an answer, and act if the run is silent.
+
+    If the request may run again, a second run begins, which takes over once it has
+    data.  A silent endpoint may be sound and go on, so the first run continues until
+    then.  Otherwise failed parts of the chain are replaced.
 
     Parameters
     ----------
@@ -45,7 +54,12 @@
     Returns
     -------
     T or None
-        None if the call's deadline has passed or the request should be run again.
+        None if the call's deadline has passed.
+
+    Raises
+    ------
+    UpstreamError
+        If the exchange has failed, or a second run has taken over.
     """
     until = run.silent_since + limit
     while True:
@@ -56,9 +70,12 @@
         suspects = suspect_silent_parts(
             relay.gateway, run.chain, relay.call.id, run.silent_since, now
         )
-        if relay.may_run_again:
-            if prepare_new_run(relay, run, suspects, now):
-                return None
+        if relay.leader is not run:
+            until = relay.call.deadline
+        elif relay.has_successor:
+            until = now + RECHECK_INTERVAL
+        elif relay.may_run_again and relay.refusals < MAX_REFUSALS:
+            begin_second_run(relay, run, suspects, now)
             until = now + RECHECK_INTERVAL
         elif run.moves < MAX_MOVES:
             await move_run(relay, run, suspects, now)
@@ -67,30 +84,37 @@
             until = relay.call.deadline
 
 
-def prepare_new_run(
+def begin_second_run(
     relay: StreamRelay, run: StreamRun, suspects: list[str], now: float
-) -> bool:
+) -> None:
     """
-    Return whether to give up a silent run for a new one.
+    Begin a second run beside a silent one, if a chain and a retry are available.
 
-    If so, the suspects are excluded from the new run, or the first engine if there are
-    none.
-
-    A run whose endpoints are all active for other requests is slow and has not
-    failed.  If no other chain or no retry budget is available, it is better to keep
-    waiting.
+    The suspects are excluded from it, or the first engine if there are none.  A run
+    whose endpoints are all active for other requests is slow and has not failed.
     """
     if not suspects and now - run.silent_since < SLOW_RUN_LIMIT:
-        return False
+        return
     excluded = relay.excluded | set(suspects or [run.chain.first.id])
     gateway, call = relay.gateway, relay.call
-    if choose_chain(gateway, call, relay.spec, excluded, now) is None:
-        return False
+    continues = relay.response is not None
+    chain = choose_chain(gateway, call, relay.spec, excluded, now, continues)
+    if chain is None:
+        return
     budget = gateway.budget_of(call.service)
-    if budget.remaining(now, gateway.count_gateways(now)) < 1.0:
-        return False
+    if not budget.try_spend(now, gateway.count_gateways(now)):
+        return
     relay.excluded = excluded
-    return True
+    log.info(
+        "second run begins",
+        request=call.id,
+        silent_ms=round((now - run.silent_since) * 1000),
+        suspects=suspects,
+        first=chain.first.id,
+    )
+    task = asyncio.ensure_future(relay.run_on_chain(relay, chain, run))
+    task.add_done_callback(report_task_failure)
+    relay.successor = task
 
 
 async def move_run(
--- a/lentilhaven/gateway/tests/test_streams.py
+++ b/lentilhaven/gateway/tests/test_streams.py
@@ -60,6 +60,7 @@
                 endpoint = bed.gateways[0].view.endpoints[name]
                 now = asyncio.get_running_loop().time()
                 bed.gateways[0].endpoint_states.of(endpoint).note_pace(3.0, now)
+            asyncio.get_running_loop().call_later(2.0, reset_connections, bed, "i-a0")
             reply = await bed.call("/draft/1")
             return reply.status, len(bed.fleet.replicas["i-b0"].arrivals)
 
@@ -263,6 +264,12 @@
         self.assertLess(reply.seconds, 0.9)
 
 
+def reset_connections(bed, name):
+    """Reset all connections to an engine."""
+    for writer in list(bed.fleet.replicas[name].writers):
+        writer.transport.abort()
+
+
 async def silence_second_part(bed):
     """Silence the second part of the chain in use, after a few events."""
     await asyncio.sleep(0.15)
--- a/lentilhaven/upstream/exchange.py
+++ b/lentilhaven/upstream/exchange.py
@@ -68,6 +68,11 @@
     waiter: asyncio.Future[None] | None = None
     resume_reading: Callable[[], None] = lambda: None
 
+    @property
+    def has_unread_news(self) -> bool:
+        """Return whether a part of the body or its end has arrived and is unread."""
+        return bool(self.chunks) or self.complete
+
     def wake(self) -> None:
         """Wake the waiting task, if any."""
         if self.waiter is not None and not self.waiter.done():
