Wait for a slow replica beside the second attempt of a plain request

A repeatable request was given up at 0.7 of its target latency before it was known that another replica and a retry were to be had, and ended with 504 after 70 of 800 ms although its replica was sound. Now the first attempt goes on beside the second; the first good answer wins and the other attempt is ended. A replica's own failure is no longer replaced by a later failure of ours.

--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -9,6 +9,7 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
+from lentilhaven.core.tasks import cancel_tasks
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
@@ -20,7 +21,7 @@
 from lentilhaven.upstream.connection_pool import MAX_IDLE_TIME
 from lentilhaven.upstream.exchange import UpstreamError
 
-#: Share of the target latency after which a repeatable request is sent to another
+#: Share of the target latency after which a repeatable request is also sent to another
 #: replica: the remaining time suffices for an average response.
 RETRY_LATENCY_SHARE = 0.7
 
@@ -60,24 +61,36 @@
 
     Attributes
     ----------
-    endpoints : list of str
-        Ids of the replicas to which the request was sent.
+    endpoints : list of Endpoint
+        Replicas to which the request was sent.
+    running : set of asyncio.Task
+        Attempts in progress; a second one may begin beside a slow one.
+    started_at : float
+        Event loop time at which the latest attempt began, in seconds.
     possible_runs : int
-        Number of replicas that may have run the request.
+        Number of replicas that have ended and may have run the request.
     refusals : int
         Number of replicas that refused the request.
     last_outcome : UpstreamResponse, Failure or None
         Outcome of the last attempt.
     last_run : UpstreamResponse, Failure or None
-        Outcome of the last attempt that may have run the request.
+        Outcome of the last attempt that may have run the request; a response stays
+        if a later attempt fails.
     """
 
-    endpoints: list[str] = attrs.field(factory=list)
+    endpoints: list[Endpoint] = attrs.field(factory=list)
+    running: set[asyncio.Task[UpstreamResponse | Failure]] = attrs.field(factory=set)
+    started_at: float = 0.0
     possible_runs: int = 0
     refusals: int = 0
     last_outcome: UpstreamResponse | Failure | None = None
     last_run: UpstreamResponse | Failure | None = None
 
+    @property
+    def tried(self) -> list[str]:
+        """Return the ids of the replicas to which the request was sent."""
+        return [endpoint.id for endpoint in self.endpoints]
+
     @property
     def final_outcome(self) -> UpstreamResponse | Failure | None:
         """
@@ -87,6 +100,12 @@
         """
         return self.last_run or self.last_outcome
 
+    @property
+    def succeeded(self) -> bool:
+        """Return whether a replica has answered without a failure."""
+        response = self.last_run
+        return isinstance(response, UpstreamResponse) and not response.failed
+
     def record(self, outcome: UpstreamResponse | Failure) -> None:
         """
         Record the outcome of an attempt.
@@ -95,30 +114,38 @@
         refusal.
         """
         self.last_outcome = outcome
-        if isinstance(outcome, UpstreamResponse) or outcome.ran is not Ran.NO:
+        if isinstance(outcome, UpstreamResponse):
             self.possible_runs += 1
             self.last_run = outcome
+        elif outcome.ran is not Ran.NO:
+            self.possible_runs += 1
+            if not isinstance(self.last_run, UpstreamResponse):
+                self.last_run = outcome
         elif outcome.kind not in UNSENT_KINDS:
             self.refusals += 1
 
     def may_continue(self, call: Call) -> bool:
         """Return whether the request may be sent to another replica."""
-        if self.refusals >= MAX_REFUSALS:
+        if self.refusals >= MAX_REFUSALS or self.succeeded:
             return False
-        if (
-            isinstance(self.last_outcome, UpstreamResponse)
-            and not self.last_outcome.failed
-        ):
-            return False
-        if not call.route.repeatable:
-            return self.possible_runs == 0
-        return self.possible_runs < call.route.attempts
+        runs = self.possible_runs + len(self.running)
+        return runs < (call.route.attempts if call.route.repeatable else 1)
+
+    def second_attempt_at(self, call: Call) -> float:
+        """Return the event loop time at which another attempt may begin."""
+        if not self.running:
+            return self.started_at
+        return self.started_at + RETRY_LATENCY_SHARE * call.route.target_latency
 
 
 async def relay_call(gateway: Gateway, call: Call) -> web.Response:
     """
     Forward a request to replicas and return the final response.
 
+    A repeatable request is sent to another replica if the first one is slow.  The
+    first replica may be sound and answer later, so it is waited for until another one
+    has answered.
+
     Parameters
     ----------
     gateway : Gateway
@@ -127,28 +154,90 @@
         The request.
     """
     loop = asyncio.get_running_loop()
-    budget = gateway.budget_of(call.service)
-    budget.record_request(loop.time())
+    gateway.budget_of(call.service).record_request(loop.time())
     attempts = Attempts()
-    while attempts.may_continue(call):
-        now = loop.time()
-        endpoint = choose_replica(gateway, call.service, attempts.endpoints, now)
-        if endpoint is None or now >= call.deadline:
-            break
-        # While no replica has received the request, another attempt is no retry.
-        if attempts.possible_runs + attempts.refusals > 0:
-            if not budget.try_spend(now, gateway.count_gateways(now)):
-                log.info("retry budget used up", request=call.id, service=call.service)
+    try:
+        while attempts.may_continue(call):
+            if not begin_attempt(gateway, call, attempts):
                 break
-        attempts.endpoints.append(endpoint.id)
-        may_retry = (
-            call.route.repeatable and attempts.possible_runs + 1 < call.route.attempts
-        )
-        attempts.record(await try_replica(gateway, call, endpoint, may_retry))
-    pause = pause_left(gateway, call.service, attempts.endpoints, loop.time())
+            await wait_for_outcome(call, attempts)
+        while attempts.running and not attempts.succeeded:
+            await record_outcomes(attempts, None)
+    finally:
+        await cancel_tasks(attempts.running)
+    pause = pause_left(gateway, call.service, attempts.tried, loop.time())
     return make_response(call, attempts.final_outcome, pause)
 
 
+def begin_attempt(gateway: Gateway, call: Call, attempts: Attempts) -> bool:
+    """
+    Begin an attempt on another replica, beside those in progress.
+
+    Returns
+    -------
+    bool
+        False if there is no replica, time or retry budget left.
+    """
+    now = asyncio.get_running_loop().time()
+    endpoint = choose_replica(gateway, call.service, attempts.tried, now)
+    if endpoint is None or now >= call.deadline:
+        return False
+    # While no replica has received the request, another attempt is no retry.
+    if attempts.possible_runs + attempts.refusals + len(attempts.running) > 0:
+        budget = gateway.budget_of(call.service)
+        if not budget.try_spend(now, gateway.count_gateways(now)):
+            log.info("retry budget used up", request=call.id, service=call.service)
+            return False
+    if attempts.running:
+        note_slow_replica(gateway, attempts.endpoints[-1], now - attempts.started_at)
+    attempts.endpoints.append(endpoint)
+    attempts.started_at = now
+    task = asyncio.ensure_future(try_replica(gateway, call, endpoint))
+    attempts.running.add(task)
+    return True
+
+
+def note_slow_replica(gateway: Gateway, endpoint: Endpoint, seconds: float) -> None:
+    """Record that a replica has not answered for some seconds."""
+    gateway.endpoint_states.of(endpoint).record(seconds, failed=True)
+    gateway.pool.close_idle(endpoint)
+
+
+async def wait_for_outcome(call: Call, attempts: Attempts) -> None:
+    """Wait until an attempt has ended, or until another one may begin beside it."""
+    loop = asyncio.get_running_loop()
+    while attempts.running:
+        timeout = None
+        if attempts.may_continue(call):
+            timeout = max(0.0, attempts.second_attempt_at(call) - loop.time())
+        if await record_outcomes(attempts, timeout) or timeout is not None:
+            return
+
+
+async def record_outcomes(attempts: Attempts, timeout: float | None) -> bool:
+    """
+    Wait for the end of an attempt, and record what has ended.
+
+    Parameters
+    ----------
+    attempts : Attempts
+        The attempts, of which at least one is in progress.
+    timeout : float or None
+        Seconds after which to give up; None to wait without a limit.
+
+    Returns
+    -------
+    bool
+        Whether an attempt has ended.
+    """
+    done, attempts.running = await asyncio.wait(
+        attempts.running, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+    )
+    for task in done:
+        attempts.record(task.result())
+    return bool(done)
+
+
 def make_response(
     call: Call, outcome: UpstreamResponse | Failure | None, pause: float | None = None
 ) -> web.Response:
@@ -182,7 +271,7 @@
 
 
 async def try_replica(
-    gateway: Gateway, call: Call, endpoint: Endpoint, may_retry: bool
+    gateway: Gateway, call: Call, endpoint: Endpoint
 ) -> UpstreamResponse | Failure:
     """
     Send a request to one replica, and record the outcome in the replica's state.
@@ -195,8 +284,6 @@
         The request.
     endpoint : Endpoint
         The replica.
-    may_retry : bool
-        Whether the request may be sent to another replica if this one is slow.
 
     Returns
     -------
@@ -207,14 +294,9 @@
     loop = asyncio.get_running_loop()
     state = gateway.endpoint_states.of(endpoint)
     began = loop.time()
-    deadline = call.deadline
-    if may_retry:
-        deadline = min(
-            deadline, began + RETRY_LATENCY_SHARE * call.route.target_latency
-        )
     state.requests += 1
     try:
-        outcome = await exchange_once(gateway, call, endpoint, deadline)
+        outcome = await exchange_once(gateway, call, endpoint, call.deadline)
     finally:
         state.requests -= 1
     now = loop.time()
