Place layers again only after a silence that no sound engine has

An engine that was silent for 1.4 s was suspected after 0.14 to 0.6 s, and the placer at once ordered two other engines, which were sound too, to give up their layers for its layers. Now an engine counts as lost for the placement once its suspicion has lasted for 1.5 s without a break; what refutes a suspicion starts the time anew.

--- a/lentilhaven/gateway/endpoint_states.py
+++ b/lentilhaven/gateway/endpoint_states.py
@@ -24,6 +24,9 @@
 #: Largest distance of an observation that a gateway passes on.
 MAX_PASSED_DISTANCE = MAX_DISTANCE - 1
 
+#: Seconds for which a sound endpoint may be silent and then go on.
+SOUND_SILENCE = 1.5
+
 #: Start and end of a suspicion that does not exist.
 NO_SUSPICION = (0.0, 0.0)
 
@@ -71,6 +74,8 @@
         Time until which the endpoint is suspected and gets no requests.
     suspected_since : float
         Time at which the suspicion arose.
+    first_suspected_at : float
+        Time since which the endpoint has been suspected without a break.
     suspicions : list of (float, float)
         For each distance, the start and the end of the latest suspicion that arose
         from an observation of that distance; zeros if there is none.
@@ -93,6 +98,7 @@
     )
     suspected_until: float = 0.0
     suspected_since: float = 0.0
+    first_suspected_at: float = 0.0
     suspicions: list[tuple[float, float]] = attrs.field(
         factory=lambda: [NO_SUSPICION] * (MAX_DISTANCE + 1)
     )
@@ -170,6 +176,8 @@
             Whether the endpoint was not suspected at the time `since`.
         """
         fresh = self.suspected_until <= since
+        if fresh:
+            self.first_suspected_at = since
         if until > self.suspicions[distance][1]:
             self.suspicions[distance] = (since, until)
         self.suspected_since, self.suspected_until = self.suspicion_within(MAX_DISTANCE)
@@ -179,6 +187,11 @@
         """Return the suspicion of at most a distance that ends last."""
         return max(self.suspicions[: distance + 1], key=lambda found: found[1])
 
+    def is_lost(self, now: float) -> bool:
+        """Return whether the suspicion has lasted for longer than `SOUND_SILENCE`."""
+        is_suspected = now < self.suspected_until
+        return is_suspected and now - self.first_suspected_at > SOUND_SILENCE
+
     def available(self, now: float) -> bool:
         """Return whether the endpoint may get a request."""
         return now >= max(self.suspected_until, self.refused_until, self.paused_until)
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -174,6 +174,11 @@
         now = asyncio.get_running_loop().time()
         return now < self.endpoint_states.of(endpoint).suspected_until
 
+    def is_lost(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint has been suspected for too long to be sound."""
+        now = asyncio.get_running_loop().time()
+        return self.endpoint_states.of(endpoint).is_lost(now)
+
     def wants_placement_lease(self) -> bool:
         """
         Return whether this gateway should try to take the placement lease.
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -183,7 +183,7 @@
             gateway.view,
             session,
             lease.fencing_number,
-            gateway.is_suspected,
+            gateway.is_lost,
             gateway.accepts_new_work,
             gateway.note_head,
             monotonic=gateway.clock.monotonic,
--- a/lentilhaven/placement/placer.py
+++ b/lentilhaven/placement/placer.py
@@ -86,8 +86,8 @@
     fencing_number : callable
         Takes seconds and returns the lease's fencing token, or None if the lease
         is not certain to be held for that long.
-    is_suspected : callable
-        Returns whether an engine is suspected to be dead.
+    is_lost : callable
+        Returns whether an engine counts as dead.
     accepts_new_work : callable
         Returns whether an engine may be sent anything new.
     note_head : callable
@@ -111,7 +111,7 @@
     view: FleetView
     session: aiohttp.ClientSession
     fencing_number: Callable[[float], int | None]
-    is_suspected: Callable[[Endpoint], bool]
+    is_lost: Callable[[Endpoint], bool]
     accepts_new_work: Callable[[Endpoint], bool] = lambda engine: True
     note_head: NoteHead = lambda engine, head: None
     pending: dict[str, PendingOrder] = attrs.field(factory=dict)
@@ -161,7 +161,7 @@
         engines = [
             engine
             for engine in self.view.of_service(service)
-            if not self.is_suspected(engine)
+            if not self.is_lost(engine)
         ]
         if not self.may_begin(engines) or self.has_converged(service, spec, engines):
             return []
