--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -1,6 +1,8 @@
 """Streams of generated events, relayed over one or more chains."""
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import attrs
 from aiohttp import web
@@ -47,8 +49,8 @@
     """
     Serve a generation request on as many chains as it needs and its route allows.
 
-    If a stream fails after its response has started, the caller's connection is
-    aborted.
+    If a stream fails after its response has started, also by a defect, the caller's
+    connection is aborted.
 
     Parameters
     ----------
@@ -73,13 +75,12 @@
     )
     gateway.budget_of(call.service).record_request(asyncio.get_running_loop().time())
     try:
-        async with asyncio.timeout_at(call.deadline):
-            outcome = await run_until_done(relay)
+        with ending_runs(relay):
+            async with asyncio.timeout_at(call.deadline):
+                outcome = await run_until_done(relay)
     except TimeoutError:
         detail = "no whole answer in time"
         outcome = Failure(Step.STREAM, "", "timeout", detail, Ran.UNKNOWN)
-    finally:
-        relay.drop_successor()
     if relay.response is not None:
         if isinstance(outcome, Failure):
             abort_stream(relay, outcome)
@@ -97,6 +98,22 @@
     )
 
 
+@contextmanager
+def ending_runs(relay: StreamRelay) -> Iterator[None]:
+    """End the second run with the context, and the answer too after a defect."""
+    try:
+        yield
+    except TimeoutError:
+        raise
+    except Exception as error:
+        if relay.response is not None:
+            detail = f"{type(error).__name__}: {error}"
+            abort_stream(relay, Failure(Step.INTERNAL, "", "defect", detail))
+        raise
+    finally:
+        relay.drop_successor()
+
+
 def abort_stream(relay: StreamRelay, failure: Failure) -> None:
     """Abort the caller's connection, so that the answer does not look complete."""
     relay.gateway.counters["streams broken off"] += 1
--- a/lentilhaven/gateway/tests/test_streams.py
+++ b/lentilhaven/gateway/tests/test_streams.py
@@ -1,6 +1,8 @@
 import asyncio
 import unittest
+import unittest.mock
 
+from lentilhaven.gateway import stream_events
 from lentilhaven.gateway.tests.platform_testbed import (
     engine,
     run_on_testbed,
@@ -319,3 +321,26 @@
         replies, runs = run_on_testbed(use, two_chains())
         self.assertTrue(all(reply.complete for reply in replies))
         self.assertEqual(runs, 8)
+
+
+class DefectTests(unittest.TestCase):
+    """Guard against a second answer inside a stream that a defect has ended."""
+
+    def test_defect_breaks_the_stream_off(self):
+        def fail(*arguments):
+            raise RuntimeError("a defect")
+
+        async def use(bed):
+            async def break_gateway():
+                await asyncio.sleep(0.15)
+                with unittest.mock.patch.object(stream_events, "note_heard", fail):
+                    await asyncio.sleep(0.1)
+
+            stream = bed.call("/draft/1", output=80)
+            reply, _ = await asyncio.gather(stream, break_gateway())
+            return reply
+
+        reply = run_on_testbed(use, two_chains())
+        self.assertFalse(reply.complete)
+        self.assertNotIn(b"HTTP/1.1", reply.body)
+        self.assertNotIn(b"defect", reply.body)
