Do not count a connection as idle while a request arrives or begins

A connection counted as idle if no handler ran and no request was queued. That is so, too, in the step of the event loop between the removal of a request from the queue and the start of its handler, and while a head arrives. The idle check and the shutdown then closed the connection: the request had been read, could be passed on and was cancelled with its connection; the caller saw the end of the connection, without answer or refusal. It happened only to requests that came when the connection had been idle for longer than the limit, as after an edit that shortened it, and at a shutdown.

Now a connection is idle only while the server waits for a request, no part of a head has arrived and no response is left to write. A head that takes longer than the manifest's limit and 2 s more is refused with 408, so that it does not hold a connection for ever; before, only the idle check ended it.

The test of the head that has begun is replaced by a stricter one: the idle limit passes in virtual time, the rest of the head comes 8 s later, and the request must be served, not just refused.

--- a/lentilhaven/gateway/caller_connection.py
+++ b/lentilhaven/gateway/caller_connection.py
@@ -7,19 +7,28 @@
 from aiohttp.http_writer import StreamWriter
 from aiohttp.streams import StreamReader
 
+from lentilhaven.core.failure import Failure
+from lentilhaven.core.logs import get_logger
+from lentilhaven.core.step import Step
 from lentilhaven.fleet.manifest import RequestLimits
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.serving.problems import problem_bytes
 
 #: Seconds for which a connection is kept open beyond the idle timeout, so that a
 #: request sent just before the timeout still arrives.
 IDLE_SLACK = 2.0
 
+#: Seconds after the manifest's limit by which the rest of a request head must have
+#: arrived.
+HEAD_SLACK = 2.0
 
 #: Seconds after which aiohttp closes an idle connection; too long to take effect.
 #: aiohttp keeps the value with which a connection was opened, whereas the manifest's
 #: timeout may change, so that `close_idle_connections` closes idle connections.
 LIBRARY_IDLE_TIMEOUT = 86_400.0
 
+log = get_logger("gateway")
+
 
 class CallerConnection(web.RequestHandler):
     """
@@ -35,9 +44,12 @@
     used_at : float
         Event loop time at which the connection was opened or its last request
         ended, in seconds.
+    head_began : float or None
+        Event loop time at which the first bytes of an incomplete request head arrived,
+        in seconds; None if there is none, or if a request is in progress.
     """
 
-    __slots__ = ("used_at",)
+    __slots__ = ("used_at", "head_began")
 
     def __init__(self, server: web.Server) -> None:
         loop = asyncio.get_running_loop()
@@ -49,10 +61,46 @@
             lingering_time=0,
         )
         self.used_at = loop.time()
+        self.head_began: float | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, and note whether they begin a request head."""
+        requests = self._request_count
+        super().data_received(data)
+        if self._request_count > requests:
+            self.head_began = None
+        # Blank lines before the request line are not part of the head.
+        elif self.waits_for_request() and self.head_began is None and data.strip():
+            self.head_began = asyncio.get_running_loop().time()
+
+    def waits_for_request(self) -> bool:
+        """
+        Return whether no request is queued or in progress.
+
+        A request is in progress from its removal from the queue, which is before its
+        handler begins, until its response has been written.
+        """
+        waiter = self._waiter
+        return waiter is not None and not waiter.done() and not self._messages
 
     def is_idle(self) -> bool:
-        """Return whether no request is in progress or queued."""
-        return self._current_request is None and not self._messages
+        """Return whether nothing of a request or of a response is under way."""
+        if not self.waits_for_request() or self.head_began is not None:
+            return False
+        return self.transport is None or not self.transport.get_write_buffer_size()
+
+    def has_late_head(self, now: float, timeout: float) -> bool:
+        """Return whether a head has been incomplete for over `timeout` seconds."""
+        began = self.head_began
+        return self.waits_for_request() and began is not None and now - began > timeout
+
+    def refuse_late_head(self) -> None:
+        """Respond with 408 to a request whose head takes too long, and close."""
+        log.info("request head took too long")
+        detail = "the head of the request took too long"
+        if self.transport is not None:
+            self.transport.write(problem_bytes(Failure(Step.PARSE, "", "slow", detail)))
+        self.force_close()
 
     def close_when_idle(self) -> None:
         """Close the connection as soon as no request is in progress."""
@@ -63,17 +111,18 @@
             self.close()
 
 
-def idle_limit(gateway: Gateway) -> float:
-    """Return the seconds for which a connection may be idle."""
+def current_limits(gateway: Gateway) -> RequestLimits:
+    """Return the limits of the manifest in force, or the defaults without one."""
     manifest = gateway.view.manifest
-    limits = manifest.limits if manifest else RequestLimits()
-    return limits.idle_timeout + IDLE_SLACK
+    return manifest.limits if manifest else RequestLimits()
 
 
 def close_idle_connections(gateway: Gateway, server: web.Server, now: float) -> None:
     """
     Close connections that have been idle for longer than the manifest allows.
 
+    A request whose head takes longer than the manifest allows is refused.
+
     Parameters
     ----------
     gateway : Gateway
@@ -83,11 +132,15 @@
     now : float
         Time of the event loop, in seconds.
     """
-    limit = idle_limit(gateway)
+    limits = current_limits(gateway)
+    idle_limit = limits.idle_timeout + IDLE_SLACK
+    head_timeout = limits.header_timeout + HEAD_SLACK
     for connection in list(server.connections):
         if not isinstance(connection, CallerConnection):
             continue
-        if connection.is_idle() and now - connection.used_at > limit:
+        if connection.has_late_head(now, head_timeout):
+            connection.refuse_late_head()
+        elif connection.is_idle() and now - connection.used_at > idle_limit:
             connection.force_close()
 
 
--- a/lentilhaven/gateway/tests/test_kept_connections.py
+++ b/lentilhaven/gateway/tests/test_kept_connections.py
@@ -166,11 +166,10 @@
             caller = await RawCaller.connect(PORT)
             if not first:
                 await caller.ask(raw_request())
+            await asyncio.sleep(31.5)
             request = raw_request("/look/2", "x2")
             caller.writer.write(request[:30])
-            await asyncio.sleep(0.01)
-            now = asyncio.get_running_loop().time()
-            close_idle_connections(gateway, listener.http_server, now + LONG)
+            await asyncio.sleep(8.0)
             return await caller.ask(request[30:])
 
         for first in (True, False):
@@ -179,6 +178,29 @@
                     lambda *it, first=first: scenario(*it, first)
                 )
                 self.assertIsNotNone(answer)
+                self.assertEqual(answer.status, 200)
+
+    def test_a_head_that_takes_too_long_is_refused(self):
+        async def scenario(bed, gateway, listener):
+            caller = await RawCaller.connect(PORT)
+            caller.writer.write(raw_request()[:30])
+            answer = await caller.read_answer(14.0)
+            return answer, await caller.wait_for_close(0.1), bed.fleet.runs
+
+        answer, closed, runs = run_with_listener(scenario)
+        self.assertEqual((answer.status, answer.idle_time), (408, 0.0))
+        self.assertTrue(answer.complete and closed)
+        self.assertEqual(runs, [])
+
+    def test_a_blank_line_after_a_request_begins_no_head(self):
+        async def scenario(bed, gateway, listener):
+            caller = await RawCaller.connect(PORT)
+            await caller.ask(raw_request())
+            caller.writer.write(b"\r\n")
+            await asyncio.sleep(20.0)
+            return await caller.ask(raw_request("/look/2", "x2"))
+
+        self.assertEqual(run_with_listener(scenario).status, 200)
 
     def run_slow_reader(self, scenario):
         """Run ``scenario(bed, server, caller)`` with a caller that reads later."""
