State in each response how long its connection is kept, and keep to it

No response said for how long its connection may stay idle. The check that runs once a second applied the newest idle timeout to all connections: an edit that shortened it closed, within a second, connections that callers had reason to use. A request in transit then met a closed connection and got neither an answer nor a refusal.

Each response now says `Keep-Alive: timeout=N`, in whole seconds, rounded down (the header has no fractions), or `Connection: close` if the timeout is below one second. The connection notes the promise; before the first response it is the timeout at the opening. The check closes a connection only when both the promise and the timeout in force have passed, and 2 s more, so that an edit shortens no promise and a longer timeout applies at once. The idle time counts from the end of the writing of a response, no longer from the end of its handler: a slow reader had less time than the others. An answer that was being read was not cut off before either.

The requests' class moves to a file of its own, with the hook that aiohttp calls before it sends a head: the one place that streams and other responses share.

IdleTests contradicted the promise: an edit had to close a connection that was opened under a longer timeout. It now demands the shorter timeout of a connection opened after the edit, with the same bounds, and of the older one that it stays open for the 30 s promised and is closed within 4 s more; on the unchanged code it fails.

--- a/lentilhaven/gateway/caller_connection.py
+++ b/lentilhaven/gateway/caller_connection.py
@@ -3,9 +3,6 @@
 import asyncio
 
 from aiohttp import web
-from aiohttp.http_parser import RawRequestMessage
-from aiohttp.http_writer import StreamWriter
-from aiohttp.streams import StreamReader
 
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
@@ -34,24 +31,35 @@
     """
     A connection whose idle timeout follows the current manifest.
 
+    A change of the manifest does not shorten the time that the caller was promised.
+
     Parameters
     ----------
     server : aiohttp.web.Server
         Server that keeps track of the open connections.
+    promised_time : float
+        Idle timeout at the opening, in seconds.
 
     Attributes
     ----------
     used_at : float
-        Event loop time at which the connection was opened or its last request
-        ended, in seconds.
+        Event loop time at which the connection was opened or its last response had
+        been written, in seconds.
+    promised_time : float
+        Seconds after `used_at` for which the caller may leave the connection idle: as
+        stated in its last response, or the timeout at the opening.
     head_began : float or None
         Event loop time at which the first bytes of an incomplete request head arrived,
         in seconds; None if there is none, or if a request is in progress.
     """
 
-    __slots__ = ("used_at", "head_began")
+    __slots__ = ("used_at", "promised_time", "head_began")
 
-    def __init__(self, server: web.Server) -> None:
+    def __init__(
+        self,
+        server: web.Server,
+        promised_time: float = RequestLimits().idle_timeout,
+    ) -> None:
         loop = asyncio.get_running_loop()
         super().__init__(
             server,
@@ -61,6 +69,7 @@
             lingering_time=0,
         )
         self.used_at = loop.time()
+        self.promised_time = promised_time
         self.head_began: float | None = None
 
     def data_received(self, data: bytes) -> None:
@@ -83,11 +92,44 @@
         waiter = self._waiter
         return waiter is not None and not waiter.done() and not self._messages
 
+    def is_writing(self) -> bool:
+        """Return whether a part of a response has not been handed to the kernel."""
+        return bool(self.transport and self.transport.get_write_buffer_size())
+
     def is_idle(self) -> bool:
         """Return whether nothing of a request or of a response is under way."""
-        if not self.waits_for_request() or self.head_began is not None:
-            return False
-        return self.transport is None or not self.transport.get_write_buffer_size()
+        is_waiting = self.waits_for_request() and self.head_began is None
+        return is_waiting and not self.is_writing()
+
+    def has_been_idle(self, now: float, limit: float) -> bool:
+        """
+        Return whether the connection has been idle for too long.
+
+        Parameters
+        ----------
+        now : float
+            Time of the event loop, in seconds.
+        limit : float
+            Idle timeout in force, in seconds.
+        """
+        if self.is_writing():
+            self.used_at = now
+        idle_time = now - self.used_at
+        return (
+            self.is_idle() and idle_time > max(limit, self.promised_time) + IDLE_SLACK
+        )
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a response or its end; the idle time begins then."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            self.used_at = asyncio.get_running_loop().time()
 
     def has_late_head(self, now: float, timeout: float) -> bool:
         """Return whether a head has been incomplete for over `timeout` seconds."""
@@ -119,7 +161,7 @@
 
 def close_idle_connections(gateway: Gateway, server: web.Server, now: float) -> None:
     """
-    Close connections that have been idle for longer than the manifest allows.
+    Close connections that have been idle for longer than allowed and promised.
 
     A request whose head takes longer than the manifest allows is refused.
 
@@ -133,39 +175,11 @@
         Time of the event loop, in seconds.
     """
     limits = current_limits(gateway)
-    idle_limit = limits.idle_timeout + IDLE_SLACK
     head_timeout = limits.header_timeout + HEAD_SLACK
     for connection in list(server.connections):
         if not isinstance(connection, CallerConnection):
             continue
         if connection.has_late_head(now, head_timeout):
             connection.refuse_late_head()
-        elif connection.is_idle() and now - connection.used_at > idle_limit:
+        elif connection.has_been_idle(now, limits.idle_timeout):
             connection.force_close()
-
-
-def make_request_factory(gateway: Gateway):
-    """
-    Return a request factory for aiohttp that limits the size of bodies.
-
-    Parameters
-    ----------
-    gateway : Gateway
-        Gateway whose manifest contains the limit; without a manifest it is 1 MiB.
-    """
-
-    def make_request(
-        message: RawRequestMessage,
-        payload: StreamReader,
-        protocol: web.RequestHandler,
-        writer: StreamWriter,
-        task: asyncio.Task[None],
-    ) -> web.BaseRequest:
-        manifest = gateway.view.manifest
-        limit = manifest.limits.body_bytes if manifest else 1 << 20
-        loop = asyncio.get_running_loop()
-        return web.BaseRequest(
-            message, payload, protocol, writer, task, loop, client_max_size=limit
-        )
-
-    return make_request
--- /dev/null
+++ b/lentilhaven/gateway/caller_request.py
@@ -0,0 +1,97 @@
+"""Requests from callers, whose responses state how long their connection is kept."""
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.http_writer import StreamWriter
+from aiohttp.streams import StreamReader
+
+from lentilhaven.gateway.caller_connection import CallerConnection, current_limits
+from lentilhaven.gateway.gateway import Gateway
+
+
+class CallerRequest(web.BaseRequest):
+    """
+    A request whose response states how long its connection may stay idle.
+
+    Parameters
+    ----------
+    args, options
+        Arguments of `aiohttp.web.BaseRequest`.
+    gateway : Gateway
+        Gateway whose manifest contains the idle timeout.
+    """
+
+    def __init__(self, *args: Any, gateway: Gateway, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.gateway = gateway
+
+    async def _prepare_hook(self, response: web.StreamResponse) -> None:
+        """Complete the head of the response, which aiohttp is about to send."""
+        connection = self.protocol
+        if response.keep_alive and isinstance(connection, CallerConnection):
+            state_idle_time(self.gateway, connection, response)
+
+
+def state_idle_time(
+    gateway: Gateway, connection: CallerConnection, response: web.StreamResponse
+) -> None:
+    """
+    State in a head how long the connection may stay idle, or that it closes.
+
+    The time is rounded down to whole seconds, as the header has no fractions; a
+    connection that may be idle for less than a second closes.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        Gateway whose manifest contains the idle timeout.
+    connection : CallerConnection
+        Connection of the response; the promise is noted there.
+    response : aiohttp.web.StreamResponse
+        Response whose head has not been sent.
+    """
+    idle_time = int(current_limits(gateway).idle_timeout)
+    if idle_time < 1:
+        response.force_close()
+        response.headers["Connection"] = "close"
+        return
+    connection.promised_time = idle_time
+    response.headers["Connection"] = "keep-alive"
+    response.headers["Keep-Alive"] = f"timeout={idle_time}"
+
+
+def make_request_factory(gateway: Gateway):
+    """
+    Return a request factory for aiohttp that limits the size of bodies.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        Gateway whose manifest contains the limit; without a manifest it is 1 MiB.
+    """
+
+    def make_request(
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: StreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        manifest = gateway.view.manifest
+        limit = manifest.limits.body_bytes if manifest else 1 << 20
+        loop = asyncio.get_running_loop()
+        return CallerRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            loop,
+            client_max_size=limit,
+            gateway=gateway,
+        )
+
+    return make_request
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -17,8 +17,9 @@
 from lentilhaven.gateway.caller_connection import (
     CallerConnection,
     close_idle_connections,
-    make_request_factory,
+    current_limits,
 )
+from lentilhaven.gateway.caller_request import make_request_factory
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.gateway_metrics import record_request
@@ -59,8 +60,6 @@
             response = await handle_request(gateway, request)
         finally:
             gateway.active -= 1
-            if isinstance(request.protocol, CallerConnection):
-                request.protocol.used_at = asyncio.get_running_loop().time()
             gateway.request_finished.notify()
         if gateway.leaving:
             response.force_close()
@@ -182,7 +181,10 @@
     host, _, port = gateway.settings.callers.rpartition(":")
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(
-        lambda: CallerConnection(server), host, int(port), backlog=BACKLOG
+        lambda: CallerConnection(server, current_limits(gateway).idle_timeout),
+        host,
+        int(port),
+        backlog=BACKLOG,
     )
     opened = CallerListener(listener, server)
     try:
--- a/lentilhaven/gateway/tests/test_shutdown.py
+++ b/lentilhaven/gateway/tests/test_shutdown.py
@@ -86,17 +86,25 @@
 class IdleTests(unittest.TestCase):
     def test_idle_connections_follow_the_manifest_that_is_in_force(self):
         async def scenario(bed):
-            reader, writer = await asyncio.open_connection("10.0.0.1", 7000)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            before, _ = await asyncio.open_connection("10.0.0.1", 7000)
             manifest = sample_manifest(2)
             manifest["limits"]["idle_timeout_ms"] = 3_000
             bed.store.put("config", "main", manifest)
+            await asyncio.sleep(0.5)
+            reader, writer = await asyncio.open_connection("10.0.0.1", 7000)
             await asyncio.sleep(4.0)
             open_before_timeout = not reader.at_eof()
             await asyncio.wait_for(reader.read(), 4.0)
             writer.close()
-            return open_before_timeout
+            # Its caller has been given 30 s, from which the edit takes nothing.
+            await asyncio.sleep(began + 30.0 - loop.time())
+            open_as_promised = not before.at_eof()
+            await asyncio.wait_for(before.read(), 4.0)
+            return open_before_timeout, open_as_promised
 
-        self.assertTrue(run_on_testbed(scenario, plain_replicas()))
+        self.assertEqual(run_on_testbed(scenario, plain_replicas()), (True, True))
 
 
 def change_port(settings):
