Announce the end of a connection whose request was refused before its body

A request that needs no body to be refused (unknown route or key, no manifest yet, a gateway about to end) was answered before its body had arrived. The connection was then closed at once, although nothing in the answer said so: a caller that was still sending was reset, and one that had finished lost its next request. Edits that remove routes or keys make such refusals.

The answer now says `Connection: close` while a part of the body is missing, and the rest is read and dropped for up to 2 s, so that the connection is not reset.

--- a/lentilhaven/gateway/caller_connection.py
+++ b/lentilhaven/gateway/caller_connection.py
@@ -19,6 +19,11 @@
 #: arrived.
 HEAD_SLACK = 2.0
 
+#: Seconds for which the rest of a body is read and dropped after a response that did
+#: not wait for it.  A connection that closes with unread bytes is reset, and the caller
+#: may then lose the response.
+LINGERING_TIME = 2.0
+
 #: Seconds after which aiohttp closes an idle connection; too long to take effect.
 #: aiohttp keeps the value with which a connection was opened, whereas the manifest's
 #: timeout may change, so that `close_idle_connections` closes idle connections.
@@ -66,7 +71,7 @@
             loop=loop,
             access_log=None,  # type: ignore[arg-type]
             keepalive_timeout=LIBRARY_IDLE_TIMEOUT,
-            lingering_time=0,
+            lingering_time=LINGERING_TIME,
         )
         self.used_at = loop.time()
         self.promised_time = promised_time
--- a/lentilhaven/gateway/caller_request.py
+++ b/lentilhaven/gateway/caller_request.py
@@ -31,36 +31,27 @@
     async def _prepare_hook(self, response: web.StreamResponse) -> None:
         """Complete the head of the response, which aiohttp is about to send."""
         connection = self.protocol
-        if response.keep_alive and isinstance(connection, CallerConnection):
-            state_idle_time(self.gateway, connection, response)
-
-
-def state_idle_time(
-    gateway: Gateway, connection: CallerConnection, response: web.StreamResponse
-) -> None:
-    """
-    State in a head how long the connection may stay idle, or that it closes.
-
-    The time is rounded down to whole seconds, as the header has no fractions; a
-    connection that may be idle for less than a second closes.
-
-    Parameters
-    ----------
-    gateway : Gateway
-        Gateway whose manifest contains the idle timeout.
-    connection : CallerConnection
-        Connection of the response; the promise is noted there.
-    response : aiohttp.web.StreamResponse
-        Response whose head has not been sent.
-    """
-    idle_time = int(current_limits(gateway).idle_timeout)
-    if idle_time < 1:
-        response.force_close()
-        response.headers["Connection"] = "close"
-        return
-    connection.promised_time = idle_time
-    response.headers["Connection"] = "keep-alive"
-    response.headers["Keep-Alive"] = f"timeout={idle_time}"
+        if not response.keep_alive or not isinstance(connection, CallerConnection):
+            return
+        idle_time = self.choose_idle_time()
+        if idle_time > 0:
+            connection.promised_time = idle_time
+            response.headers["Connection"] = "keep-alive"
+            response.headers["Keep-Alive"] = f"timeout={idle_time}"
+        else:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
+    def choose_idle_time(self) -> int:
+        """
+        Return for how long the connection may stay idle, or 0 if it closes.
+
+        The time is in seconds, rounded down, as the header has no fractions.
+        """
+        if not self.content.is_eof():
+            # The rest of the body may arrive too late to keep the connection.
+            return 0
+        return int(current_limits(self.gateway).idle_timeout)
 
 
 def make_request_factory(gateway: Gateway):
--- a/lentilhaven/gateway/tests/test_kept_connections.py
+++ b/lentilhaven/gateway/tests/test_kept_connections.py
@@ -259,6 +259,38 @@
     return web.Response(body=b"z" * 2_000_000)
 
 
+async def refuse_unread(request):
+    """Refuse a request without its body."""
+    return web.Response(status=404)
+
+
+class ResetTests(unittest.TestCase):
+    """A connection that closes before the rest of a body arrives is reset."""
+
+    async def send_on_after_refusal(self):
+        """Send the rest of a body after the refusal, over loopback."""
+        server = web.Server(refuse_unread)
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(
+            lambda: CallerConnection(server), "127.0.0.1", 0
+        )
+        port = listener.sockets[0].getsockname()[1]
+        caller = await RawCaller.connect(port, "127.0.0.1")
+        request = raw_request("/nowhere/1", body=b"z" * 1_000_000)
+        answer = await caller.ask(request[:2_000])
+        for start in range(2_000, len(request), 50_000):
+            caller.writer.write(request[start : start + 50_000])
+            await caller.writer.drain()
+        caller.writer.close()
+        await caller.writer.wait_closed()
+        listener.close()
+        await server.shutdown(0.1)
+        return answer
+
+    def test_the_rest_of_a_refused_body_is_taken(self):
+        self.assertEqual(asyncio.run(self.send_on_after_refusal()).status, 404)
+
+
 class LeavingTests(unittest.TestCase):
     """Requests on kept connections were read and dropped at a shutdown (issue 25)."""
 
