Answer what callers send on kept connections of a gateway that ends

From SIGTERM on, a response ended its connection. That of a stream begun before had told its caller nothing, and the connection closed right behind it, into the caller's next request. After the time for new connections, each connection was told to close: aiohttp then drops what arrives behind the request in progress, and the requests that are queued already. A connection on which a head had begun to arrive was closed. These requests got neither an answer nor a refusal.

Now a response ends its connection only if its head says so, which the hook before the head decides; a response with another request queued behind it does not. After the time for new connections, a connection is closed once it has been idle for 0.5 s since its last response or its opening; requests until then get a 503 with `Retry-After` and `Connection: close`, and a head that takes longer a 408. The gateway waits until all connections are closed, thus also for responses that are still being written, up to the end that it had before.

Idle connections are closed and not kept for refusals: a caller that looks goes to another gateway without a try lost, and a request in transit is not read, so that it has certainly not run. A half-close would make the gateway read requests that it can no longer answer. Waiting longer moves the moment of the close and does not make the crossing less likely.

--- a/lentilhaven/gateway/caller_connection.py
+++ b/lentilhaven/gateway/caller_connection.py
@@ -24,6 +24,11 @@
 #: may then lose the response.
 LINGERING_TIME = 2.0
 
+#: Seconds for which a gateway that is about to end keeps a connection after a response,
+#: to refuse the next request of a caller whom that response did not tell that the
+#: connection ends: the head of a stream may have been sent long before.
+LAST_IDLE_TIME = 0.5
+
 #: Seconds after which aiohttp closes an idle connection; too long to take effect.
 #: aiohttp keeps the value with which a connection was opened, whereas the manifest's
 #: timeout may change, so that `close_idle_connections` closes idle connections.
@@ -149,13 +154,27 @@
             self.transport.write(problem_bytes(Failure(Step.PARSE, "", "slow", detail)))
         self.force_close()
 
-    def close_when_idle(self) -> None:
-        """Close the connection as soon as no request is in progress."""
-        if self.is_idle():
-            # `close` alone leaves an idle connection open without serving it.
+    def has_queued_request(self) -> bool:
+        """Return whether another request has arrived behind the current one."""
+        return bool(self._messages)
+
+    def end(self, now: float) -> None:
+        """
+        Close the connection of a gateway that is about to end, if it is not needed.
+
+        It stays for `LAST_IDLE_TIME` after a response, and while a request arrives or
+        is served.  An idle connection is closed with what was not read from it, so
+        that a request in transit has certainly not run.
+
+        Parameters
+        ----------
+        now : float
+            Time of the event loop, in seconds.
+        """
+        if self.has_late_head(now, LAST_IDLE_TIME):
+            self.refuse_late_head()
+        elif self.is_idle() and now - self.used_at > LAST_IDLE_TIME:
             self.force_close()
-        else:
-            self.close()
 
 
 def current_limits(gateway: Gateway) -> RequestLimits:
--- a/lentilhaven/gateway/caller_request.py
+++ b/lentilhaven/gateway/caller_request.py
@@ -33,7 +33,7 @@
         connection = self.protocol
         if not response.keep_alive or not isinstance(connection, CallerConnection):
             return
-        idle_time = self.choose_idle_time()
+        idle_time = self.choose_idle_time(connection)
         if idle_time > 0:
             connection.promised_time = idle_time
             response.headers["Connection"] = "keep-alive"
@@ -42,16 +42,22 @@
             response.force_close()
             response.headers["Connection"] = "close"
 
-    def choose_idle_time(self) -> int:
+    def choose_idle_time(self, connection: CallerConnection) -> int:
         """
         Return for how long the connection may stay idle, or 0 if it closes.
 
         The time is in seconds, rounded down, as the header has no fractions.
         """
+        idle_time = int(current_limits(self.gateway).idle_timeout)
+        if connection.has_queued_request():
+            # Only the response to the last of several requests may end the connection.
+            return max(1, idle_time)
+        if self.gateway.leaving:
+            return 0
         if not self.content.is_eof():
             # The rest of the body may arrive too late to keep the connection.
             return 0
-        return int(current_limits(self.gateway).idle_timeout)
+        return idle_time
 
 
 def make_request_factory(gateway: Gateway):
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -35,6 +35,9 @@
 #: Seconds between two checks for idle connections.
 IDLE_CHECK_INTERVAL = 1.0
 
+#: Seconds between two checks for connections to close when the process shuts down.
+CLOSE_INTERVAL = 0.05
+
 #: Seconds for handlers to finish when the process shuts down; requests have been
 #: drained by then.  Zero would mean no limit.
 CLOSE_TIMEOUT = 0.1
@@ -61,8 +64,6 @@
         finally:
             gateway.active -= 1
             gateway.request_finished.notify()
-        if gateway.leaving:
-            response.force_close()
         return response
 
     return handle
@@ -149,11 +150,24 @@
     http_server: web.Server
 
     def stop(self) -> None:
-        """Stop accepting connections, and close each open one once it is idle."""
+        """Stop accepting connections."""
         self.tcp_server.close()
-        for connection in list(self.http_server.connections):
-            if isinstance(connection, CallerConnection):
-                connection.close_when_idle()
+
+    async def close_connections(self, until: float) -> None:
+        """
+        Close each open connection once no request on it is left.
+
+        Parameters
+        ----------
+        until : float
+            Event loop time at which to give up, in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        while self.http_server.connections and loop.time() < until:
+            for connection in list(self.http_server.connections):
+                if isinstance(connection, CallerConnection):
+                    connection.end(loop.time())
+            await asyncio.sleep(CLOSE_INTERVAL)
 
     async def run_idle_check(self, gateway: Gateway) -> None:
         """Periodically close connections that have been idle for too long."""
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -245,7 +245,8 @@
     Finish the requests in progress within the grace period.
 
     The readiness check fails from the start, while requests are still accepted for at
-    most `ACCEPT_TIME` seconds.
+    most `ACCEPT_TIME` seconds.  Then idle connections are closed and new requests are
+    refused, which also answers callers on connections that have just been used.
 
     Parameters
     ----------
@@ -261,6 +262,7 @@
     await asyncio.sleep(min(ACCEPT_TIME, end - began))
     gateway.refuses_requests = True
     listener.stop()
+    await listener.close_connections(end)
     await gateway.request_finished.wait_until(
         lambda: not gateway.active, end - loop.time()
     )
