Keep the router's connections while a head arrives, and announce their end

The listeners of the router and the agent use the same library as the gateway's. aiohttp's idle timer closed a connection on which a later head had begun to arrive, and a refusal that did not wait for the body was followed by the end of the connection, of which it said nothing: the client got neither an answer nor a refusal to its next request, or was reset while it was sending.

A later head now has the time limit of the first one and suspends the idle timer; it is refused with 408 if it takes longer. A response says `Connection: close` while a part of the body is missing, and the rest is read and dropped for up to 2 s, at most the body's own time limit. aiohttp's timer has no gap between the removal of a request and its handler: it closes only while the server waits for a request.

--- a/lentilhaven/serving/guarded_connection.py
+++ b/lentilhaven/serving/guarded_connection.py
@@ -14,6 +14,11 @@
 
 log = get_logger("serving")
 
+#: Maximum seconds for which the rest of a body is read and dropped after a response
+#: that did not wait for it.  A connection that closes with unread bytes is reset, and
+#: the client may then lose the response.
+LINGERING_TIME = 2.0
+
 #: Bytes that end the head of a request.
 HEAD_END = b"\r\n\r\n"
 
@@ -39,7 +44,8 @@
     Attributes
     ----------
     head_timer : asyncio.TimerHandle or None
-        Timer for the first request's head; None once the head has been received.
+        Timer for the head of the first request, or of a later one that has begun to
+        arrive; None once the head has been received.
     head_tail : bytes
         Last bytes received, which may be the beginning of `HEAD_END`.
     refused : bool
@@ -62,7 +68,7 @@
             max_line_size=limits.max_head_line,
             max_field_size=limits.max_head_line,
             max_headers=limits.max_headers,
-            lingering_time=0,
+            lingering_time=min(LINGERING_TIME, limits.body_timeout),
         )
         self.limits = limits
         self.head_timer: asyncio.TimerHandle | None = None
@@ -76,6 +82,10 @@
             self.reject(transport)
             return
         super().connection_made(transport)
+        self.start_head_timer()
+
+    def start_head_timer(self) -> None:
+        """Start the timer for a request's head."""
         loop = asyncio.get_running_loop()
         self.head_timer = loop.call_later(
             self.limits.head_timeout, self.on_head_timeout
@@ -98,15 +108,35 @@
         self.transport.close()
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes, and stop the timer at the end of the first head."""
+        """Parse received bytes, and keep the timer of a head that is incomplete."""
         if self.refused:
             return
+        requests = self._request_count
         if self.head_timer is not None:
             self.find_head_end(data)
         super().data_received(data)
+        if self._request_count == requests and self.waits_for_request():
+            self.note_head_begin(data)
+
+    def waits_for_request(self) -> bool:
+        """Return whether no request is queued or in progress."""
+        waiter = self._waiter
+        return waiter is not None and not waiter.done() and not self._messages
+
+    def note_head_begin(self, data: bytes) -> None:
+        """Start the timer if `data` begin the head of a later request."""
+        # Blank lines before the request line are not part of the head.
+        if self.head_timer is not None or not data.strip():
+            return
+        self.head_tail = data[-len(HEAD_END) :]
+        self.start_head_timer()
+        # The connection is not idle; aiohttp starts this timer after the next response.
+        if self._keepalive_handle is not None:
+            self._keepalive_handle.cancel()
+            self._keepalive_handle = None
 
     def find_head_end(self, data: bytes) -> None:
-        """Stop the timer if the end of the first head has been received."""
+        """Stop the timer if the end of the head has been received."""
         # Blank lines before the request line are not part of the head.
         received = (self.head_tail + data).lstrip(b"\r\n")
         if HEAD_END in received:
@@ -115,7 +145,7 @@
             self.head_tail = received[-len(HEAD_END) :]
 
     def stop_head_timer(self) -> None:
-        """Stop the timer of the first head."""
+        """Stop the timer of the head."""
         if self.head_timer is not None:
             self.head_timer.cancel()
         self.head_timer = None
@@ -177,3 +207,11 @@
     """Return the failure that reports an unexpected exception to the client."""
     detail = "an unexpected error; the log has more under the request's id"
     return Failure(Step.INTERNAL, "", "internal", detail, Ran.UNKNOWN)
+
+
+async def announce_end(request: web.Request, response: web.StreamResponse) -> None:
+    """Say in a head that the connection closes if it may close behind the response."""
+    if response.keep_alive and not request.content.is_eof():
+        # The rest of the body may arrive too late to keep the connection.
+        response.force_close()
+        response.headers["Connection"] = "close"
--- a/lentilhaven/serving/limited_server.py
+++ b/lentilhaven/serving/limited_server.py
@@ -10,7 +10,7 @@
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.invariants import ensure
 from lentilhaven.core.step import Step
-from lentilhaven.serving.guarded_connection import GuardedConnection
+from lentilhaven.serving.guarded_connection import GuardedConnection, announce_end
 from lentilhaven.serving.server_limits import ServerLimits
 
 #: Length of the operating system's queue of connections to accept.
@@ -51,6 +51,7 @@
     """
     effective_limits = limits or ServerLimits()
     loop = asyncio.get_running_loop()
+    app.on_response_prepare.append(announce_end)
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_TIMEOUT)
     await runner.setup()
     server = runner.server
