--- a/lentilhaven/gateway/tests/test_kept_connections.py
+++ b/lentilhaven/gateway/tests/test_kept_connections.py
@@ -8,7 +8,7 @@
     CallerConnection,
     close_idle_connections,
 )
-from lentilhaven.gateway.listeners import open_caller_listener
+from lentilhaven.gateway.listeners import CallerListener, open_caller_listener
 from lentilhaven.gateway.program import ACCEPT_TIME, drain
 from lentilhaven.gateway.tests.platform_testbed import (
     plain_replicas,
@@ -332,6 +332,45 @@
         self.assertIsNotNone(answer)
         self.assertEqual((answer.status, answer.idle_time), (503, 0.0))
 
+    def test_a_head_that_stays_incomplete_is_refused_and_holds_nothing_up(self):
+        async def scenario(bed, gateway, listener):
+            caller = await RawCaller.connect(PORT)
+            await caller.ask(raw_request())
+            began = asyncio.get_running_loop().time()
+            shutdown = asyncio.ensure_future(drain(gateway, listener))
+            await asyncio.sleep(ACCEPT_TIME - 0.01)
+            caller.writer.write(raw_request("/post/2", "x2", body=b"")[:30])
+            answer = await caller.read_answer()
+            await shutdown
+            return answer, asyncio.get_running_loop().time() - began
+
+        answer, took = run_with_listener(scenario)
+        self.assertIsNotNone(answer)
+        self.assertEqual((answer.status, answer.idle_time), (408, 0.0))
+        self.assertLess(took, ACCEPT_TIME + 1.0)
+
+    def test_an_answer_that_is_read_slowly_is_finished(self):
+        async def scenario(bed):
+            server = web.Server(answer_at_length)
+            loop = asyncio.get_running_loop()
+            tcp_server = await loop.create_server(
+                lambda: CallerConnection(server), "10.0.0.1", PORT
+            )
+            listener = CallerListener(tcp_server, server)
+            caller = await RawCaller.connect(PORT, unread_bytes=1000)
+            caller.writer.write(raw_request())
+            await asyncio.sleep(0.1)
+            listener.stop()
+            closing = asyncio.ensure_future(
+                listener.close_connections(loop.time() + 5.0)
+            )
+            await asyncio.sleep(3.0)
+            answer = await caller.read_answer()
+            await closing
+            return answer
+
+        self.assertTrue(run_on_testbed(scenario, []).complete)
+
     def test_all_requests_that_were_sent_together_are_answered(self):
         async def scenario(bed, gateway, listener):
             caller = await RawCaller.connect(PORT)
