--- a/lentilhaven/gateway/caller_connection.py
+++ b/lentilhaven/gateway/caller_connection.py
@@ -3,76 +3,191 @@
 import asyncio
 
 from aiohttp import web
-from aiohttp.http_parser import RawRequestMessage
-from aiohttp.http_writer import StreamWriter
-from aiohttp.streams import StreamReader
 
+from lentilhaven.core.failure import Failure
+from lentilhaven.core.logs import get_logger
+from lentilhaven.core.step import Step
 from lentilhaven.fleet.manifest import RequestLimits
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.serving.problems import problem_bytes
 
 #: Seconds for which a connection is kept open beyond the idle timeout, so that a
 #: request sent just before the timeout still arrives.
 IDLE_SLACK = 2.0
 
+#: Seconds after the manifest's limit by which the rest of a request head must have
+#: arrived.
+HEAD_SLACK = 2.0
+
+#: Seconds for which the rest of a body is read and dropped after a response that did
+#: not wait for it.  A connection that closes with unread bytes is reset, and the caller
+#: may then lose the response.
+LINGERING_TIME = 2.0
+
+#: Seconds for which a gateway that is about to end keeps a connection after a response,
+#: to refuse the next request of a caller whom that response did not tell that the
+#: connection ends: the head of a stream may have been sent long before.
+LAST_IDLE_TIME = 0.5
 
 #: Seconds after which aiohttp closes an idle connection; too long to take effect.
 #: aiohttp keeps the value with which a connection was opened, whereas the manifest's
 #: timeout may change, so that `close_idle_connections` closes idle connections.
 LIBRARY_IDLE_TIMEOUT = 86_400.0
 
+log = get_logger("gateway")
+
 
 class CallerConnection(web.RequestHandler):
     """
     A connection whose idle timeout follows the current manifest.
 
+    A change of the manifest does not shorten the time that the caller was promised.
+
     Parameters
     ----------
     server : aiohttp.web.Server
         Server that keeps track of the open connections.
+    promised_time : float
+        Idle timeout at the opening, in seconds.
 
     Attributes
     ----------
     used_at : float
-        Event loop time at which the connection was opened or its last request
-        ended, in seconds.
+        Event loop time at which the connection was opened or its last response had
+        been written, in seconds.
+    promised_time : float
+        Seconds after `used_at` for which the caller may leave the connection idle: as
+        stated in its last response, or the timeout at the opening.
+    head_began : float or None
+        Event loop time at which the first bytes of an incomplete request head arrived,
+        in seconds; None if there is none, or if a request is in progress.
     """
 
-    __slots__ = ("used_at",)
+    __slots__ = ("used_at", "promised_time", "head_began")
 
-    def __init__(self, server: web.Server) -> None:
+    def __init__(
+        self,
+        server: web.Server,
+        promised_time: float = RequestLimits().idle_timeout,
+    ) -> None:
         loop = asyncio.get_running_loop()
         super().__init__(
             server,
             loop=loop,
             access_log=None,  # type: ignore[arg-type]
             keepalive_timeout=LIBRARY_IDLE_TIMEOUT,
-            lingering_time=0,
+            lingering_time=LINGERING_TIME,
         )
         self.used_at = loop.time()
+        self.promised_time = promised_time
+        self.head_began: float | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, and note whether they begin a request head."""
+        requests = self._request_count
+        super().data_received(data)
+        if self._request_count > requests:
+            self.head_began = None
+        # Blank lines before the request line are not part of the head.
+        elif self.waits_for_request() and self.head_began is None and data.strip():
+            self.head_began = asyncio.get_running_loop().time()
+
+    def waits_for_request(self) -> bool:
+        """
+        Return whether no request is queued or in progress.
+
+        A request is in progress from its removal from the queue, which is before its
+        handler begins, until its response has been written.
+        """
+        waiter = self._waiter
+        return waiter is not None and not waiter.done() and not self._messages
+
+    def is_writing(self) -> bool:
+        """Return whether a part of a response has not been handed to the kernel."""
+        return bool(self.transport and self.transport.get_write_buffer_size())
 
     def is_idle(self) -> bool:
-        """Return whether no request is in progress or queued."""
-        return self._current_request is None and not self._messages
+        """Return whether nothing of a request or of a response is under way."""
+        is_waiting = self.waits_for_request() and self.head_began is None
+        return is_waiting and not self.is_writing()
+
+    def has_been_idle(self, now: float, limit: float) -> bool:
+        """
+        Return whether the connection has been idle for too long.
+
+        Parameters
+        ----------
+        now : float
+            Time of the event loop, in seconds.
+        limit : float
+            Idle timeout in force, in seconds.
+        """
+        if self.is_writing():
+            self.used_at = now
+        idle_time = now - self.used_at
+        return (
+            self.is_idle() and idle_time > max(limit, self.promised_time) + IDLE_SLACK
+        )
 
-    def close_when_idle(self) -> None:
-        """Close the connection as soon as no request is in progress."""
-        if self.is_idle():
-            # `close` alone leaves an idle connection open without serving it.
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a response or its end; the idle time begins then."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            self.used_at = asyncio.get_running_loop().time()
+
+    def has_late_head(self, now: float, timeout: float) -> bool:
+        """Return whether a head has been incomplete for over `timeout` seconds."""
+        began = self.head_began
+        return self.waits_for_request() and began is not None and now - began > timeout
+
+    def refuse_late_head(self) -> None:
+        """Respond with 408 to a request whose head takes too long, and close."""
+        log.info("request head took too long")
+        detail = "the head of the request took too long"
+        if self.transport is not None:
+            self.transport.write(problem_bytes(Failure(Step.PARSE, "", "slow", detail)))
+        self.force_close()
+
+    def has_queued_request(self) -> bool:
+        """Return whether another request has arrived behind the current one."""
+        return bool(self._messages)
+
+    def end(self, now: float) -> None:
+        """
+        Close the connection of a gateway that is about to end, if it is not needed.
+
+        It stays for `LAST_IDLE_TIME` after a response, and while a request arrives or
+        is served.  An idle connection is closed with what was not read from it, so
+        that a request in transit has certainly not run.
+
+        Parameters
+        ----------
+        now : float
+            Time of the event loop, in seconds.
+        """
+        if self.has_late_head(now, LAST_IDLE_TIME):
+            self.refuse_late_head()
+        elif self.is_idle() and now - self.used_at > LAST_IDLE_TIME:
             self.force_close()
-        else:
-            self.close()
 
 
-def idle_limit(gateway: Gateway) -> float:
-    """Return the seconds for which a connection may be idle."""
+def current_limits(gateway: Gateway) -> RequestLimits:
+    """Return the limits of the manifest in force, or the defaults without one."""
     manifest = gateway.view.manifest
-    limits = manifest.limits if manifest else RequestLimits()
-    return limits.idle_timeout + IDLE_SLACK
+    return manifest.limits if manifest else RequestLimits()
 
 
 def close_idle_connections(gateway: Gateway, server: web.Server, now: float) -> None:
     """
-    Close connections that have been idle for longer than the manifest allows.
+    Close connections that have been idle for longer than allowed and promised.
+
+    A request whose head takes longer than the manifest allows is refused.
 
     Parameters
     ----------
@@ -83,36 +198,12 @@
     now : float
         Time of the event loop, in seconds.
     """
-    limit = idle_limit(gateway)
+    limits = current_limits(gateway)
+    head_timeout = limits.header_timeout + HEAD_SLACK
     for connection in list(server.connections):
         if not isinstance(connection, CallerConnection):
             continue
-        if connection.is_idle() and now - connection.used_at > limit:
+        if connection.has_late_head(now, head_timeout):
+            connection.refuse_late_head()
+        elif connection.has_been_idle(now, limits.idle_timeout):
             connection.force_close()
-
-
-def make_request_factory(gateway: Gateway):
-    """
-    Return a request factory for aiohttp that limits the size of bodies.
-
-    Parameters
-    ----------
-    gateway : Gateway
-        Gateway whose manifest contains the limit; without a manifest it is 1 MiB.
-    """
-
-    def make_request(
-        message: RawRequestMessage,
-        payload: StreamReader,
-        protocol: web.RequestHandler,
-        writer: StreamWriter,
-        task: asyncio.Task[None],
-    ) -> web.BaseRequest:
-        manifest = gateway.view.manifest
-        limit = manifest.limits.body_bytes if manifest else 1 << 20
-        loop = asyncio.get_running_loop()
-        return web.BaseRequest(
-            message, payload, protocol, writer, task, loop, client_max_size=limit
-        )
-
-    return make_request
