Break off a stream that ends within an event, whatever its framing

Cause: a stream whose last bytes were the start of an event was given up only on routes that may be resumed. On the others the start was passed on and the answer ended as complete. On routes that may be resumed the engine that had broken off was neither excluded from the next run nor kept from requests.

Callers saw an answer with half an event that looked whole.

The run now fails like one whose connection was lost: the next run uses another engine, or the caller's connection is aborted. Empty lines after the last event are passed on as before. Stand-in streams that break off can end their chunks or have the length that their head states.

Evidence: InnerEndTests, four framings.

--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -6,8 +6,6 @@
 
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.ran import Ran
-from lentilhaven.core.step import Step
 from lentilhaven.gateway.event_splitter import Events, EventSplitter
 from lentilhaven.gateway.gateway_metrics import record_first_event
 from lentilhaven.gateway.pace_check import note_pause
@@ -20,6 +18,7 @@
 from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay, StreamRun
 from lentilhaven.gateway.stream_waiting import wait_or_move
 from lentilhaven.platform.response_head import ResponseHead
+from lentilhaven.upstream.exchange import UpstreamError
 
 
 async def relay_answer(relay: StreamRelay, run: StreamRun) -> RunOutcome:
@@ -109,17 +108,20 @@
     -------
     Failure or None
         None if the stream was relayed completely.
+
+    Raises
+    ------
+    UpstreamError
+        If the run has ended within an event.
     """
-    if remainder and relay.call.route.resumable:
+    if remainder.strip():
+        # An engine that breaks off may still end the framing of its answer.
         detail = "the stream ended within an event"
-        peer = run.chain.first.id
-        return Failure(Step.STREAM, peer, "truncated", detail, Ran.UNKNOWN)
+        raise UpstreamError("truncated", detail, sent=True)
     if not run.take_over(relay):
         return silence_failure(relay, run)
     response = await ensure_response(relay, head)
-    if remainder:
-        await response.write(remainder)
-    await response.write_eof()
+    await response.write_eof(remainder)
     return None
 
 
--- a/lentilhaven/gateway/tests/test_streams.py
+++ b/lentilhaven/gateway/tests/test_streams.py
@@ -220,6 +220,58 @@
         self.assertEqual(reply.event_ids, [1, 2, 3, 4])
 
 
+class InnerEndTests(unittest.TestCase):
+    """
+    Guard against a stream that ends within an event and looks complete.
+
+    The framing of such an answer may be whole: its length, its chunks, or the end of
+    its connection.
+    """
+
+    FRAMINGS = (
+        {"unframed": True, "ends_inside": True},
+        {"ends_frame": True, "ends_inside": True},
+        {"ends_frame": True},
+        {"states_length": True, "ends_inside": True},
+    )
+
+    def call_broken(self, path, framing, broken, stop_after=4):
+        async def use(bed):
+            for name in broken:
+                faults = bed.fleet.replicas[name].faults
+                faults.stop_after = stop_after
+                for field, value in framing.items():
+                    setattr(faults, field, value)
+            reply = await bed.call(path)
+            return reply, bed.fleet.runs
+
+        return run_on_testbed(use, two_chains())
+
+    def test_stream_that_must_not_be_repeated_looks_broken(self):
+        for framing in self.FRAMINGS:
+            with self.subTest(**framing):
+                reply, runs = self.call_broken("/once/1", framing, ["i-a0", "i-b0"])
+                self.assertFalse(reply.complete)
+                self.assertEqual(reply.event_ids, [1, 2, 3, 4])
+                self.assertEqual(len(runs), 1)
+
+    def test_stream_that_no_engine_finishes_looks_broken(self):
+        for framing in self.FRAMINGS:
+            with self.subTest(**framing):
+                reply, _ = self.call_broken("/draft/1", framing, ["i-a0", "i-b0"])
+                self.assertFalse(reply.complete)
+                self.assertEqual(reply.event_ids, [1, 2, 3, 4])
+
+    def test_stream_that_may_be_resumed_goes_on_at_another_engine(self):
+        for framing in self.FRAMINGS:
+            for broken in ("i-a0", "i-b0"):
+                with self.subTest(broken=broken, **framing):
+                    reply, runs = self.call_broken("/draft/1", framing, [broken])
+                    self.assertTrue(reply.complete)
+                    self.assertEqual(reply.event_ids, list(range(1, 11)))
+                    self.assertLessEqual(len(runs), 2)
+
+
 class RefusalTests(unittest.TestCase):
     def test_a_part_that_refuses_is_excluded_from_the_next_chain(self):
         async def use(bed):
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -29,6 +29,9 @@
 #: Delay of a response from an unresponsive replica, in seconds of the event loop.
 HANG_TIME = 3600.0
 
+#: Bytes that are missing from an event inside which a stream breaks off.
+CUT_BYTES = 4
+
 #: Bytes in each write of a response without end, and the pause after each, in seconds
 #: of the event loop.
 ENDLESS_BYTES = 65_536
@@ -291,9 +294,7 @@
         if self.has_crashing_part(request):
             self.crash_tasks.add(asyncio.ensure_future(self.crash(replica)))
             return False
-        unframed = replica.faults.unframed
-        frame = "Connection: close" if unframed else "Transfer-Encoding: chunked"
-        writer.write(encode_head(replica, request, 200, frame))
+        writer.write(encode_head(replica, request, 200, stream_frame(replica)))
         if replica.faults.endless == "event":
             return await send_endlessly(replica, writer, request)
         return await self.send_events(replica, request, parts, writer, disconnect)
@@ -311,7 +312,8 @@
 
         Parameters and the returned value are those of `send_stream`.
         """
-        unframed = replica.faults.unframed
+        faults = replica.faults
+        unframed = faults.unframed or faults.states_length
         encode = bytes if unframed else encode_chunk
         _, _, output = request.fields.get("token-count", "8,40").partition(",")
         # One event stands for 4 tokens of the output.
@@ -324,19 +326,21 @@
             if disconnect.done():
                 replica.broken_runs.append(request.fields["request-id"])
                 return False
-            event = f"id: {number}\ndata: word-{number}\n\n".encode()
-            if replica.faults.stop_after and number > replica.faults.stop_after:
-                writer.write(encode(event[:-4]))
+            event = encode_event(number)
+            if faults.stop_after and number > faults.stop_after:
+                writer.write(encode(event[:-CUT_BYTES]))
+                if faults.ends_frame and not unframed:
+                    writer.write(encode_chunk(b""))
                 await writer.drain()
-                if not replica.faults.ends_inside:
+                if not faults.ends_inside:
                     writer.transport.abort()
                 return False
             writer.write(encode(event))
             await writer.drain()
             pace = max(self.pace_at(address) for address, _, _ in parts)
-            await asyncio.sleep(replica.event_time * pace + replica.faults.delay)
+            await asyncio.sleep(replica.event_time * pace + faults.delay)
         if not unframed:
-            writer.write(b"0\r\n\r\n")
+            writer.write(encode_chunk(b""))
         await writer.drain()
         return not unframed
 
@@ -422,6 +426,20 @@
         self.register(replica)
 
 
+def stream_frame(replica: FakeReplica) -> str:
+    """Return the header that says how a stream of a replica ends."""
+    faults = replica.faults
+    if faults.states_length:
+        events = [encode_event(number + 1) for number in range(faults.stop_after + 1)]
+        return f"Content-Length: {len(b''.join(events)) - CUT_BYTES}"
+    return "Connection: close" if faults.unframed else "Transfer-Encoding: chunked"
+
+
+def encode_event(number: int) -> bytes:
+    """Return an event of a stream, by its number from 1."""
+    return f"id: {number}\ndata: word-{number}\n\n".encode()
+
+
 async def wait_while_silent(replica: FakeReplica) -> None:
     """Wait until a replica is no longer silent."""
     left = replica.faults.silent_until - asyncio.get_running_loop().time()
--- a/lentilhaven/standins/platform/fake_replica.py
+++ b/lentilhaven/standins/platform/fake_replica.py
@@ -41,6 +41,11 @@
         Number of events after which a stream breaks off inside an event; 0 for never.
     ends_inside : bool
         Whether a stream that `stop_after` breaks off ends with an orderly close.
+    ends_frame : bool
+        Whether a stream that `stop_after` breaks off ends its chunks.
+    states_length : bool
+        Whether a stream that `stop_after` breaks off has neither chunks nor an early
+        end: its head states the length that it has.
     endless : str
         Which part of a response comes without end until the caller closes: ``"head"``,
         ``"body"`` or, in a stream, ``"event"``; empty for none.
@@ -63,6 +68,8 @@
     fail: bool = False
     stop_after: int = 0
     ends_inside: bool = False
+    ends_frame: bool = False
+    states_length: bool = False
     endless: str = ""
     silent_until: float = 0.0
     delay: float = 0.0
