End the answer to a HEAD request with its head

Cause: the parser of answers does not know the method of the request, so it waited for the body that Content-Length or chunks announce, or for the end of the connection.

Callers of HEAD waited until the route's timeout and got a 504, and each such answer cost a connection.

The exchange now ends with the head, and the connection carries the next request with a new parser. Bytes that follow such a head end the connection.

--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -60,6 +60,11 @@
         Whether reading is paused because too much of a body is unread.
     eof_seen : bool
         Whether the endpoint has closed its side of the connection.
+    head_only : bool
+        Whether the answer to the request in progress has no body, whatever its head
+        says: the request's method is HEAD.
+    awaits_no_body : bool
+        Whether the parser waits for a body that does not come.
     """
 
     def __init__(
@@ -82,6 +87,8 @@
         self.ends_at_eof = False
         self.reading_paused = False
         self.eof_seen = False
+        self.head_only = False
+        self.awaits_no_body = False
 
     # Callbacks of asyncio.
 
@@ -105,6 +112,9 @@
             self.fail("malformed", "the endpoint switched protocols")
         except httptools.HttpParserError as error:
             self.fail("malformed", f"{type(error).__name__}: {error}")
+        if self.awaits_no_body:
+            self.awaits_no_body = False
+            self.parser = httptools.HttpResponseParser(self)
 
     def eof_received(self) -> None:
         """Complete a response that ends at EOF; the transport then closes itself."""
@@ -158,10 +168,16 @@
             self.keep_alive = head.keep_alive
         self.exchange.head = head
         self.exchange.wake()
+        if self.head_only:
+            self.awaits_no_body = True
+            self.complete_exchange()
 
     def on_body(self, body: bytes) -> None:
         """Deliver a part of the body, and pause reading if too much is unread."""
-        if not self.matches_request or self.exchange is None:
+        if self.exchange is None:
+            self.reject_unsolicited_data()
+            return
+        if not self.matches_request:
             return
         self.exchange.add_chunk(body)
         if self.exchange.unread_bytes > MAX_UNREAD_BYTES and self.transport is not None:
@@ -196,6 +212,7 @@
         if self.transport is None or self.transport.is_closing():
             raise UpstreamError("closed", "the connection was lost", sent=False)
         self.exchange = Exchange(request_id, resume_reading=self.resume_reading)
+        self.head_only = head.startswith(b"HEAD ")
         self.request_ids.add(request_id)
         self.transport.write(head + body if body else head)
         return self.exchange
@@ -213,6 +230,8 @@
 
     def is_self_delimited(self) -> bool:
         """Return whether the head defines where the response ends."""
+        if self.head_only:
+            return True
         names = {name.lower(): value.lower() for name, value in self.fields}
         if "content-length" in names:
             return True
