Tell a reset from the end of an answer without length at plain services

Cause: aiohttp takes the body of an answer that has neither a length nor chunks for whole however its connection ends.

The router passed on the start of such an answer as a whole one if the service's connection was reset.

`core.answer_body` reads the body of an answer and fails if the connection was lost; `call_service` uses it in place of its own loop.

--- a/lentilhaven/core/__init__.py
+++ b/lentilhaven/core/__init__.py
@@ -2,10 +2,11 @@
 Types and utilities that every other subpackage uses.
 
 The subpackage holds identifiers, clocks, random number generators, failures,
-invariants, logging, TLS contexts and the parser of settings.  Only `core.serving`
-uses the network.  Clocks and random number generators are always passed as arguments: a
-decision that takes a `Clock` and a `random.Random` gives the same result for the
-same seed, so a failure found in a long randomised run can be reproduced.
+invariants, logging, TLS contexts and the parser of settings.  Only `core.serving` and
+`core.answer_body` use the network.  Clocks and random number generators are always
+passed as arguments: a decision that takes a `Clock` and a `random.Random` gives the
+same result for the same seed, so a failure found in a long randomised run can be
+reproduced.
 
 An expected failure is a value, `Failure`, carried by ``expression.Result``.  It
 names the step that failed, the peer at which it failed and whether the request
--- a/lentilhaven/endpoints/service_client.py
+++ b/lentilhaven/endpoints/service_client.py
@@ -6,6 +6,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from lentilhaven.core.answer_body import read_answer_body
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
@@ -20,9 +21,6 @@
 #: Maximum size of a response body, in bytes.
 MAX_RESPONSE_BYTES = 16_000_000
 
-#: Maximum bytes per read of a response body.
-CHUNK_BYTES = 65_536
-
 #: Exceptions of a request that gets no usable response.
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
@@ -112,7 +110,7 @@
             middlewares=[send_once()],
         ) as response:
             ran = Ran.YES
-            body = await read_limited(response)
+            body = await read_answer_body(response, MAX_RESPONSE_BYTES)
             return Ok(ServiceResponse(response.status, dict(response.headers), body))
     except CONNECT_ERRORS as error:
         return Error(service_lost_failure(endpoint, error, Ran.NO))
@@ -141,23 +139,6 @@
     return middleware
 
 
-async def read_limited(response: aiohttp.ClientResponse) -> bytes:
-    """
-    Return the body of a response.
-
-    Raises
-    ------
-    ValueError
-        If the body is larger than `MAX_RESPONSE_BYTES`.
-    """
-    body = bytearray()
-    async for chunk in response.content.iter_chunked(CHUNK_BYTES):
-        body += chunk
-        if len(body) > MAX_RESPONSE_BYTES:
-            raise ValueError(f"response is larger than {MAX_RESPONSE_BYTES} bytes")
-    return bytes(body)
-
-
 def service_lost_failure(
     endpoint: EndpointSpec, error: BaseException, ran: Ran
 ) -> Failure:
