Bound what answers in progress hold, each and all together

Cause: nothing bounded the head of an answer, a body that is read whole, or the start of an event. Reading pauses only while nobody takes what has arrived, and the reader of a whole answer takes it at once.

What an endpoint sent without end was held until the deadline. Callers got a 504 then, and the process grew by what its link carries.

A head (with trailers and interim heads), a whole answer and an event have a largest size. An answer given up closes its connection, fails its exchange (ran unknown), and is logged; the request goes on to another endpoint or gets a 502. An exchange is a context now, which frees what it holds. Answers to other requests on a connection are bounded too.

--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -22,6 +22,7 @@
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.serving.metrics import Metrics
+from lentilhaven.upstream.answer_memory import AnswerMemory, answer_memory_limit
 from lentilhaven.upstream.connection_pool import ConnectionPool
 
 #: Seconds without a holder of the placement lease after which a gateway that does
@@ -98,7 +99,7 @@
     settings: PlatformSettings
     clock: Clock = attrs.field(factory=system_clock)
     view: FleetView = attrs.field()
-    pool: ConnectionPool = attrs.field(factory=ConnectionPool)
+    pool: ConnectionPool = attrs.field()
     endpoint_states: EndpointStates = attrs.field(factory=EndpointStates)
     session: aiohttp.ClientSession | None = None
     metrics: Metrics | None = None
@@ -137,6 +138,12 @@
         """Return a view without a manifest or endpoints."""
         return FleetView(monotonic=self.clock.monotonic)
 
+    @pool.default
+    def empty_pool(self) -> ConnectionPool:
+        """Return a pool without connections."""
+        limit = answer_memory_limit(self.settings.memory)
+        return ConnectionPool(memory=AnswerMemory(limit))
+
     @peers.default
     def empty_peer_table(self) -> PeerTable:
         """Return a table without other gateways."""
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -42,6 +42,7 @@
 )
 from lentilhaven.platform.store_client import StoreClient, open_store_client
 from lentilhaven.platform.store_kinds import LEASES
+from lentilhaven.upstream.answer_memory import answer_memory_limit
 
 #: Rate limit of one process's calls to the store, in calls per second, and maximum
 #: burst, in calls; enough for a few watches and the renewals of a lease.
@@ -131,6 +132,7 @@
     if not changed:
         return
     gateway.settings = settings
+    gateway.pool.memory.limit = answer_memory_limit(settings.memory)
     for budget in gateway.budgets.values():
         budget.window = settings.budget_window
         budget.ratio = settings.budget_ratio
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -354,9 +354,9 @@
     own = gateway_headers(endpoint, call.deadline - loop.time(), call.tenant)
     request = encode_request(call.method, call.target, call.head, len(call.body), own)
     try:
-        exchange = connection.begin(call.id, request, call.body)
-        head = await exchange.wait_for_head(deadline)
-        body = await exchange.read_body(deadline) if head else None
+        with connection.exchanging(call.id, request, call.body) as exchange:
+            head = await exchange.wait_for_head(deadline)
+            body = await exchange.read_body(deadline) if head else None
     except UpstreamError as error:
         ran = Ran.UNKNOWN if error.sent else Ran.NO
         return Failure(Step.SEND, endpoint.id, error.kind, error.detail, ran)
--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -18,6 +18,7 @@
 from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay, StreamRun
 from lentilhaven.gateway.stream_waiting import wait_or_move
 from lentilhaven.platform.response_head import ResponseHead
+from lentilhaven.upstream.answer_memory import MAX_EVENT_BYTES
 from lentilhaven.upstream.exchange import UpstreamError
 
 
@@ -67,6 +68,7 @@
         now = loop.time()
         note_heard(relay.gateway, run.chain, now)
         events = splitter.feed(chunk)
+        run.exchange.keep(len(splitter.remainder), MAX_EVENT_BYTES)
         if events.data:
             if not run.take_over(relay):
                 return silence_failure(relay, run)
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -127,12 +127,12 @@
             relay.weights,
         )
         head = encode_request(call.method, call.target, call.head, len(call.body), own)
-        exchange = connection.begin(call.id, head, call.body)
-        relay.runs += 1
-        run = StreamRun(chain, exchange, loop.time(), predecessor=predecessor)
-        if predecessor is None:
-            relay.leader = run
-        return await relay_answer(relay, run)
+        with connection.exchanging(call.id, head, call.body) as exchange:
+            relay.runs += 1
+            run = StreamRun(chain, exchange, loop.time(), predecessor=predecessor)
+            if predecessor is None:
+                relay.leader = run
+            return await relay_answer(relay, run)
     except SupersededError as error:
         return Failure(Step.STREAM, first.id, error.kind, error.detail, Ran.UNKNOWN)
     except UpstreamError as error:
--- a/lentilhaven/platform/settings.py
+++ b/lentilhaven/platform/settings.py
@@ -10,6 +10,9 @@
 #: Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "LENTILHAVEN_SETTINGS"
 
+#: Bytes in a megabyte of the file.
+BYTES_PER_MB = 1_000_000
+
 
 @attrs.frozen
 class PlatformSettings:
@@ -49,6 +52,8 @@
         Maximum number of file descriptors of the process.
     capacity : float
         Number of cores that the process may use; 0 if the file does not state it.
+    memory : int
+        Bytes of memory that the process may use; 0 if the file does not state it.
     """
 
     vm: str
@@ -72,6 +77,7 @@
     fenced_orders: bool
     open_files: int
     capacity: float = 0.0
+    memory: int = 0
 
 
 class SettingsFileError(ValueError):
@@ -119,6 +125,7 @@
         # `cpu_share` is a share of one core; each core is `cores` times as fast.
         capacity=float(limits.get("cpu_share") or 0.0)
         * float(limits.get("cores") or 1),
+        memory=int(float(limits.get("memory_mb") or 0.0) * BYTES_PER_MB),
     )
 
 
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -216,6 +216,7 @@
             writer.transport.abort()
             return False
         body = f"{replica.id} {request.method} {request.target}".encode() * 3
+        body += bytes(replica.extra_bytes)
         status = 500 if faults.fail else 200
         prefix = replica.last_response if faults.extra else b""
         sent = encode_response(replica, request, status, body, faults.unframed)
--- a/lentilhaven/standins/platform/fake_replica.py
+++ b/lentilhaven/standins/platform/fake_replica.py
@@ -143,6 +143,8 @@
         Ids of requests whose caller closed the connection while they ran.
     pace : float
         Time that an engine takes, relative to the usual time.
+    extra_bytes : int
+        Bytes added to the body of each response of a plain service.
     announces_leaving : bool
         Whether all answers say that the replica is leaving.
     arrivals : list of float
@@ -175,6 +177,7 @@
     runs: list[Run] = attrs.field(factory=list)
     broken_runs: list[str] = attrs.field(factory=list)
     pace: float = 1.0
+    extra_bytes: int = 0
     announces_leaving: bool = False
     arrivals: list[float] = attrs.field(factory=list)
     last_response: bytes = b""
--- a/lentilhaven/standins/platform/sample_files.py
+++ b/lentilhaven/standins/platform/sample_files.py
@@ -34,7 +34,7 @@
         },
         "internal_ports": [7100, 7110],
         "seeds": [f"{seed}:7002" for seed in seeds],
-        "limits": {"max_fds": 4100},
+        "limits": {"max_fds": 4100, "memory_mb": 200},
         "bounds": {
             "drain_timeout_ms": 2000,
             "grace_s": 8,
--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -3,11 +3,18 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import httptools
 
 from lentilhaven.platform.response_head import ResponseHead, decode_response_head
+from lentilhaven.upstream.answer_memory import (
+    MAX_HEAD_BYTES,
+    MAX_HEAD_FIELDS,
+    TOO_LARGE,
+    AnswerMemory,
+)
 from lentilhaven.upstream.exchange import MAX_UNREAD_BYTES, Exchange, UpstreamError
 
 #: Milliseconds after which unacknowledged bytes end a connection: a few round trips
@@ -46,10 +53,20 @@
         Called with this connection when it is lost.
     on_head : callable
         Called with the head of each response.
+    memory : AnswerMemory
+        Memory that the responses of all connections share.
+    on_given_up : callable
+        Called with an exchange whose response was too large.
     parser : httptools.HttpResponseParser
         Parser of the responses.
     fields : list of (str, str)
         Headers of the response being parsed.
+    field_bytes : int
+        Size of these headers.
+    framing_bytes : int
+        Number of bytes received since the last part of a body or the last response.
+    skipped_bytes : int
+        Number of bytes of responses to other requests, during this exchange.
     head : ResponseHead or None
         Head of the response being parsed; None until it is complete.
     matches_request : bool
@@ -71,6 +88,8 @@
         self,
         on_lost: Callable[["UpstreamConnection"], None],
         on_head: Callable[[ResponseHead], None] = lambda head: None,
+        memory: AnswerMemory | None = None,
+        on_given_up: Callable[[Exchange], None] = lambda exchange: None,
     ) -> None:
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
@@ -80,8 +99,13 @@
         self.request_ids: set[str] = set()
         self.on_lost = on_lost
         self.on_head = on_head
+        self.memory = AnswerMemory() if memory is None else memory
+        self.on_given_up = on_given_up
         self.parser = httptools.HttpResponseParser(self)
         self.fields: list[tuple[str, str]] = []
+        self.field_bytes = 0
+        self.framing_bytes = 0
+        self.skipped_bytes = 0
         self.head: ResponseHead | None = None
         self.matches_request = False
         self.ends_at_eof = False
@@ -106,6 +130,7 @@
         if self.exchange is None:
             self.reject_unsolicited_data()
             return
+        self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -115,6 +140,7 @@
         if self.awaits_no_body:
             self.awaits_no_body = False
             self.parser = httptools.HttpResponseParser(self)
+        self.check_framing()
 
     def eof_received(self) -> None:
         """Complete a response that ends at EOF; the transport then closes itself."""
@@ -135,6 +161,7 @@
     def on_message_begin(self) -> None:
         """Discard the head of the previous response."""
         self.fields = []
+        self.field_bytes = 0
         self.head = None
         self.matches_request = False
         self.ends_at_eof = False
@@ -142,7 +169,11 @@
             self.reject_unsolicited_data()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
+        """Collect one header or trailer."""
+        self.field_bytes += len(name) + len(value)
+        if len(self.fields) >= MAX_HEAD_FIELDS or self.field_bytes > MAX_HEAD_BYTES:
+            self.give_up_head()
+            return
         self.fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -177,15 +208,21 @@
         if self.exchange is None:
             self.reject_unsolicited_data()
             return
+        self.framing_bytes = 0
         if not self.matches_request:
+            self.skip(len(body))
             return
         self.exchange.add_chunk(body)
+        if self.exchange is None:
+            return
         if self.exchange.unread_bytes > MAX_UNREAD_BYTES and self.transport is not None:
             self.reading_paused = True
             self.transport.pause_reading()
 
     def on_message_complete(self) -> None:
         """Complete the exchange if the response belongs to its request."""
+        if self.head is not None:
+            self.framing_bytes = 0
         if self.matches_request and self.exchange is not None and self.head is not None:
             self.complete_exchange()
 
@@ -211,12 +248,62 @@
         """
         if self.transport is None or self.transport.is_closing():
             raise UpstreamError("closed", "the connection was lost", sent=False)
-        self.exchange = Exchange(request_id, resume_reading=self.resume_reading)
+        self.exchange = Exchange(
+            request_id,
+            memory=self.memory,
+            resume_reading=self.resume_reading,
+            on_given_up=self.drop,
+        )
+        self.framing_bytes = self.skipped_bytes = 0
         self.head_only = head.startswith(b"HEAD ")
         self.request_ids.add(request_id)
         self.transport.write(head + body if body else head)
         return self.exchange
 
+    @contextmanager
+    def exchanging(
+        self, request_id: str, head: bytes, body: bytes
+    ) -> Iterator[Exchange]:
+        """
+        Send a request, and hold its response until the context ends.
+
+        Parameters and errors are those of `begin`.
+        """
+        exchange = self.begin(request_id, head, body)
+        try:
+            yield exchange
+        finally:
+            exchange.close()
+
+    def check_framing(self) -> None:
+        """Account for a head of which a part has arrived, and bound its size."""
+        if self.exchange is None:
+            return
+        if self.framing_bytes > MAX_HEAD_BYTES:
+            self.give_up_head()
+        elif self.framing_bytes or self.field_bytes != self.exchange.head_bytes:
+            self.exchange.note_head(self.framing_bytes + self.field_bytes)
+
+    def give_up_head(self) -> None:
+        """Give up an exchange whose head or trailers are too large."""
+        if self.exchange is not None:
+            detail = f"a head of more than {MAX_HEAD_BYTES} bytes"
+            self.exchange.give_up(TOO_LARGE, detail)
+
+    def skip(self, size: int) -> None:
+        """Bound the size of responses to other requests."""
+        self.skipped_bytes += size
+        if self.skipped_bytes > self.memory.answer_limit and self.exchange is not None:
+            detail = f"{self.skipped_bytes} bytes of responses to other requests"
+            self.exchange.give_up(TOO_LARGE, detail)
+
+    def drop(self, exchange: Exchange) -> None:
+        """Close the connection, since a response is too large."""
+        self.on_given_up(exchange)
+        if self.exchange is exchange:
+            self.exchange = None
+        self.abort()
+
     def complete_exchange(self) -> None:
         """Complete the exchange in progress."""
         exchange, self.exchange = self.exchange, None
--- a/lentilhaven/upstream/connection_pool.py
+++ b/lentilhaven/upstream/connection_pool.py
@@ -6,10 +6,12 @@
 
 import attrs
 
+from lentilhaven.core.logs import get_logger
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.platform.response_head import ResponseHead
+from lentilhaven.upstream.answer_memory import AnswerMemory
 from lentilhaven.upstream.connection import UpstreamConnection
-from lentilhaven.upstream.exchange import UpstreamError
+from lentilhaven.upstream.exchange import Exchange, UpstreamError
 
 #: Timeout of establishing a connection, in seconds: several round trips between data
 #: centres, and less than callers wait for a response.
@@ -26,6 +28,8 @@
 #: Maximum number of idle connections per endpoint.
 MAX_IDLE_PER_ENDPOINT = 8
 
+log = get_logger("upstream")
+
 
 @attrs.define
 class ConnectionPool:
@@ -41,11 +45,14 @@
     on_head : callable
         Called with an endpoint and the head of each answer that it sends, even if the
         answer belongs to no request in progress.
+    memory : AnswerMemory
+        Memory that the answers on all connections share.
     """
 
     idle: dict[tuple[str, int], list[UpstreamConnection]] = attrs.field(factory=dict)
     opened: int = 0
     on_head: Callable[[Endpoint, ResponseHead], None] = lambda endpoint, head: None
+    memory: AnswerMemory = attrs.field(factory=AnswerMemory)
 
     async def acquire(
         self,
@@ -84,9 +91,7 @@
         try:
             async with asyncio.timeout(min(timeout, CONNECT_TIMEOUT)):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(
-                        self.remove_lost, partial(self.on_head, endpoint)
-                    ),
+                    partial(self.make_connection, endpoint),
                     host,
                     int(port),
                 )
@@ -95,6 +100,27 @@
             raise UpstreamError("connect", detail, sent=False) from error
         return connection
 
+    def make_connection(self, endpoint: Endpoint) -> UpstreamConnection:
+        """Return the protocol of a new connection to an endpoint."""
+        return UpstreamConnection(
+            self.remove_lost,
+            partial(self.on_head, endpoint),
+            self.memory,
+            partial(self.note_given_up, endpoint),
+        )
+
+    def note_given_up(self, endpoint: Endpoint, exchange: Exchange) -> None:
+        """Log that an answer of an endpoint was too large."""
+        log.warning(
+            "answer given up",
+            request=exchange.request_id,
+            endpoint=endpoint.id,
+            kind=exchange.error.kind if exchange.error else "",
+            bytes=exchange.holding.size,
+            held=self.memory.held,
+            limit=self.memory.limit,
+        )
+
     def take_idle(
         self, endpoint: Endpoint, request_id: str, max_idle_time: float
     ) -> UpstreamConnection | None:
--- a/lentilhaven/upstream/exchange.py
+++ b/lentilhaven/upstream/exchange.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lentilhaven.platform.response_head import ResponseHead
+from lentilhaven.upstream.answer_memory import TOO_LARGE, AnswerMemory, Holding
 
 #: Unread bytes of a response above which reading from the connection pauses.
 MAX_UNREAD_BYTES = 262_144
@@ -46,8 +47,23 @@
         Head of the response; None until it has arrived.
     chunks : deque of bytes
         Received parts of the body that have not been read.
+    head_bytes : int
+        Number of bytes of the head, or of a head or trailers of which a part has
+        arrived.
     unread_bytes : int
         Number of bytes in `chunks`.
+    handed_bytes : int
+        Number of bytes that `next_chunk` has returned last.
+    kept_bytes : int
+        Number of bytes that the reader keeps besides.
+    parts : list of bytes
+        Parts of a body that is read as a whole.
+    memory : AnswerMemory
+        Accounts for these bytes.
+    holding : Holding
+        The account of this exchange.
+    given_up : bool
+        Whether the response was too large.
     complete : bool
         Whether the whole response has arrived.
     error : UpstreamError or None
@@ -57,16 +73,30 @@
         waits.
     resume_reading : callable
         Resumes reading from the connection if it was paused.
+    on_given_up : callable
+        Takes this exchange when it is given up; closes the connection.
     """
 
     request_id: str
     head: ResponseHead | None = None
     chunks: deque[bytes] = attrs.field(factory=deque)
+    head_bytes: int = 0
     unread_bytes: int = 0
+    handed_bytes: int = 0
+    kept_bytes: int = 0
+    parts: list[bytes] = attrs.field(factory=list)
+    memory: AnswerMemory = attrs.field(factory=AnswerMemory)
+    holding: Holding = attrs.field(init=False)
+    given_up: bool = False
     complete: bool = False
     error: UpstreamError | None = None
     waiter: asyncio.Future[None] | None = None
     resume_reading: Callable[[], None] = lambda: None
+    on_given_up: Callable[["Exchange"], None] = lambda exchange: None
+
+    def __attrs_post_init__(self) -> None:
+        """Open the account of this exchange."""
+        self.holding = self.memory.open(self.give_up)
 
     @property
     def has_unread_news(self) -> bool:
@@ -82,8 +112,73 @@
         """Append a part of the body."""
         self.chunks.append(chunk)
         self.unread_bytes += len(chunk)
+        self.account()
+        self.wake()
+
+    def account(self) -> None:
+        """Tell the memory how many bytes are held for this exchange."""
+        size = self.head_bytes + self.unread_bytes + self.handed_bytes + self.kept_bytes
+        self.memory.resize(self.holding, size)
+
+    def note_head(self, size: int) -> None:
+        """Account for `size` bytes of a head or of trailers."""
+        self.head_bytes = size
+        self.account()
+
+    def keep(self, size: int, limit: int) -> None:
+        """
+        Account for the bytes that the reader keeps besides the last chunk.
+
+        Parameters
+        ----------
+        size : int
+            Number of bytes.
+        limit : int
+            Maximum of `size`.
+
+        Raises
+        ------
+        UpstreamError
+            If there are more, or all answers together hold too much; the connection
+            is closed.
+        """
+        self.kept_bytes = size
+        self.account()
+        if size > limit:
+            self.give_up(TOO_LARGE, f"more than {limit} bytes must be held")
+        if self.given_up and self.error is not None:
+            raise self.error
+
+    def give_up(self, kind: str, detail: str) -> None:
+        """
+        Fail the exchange since its response is too large, and free what was received.
+
+        Parameters
+        ----------
+        kind, detail : str
+            As in `UpstreamError`.
+        """
+        if self.given_up:
+            return
+        self.given_up = True
+        self.complete = False
+        self.error = UpstreamError(kind, detail, sent=True)
+        self.on_given_up(self)
+        self.discard()
         self.wake()
 
+    def discard(self) -> None:
+        """Free what was received."""
+        self.chunks.clear()
+        self.parts.clear()
+        self.memory.close(self.holding)
+
+    def close(self) -> None:
+        """Free what was received; nothing is read any more."""
+        self.discard()
+        # The traceback of an error refers to the frames that have read.
+        self.error = None
+
     def finish(self) -> None:
         """Mark the response as complete."""
         self.complete = True
@@ -158,6 +253,9 @@
         UpstreamError
             If the exchange has failed.
         """
+        if self.handed_bytes:
+            self.handed_bytes = 0
+            self.account()
         while not self.chunks:
             if self.complete:
                 return b""
@@ -167,7 +265,8 @@
                 return None
         chunk = b"".join(self.chunks)
         self.chunks.clear()
-        self.unread_bytes = 0
+        self.handed_bytes, self.unread_bytes = self.unread_bytes, 0
+        self.account()
         self.resume_reading()
         return chunk
 
@@ -178,16 +277,17 @@
         Raises
         ------
         UpstreamError
-            If the exchange has failed.
+            If the exchange has failed, or the body is too large to be held.
         """
-        parts: list[bytes] = []
         while True:
             chunk = await self.next_chunk(deadline)
             if chunk is None:
                 return None
             if not chunk:
-                return b"".join(parts)
-            parts.append(chunk)
+                return b"".join(self.parts)
+            self.parts.append(chunk)
+            self.handed_bytes = 0
+            self.keep(self.kept_bytes + len(chunk), self.memory.answer_limit)
 
 
 def set_exception_unless_done(future: asyncio.Future, error: BaseException) -> None:
