Count an answer as held until its caller has taken it

Cause: a body that was read whole was no longer counted once its request had been handled, although it stays in memory while a slow caller takes it.

Many slow callers of large answers could hold more than the bound.

`HeldResponse` counts its body while it is being sent.

Evidence: test_answer_counts_until_its_caller_has_taken_it.

--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -15,6 +15,7 @@
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.held_response import HeldResponse
 from lentilhaven.gateway.replica_choice import choose_replica, pause_left
 from lentilhaven.platform.request_head import encode_request, gateway_headers
 from lentilhaven.platform.response_head import ResponseHead
@@ -166,7 +167,7 @@
     finally:
         await cancel_tasks(attempts.running)
     pause = pause_left(gateway, call.service, attempts.tried, loop.time())
-    return make_response(call, attempts.final_outcome, pause)
+    return make_response(gateway, call, attempts.final_outcome, pause)
 
 
 def begin_attempt(gateway: Gateway, call: Call, attempts: Attempts) -> bool:
@@ -239,13 +240,18 @@
 
 
 def make_response(
-    call: Call, outcome: UpstreamResponse | Failure | None, pause: float | None = None
+    gateway: Gateway,
+    call: Call,
+    outcome: UpstreamResponse | Failure | None,
+    pause: float | None = None,
 ) -> web.Response:
     """
     Return the final response to a request.
 
     Parameters
     ----------
+    gateway : Gateway
+        State of the process.
     call : Call
         The request.
     outcome : UpstreamResponse, Failure or None
@@ -255,11 +261,7 @@
         has.
     """
     if isinstance(outcome, UpstreamResponse):
-        return web.Response(
-            status=outcome.head.status,
-            body=outcome.body,
-            headers=list(outcome.head.forwarded_headers),
-        )
+        return HeldResponse(gateway.pool.memory, outcome.head, outcome.body)
     if outcome is None:
         detail = f"no replica of {call.service} is there"
         if pause is not None:
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -22,6 +22,7 @@
 )
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.held_response import HeldResponse
 from lentilhaven.gateway.service_relay import MAX_REFUSALS, UpstreamResponse
 from lentilhaven.gateway.stream_run import run_on_chain
 from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
@@ -91,11 +92,7 @@
             outcome = attrs.evolve(outcome, ran=Ran.UNKNOWN)
         return make_error_response(outcome)
     assert isinstance(outcome, UpstreamResponse)
-    return web.Response(
-        status=outcome.head.status,
-        body=outcome.body,
-        headers=list(outcome.head.forwarded_headers),
-    )
+    return HeldResponse(gateway.pool.memory, outcome.head, outcome.body)
 
 
 @contextmanager
--- a/lentilhaven/gateway/tests/test_endless_answers.py
+++ b/lentilhaven/gateway/tests/test_endless_answers.py
@@ -3,10 +3,13 @@
 import unittest
 
 from lentilhaven.gateway.tests.platform_testbed import (
+    CALLER_TIMEOUT,
+    KEY,
     engine,
     plain_replicas,
     run_on_testbed,
 )
+from lentilhaven.standins.platform.sample_files import request_headers
 
 #: Callers that meet replicas with an answer without end at the same time.
 CALLERS = 50
@@ -139,3 +142,20 @@
         reply, held = run_on_testbed(scenario, replicas)
         self.assertEqual((reply.status, held), (200, 0))
         self.assertGreater(len(reply.body), LARGE_BYTES)
+
+    def test_answer_counts_until_its_caller_has_taken_it(self):
+        replicas = plain_replicas(1)
+        replicas[0].extra_bytes = LARGE_BYTES
+
+        async def scenario(bed):
+            fields = request_headers("r1", KEY, CALLER_TIMEOUT)
+            url = "http://10.0.0.1:7000/look/1"
+            async with bed.session.get(url, headers=fields) as response:
+                await asyncio.sleep(1.0)
+                held = bed.gateways[0].pool.memory.held
+                size = len(await response.read())
+            await asyncio.sleep(0.1)
+            return held, size, bed.gateways[0].pool.memory.held
+
+        held, size, left = run_on_testbed(scenario, replicas)
+        self.assertEqual((held, left), (size, 0))
