Bound the answers of engines, stores and peers that are read as JSON

Cause: `response.json()` of aiohttp reads until the end of an answer or until the timeout of the call.

A report of an engine, or an answer of the store or of another gateway, that has no end was held until that timeout; the router's clients of engines, services and the object API read in the same way.

They read with `read_answer_json` now, each with a largest size. An order's answer is not read, as before.

Evidence: test_endless_reports and test_answer_body, at the wire.

--- a/lentilhaven/endpoints/engine_client.py
+++ b/lentilhaven/endpoints/engine_client.py
@@ -25,6 +25,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from lentilhaven.core.answer_body import read_answer_body, read_answer_json
 from lentilhaven.core.converter import CONVERTER, to_document
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.ids import RequestId
@@ -48,6 +49,11 @@
 #: Bytes of a stream that are read ahead; reading pauses at twice this size.
 STREAM_BUFFER_BYTES = 16_384
 
+#: Maximum size of an answer that is no stream, and of the order of a stream, which
+#: holds its prompt, in bytes.
+MAX_ANSWER_BYTES = 65_536
+MAX_ORDER_BYTES = 16_000_000
+
 #: Exceptions of a request that gets no usable response.
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
@@ -145,7 +151,7 @@
         try:
             async with session.get(url, timeout=limit) as response:
                 response.raise_for_status()
-                body = await response.json()
+                body = await read_answer_json(response, MAX_ORDER_BYTES)
                 return Ok(CONVERTER.structure(body["order"], StreamOrder))
         except Exception as error:  # Structuring hooks raise various types.
             return Error(engine_lost_error(Step.RESUME, head, error).failure)
@@ -178,7 +184,9 @@
             async with session.get(url, timeout=limit) as response:
                 if response.status != 200:
                     return StageProgress(known=False)
-                return CONVERTER.structure(await response.json(), StageProgress)
+                return CONVERTER.structure(
+                    await read_answer_json(response, MAX_ANSWER_BYTES), StageProgress
+                )
         except Exception:  # Structuring hooks raise various types.
             return None
 
@@ -217,7 +225,9 @@
         session = self.pick_session(fresh=True)
         try:
             async with session.delete(url, params=query, timeout=limit) as response:
-                return bool((await response.json())["gone"])
+                return bool(
+                    (await read_answer_json(response, MAX_ANSWER_BYTES))["gone"]
+                )
         except (*REQUEST_ERRORS, KeyError, TypeError):
             return False
 
@@ -234,7 +244,8 @@
         try:
             async with self.session.get(f"{stage.url}/load", timeout=limit) as response:
                 response.raise_for_status()
-                return Ok(CONVERTER.structure(await response.json(), LoadReport))
+                body = await read_answer_json(response, MAX_ANSWER_BYTES)
+                return Ok(CONVERTER.structure(body, LoadReport))
         except REQUEST_ERRORS as error:
             return Error(engine_lost_error(Step.CONNECT, stage, error).failure)
 
@@ -276,7 +287,8 @@
     """
     if response.status == 200:
         return
-    detail = f"status {response.status}: {(await response.text())[:200]}"
+    text = (await read_answer_body(response, MAX_ANSWER_BYTES)).decode(errors="replace")
+    detail = f"status {response.status}: {text[:200]}"
     # 410 means that another router has taken over the answer with a higher attempt.
     kind = "superseded" if response.status == 410 else "engine-refused"
     raise FailureError(Failure(Step.SEND, head.endpoint, kind, detail))
--- a/lentilhaven/endpoints/load_client.py
+++ b/lentilhaven/endpoints/load_client.py
@@ -8,6 +8,7 @@
 import aiohttp
 from expression import Error, Ok, Result
 
+from lentilhaven.core.answer_body import read_answer_json
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.settings import structure_document
 from lentilhaven.core.step import Step
@@ -17,6 +18,9 @@
 #: Timeout of reading one report, in seconds.
 LOAD_TIMEOUT = 0.5
 
+#: Maximum size of a report, in bytes.
+MAX_REPORT_BYTES = 65_536
+
 #: Headers that aiohttp adds by default and endpoints do not use.
 SKIPPED_HEADERS = ("User-Agent", "Accept-Encoding")
 
@@ -45,7 +49,7 @@
             if response.status == 404:
                 return Ok(None)
             response.raise_for_status()
-            body = await response.json()
+            body = await read_answer_json(response, MAX_REPORT_BYTES)
     except REQUEST_ERRORS as error:
         detail = f"{type(error).__name__}: {error}"
         return Error(Failure(Step.CONNECT, endpoint.id, "endpoint-lost", detail))
--- a/lentilhaven/endpoints/service_client.py
+++ b/lentilhaven/endpoints/service_client.py
@@ -6,7 +6,7 @@
 import attrs
 from expression import Error, Ok, Result
 
-from lentilhaven.core.answer_body import read_answer_body
+from lentilhaven.core.answer_body import read_answer_body, read_answer_json
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
@@ -21,6 +21,10 @@
 #: Maximum size of a response body, in bytes.
 MAX_RESPONSE_BYTES = 16_000_000
 
+#: Maximum size of the status of an idempotency key, which holds a response in base 64,
+#: in bytes.
+MAX_STATUS_BYTES = 2 * MAX_RESPONSE_BYTES
+
 #: Exceptions of a request that gets no usable response.
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
@@ -180,7 +184,7 @@
         ) as response:
             if response.status != 200:
                 return None
-            document = await response.json()
+            document = await read_answer_json(response, MAX_STATUS_BYTES)
             if document["state"] != "done":
                 return None
             headers = {"Content-Type": str(document["content_type"])}
--- a/lentilhaven/gateway/peer_relay.py
+++ b/lentilhaven/gateway/peer_relay.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp import web
 
+from lentilhaven.core.answer_body import read_answer_json
 from lentilhaven.core.converter import CONVERTER
 from lentilhaven.core.logs import get_logger
 from lentilhaven.fleet.endpoint import Endpoint
@@ -32,6 +33,9 @@
 #: Seconds after which a request to another gateway times out.
 REQUEST_TIMEOUT = 0.5
 
+#: Maximum size of an answer, in bytes: a manifest and the entries of a large fleet.
+MAX_ANSWER_BYTES = 8_000_000
+
 #: Seconds after which the check runs although no gateway seems to be ahead.
 MAX_WAIT = 5.0
 
@@ -115,7 +119,8 @@
         async with session.get(
             f"http://{message.relay}/known", params=query, timeout=limit
         ) as response:
-            apply_answer(gateway, await response.json(), message.vm)
+            answer = await read_answer_json(response, MAX_ANSWER_BYTES)
+            apply_answer(gateway, answer, message.vm)
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError) as error:
         detail = f"{type(error).__name__}: {error}"
         log.info(
--- a/lentilhaven/objects/response.py
+++ b/lentilhaven/objects/response.py
@@ -6,6 +6,7 @@
 import attrs
 from expression import Result
 
+from lentilhaven.core.answer_body import read_answer_json
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.settings import structure_document
 from lentilhaven.core.step import Step
@@ -15,6 +16,9 @@
 #: Name of the object API in failures.
 PEER = "object-api"
 
+#: Maximum size of an answer, in bytes: a listing of all objects with one prefix.
+MAX_ANSWER_BYTES = 64_000_000
+
 #: Exceptions of a call that returns no valid response.
 CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
@@ -45,10 +49,10 @@
     aiohttp.ClientResponseError
         If the status is 400 or higher.
     ValueError
-        If the body is not JSON.
+        If the body is not JSON, or larger than `MAX_ANSWER_BYTES`.
     """
     response.raise_for_status()
-    return await response.json()
+    return await read_answer_json(response, MAX_ANSWER_BYTES)
 
 
 def failure_from_response(response: aiohttp.ClientResponse) -> Failure:
--- a/lentilhaven/platform/engine_calls.py
+++ b/lentilhaven/platform/engine_calls.py
@@ -8,6 +8,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from lentilhaven.core.answer_body import read_answer_json
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.step import Step
 from lentilhaven.fleet.endpoint import Endpoint
@@ -18,6 +19,9 @@
 from lentilhaven.platform.response_head import ResponseHead, decode_response_head
 from lentilhaven.platform.store_client import REQUEST_ERRORS
 
+#: Maximum size of a status report, in bytes: one with a thousand stalled requests.
+MAX_REPORT_BYTES = 131_072
+
 #: Takes an endpoint and the head of an answer that it has sent.
 NoteHead = Callable[[Endpoint, ResponseHead], None]
 
@@ -122,7 +126,7 @@
             if response.status != 200:
                 detail = f"status {response.status}"
                 return Error(Failure(Step.ORDER, endpoint.id, "report", detail))
-            return Ok(decode_report(await response.json()))
+            return Ok(decode_report(await read_answer_json(response, MAX_REPORT_BYTES)))
     except (*REQUEST_ERRORS, TypeError) as error:
         detail = f"{type(error).__name__}: {error}"
         return Error(Failure(Step.ORDER, endpoint.id, "report", detail))
--- a/lentilhaven/platform/store_client.py
+++ b/lentilhaven/platform/store_client.py
@@ -10,6 +10,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from lentilhaven.core.answer_body import read_answer_json
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.step import Step
 from lentilhaven.core.store_position import StorePosition
@@ -36,6 +37,9 @@
 #: Name of the store in failures.
 PEER = "store"
 
+#: Maximum size of an answer, in bytes: a page of objects or changes.
+MAX_ANSWER_BYTES = 8_000_000
+
 #: Exceptions of a request that gets no usable response.
 REQUEST_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
 
@@ -230,7 +234,7 @@
                     return Refused(status_failure(Step.WRITE_OBJECT, response.status))
                 if response.status >= 400:
                     return Ambiguous(status_failure(Step.WRITE_OBJECT, response.status))
-                answer = await response.json()
+                answer = await read_answer_json(response, MAX_ANSWER_BYTES)
                 return Written(int(answer["metadata"]["rev"]), era)
         except aiohttp.ClientConnectorError as error:
             # No connection was made, so the request was not sent.
@@ -251,7 +255,8 @@
             async with self.session.get(url, params=query, timeout=limit) as response:
                 era = self.read_era(response)
                 if response.status == 200:
-                    return Ok((await response.json(), era))
+                    body = await read_answer_json(response, MAX_ANSWER_BYTES)
+                    return Ok((body, era))
                 return Error(status_failure(step, response.status))
         except REQUEST_ERRORS as error:
             return Error(no_answer_failure(step, error))
