Test the bound of answers by the VM's memory, and empty lines after events

The limit of what answers in progress hold follows the settings file, and empty lines after the last event of a stream are no event that has broken off.

--- a/lentilhaven/gateway/tests/test_endless_answers.py
+++ b/lentilhaven/gateway/tests/test_endless_answers.py
@@ -1,15 +1,23 @@
 import asyncio
 import tracemalloc
 import unittest
+from unittest import mock
 
+import attrs
+
+from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.program import reload_settings
 from lentilhaven.gateway.tests.platform_testbed import (
     CALLER_TIMEOUT,
     KEY,
     engine,
     plain_replicas,
     run_on_testbed,
+    sample_settings,
 )
+from lentilhaven.platform.settings import decode_settings
 from lentilhaven.standins.platform.sample_files import request_headers
+from lentilhaven.upstream.answer_memory import DEFAULT_LIMIT
 
 #: Callers that meet replicas with an answer without end at the same time.
 CALLERS = 50
@@ -159,3 +167,25 @@
 
         held, size, left = run_on_testbed(scenario, replicas)
         self.assertEqual((held, left), (size, 0))
+
+
+class MemoryOfTheVmTests(unittest.TestCase):
+    """Guard against a bound that does not follow the memory of the VM."""
+
+    def limit_of(self, memory_mb):
+        settings = sample_settings(0)
+        settings["limits"] = {"memory_mb": memory_mb} if memory_mb else {}
+        return Gateway(decode_settings(settings)).pool.memory.limit
+
+    def test_limit_is_a_share_of_it(self):
+        self.assertEqual(self.limit_of(552), 69_000_000)
+        self.assertEqual(self.limit_of(0), DEFAULT_LIMIT)
+
+    def test_limit_follows_the_settings_file(self):
+        gateway = Gateway(decode_settings(sample_settings(0)))
+        changed = attrs.evolve(gateway.settings, memory=400_000_000)
+        with mock.patch(
+            "lentilhaven.gateway.program.read_settings", return_value=changed
+        ):
+            reload_settings(gateway)
+        self.assertEqual(gateway.pool.memory.limit, 50_000_000)
--- a/lentilhaven/gateway/tests/test_streams.py
+++ b/lentilhaven/gateway/tests/test_streams.py
@@ -271,6 +271,20 @@
                     self.assertEqual(reply.event_ids, list(range(1, 11)))
                     self.assertLessEqual(len(runs), 2)
 
+    def test_empty_lines_after_the_last_event_are_no_event(self):
+        def encode_event(number):
+            return f"id: {number}\ndata: word-{number}\n\n\r\n".encode()
+
+        async def use(bed):
+            return await bed.call("/once/1")
+
+        name = "lentilhaven.standins.platform.fake_fleet.encode_event"
+        with unittest.mock.patch(name, encode_event):
+            reply = run_on_testbed(use, two_chains())
+        self.assertTrue(reply.complete)
+        self.assertEqual(reply.event_ids, list(range(1, 11)))
+        self.assertTrue(reply.body.endswith(b"\n\n\r\n"))
+
 
 class RefusalTests(unittest.TestCase):
     def test_a_part_that_refuses_is_excluded_from_the_next_chain(self):
