Account once per chunk for what an answer holds

Cause: each chunk was accounted for three times, and each time the set of the answers in progress was searched.

Handing a chunk to its reader leaves the sum as it is, and a holding knows whether it is open.

--- a/lentilhaven/upstream/answer_memory.py
+++ b/lentilhaven/upstream/answer_memory.py
@@ -42,10 +42,13 @@
         description.
     size : int
         Number of bytes.
+    is_open : bool
+        Whether the answer is in progress.
     """
 
     give_up: Callable[[str, str], None]
     size: int = 0
+    is_open: bool = True
 
 
 @attrs.define(eq=False)
@@ -86,7 +89,9 @@
 
     def close(self, holding: Holding) -> None:
         """Free the bytes of a holding for good; it may have been closed before."""
-        self.resize(holding, 0)
+        self.held -= holding.size
+        holding.size = 0
+        holding.is_open = False
         self.holdings.discard(holding)
         # The callback refers to the owner of the holding.
         holding.give_up = ignore
@@ -98,13 +103,14 @@
         Gives up the largest answers while all together exceed the limit.  A holding
         that was closed stays empty.
         """
-        if holding not in self.holdings:
+        if not holding.is_open:
             return
         self.held += size - holding.size
         holding.size = size
         while self.held > self.limit:
             self.give_up_largest()
-        self.peak = max(self.peak, self.held)
+        if self.held > self.peak:
+            self.peak = self.held
 
     def give_up_largest(self) -> None:
         """Give up the largest answer."""
--- a/lentilhaven/upstream/exchange.py
+++ b/lentilhaven/upstream/exchange.py
@@ -265,8 +265,8 @@
                 return None
         chunk = b"".join(self.chunks)
         self.chunks.clear()
+        # Their sum stays the same.
         self.handed_bytes, self.unread_bytes = self.unread_bytes, 0
-        self.account()
         self.resume_reading()
         return chunk
 
