--- a/lentilhaven/endpoints/service_client.py
+++ b/lentilhaven/endpoints/service_client.py
@@ -6,6 +6,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from lentilhaven.core.answer_body import read_answer_body, read_answer_json
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
@@ -20,8 +21,9 @@
 #: Maximum size of a response body, in bytes.
 MAX_RESPONSE_BYTES = 16_000_000
 
-#: Maximum bytes per read of a response body.
-CHUNK_BYTES = 65_536
+#: Maximum size of the status of an idempotency key, which holds a response in base 64,
+#: in bytes.
+MAX_STATUS_BYTES = 2 * MAX_RESPONSE_BYTES
 
 #: Exceptions of a request that gets no usable response.
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
@@ -112,7 +114,7 @@
             middlewares=[send_once()],
         ) as response:
             ran = Ran.YES
-            body = await read_limited(response)
+            body = await read_answer_body(response, MAX_RESPONSE_BYTES)
             return Ok(ServiceResponse(response.status, dict(response.headers), body))
     except CONNECT_ERRORS as error:
         return Error(service_lost_failure(endpoint, error, Ran.NO))
@@ -141,23 +143,6 @@
     return middleware
 
 
-async def read_limited(response: aiohttp.ClientResponse) -> bytes:
-    """
-    Return the body of a response.
-
-    Raises
-    ------
-    ValueError
-        If the body is larger than `MAX_RESPONSE_BYTES`.
-    """
-    body = bytearray()
-    async for chunk in response.content.iter_chunked(CHUNK_BYTES):
-        body += chunk
-        if len(body) > MAX_RESPONSE_BYTES:
-            raise ValueError(f"response is larger than {MAX_RESPONSE_BYTES} bytes")
-    return bytes(body)
-
-
 def service_lost_failure(
     endpoint: EndpointSpec, error: BaseException, ran: Ran
 ) -> Failure:
@@ -199,7 +184,7 @@
         ) as response:
             if response.status != 200:
                 return None
-            document = await response.json()
+            document = await read_answer_json(response, MAX_STATUS_BYTES)
             if document["state"] != "done":
                 return None
             headers = {"Content-Type": str(document["content_type"])}
--- a/lentilhaven/standins/platform/fake_replica.py
+++ b/lentilhaven/standins/platform/fake_replica.py
@@ -41,6 +41,11 @@
         Number of events after which a stream breaks off inside an event; 0 for never.
     ends_inside : bool
         Whether a stream that `stop_after` breaks off ends with an orderly close.
+    ends_frame : bool
+        Whether a stream that `stop_after` breaks off ends its chunks.
+    states_length : bool
+        Whether a stream that `stop_after` breaks off has neither chunks nor an early
+        end: its head states the length that it has.
     endless : str
         Which part of a response comes without end until the caller closes: ``"head"``,
         ``"body"`` or, in a stream, ``"event"``; empty for none.
@@ -63,6 +68,8 @@
     fail: bool = False
     stop_after: int = 0
     ends_inside: bool = False
+    ends_frame: bool = False
+    states_length: bool = False
     endless: str = ""
     silent_until: float = 0.0
     delay: float = 0.0
@@ -136,6 +143,8 @@
         Ids of requests whose caller closed the connection while they ran.
     pace : float
         Time that an engine takes, relative to the usual time.
+    extra_bytes : int
+        Bytes added to the body of each response of a plain service.
     announces_leaving : bool
         Whether all answers say that the replica is leaving.
     arrivals : list of float
@@ -168,6 +177,7 @@
     runs: list[Run] = attrs.field(factory=list)
     broken_runs: list[str] = attrs.field(factory=list)
     pace: float = 1.0
+    extra_bytes: int = 0
     announces_leaving: bool = False
     arrivals: list[float] = attrs.field(factory=list)
     last_response: bytes = b""
