Decode the shared parts of a prompt

The head of a request names the parts of its prompt; the last part belongs to the request or its session.

--- a/lentilhaven/platform/headers.py
+++ b/lentilhaven/platform/headers.py
@@ -7,6 +7,9 @@
 MODEL = "Model"
 #: Number of prompt tokens and maximum number of output tokens, separated by a comma.
 TOKEN_COUNT = "Token-Count"
+#: Parts of the prompt in order, as ID:TOKENS entries separated by commas; the last one
+#: belongs to the request or its session, others are shared between requests.
+PROMPT_PREFIX = "Prompt-Prefix"
 #: Number of output tokens that the caller expects; a rough estimate.
 LENGTH_HINT = "Length-Hint"
 #: Milliseconds until the deadline, counted from the arrival of the request.
--- a/lentilhaven/platform/request_head.py
+++ b/lentilhaven/platform/request_head.py
@@ -8,6 +8,13 @@
 from lentilhaven.fleet.layer_span import LayerSpan
 from lentilhaven.platform import headers
 
+#: Maximum number of shared parts of a prompt that are decoded, and maximum length of
+#: their ids; longer ids are ignored.
+MAX_PROMPT_PARTS = 32
+MAX_PART_ID_LENGTH = 64
+
+HEX_DIGITS = frozenset("0123456789abcdef")
+
 #: One part of a chain: an endpoint and the layers that it runs.
 ChainPart = tuple[Endpoint, LayerSpan]
 
@@ -33,6 +40,8 @@
         as for a request that generates no tokens.
     length_hint : int
         Number of output tokens that the caller expects; 0 if unknown.
+    prompt_parts : tuple of str
+        Ids of the parts of the prompt that other requests may share, in order.
     forwarded_headers : tuple of (str, str)
         Headers that are forwarded unchanged to the endpoint.
     """
@@ -44,6 +53,7 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     length_hint: int = 0
+    prompt_parts: tuple[str, ...] = ()
     forwarded_headers: tuple[tuple[str, str], ...] = ()
 
 
@@ -73,10 +83,33 @@
         prompt_tokens=int(parse_number(prompt) or 0),
         max_output_tokens=int(parse_number(output) or 0),
         length_hint=int(parse_number(fields.get(headers.LENGTH_HINT, "")) or 0),
+        prompt_parts=decode_prompt_parts(fields.get(headers.PROMPT_PREFIX, "")),
         forwarded_headers=tuple(end_to_end_headers(fields)),
     )
 
 
+def decode_prompt_parts(text: str) -> tuple[str, ...]:
+    """
+    Return the ids of the shared parts of a prompt, without the last part.
+
+    Ids that are too long or no hexadecimal number are left out.
+
+    Examples
+    --------
+    >>> decode_prompt_parts("5C1E:800, 91bd:410,e440:250")
+    ('5c1e', '91bd')
+    """
+    shared = text.split(",")[:-1]
+    ids = (entry.partition(":")[0].strip().lower() for entry in shared)
+    found = dict.fromkeys(part_id for part_id in ids if is_part_id(part_id))
+    return tuple(found)[:MAX_PROMPT_PARTS]
+
+
+def is_part_id(text: str) -> bool:
+    """Return whether a lower-case text is a valid id of a part of a prompt."""
+    return 0 < len(text) <= MAX_PART_ID_LENGTH and set(text) <= HEX_DIGITS
+
+
 def parse_number(text: str) -> float | None:
     """Return the number in a text; None if invalid, negative, or 1e12 or more."""
     try:
--- a/lentilhaven/platform/tests/test_formats.py
+++ b/lentilhaven/platform/tests/test_formats.py
@@ -11,6 +11,8 @@
 from lentilhaven.platform.manifest_format import decode_manifest
 from lentilhaven.platform.replica_format import decode_replica
 from lentilhaven.platform.request_head import (
+    MAX_PART_ID_LENGTH,
+    MAX_PROMPT_PARTS,
     decode_request_head,
     encode_request,
     gateway_headers,
@@ -147,6 +149,27 @@
         self.assertEqual((head.timeout, head.prompt_tokens), (None, 0))
         self.assertEqual(head.length_hint, 0)
 
+    def test_decodes_the_shared_parts_of_a_prompt(self):
+        cases = {
+            "": (),
+            "5c1e:800": (),
+            "5C1E:800, 91bd :410,e440:250": ("5c1e", "91bd"),
+            "5c1e:800,5c1e:10,e440:250": ("5c1e",),
+            "5c1e,:3,no hex:1,91bd:x,e440:250": ("5c1e", "91bd"),
+        }
+        for text, expected in cases.items():
+            with self.subTest(text=text):
+                head = decode_request_head({"Prompt-Prefix": text})
+                self.assertEqual(head.prompt_parts, expected)
+
+    def test_bounds_the_parts_of_a_prompt(self):
+        entries = [f"{number:x}:1" for number in range(200)]
+        head = decode_request_head({"Prompt-Prefix": ",".join(entries)})
+        self.assertEqual(len(head.prompt_parts), MAX_PROMPT_PARTS)
+        long_id = "a" * (MAX_PART_ID_LENGTH + 1)
+        head = decode_request_head({"Prompt-Prefix": f"{long_id}:1,5c1e:1,e440:1"})
+        self.assertEqual(head.prompt_parts, ("5c1e",))
+
     def test_recognises_the_guarantee_that_a_request_has_not_run(self):
         self.assertTrue(decode_response_head(503, [("Not-Executed", "1")]).not_executed)
         self.assertTrue(decode_response_head(421, []).not_executed)
