Let datagrams carry evidence about parts of prompts

Two optional fields: ends of endpoints and proofs, with ages, by service and part. A datagram without them is read with defaults, and the release before ignores them; both are tested (the second by the exact set of fields beside the new ones).

--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -17,6 +17,12 @@
 #: names of endpoints.
 COMPRESSION_LEVEL = 1
 
+#: Id of an endpoint and time of its start (see `Endpoint.incarnation`).
+Incarnation = tuple[str, int]
+
+#: A part of prompts: name of the service that runs them, and id of the part.
+PromptPart = tuple[str, str]
+
 #: Largest decompressed datagram that is accepted, in bytes; many times what the
 #: largest fleet sends.
 MAX_DECODED_BYTES = 1 << 20
@@ -84,6 +90,12 @@
         slow endpoints.
     leaving : tuple of (str, int)
         Incarnations of endpoints that have recently said that they are leaving.
+    prompt_ends : dict
+        Seconds since the end of endpoints that ended before they answered a prompt, by
+        part of the prompt and incarnation.
+    prompt_proofs : dict
+        Seconds since a prompt was last answered, by part of the prompt, for parts under
+        which endpoints have ended.
     digest : str
         Digest of the endpoints that the sender holds.
     checked : float
@@ -138,7 +150,9 @@
     era: int | None = None
     manifest_version: int | None = None
     paces: dict[str, tuple[float, float]] = attrs.field(factory=dict)
-    leaving: tuple[tuple[str, int], ...] = ()
+    leaving: tuple[Incarnation, ...] = ()
+    prompt_ends: dict[PromptPart, dict[Incarnation, float]] = attrs.field(factory=dict)
+    prompt_proofs: dict[PromptPart, float] = attrs.field(factory=dict)
 
     @property
     def sender(self) -> Member:
@@ -169,6 +183,13 @@
     ]
     fields["changes"] = encode_changes(message.changes)
     fields["leaving"] = [list(incarnation) for incarnation in message.leaving]
+    fields["prompt_ends"] = [
+        (*part, [(*incarnation, age) for incarnation, age in ages.items()])
+        for part, ages in message.prompt_ends.items()
+    ]
+    fields["prompt_proofs"] = [
+        (*part, age) for part, age in message.prompt_proofs.items()
+    ]
     text = json.dumps(fields, separators=(",", ":")).encode()
     return zlib.compress(text, COMPRESSION_LEVEL)
 
@@ -234,6 +255,16 @@
             leaving=tuple(
                 (str(name), int(born)) for name, born in fields.get("leaving", ())
             ),
+            prompt_ends={
+                (str(service), str(part)): {
+                    (str(name), int(born)): float(age) for name, born, age in ages
+                }
+                for service, part, ages in fields.get("prompt_ends", ())
+            },
+            prompt_proofs={
+                (str(service), str(part)): float(age)
+                for service, part, age in fields.get("prompt_proofs", ())
+            },
         )
     except (ValueError, KeyError, TypeError, AttributeError, IndexError, zlib.error):
         return None
--- a/lentilhaven/peering/tests/test_previous_release.py
+++ b/lentilhaven/peering/tests/test_previous_release.py
@@ -1,4 +1,8 @@
-"""Datagrams of the release before, which knows no eras, no marks and no versions."""
+"""
+Datagrams of the release before.
+
+It knows no eras, no marks, no versions and no parts of prompts.
+"""
 
 import json
 import unittest
@@ -11,7 +15,40 @@
 from lentilhaven.peering.messages import PeerMessage, decode_message, encode_message
 
 #: Fields of a datagram that the release before neither sends nor reads.
-NEW_FIELDS = ("era", "manifest_version", "paces", "leaving")
+NEW_FIELDS = (
+    "era",
+    "manifest_version",
+    "paces",
+    "leaving",
+    "prompt_ends",
+    "prompt_proofs",
+)
+
+#: Fields of a datagram that the release before reads.
+KNOWN_FIELDS = {
+    "vm",
+    "run",
+    "address",
+    "number",
+    "scope",
+    "data_centre",
+    "capacity",
+    "gateways",
+    "relay",
+    "manifest_revision",
+    "endpoints_revision",
+    "digest",
+    "checked",
+    "loads",
+    "pipes",
+    "heard",
+    "suspects",
+    "members",
+    "changes",
+    "wants_answer",
+    "ready",
+    "places",
+}
 
 #: Fields of an endpoint that the release before accepts; it refuses any other.
 ENDPOINT_FIELDS = {
@@ -46,6 +83,8 @@
         manifest_version=4,
         paces={"a": (3.0, 0.2)},
         leaving=(("c", 9),),
+        prompt_ends={("gen", "5c1e"): {("a", 7): 1.5, ("b", 8): 0.2}},
+        prompt_proofs={("gen", "91bd"): 0.4},
     )
 
 
@@ -65,8 +104,20 @@
         message = decode_message(zlib.compress(json.dumps(fields).encode()))
         self.assertEqual((message.era, message.manifest_version), (None, None))
         self.assertEqual(message.leaving, ())
+        self.assertEqual((message.prompt_ends, message.prompt_proofs), ({}, {}))
         self.assertEqual(message.changes.until, StorePosition(0, 5))
 
+    def test_new_fields_stand_beside_those_that_the_release_before_reads(self):
+        fields = fields_of(encode_message(message_with_changes(2)))
+        self.assertEqual(set(fields), KNOWN_FIELDS | set(NEW_FIELDS))
+
+    def test_malformed_evidence_makes_a_datagram_unreadable(self):
+        fields = fields_of(encode_message(message_with_changes(2)))
+        for value in ([["gen"]], [["gen", "5c1e", [["a", "x", 1]]]], 7):
+            with self.subTest(value=value):
+                text = json.dumps(fields | {"prompt_ends": value}).encode()
+                self.assertIsNone(decode_message(zlib.compress(text)))
+
     def test_changes_hold_only_what_the_release_before_accepts(self):
         fields = fields_of(encode_message(message_with_changes(2)))
         since, until, changed, gone = fields["changes"]
