Refuse prompts whose shared part has ended one engine after the other

Callers saw streams broken off and refused for want of engines: requests with one part of a prompt ended each engine that began to answer them. Three causes together: nothing looked at the parts of prompts; a run that ended with its engine was repeated on the next one; each gateway saw only its own losses.

Now a gateway records under which shared parts an engine closes or resets its connection before the second event, and since when each part is proven by answers. An unproven part with three ended incarnations is at fault, unless another part explains the ends as well; requests with it are refused (503, not run) as long as the evidence lasts, at admission and again before each run is sent. A run is not repeated, and no second one begins beside it, if a part is unproven and two engines have ended under it. Gateways exchange ends and proofs at once, with bounds.

Two rules go beyond that. Ends before the latest proof no longer count, and a part that was proven within 30 s before its first end is at fault only if five ends stretch over two seconds without a proof: if all engines fail at once, the most used parts have many ends and, since no engine is left, no proof. An end is taken back if data from the same incarnation arrives 0.25 to 1 s later, as after a lost answer.

--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -16,6 +16,7 @@
 from lentilhaven.gateway.endpoint_signals import note_signals
 from lentilhaven.gateway.endpoint_states import EndpointStates
 from lentilhaven.gateway.pipe_meter import PipeMeter
+from lentilhaven.gateway.prompt_faults import PromptFaults
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.peer_table import PeerTable
@@ -76,6 +77,8 @@
         The other gateways.
     link_traffic : PipeMeter
         Traffic of this gateway's requests between data centres.
+    prompt_faults : PromptFaults
+        Parts of prompts under which endpoints have ended.
     urgent_signal : Signal
         Wakes the task that sends messages to the other gateways.
     pace_questions : dict
@@ -113,6 +116,7 @@
     budgets: dict[str, RetryBudgetShare] = attrs.field(factory=dict)
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
+    prompt_faults: PromptFaults = attrs.field(factory=PromptFaults)
     urgent_signal: Signal = attrs.field(factory=Signal)
     pace_questions: dict[tuple[str, int], Endpoint] = attrs.field(factory=dict)
     pace_signal: Signal = attrs.field(factory=Signal)
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -23,6 +23,7 @@
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.gateway_metrics import record_request
 from lentilhaven.gateway.intake import read_call
+from lentilhaven.gateway.prompt_checks import refuse_harmful_prompt
 from lentilhaven.gateway.service_relay import relay_call
 from lentilhaven.gateway.stream_relay import relay_stream
 from lentilhaven.platform.request_head import decode_request_head
@@ -122,7 +123,10 @@
 async def forward_call(
     gateway: Gateway, request: web.BaseRequest, call: Call
 ) -> web.StreamResponse:
-    """Forward a request according to the kind of its route."""
+    """Forward a request according to the kind of its route, unless it is harmful."""
+    refusal = refuse_harmful_prompt(gateway, call)
+    if refusal is not None:
+        return make_error_response(refusal)
     if call.route.kind is RouteKind.STREAMING:
         return await relay_stream(gateway, request, call)
     return await relay_call(gateway, call)
--- a/lentilhaven/gateway/message_composer.py
+++ b/lentilhaven/gateway/message_composer.py
@@ -93,6 +93,8 @@
             manifest_version=view.manifest.version if view.manifest else 0,
             paces=stated_paces(states, now, scope.distance),
             leaving=view.leaving.recent(view.monotonic()),
+            prompt_ends=gateway.prompt_faults.sent_ends(now),
+            prompt_proofs=gateway.prompt_faults.sent_proofs(now, scope.distance),
         )
 
     def endpoint_states(self) -> dict[str, EndpointState]:
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -12,6 +12,7 @@
 from lentilhaven.gateway.endpoint_states import REFUTE_MARGIN
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.message_composer import MessageComposer
+from lentilhaven.gateway.prompt_checks import merge_evidence
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import (
     PeerMessage,
@@ -113,6 +114,9 @@
             if await gateway.urgent_signal.wait(self.interval(loop.time())):
                 await asyncio.sleep(URGENT_DELAY)
             gateway.peers.expire(loop.time())
+            gateway.prompt_faults.refute_ends(
+                gateway.endpoint_states.states, loop.time()
+            )
             self.send_due()
 
     def interval(self, now: float) -> float:
@@ -237,7 +241,7 @@
     -------
     bool
         Whether the datagram reports a suspicion of an endpoint that was not suspected
-        before.
+        before, or an end of an endpoint under a prompt that was not known.
     """
     gateway.peers_store_read_at = max(
         gateway.peers_store_read_at, now - message.checked
@@ -254,7 +258,7 @@
         if endpoint is not None:
             state = gateway.endpoint_states.of(endpoint)
             state.note_pace(slowdown, now - age, distance)
-    is_new = False
+    is_new = merge_evidence(gateway, message, now)
     for name, (age, left) in message.suspects.items():
         endpoint = endpoints.get(name)
         if endpoint is None:
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -1,6 +1,7 @@
 """Forwards requests to replicas of plain services."""
 
 import asyncio
+from collections.abc import Sequence
 
 import attrs
 from aiohttp import web
@@ -15,6 +16,13 @@
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.prompt_checks import (
+    HARMFUL_PART,
+    forbids_repeat,
+    note_answer,
+    note_end,
+    refuse_harmful_prompt,
+)
 from lentilhaven.gateway.replica_choice import choose_replica, pause_left
 from lentilhaven.platform.request_head import encode_request, gateway_headers
 from lentilhaven.platform.response_head import ResponseHead
@@ -33,7 +41,7 @@
 REFUSAL_STATUSES = (421, 429, 503)
 
 #: Kinds of failure of an attempt in which the replica received nothing.
-UNSENT_KINDS = ("connect", "withheld")
+UNSENT_KINDS = ("connect", "withheld", HARMFUL_PART)
 
 #: Number of replicas that may refuse a request before the gateway refuses it.
 MAX_REFUSALS = 3
@@ -100,6 +108,12 @@
         """
         return self.last_run or self.last_outcome
 
+    @property
+    def is_harmful(self) -> bool:
+        """Return whether the latest attempt was refused for a part of its prompt."""
+        last = self.last_outcome
+        return isinstance(last, Failure) and last.kind == HARMFUL_PART
+
     @property
     def succeeded(self) -> bool:
         """Return whether a replica has answered without a failure."""
@@ -126,7 +140,7 @@
 
     def may_continue(self, call: Call) -> bool:
         """Return whether the request may be sent to another replica."""
-        if self.refusals >= MAX_REFUSALS or self.succeeded:
+        if self.refusals >= MAX_REFUSALS or self.succeeded or self.is_harmful:
             return False
         runs = self.possible_runs + len(self.running)
         return runs < (call.route.attempts if call.route.repeatable else 1)
@@ -182,6 +196,9 @@
     endpoint = choose_replica(gateway, call.service, attempts.tried, now)
     if endpoint is None or now >= call.deadline:
         return False
+    if attempts.endpoints and forbids_repeat(gateway, call):
+        log.info("request not repeated for its prompt", request=call.id)
+        return False
     # While no replica has received the request, another attempt is no retry.
     if attempts.possible_runs + attempts.refusals + len(attempts.running) > 0:
         budget = gateway.budget_of(call.service)
@@ -301,7 +318,7 @@
         state.requests -= 1
     now = loop.time()
     failed = not isinstance(outcome, UpstreamResponse) or outcome.failed
-    if isinstance(outcome, Failure) and outcome.kind == "withheld":
+    if isinstance(outcome, Failure) and outcome.kind in ("withheld", HARMFUL_PART):
         pass
     elif isinstance(outcome, Failure) and outcome.ran is Ran.NO:
         state.refused_until = now + REFUSAL_BACKOFF
@@ -347,10 +364,10 @@
         )
     except UpstreamError as error:
         return Failure(Step.CONNECT, endpoint.id, "connect", error.detail)
-    if not gateway.accepts_new_work(endpoint):
+    withheld = check_before_send(gateway, call, [endpoint])
+    if withheld is not None:
         gateway.pool.release(endpoint, connection)
-        detail = "it refused another request while this one waited for a connection"
-        return Failure(Step.CONNECT, endpoint.id, "withheld", detail)
+        return withheld
     own = gateway_headers(endpoint, call.deadline - loop.time(), call.tenant)
     request = encode_request(call.method, call.target, call.head, len(call.body), own)
     try:
@@ -358,6 +375,7 @@
         head = await exchange.wait_for_head(deadline)
         body = await exchange.read_body(deadline) if head else None
     except UpstreamError as error:
+        note_end(gateway, call, endpoint, error)
         ran = Ran.UNKNOWN if error.sent else Ran.NO
         return Failure(Step.SEND, endpoint.id, error.kind, error.detail, ran)
     except asyncio.CancelledError:
@@ -369,7 +387,47 @@
         detail = "no whole answer in time"
         return Failure(Step.SEND, endpoint.id, "timeout", detail, Ran.UNKNOWN)
     gateway.pool.release(endpoint, connection)
+    return interpret_answer(gateway, call, endpoint, UpstreamResponse(head, body))
+
+
+def check_before_send(
+    gateway: Gateway, call: Call, endpoints: Sequence[Endpoint]
+) -> Failure | None:
+    """
+    Return why a request must not be sent although it could be when it was accepted.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        State of the process.
+    call : Call
+        The request, which may have waited for a connection.
+    endpoints : sequence of Endpoint
+        The endpoints that would run it; it would be sent to the first.
+
+    Returns
+    -------
+    Failure or None
+        None if the request may be sent.
+    """
+    if not all(gateway.accepts_new_work(endpoint) for endpoint in endpoints):
+        detail = "it refused another request while this one waited for a connection"
+        return Failure(Step.CONNECT, endpoints[0].id, "withheld", detail)
+    return refuse_harmful_prompt(gateway, call)
+
+
+def interpret_answer(
+    gateway: Gateway, call: Call, endpoint: Endpoint, response: UpstreamResponse
+) -> UpstreamResponse | Failure:
+    """
+    Return a complete response, or a failure if the replica has refused the request.
+
+    A success is a proof of the request's prompt.
+    """
+    head = response.head
     if head.not_executed and head.status in REFUSAL_STATUSES:
         detail = f"status {head.status}"
         return Failure(Step.SEND, endpoint.id, "refused", detail, Ran.NO)
-    return UpstreamResponse(head, body)
+    if head.status < 300:
+        note_answer(gateway, call, endpoint)
+    return response
--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -11,6 +11,7 @@
 from lentilhaven.gateway.event_splitter import Events, EventSplitter
 from lentilhaven.gateway.gateway_metrics import record_first_event
 from lentilhaven.gateway.pace_check import note_pause
+from lentilhaven.gateway.prompt_checks import PROOF_EVENTS, note_proof
 from lentilhaven.gateway.silence import (
     PauseEstimator,
     first_event_limit,
@@ -72,6 +73,7 @@
             if not run.take_over(relay):
                 return silence_failure(relay, run)
             await write_events(relay, head, events)
+            note_events(relay, run, events)
             pauses.record(now - run.silent_since)
             event_count += 1
             note_pause(relay.gateway, run.chain, event_count, pauses.mean, expected)
@@ -83,6 +85,14 @@
     return await finish_stream(relay, run, head, splitter.remainder)
 
 
+def note_events(relay: StreamRelay, run: StreamRun, events: Events) -> None:
+    """Count the events of a run, and record the proof once there are enough."""
+    is_proven = run.events >= PROOF_EVENTS
+    run.events += max(1, len(events.ids))
+    if run.events >= PROOF_EVENTS and not is_proven:
+        note_proof(relay.gateway, relay.call)
+
+
 async def write_events(relay: StreamRelay, head: ResponseHead, events: Events) -> None:
     """Send complete events to the caller, and record how far the stream has come."""
     response = await ensure_response(relay, head)
@@ -120,6 +130,10 @@
     if remainder:
         await response.write(remainder)
     await response.write_eof()
+    # An engine that ends after the head of an answer without a length has answered
+    # nothing, although its stream looks complete.
+    if run.events:
+        note_proof(relay.gateway, relay.call)
     return None
 
 
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -22,6 +22,7 @@
 )
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.prompt_checks import HARMFUL_PART, forbids_repeat
 from lentilhaven.gateway.service_relay import MAX_REFUSALS, UpstreamResponse
 from lentilhaven.gateway.stream_run import run_on_chain
 from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
@@ -214,11 +215,14 @@
 
 def may_retry(relay: StreamRelay, failure: Failure) -> bool:
     """Return whether the request may be sent to another chain after a failure."""
-    if relay.refusals >= MAX_REFUSALS:
+    if relay.refusals >= MAX_REFUSALS or failure.kind == HARMFUL_PART:
         return False
-    if failure.ran is Ran.NO:
-        return True
-    return relay.may_run_again
+    if failure.ran is not Ran.NO and not relay.may_run_again:
+        return False
+    if relay.runs > 0 and forbids_repeat(relay.gateway, relay.call):
+        log.info("request not repeated for its prompt", request=relay.call.id)
+        return False
+    return True
 
 
 def find_engine_spec(gateway: Gateway, call: Call) -> EngineSpec | None:
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -9,7 +9,8 @@
 from lentilhaven.core.step import Step
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
 from lentilhaven.gateway.pipe_meter import count_crossings
-from lentilhaven.gateway.service_relay import UpstreamResponse
+from lentilhaven.gateway.prompt_checks import PROOF_EVENTS, note_end
+from lentilhaven.gateway.service_relay import UpstreamResponse, check_before_send
 from lentilhaven.gateway.stream_events import relay_answer
 from lentilhaven.gateway.stream_state import (
     RunOutcome,
@@ -74,6 +75,14 @@
         )
 
 
+def note_run_end(
+    relay: StreamRelay, run: StreamRun | None, error: UpstreamError
+) -> None:
+    """Record the end of a run's first engine unless the run has proven its prompt."""
+    if run is not None and run.events < PROOF_EVENTS:
+        note_end(relay.gateway, relay.call, run.chain.first, error)
+
+
 def describe_outcome(outcome: UpstreamResponse | Failure) -> str:
     """Return a short description of an outcome for the log."""
     if isinstance(outcome, UpstreamResponse):
@@ -112,10 +121,11 @@
         )
         relay.excluded.add(first.id)
         return Failure(Step.CONNECT, first.id, "connect", error.detail)
-    if not all(gateway.accepts_new_work(part) for part in chain.endpoints):
+    withheld = check_before_send(gateway, call, chain.endpoints)
+    if withheld is not None:
         gateway.pool.release(first, connection)
-        detail = "a part refused another request while this one waited for a connection"
-        return Failure(Step.CONNECT, first.id, "withheld", detail)
+        return withheld
+    run = None
     try:
         own = gateway_headers(
             first,
@@ -136,6 +146,7 @@
     except SupersededError as error:
         return Failure(Step.STREAM, first.id, error.kind, error.detail, Ran.UNKNOWN)
     except UpstreamError as error:
+        note_run_end(relay, run, error)
         if error.sent:
             gateway.endpoint_states.of(first).refused_until = (
                 loop.time() + REFUSAL_BACKOFF
--- a/lentilhaven/gateway/stream_state.py
+++ b/lentilhaven/gateway/stream_state.py
@@ -110,6 +110,8 @@
         Start of the current silence: event loop time of the last event, or of the
         request.  An attempt to move the run sets it to `MOVE_ALLOWANCE` seconds in the
         future.
+    events : int
+        Number of events that the run has delivered.
     moves : int
         Number of attempts to move the run to other endpoints.
     predecessor : StreamRun or None
@@ -119,6 +121,7 @@
     chain: Chain
     exchange: Exchange
     silent_since: float
+    events: int = 0
     moves: int = 0
     predecessor: "StreamRun | None" = None
 
--- a/lentilhaven/gateway/stream_waiting.py
+++ b/lentilhaven/gateway/stream_waiting.py
@@ -8,6 +8,7 @@
 from lentilhaven.core.tasks import report_task_failure
 from lentilhaven.gateway.chain_choice import choose_chain
 from lentilhaven.gateway.chain_move import MAX_MOVES, move_chain
+from lentilhaven.gateway.prompt_checks import forbids_repeat
 from lentilhaven.gateway.service_relay import MAX_REFUSALS
 from lentilhaven.gateway.silence import suspect_silent_parts
 from lentilhaven.gateway.stream_state import StreamRelay, StreamRun
@@ -99,7 +100,7 @@
     gateway, call = relay.gateway, relay.call
     continues = relay.response is not None
     chain = choose_chain(gateway, call, relay.spec, excluded, now, continues)
-    if chain is None:
+    if chain is None or forbids_repeat(gateway, call):
         return
     budget = gateway.budget_of(call.service)
     if not budget.try_spend(now, gateway.count_gateways(now)):
--- a/lentilhaven/gateway/tests/test_prompt_faults.py
+++ b/lentilhaven/gateway/tests/test_prompt_faults.py
@@ -1,10 +1,24 @@
 import asyncio
 import unittest
+from contextlib import AsyncExitStack
+from unittest import mock
 
 import attrs
 
-from lentilhaven.gateway.tests.platform_testbed import LAYERS, engine, run_on_testbed
+from lentilhaven.gateway.prompt_faults import EVIDENCE_TIME
+from lentilhaven.gateway.tests import platform_testbed
+from lentilhaven.gateway.tests.platform_testbed import (
+    LAYERS,
+    engine,
+    plain_replicas,
+    run_on_testbed,
+    sample_settings,
+    start_gateway,
+)
+from lentilhaven.gateway.tests.test_large_fleet import LARGE, SETTLING
+from lentilhaven.platform.settings import decode_settings
 from lentilhaven.standins.platform.fake_replica import Run
+from lentilhaven.upstream.connection_pool import ConnectionPool
 
 #: Part of prompts that crashes engines, and one that all requests share.
 HARMFUL, SHARED = "dead01", "5c1e07a2"
@@ -139,3 +153,230 @@
 
     def test_part_at_the_start(self):
         self.check(f"{HARMFUL}:410,{SHARED}:800,{{own}}:250")
+
+
+def prefix_with(*parts):
+    """Return the header of a prompt with some shared parts."""
+    return ",".join(f"{part}:100" for part in (*parts, "beef"))
+
+
+def blocked_at(gateway, *parts):
+    """Return whether a gateway refuses a prompt with some shared parts."""
+    now = asyncio.get_running_loop().time()
+    return gateway.prompt_faults.find_block("gen", parts, now) is not None
+
+
+def note_ends(gateway, part=HARMFUL, service="gen", count=3):
+    """Let a gateway see some endpoints end under a part just now."""
+    now = asyncio.get_running_loop().time()
+    for number in range(count):
+        gateway.prompt_faults.note_end((service, part), (f"x{number}", 1), now)
+    gateway.urgent_signal.notify()
+
+
+class OrdinaryCrashTests(unittest.TestCase):
+    """Guard against refusals after crashes that no prompt has caused."""
+
+    def serve_beside_crashes(self, crash):
+        """Return the share of sound streams served after crashes, and the refusals."""
+
+        async def scenario(bed):
+            bed.fleet.keeps_layers, sound = True, []
+            prefix = f"{SHARED}:800,{{own}}:250"
+            task = asyncio.ensure_future(
+                send_at_rate(bed, SOUND_RATE, 10.0, prefix, sound)
+            )
+            await asyncio.sleep(QUIET_TIME)
+            await crash(bed.fleet, list(bed.fleet.replicas.values()))
+            ended_at = asyncio.get_running_loop().time()
+            await task
+            served = [it.served for it in sound if it.at > ended_at]
+            name = "refused: harmful-part"
+            refusals = sum(gateway.counters[name] for gateway in bed.gateways)
+            return sum(served) / len(served), refusals
+
+        engines = full_engines()
+        for replica in engines:
+            # Many streams wait for their second event when an engine crashes.
+            replica.event_time = 0.15
+        return run_on_testbed(scenario, engines)
+
+    def test_engines_that_crash_one_after_the_other(self):
+        async def crash(fleet, replicas):
+            fleet.crash_time = 0.3
+            for replica in replicas:
+                await fleet.crash(replica)
+
+        self.assertEqual(self.serve_beside_crashes(crash), (1.0, 0))
+
+    def test_engines_that_crash_at_once(self):
+        async def crash(fleet, replicas):
+            await asyncio.gather(*(fleet.crash(replica) for replica in replicas))
+            await asyncio.sleep(0.5)
+
+        self.assertEqual(self.serve_beside_crashes(crash), (1.0, 0))
+
+
+class SpreadTests(unittest.TestCase):
+    """Guard against gateways that learn of a harmful part each by its own losses."""
+
+    def test_evidence_reaches_another_gateway_at_once(self):
+        async def scenario(bed):
+            note_ends(bed.gateways[0])
+            await asyncio.sleep(0.05)
+            return [blocked_at(gateway, HARMFUL) for gateway in bed.gateways]
+
+        self.assertEqual(run_on_testbed(scenario, full_engines(1)), [True, True])
+
+    def test_gateway_that_starts_later_learns_of_the_block(self):
+        async def scenario(bed):
+            note_ends(bed.gateways[0])
+            await asyncio.sleep(5.0)
+            async with AsyncExitStack() as stack:
+                settings = decode_settings(sample_settings(2))
+                gateway = await start_gateway(stack, bed, settings, seed=1)
+                await gateway.view.changed.wait_until(lambda: gateway.ready, 5.0)
+                await asyncio.sleep(0.5)
+                return blocked_at(gateway, HARMFUL), blocked_at(gateway, SHARED)
+
+        self.assertEqual(run_on_testbed(scenario, full_engines(1)), (True, False))
+
+    def test_evidence_reaches_every_gateway_of_a_large_fleet(self):
+        async def scenario(bed):
+            await asyncio.sleep(SETTLING)
+            note_ends(bed.gateways[11])
+            await asyncio.sleep(0.3)
+            return [blocked_at(gateway, HARMFUL) for gateway in bed.gateways]
+
+        found = run_on_testbed(scenario, full_engines(1), **LARGE)
+        self.assertEqual(found, [True] * 12)
+
+    def test_proof_of_one_gateway_ends_the_block_at_every_gateway(self):
+        async def scenario(bed):
+            await asyncio.sleep(SETTLING)
+            note_ends(bed.gateways[11], part=SHARED)
+            now = asyncio.get_running_loop().time()
+            bed.gateways[0].prompt_faults.note_proof(("gen", SHARED), now - 5.0)
+            await asyncio.sleep(1.0)
+            return [blocked_at(gateway, SHARED) for gateway in bed.gateways]
+
+        found = run_on_testbed(scenario, full_engines(1), **LARGE)
+        self.assertEqual(found, [False] * 12)
+
+    def test_evidence_ends_everywhere_although_gateways_repeat_it(self):
+        async def scenario(bed):
+            await asyncio.sleep(SETTLING)
+            note_ends(bed.gateways[11])
+            await asyncio.sleep(EVIDENCE_TIME + 2.0)
+            return [len(gateway.prompt_faults.ends) for gateway in bed.gateways]
+
+        with mock.patch.object(platform_testbed, "DATAGRAM_LATENCY", 0.15):
+            found = run_on_testbed(scenario, full_engines(1), **LARGE)
+        self.assertEqual(found, [0] * 12)
+
+
+class RepeatTests(unittest.TestCase):
+    """Guard against repetitions that end the next engine."""
+
+    def test_four_requests_end_three_engines(self):
+        async def scenario(bed):
+            bed.fleet.crashing_part, bed.fleet.keeps_layers = HARMFUL, True
+            statuses = []
+            for number in range(4):
+                prefix = prefix_with(SHARED, HARMFUL)
+                reply = await bed.call(
+                    "/draft/1", gateway=number % 2, Prompt_Prefix=prefix
+                )
+                statuses.append(reply.status)
+                await asyncio.sleep(0.5)
+            return statuses, [run.request_id for run in bed.fleet.runs]
+
+        statuses, runs = run_on_testbed(scenario, full_engines())
+        self.assertEqual(statuses, [502, 502, 503, 503])
+        self.assertEqual(sorted(runs), ["r1", "r1", "r2"])
+
+    def test_run_that_is_the_second_end_is_not_repeated(self):
+        async def scenario(bed):
+            bed.fleet.crashing_part, bed.fleet.keeps_layers = HARMFUL, True
+            note_ends(bed.gateways[0], count=1)
+            prefix = prefix_with(SHARED, HARMFUL)
+            reply = await bed.call("/draft/1", Prompt_Prefix=prefix)
+            return reply.status, len(bed.fleet.runs)
+
+        self.assertEqual(run_on_testbed(scenario, full_engines()), (502, 1))
+
+    def test_no_second_run_begins_beside_a_silent_one(self):
+        async def scenario(bed):
+            note_ends(bed.gateways[0], count=2)
+            now = asyncio.get_running_loop().time()
+            for replica in bed.fleet.replicas.values():
+                replica.faults.silent_until = now + 1.0
+            reply = await bed.call("/draft/1", Prompt_Prefix=prefix_with(HARMFUL))
+            return reply.status, reply.complete, len(bed.fleet.runs)
+
+        self.assertEqual(run_on_testbed(scenario, full_engines()), (200, True, 1))
+
+
+class RefusalTests(unittest.TestCase):
+    """Guard against requests that reach an engine although their part is known."""
+
+    def test_stream_is_refused_at_once_with_the_time_that_is_left(self):
+        async def scenario(bed):
+            note_ends(bed.gateways[0])
+            return await bed.call("/draft/1", Prompt_Prefix=prefix_with(HARMFUL)), len(
+                bed.fleet.runs
+            )
+
+        reply, runs = run_on_testbed(scenario, full_engines(1))
+        self.assertEqual((reply.status, runs), (503, 0))
+        self.assertAlmostEqual(
+            float(reply.headers["Retry-After"]), EVIDENCE_TIME, delta=0.1
+        )
+
+    def call_while_evidence_arrives(self, path, replicas, service):
+        """Return the reply if ends become known during the wait for a connection."""
+
+        acquire = ConnectionPool.acquire
+
+        async def scenario(bed):
+            async def acquire_late(*arguments):
+                connection = await acquire(*arguments)
+                note_ends(bed.gateways[0], service=service)
+                return connection
+
+            with mock.patch.object(ConnectionPool, "acquire", acquire_late):
+                reply = await bed.call(path, Prompt_Prefix=prefix_with(HARMFUL))
+            return reply.status, len(bed.fleet.runs)
+
+        return run_on_testbed(scenario, replicas)
+
+    def test_stream_that_waits_for_a_connection_is_refused(self):
+        found = self.call_while_evidence_arrives("/draft/1", full_engines(2), "gen")
+        self.assertEqual(found, (503, 0))
+
+    def test_plain_request_that_waits_for_a_connection_is_refused(self):
+        found = self.call_while_evidence_arrives("/look/1", plain_replicas(), "stock")
+        self.assertEqual(found, (503, 0))
+
+    def test_plain_requests_are_refused_once_replicas_have_ended(self):
+        async def scenario(bed):
+            for replica in bed.fleet.replicas.values():
+                replica.faults.lose_answer = True
+            prefix = prefix_with(HARMFUL)
+            replies = [
+                await bed.call(f"/look/{number}", Prompt_Prefix=prefix)
+                for number in range(20)
+            ]
+            used = [it for it in bed.fleet.replicas.values() if it.runs]
+            return replies[0].status, replies[-1].status, len(used)
+
+        found = run_on_testbed(scenario, plain_replicas(6))
+        self.assertEqual(found, (502, 503, 3))
+
+    def test_session_of_the_request_is_never_held_responsible(self):
+        async def scenario(bed):
+            note_ends(bed.gateways[0])
+            reply = await bed.call("/draft/1", Prompt_Prefix=f"{SHARED}:8,{HARMFUL}:2")
+            return reply.status
+
+        self.assertEqual(run_on_testbed(scenario, full_engines(1)), 200)
--- a/lentilhaven/logbook/request_story.py
+++ b/lentilhaven/logbook/request_story.py
@@ -26,6 +26,7 @@
         "order did not take effect",
         "endpoint is leaving",
         "pace of an engine",
+        "endpoint ended under a prompt",
     }
 )
 
@@ -174,6 +175,16 @@
     return f"refused at the step {line.fields.get('step')}: {line.fields.get('kind')}"
 
 
+def explain_harmful_part(line: LogLine, lines: list[LogLine]) -> str:
+    """Explain a refusal of a request whose prompt has ended endpoints."""
+    fields = line.fields
+    return (
+        f"refused, as {fields.get('ends')} endpoints have ended under part "
+        f"{fields.get('part')} of its prompt, the first {fields.get('age')} s before; "
+        f"such requests are refused for {fields.get('seconds')} s more"
+    )
+
+
 def explain_slow_chain(line: LogLine, lines: list[LogLine]) -> str:
     """Explain a refusal because of a slow chain; empty if layers were missing too."""
     if any(it.event == "no chain" and it.fields.get("missing") for it in lines):
@@ -247,6 +258,7 @@
     ("request failed here", explain_internal_error),
     ("caller left", explain_disconnect),
     ("stream broken off", explain_broken_stream),
+    ("request refused for a part of its prompt", explain_harmful_part),
     ("chain too slow", explain_slow_chain),
     ("no chain", explain_no_chain),
     ("replica tried", explain_replica_attempts),
--- a/lentilhaven/logbook/tests/test_request_story.py
+++ b/lentilhaven/logbook/tests/test_request_story.py
@@ -55,6 +55,32 @@
             ["endpoint wants no requests"],
         )
 
+    def test_refusal_for_a_part_of_the_prompt(self):
+        diagnosis = diagnose(
+            log_line(
+                "request refused for a part of its prompt",
+                1.0,
+                request="r1",
+                part="dead01",
+                ends=4,
+                age=2.5,
+                seconds=117.5,
+            ),
+            log_line("request ended", 1.0, request="r1", status=503),
+        )
+        self.assertIn("4 endpoints have ended under part dead01", diagnosis.cause)
+
+    def test_end_of_its_endpoint_under_another_prompt_stands_beside_a_request(self):
+        diagnosis = diagnose(
+            log_line("endpoint ended under a prompt", 0.9, vm="vm-2", endpoint="e1"),
+            log_line("chain tried", 1.0, request="r1", parts=["e1=0-8"], outcome="x"),
+            log_line("request ended", 1.1, request="r1", status=502),
+        )
+        self.assertEqual(
+            [it.event for it in diagnosis.related_lines],
+            ["endpoint ended under a prompt"],
+        )
+
     def test_stream_broken_off_by_a_silent_stage(self):
         diagnosis = diagnose(
             log_line("endpoints suspected", 1.0, request="r1", endpoints=["e2"]),
