Ask a replica that is back, and keep a good answer beside a failed one

If no replica was to be had when the second attempt was due, none was looked for after the first one had failed (502); and a failure that ended in the same iteration of the event loop as a good answer replaced it. The two tests of test_second_attempts failed before and pass now.

--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -84,7 +84,7 @@
         Outcome of the last attempt.
     last_run : UpstreamResponse, Failure or None
         Outcome of the last attempt that may have run the request; a response stays
-        if a later attempt fails.
+        if a later attempt fails, and a success in any case.
     """
 
     endpoints: list[Endpoint] = attrs.field(factory=list)
@@ -131,7 +131,8 @@
         self.last_outcome = outcome
         if isinstance(outcome, UpstreamResponse):
             self.possible_runs += 1
-            self.last_run = outcome
+            if not self.succeeded:
+                self.last_run = outcome
         elif outcome.ran is not Ran.NO:
             self.possible_runs += 1
             if not isinstance(self.last_run, UpstreamResponse):
@@ -146,11 +147,16 @@
         runs = self.possible_runs + len(self.running)
         return runs < (call.route.attempts if call.route.repeatable else 1)
 
-    def second_attempt_at(self, call: Call) -> float:
-        """Return the event loop time at which another attempt may begin."""
-        if not self.running:
-            return self.started_at
-        return self.started_at + RETRY_LATENCY_SHARE * call.route.target_latency
+    def time_to_next(self, call: Call, now: float) -> float | None:
+        """
+        Return the seconds until another attempt may begin beside those in progress.
+
+        Returns None if no other attempt may begin before one of them has ended.
+        """
+        if not self.may_continue(call):
+            return None
+        next_at = self.started_at + RETRY_LATENCY_SHARE * call.route.target_latency
+        return max(0.0, next_at - now)
 
 
 async def relay_call(gateway: Gateway, call: Call) -> web.Response:
@@ -172,12 +178,14 @@
     gateway.budget_of(call.service).record_request(loop.time())
     attempts = Attempts()
     try:
-        while attempts.may_continue(call):
-            if not begin_attempt(gateway, call, attempts):
+        while not attempts.succeeded:
+            began = attempts.may_continue(call) and begin_attempt(
+                gateway, call, attempts
+            )
+            if not attempts.running:
                 break
-            await wait_for_outcome(call, attempts)
-        while attempts.running and not attempts.succeeded:
-            await record_outcomes(attempts, None)
+            timeout = attempts.time_to_next(call, loop.time()) if began else None
+            await record_outcomes(attempts, timeout)
     finally:
         await cancel_tasks(attempts.running)
     pause = pause_left(gateway, call.service, attempts.tried, loop.time())
@@ -221,18 +229,7 @@
     gateway.pool.close_idle(endpoint)
 
 
-async def wait_for_outcome(call: Call, attempts: Attempts) -> None:
-    """Wait until an attempt has ended, or until another one may begin beside it."""
-    loop = asyncio.get_running_loop()
-    while attempts.running:
-        timeout = None
-        if attempts.may_continue(call):
-            timeout = max(0.0, attempts.second_attempt_at(call) - loop.time())
-        if await record_outcomes(attempts, timeout) or timeout is not None:
-            return
-
-
-async def record_outcomes(attempts: Attempts, timeout: float | None) -> bool:
+async def record_outcomes(attempts: Attempts, timeout: float | None) -> None:
     """
     Wait for the end of an attempt, and record what has ended.
 
@@ -242,18 +239,12 @@
         The attempts, of which at least one is in progress.
     timeout : float or None
         Seconds after which to give up; None to wait without a limit.
-
-    Returns
-    -------
-    bool
-        Whether an attempt has ended.
     """
     done, attempts.running = await asyncio.wait(
         attempts.running, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
     )
     for task in done:
         attempts.record(task.result())
-    return bool(done)
 
 
 def make_response(
