Ask suspected engines whether they are alive

Two causes: each recheck dated the suspicion anew, so that the next event came within the margin that does not refute it; and once a second run had taken over, nobody heard from the engine again.

A suspicion is now dated once, and each engine that a gateway's own streams make suspect is asked for its report every 0.5 s, within the rate that all gateways share for such questions. An answer with the same start and layers ends the suspicion everywhere.

--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -30,6 +30,7 @@
     watch_manifest,
     watch_replicas,
 )
+from lentilhaven.gateway.suspect_check import check_suspects
 from lentilhaven.leases.lease import Lease, open_lease
 from lentilhaven.leases.lease_settings import LeaseSettings
 from lentilhaven.objects.share import RateLimit
@@ -206,6 +207,7 @@
                 refresh_digest(gateway),
                 placer.run(),
                 check_paces(gateway),
+                check_suspects(gateway),
                 sweep_endpoints(gateway),
             )
         )
--- a/lentilhaven/gateway/silence.py
+++ b/lentilhaven/gateway/silence.py
@@ -106,8 +106,10 @@
     for endpoint, _ in chain.parts:
         state = gateway.endpoint_states.of(endpoint)
         if state.heard_at <= since:
-            fresh = fresh or state.suspected_until <= now
-            state.note_suspicion(now, now + SUSPICION_TIME)
+            if state.suspected_until <= now:
+                # A suspicion that is dated anew could not be refuted by the next event.
+                state.note_suspicion(now, now + SUSPICION_TIME)
+                fresh = True
             suspects.append(endpoint.id)
     if not fresh:
         return suspects
