--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -18,6 +18,7 @@
     encode_head,
     encode_response,
     read_request,
+    reset_connection,
     send_json,
     send_response,
 )
@@ -72,7 +73,7 @@
     servers : dict
         Server of each replica that is up, by replica id.
     crash_tasks : set of asyncio.Future
-        Running crashes.
+        Crashes whose replica is not back yet.
     """
 
     store: FakeStore
@@ -113,6 +114,8 @@
         try:
             yield self
         finally:
+            for task in list(self.crash_tasks):
+                task.cancel()
             for server in self.servers.values():
                 server.close()
 
@@ -123,6 +126,19 @@
         server = await asyncio.start_server(serve, host, replica.port)
         self.servers[replica.id] = server
 
+    def begin_crash(self, replica: FakeReplica) -> None:
+        """Let a replica crash in a task of its own."""
+        task = asyncio.ensure_future(self.crash(replica))
+        self.crash_tasks.add(task)
+        task.add_done_callback(self.end_crash)
+
+    def end_crash(self, task: asyncio.Future[None]) -> None:
+        """Forget a crash that is over."""
+        self.crash_tasks.discard(task)
+        if not task.cancelled():
+            # Raises an error of the task again, so that the event loop reports it.
+            task.result()
+
     async def crash(self, replica: FakeReplica) -> None:
         """Close all connections of a replica, and start it again after a while."""
         if replica.id not in self.servers:
@@ -190,6 +206,7 @@
         Returns whether the connection stays open.
         """
         if replica.faults.endless in ("head", "body"):
+            record_run(replica, request)
             return await send_endlessly(replica, writer, request)
         if replica.faults.shed:
             return await send_response(replica, writer, request, 503, b"", not_run=True)
@@ -213,7 +230,7 @@
         await asyncio.sleep(0.01 + faults.delay)
         await wait_while_silent(replica)
         if faults.lose_answer:
-            writer.transport.abort()
+            reset_connection(writer)
             return False
         body = f"{replica.id} {request.method} {request.target}".encode() * 3
         body += bytes(replica.extra_bytes)
@@ -223,6 +240,9 @@
         replica.last_response = sent
         writer.write(prefix + (sent[:-5] if faults.truncate else sent))
         await writer.drain()
+        if faults.truncate and faults.unframed:
+            # Only a reset shows that such a response is not whole.
+            reset_connection(writer)
         return not (faults.truncate or faults.unframed or faults.early)
 
     async def serve_chain(
@@ -293,8 +313,9 @@
         """
         await asyncio.sleep(replica.event_time)
         if self.has_crashing_part(request):
-            self.crash_tasks.add(asyncio.ensure_future(self.crash(replica)))
+            self.begin_crash(replica)
             return False
+        await wait_while_silent(replica)
         writer.write(encode_head(replica, request, 200, stream_frame(replica)))
         if replica.faults.endless == "event":
             return await send_endlessly(replica, writer, request)
@@ -322,10 +343,9 @@
         last_received = int(request.fields.get("last-event-id") or 0)
         for number in range(last_received + 1, event_count + 1):
             if not await self.wait_for_parts(request.fields["request-id"], parts):
-                writer.transport.abort()
+                reset_connection(writer)
                 return False
-            if disconnect.done():
-                replica.broken_runs.append(request.fields["request-id"])
+            if has_lost_caller(replica, request, writer, disconnect):
                 return False
             event = encode_event(number)
             if faults.stop_after and number > faults.stop_after:
@@ -334,7 +354,7 @@
                     writer.write(encode_chunk(b""))
                 await writer.drain()
                 if not faults.ends_inside:
-                    writer.transport.abort()
+                    reset_connection(writer)
                 return False
             writer.write(encode(event))
             await writer.drain()
@@ -441,10 +461,27 @@
     return f"id: {number}\ndata: word-{number}\n\n".encode()
 
 
+def has_lost_caller(
+    replica: FakeReplica,
+    request: RequestReader,
+    writer: asyncio.StreamWriter,
+    disconnect: asyncio.Future[bytes],
+) -> bool:
+    """Return whether a stream's connection has ended; record it unless by a crash."""
+    # A crash closes the writer.
+    has_crashed = writer.is_closing()
+    if disconnect.done() and not has_crashed:
+        replica.broken_runs.append(request.fields["request-id"])
+    return disconnect.done() or has_crashed
+
+
 async def wait_while_silent(replica: FakeReplica) -> None:
     """Wait until a replica is no longer silent."""
     left = replica.faults.silent_until - asyncio.get_running_loop().time()
-    await asyncio.sleep(max(0.0, left))
+    if left > 0.0:
+        await asyncio.sleep(left)
+        # The silence may have been prolonged.
+        await wait_while_silent(replica)
 
 
 async def send_endlessly(
--- a/lentilhaven/standins/platform/replica_wire.py
+++ b/lentilhaven/standins/platform/replica_wire.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import json
+import socket
+import struct
 from typing import Any
 
 import httptools
 
 from lentilhaven.standins.platform.fake_replica import FakeReplica
 
+#: SO_LINGER option with a timeout of 0: closing the socket resets the connection.
+LINGER_RESET = struct.pack("ii", 1, 0)
+
 
 class RequestReader:
     """
@@ -85,6 +90,19 @@
     return request
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """
+    Reset a connection, so that its peer does not take the end for an orderly one.
+
+    A connection in memory knows no reset; it is closed.
+    """
+    sock = writer.get_extra_info("socket")
+    number = sock.fileno()
+    if isinstance(number, int) and number >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    writer.transport.abort()
+
+
 def decode_path(path: str) -> list[tuple[str, int, int]]:
     """
     Return the address, first layer and layer after the last of each part of a chain.
