Pass resets on through the proxies of the soak

After an error on one side the proxy ended the other one by transport.abort(), which sends an orderly end. A gateway took an answer without a length that its replica had reset for a whole one. The new test failed before (ConnectionResetError not raised).

--- a/lentilhaven/bench/soak/loopback_proxy.py
+++ b/lentilhaven/bench/soak/loopback_proxy.py
@@ -3,14 +3,13 @@
 import asyncio
 import contextlib
 import enum
-import socket
-import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import attrs
 
 from lentilhaven.core.signal import Signal
+from lentilhaven.standins.platform.replica_wire import reset_connection
 
 #: Maximum number of bytes that are read at a time.
 CHUNK_SIZE = 65_536
@@ -19,9 +18,6 @@
 #: if no change was notified.
 RECHECK_INTERVAL = 60.0
 
-#: SO_LINGER option with a timeout of 0: closing the socket resets the connection.
-LINGER_RESET = struct.pack("ii", 1, 0)
-
 
 class LinkFault(enum.Enum):
     """Fault that a proxy injects into its connections."""
@@ -77,9 +73,7 @@
         for writer in self.writers:
             if writer.transport.is_closing():
                 continue
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-            writer.transport.abort()
+            reset_connection(writer)
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -122,7 +116,8 @@
                 writer.write_eof()
             return
         # Reached only after an error, which `suppress` has caught.
-        writer.transport.abort()
+        if not writer.transport.is_closing():
+            reset_connection(writer)
 
 
 @asynccontextmanager
--- a/lentilhaven/bench/soak/tests/test_loopback_proxy.py
+++ b/lentilhaven/bench/soak/tests/test_loopback_proxy.py
@@ -3,22 +3,24 @@
 from contextlib import asynccontextmanager
 
 from lentilhaven.bench.soak.loopback_proxy import LinkFault, open_proxy
+from lentilhaven.standins.platform.replica_wire import reset_connection
 
 HOST = "127.0.0.1"
 
 
-@asynccontextmanager
-async def echo_through_proxy():
-    """Yield a proxy of a server that echoes lines, and a connection through it."""
+async def echo(reader, writer):
+    """Echo lines."""
+    while line := await reader.readline():
+        writer.write(line)
+    writer.close()
 
-    async def echo(reader, writer):
-        while line := await reader.readline():
-            writer.write(line)
-        writer.close()
 
-    server = await asyncio.start_server(echo, HOST, 0)
+@asynccontextmanager
+async def through_proxy(serve):
+    """Yield a proxy of a server, and a connection through it."""
+    server = await asyncio.start_server(serve, HOST, 0)
     port = server.sockets[0].getsockname()[1]
-    probe = await asyncio.start_server(echo, HOST, 0)
+    probe = await asyncio.start_server(serve, HOST, 0)
     free_port = probe.sockets[0].getsockname()[1]
     probe.close()
     await probe.wait_closed()
@@ -31,7 +33,7 @@
 
 class ProxyTests(unittest.IsolatedAsyncioTestCase):
     async def test_forwards_bytes(self):
-        async with echo_through_proxy() as (_, reader, writer):
+        async with through_proxy(echo) as (_, reader, writer):
             writer.write(b"one\n")
             self.assertEqual(await reader.readline(), b"one\n")
 
@@ -41,7 +43,7 @@
             LinkFault.CUT_TO_SERVER,
             LinkFault.CUT_FROM_SERVER,
         ):
-            async with echo_through_proxy() as (proxy, reader, writer):
+            async with through_proxy(echo) as (proxy, reader, writer):
                 proxy.set_fault(fault)
                 writer.write(b"one\n")
                 with self.assertRaises(TimeoutError):
@@ -50,9 +52,21 @@
                 self.assertEqual(await reader.readline(), b"one\n")
 
     async def test_reset_closes_connections(self):
-        async with echo_through_proxy() as (proxy, reader, writer):
+        async with through_proxy(echo) as (proxy, reader, writer):
             writer.write(b"one\n")
             await reader.readline()
             proxy.reset()
             with self.assertRaises(ConnectionError):
                 await reader.readexactly(1)
+
+    async def test_reset_by_the_server_reaches_the_caller(self):
+        # An orderly end would make an answer without a length look whole.
+        async def answer_and_reset(reader, writer):
+            writer.write(await reader.readline())
+            await writer.drain()
+            reset_connection(writer)
+
+        async with through_proxy(answer_and_reset) as (_, reader, writer):
+            writer.write(b"one\n")
+            with self.assertRaises(ConnectionResetError):
+                await reader.read()
