Play prompts that crash engines and the other new faults in the soak

New faults: replicas that are silent for up to 1.5 s and go on, streams without a length or chunks, streams that end inside an event by a reset or an orderly close, heads, bodies and events without end, a part of prompts that crashes engines, and series of up to eight manifests that change routes, services, limits and the idle timeout. Some callers send the part, the others share key and first part with them.

The callers now speak on sockets of their own: the HTTP client repeats an idempotent request on a new connection when the kept one ends, so that a close without an answer was not seen. They look at the socket for its end before each request, and do not use a connection that was idle for 0.8 of the smallest timeout.

New checks: a request that ends without a whole answer while its replicas are sound; requests with the crashing part that reach engines late, and the served part of the others; the memory of each process against the limit in its settings; the prompt as the replicas receive it.

--- a/lentilhaven/bench/soak/gateway_process.py
+++ b/lentilhaven/bench/soak/gateway_process.py
@@ -59,6 +59,10 @@
         Time of the event loop at which the last signal was sent, in seconds.
     failed_exits : list of int
         Exit codes that are neither 0 nor due to a signal of the soak.
+    kill_times : list of float
+        Times of the event loop at which the process was killed, in seconds.
+    stop_times : list of float
+        Times of the event loop at which the process was terminated, in seconds.
     start_lock : asyncio.Lock
         Held while a process is started, since overlapping faults may start the same
         gateway.
@@ -71,6 +75,8 @@
     start_count: int = 0
     last_signal_at: float = 0.0
     failed_exits: list[int] = attrs.field(factory=list)
+    kill_times: list[float] = attrs.field(factory=list)
+    stop_times: list[float] = attrs.field(factory=list)
     start_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     @property
@@ -140,6 +146,7 @@
         """Terminate the process; if it is late, kill it and return False."""
         assert self.process is not None
         self.send_signal(signal.SIGTERM)
+        self.stop_times.append(self.last_signal_at)
         timeout = self.decoded_settings.grace + KILL_MARGIN
         try:
             async with asyncio.timeout(timeout):
@@ -159,6 +166,7 @@
     async def kill(self) -> None:
         """Kill the process."""
         self.send_signal(signal.SIGKILL)
+        self.kill_times.append(self.last_signal_at)
         if self.process is not None:
             await self.process.wait()
 
--- a/lentilhaven/bench/soak/soak.py
+++ b/lentilhaven/bench/soak/soak.py
@@ -1,23 +1,25 @@
-"""Rounds of a soak: faults, recovery, then planned operations without faults."""
+"""Rounds of a soak: faults, recovery, planned operations, then crashes by a prompt."""
 
 import asyncio
 import tempfile
 import time
 from pathlib import Path
 
-import aiohttp
-
-from lentilhaven.bench.figure import at_least, at_most, observed
+from lentilhaven.bench.figure import Figure, at_least, at_most, observed
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
-from lentilhaven.bench.soak.soak_callers import CALLER_TIMEOUT, SoakCallers
+from lentilhaven.bench.soak.kept_connection import open_connection
+from lentilhaven.bench.soak.soak_callers import CALLER_TIMEOUT, MAX_IDLE, SoakCallers
 from lentilhaven.bench.soak.soak_checks import (
     Findings,
     check_attempts,
     check_fault_free,
 )
+from lentilhaven.bench.soak.soak_crashes import crash_on_part
 from lentilhaven.bench.soak.soak_environment import SoakEnvironment, open_environment
 from lentilhaven.bench.soak.soak_faults import inject_faults
+from lentilhaven.bench.soak.soak_lost import check_lost
+from lentilhaven.bench.soak.soak_memory import MEGABYTE, check_memory, watch_memory
 from lentilhaven.bench.soak.soak_tables import CONFIG_APPLY, DRAIN_TIMEOUT
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
@@ -49,36 +51,30 @@
     """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{options.seed}-"))
     findings = Findings()
-    served, rounds, count = asyncio.run(run_rounds(options, folder, findings))
+    figures = asyncio.run(run_rounds(options, folder, findings))
     for text in findings.texts:
         print(f"broken: {text}")
     if findings.texts:
         print(f"logs of the gateways: {folder}")
-    figures = {
-        "broken promises": at_most(len(findings.texts), 0, "findings"),
-        "served in calm": at_least(served, MIN_SERVED_FRACTION, "ratio"),
-        "rounds": observed(rounds, "rounds"),
-        "requests": observed(count, "requests"),
-    }
+    figures = {"broken promises": at_most(len(findings.texts), 0, "findings")} | figures
     return Report("soak", options.seed, figures)
 
 
 async def run_rounds(
     options: ScenarioOptions, folder: Path, findings: Findings
-) -> tuple[float, int, int]:
-    """Return the fault-free served fraction and the numbers of rounds and requests."""
+) -> dict[str, Figure]:
+    """Run rounds; return what was measured, and add violations to `findings`."""
     deadline = time.monotonic() + 60.0 * options.minutes
     max_rounds = options.size or (10**6 if options.minutes else DEFAULT_ROUNDS)
     rounds = served = sent = 0
     async with open_environment(options.seed, GATEWAY_COUNT, folder) as environment:
-        addresses = [it.decoded_settings.callers for it in environment.gateways]
-        callers = SoakCallers(environment.random, addresses)
+        callers = environment.callers
         calls = [
-            callers.send_requests(number)
+            callers.send_requests(number, has_faulty_prompts=caller == 0)
             for number in range(GATEWAY_COUNT)
-            for _ in range(CALLERS_PER_GATEWAY)
+            for caller in range(CALLERS_PER_GATEWAY)
         ]
-        async with running_tasks(*calls):
+        async with running_tasks(*calls, watch_memory(environment)):
             while rounds < max_rounds and (
                 not options.minutes or time.monotonic() < deadline
             ):
@@ -88,10 +84,23 @@
                 served, sent = served + round_served, sent + round_sent
                 rounds += 1
         check_attempts(environment, callers.attempts, findings)
+        check_lost(environment, callers.attempts, findings)
+        check_memory(environment, findings)
         for gateway in environment.gateways:
             for code in gateway.failed_exits:
                 findings.add("exit", f"{gateway.name} exited with code {code}")
-        return served / max(1, sent), rounds, len(callers.attempts)
+        peak = max(environment.peak_memory.values(), default=0) / MEGABYTE
+        return {
+            "served in calm": at_least(
+                served / max(1, sent), MIN_SERVED_FRACTION, "ratio"
+            ),
+            "rounds": observed(rounds, "rounds"),
+            "requests": observed(len(callers.attempts), "requests"),
+            "ended without a response": observed(
+                sum(it.closed for it in callers.attempts), "requests"
+            ),
+            "peak memory of a gateway": observed(peak, "MB"),
+        }
 
 
 async def run_round(
@@ -110,7 +119,8 @@
     await asyncio.sleep(CALLER_TIMEOUT)
     fault_free = [it for it in callers.attempts[start:stop] if it.reached]
     check_fault_free(environment, fault_free, findings)
-    return sum(it.status == 200 and it.complete for it in fault_free), len(fault_free)
+    await crash_on_part(environment, findings)
+    return sum(it.served for it in fault_free), len(fault_free)
 
 
 async def change_manifest(
@@ -121,15 +131,16 @@
     replaced_version = environment.version - 1
     environment.edit_manifest()
     await asyncio.sleep(CONFIG_APPLY)
-    async with aiohttp.ClientSession() as session:
-        for number, gateway in enumerate(environment.gateways):
+    for number, gateway in enumerate(environment.gateways):
+        address = gateway.decoded_settings.callers
+        async with open_connection(address, MAX_IDLE) as connection:
             for version, expected in (
                 (environment.version, 200),
                 (replaced_version, 404),
             ):
                 path = f"/v{version}/x"
                 attempt = callers.make_attempt("probe", number, path)
-                await callers.send_request(session, attempt)
+                await callers.send_request(connection, attempt)
                 if (attempt.status == 404) != (expected == 404):
                     detail = f"{gateway.name} answers {attempt.status} on {path}"
                     findings.add("manifest in force", detail)
--- a/lentilhaven/bench/soak/soak_callers.py
+++ b/lentilhaven/bench/soak/soak_callers.py
@@ -2,20 +2,36 @@
 
 import asyncio
 import itertools
+import zlib
 from collections.abc import Iterator
 from random import Random
 
-import aiohttp
 import attrs
+import httptools
 
-from lentilhaven.bench.soak.soak_tables import API_KEYS
-from lentilhaven.standins.platform.sample_files import read_headers, request_headers
+from lentilhaven.bench.soak.kept_connection import (
+    KeptConnection,
+    ResponseReader,
+    encode_request,
+    open_connection,
+)
+from lentilhaven.bench.soak.soak_tables import API_KEYS, MIN_IDLE_TIMEOUT
+from lentilhaven.standins.platform.sample_files import request_headers
 
 #: Seconds after which a caller gives up a request.
 CALLER_TIMEOUT = 8.0
 
-#: Mean seconds between the requests of one caller.
-MEAN_PAUSE = 0.15
+#: Mean seconds between the requests of one caller; each caller draws one.
+MEAN_PAUSES = (0.1, 0.15, 0.6)
+
+#: Seconds for which a caller keeps an idle connection.
+MAX_IDLE = 0.8 * MIN_IDLE_TIMEOUT
+
+#: First part of all prompts.
+SHARED_PART = "5c1e07a2"
+
+#: Fraction of the prompts of some callers that have the part that crashes engines.
+FAULTY_FRACTION = 0.5
 
 #: Statuses that guarantee that a request has not run and will not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -55,6 +71,12 @@
         Whether a gateway accepted the connection.
     events : int
         Expected number of events of a stream; 0 for other requests.
+    prompt : str
+        Parts of the prompt of a stream; empty for other requests.
+    reused : bool
+        Whether the connection had carried a response before.
+    closed : bool
+        Whether the gateway ended the connection before a complete response.
     """
 
     id: str
@@ -70,12 +92,27 @@
     complete: bool = False
     reached: bool = True
     events: int = 0
+    prompt: str = ""
+    reused: bool = False
+    closed: bool = False
 
     @property
     def method(self) -> str:
         """Return the method of the request."""
         return "GET" if self.kind in ("look", "probe") else "POST"
 
+    @property
+    def served(self) -> bool:
+        """Return whether the caller received a complete successful response."""
+        return self.status == 200 and self.complete
+
+    def record(self, response: ResponseReader) -> None:
+        """Record what was received of a response."""
+        self.status = response.status
+        self.signature = response.fields.get("replica-signature", "")
+        self.body = response.body
+        self.complete = response.complete
+
 
 @attrs.define(eq=False)
 class SoakCallers:
@@ -92,29 +129,51 @@
         All requests that were sent.
     attempt_numbers : iterator of int
         Yields the numbers of new attempts.
+    crashing_part : str
+        Part of prompts that crashes engines at present; empty for none.
     """
 
     random: Random
     addresses: list[str]
     attempts: list[Attempt] = attrs.field(factory=list)
     attempt_numbers: Iterator[int] = attrs.field(factory=itertools.count)
+    crashing_part: str = ""
 
-    async def send_requests(self, gateway: int) -> None:
+    async def send_requests(self, gateway: int, has_faulty_prompts: bool) -> None:
         """
         Send requests in sequence until cancelled.
 
         After a gateway was unreachable, requests are sent to the next one.
+
+        Parameters
+        ----------
+        gateway : int
+            Index of the first gateway.
+        has_faulty_prompts : bool
+            Whether prompts may have the part that crashes engines.
         """
-        connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=25.0)
-        async with aiohttp.ClientSession(connector=connector) as session:
-            while True:
-                kind = self.random.choices([*KIND_WEIGHTS], [*KIND_WEIGHTS.values()])[0]
-                attempt = self.make_attempt(kind, gateway)
-                retry_after = await self.send_request(session, attempt)
-                if not attempt.reached:
-                    gateway = (gateway + 1) % len(self.addresses)
-                pause = self.random.expovariate(1 / MEAN_PAUSE)
-                await asyncio.sleep(max(pause, retry_after))
+        mean_pause = self.random.choice(MEAN_PAUSES)
+        while True:
+            async with open_connection(self.addresses[gateway], MAX_IDLE) as connection:
+                attempt = None
+                while attempt is None or attempt.reached:
+                    attempt = self.draw_attempt(gateway, has_faulty_prompts)
+                    retry_after = await self.send_request(connection, attempt)
+                    pause = self.random.expovariate(1 / mean_pause)
+                    await asyncio.sleep(max(pause, retry_after))
+            gateway = (gateway + 1) % len(self.addresses)
+
+    def draw_attempt(self, gateway: int, has_faulty_prompts: bool) -> Attempt:
+        """Return a new attempt of a random kind."""
+        kind = self.random.choices([*KIND_WEIGHTS], [*KIND_WEIGHTS.values()])[0]
+        attempt = self.make_attempt(kind, gateway)
+        is_faulty = has_faulty_prompts and self.random.random() < FAULTY_FRACTION
+        if attempt.events:
+            middle = f"{self.crashing_part}:30," if is_faulty else ""
+            middle = middle if self.crashing_part else ""
+            own = f"{zlib.crc32(attempt.id.encode()):08x}"
+            attempt.prompt = f"{SHARED_PART}:40,{middle}{own}:{30 if middle else 60}"
+        return attempt
 
     def make_attempt(self, kind: str, gateway: int, path: str = "") -> Attempt:
         """Return a new attempt, and add it to `attempts`."""
@@ -132,9 +191,7 @@
         self.attempts.append(attempt)
         return attempt
 
-    async def send_request(
-        self, session: aiohttp.ClientSession, attempt: Attempt
-    ) -> float:
+    async def send_request(self, connection: KeptConnection, attempt: Attempt) -> float:
         """
         Send a request and record the response in the attempt.
 
@@ -143,25 +200,24 @@
         headers = request_headers(
             attempt.id, API_KEYS[attempt.workspace], CALLER_TIMEOUT, 4 * attempt.events
         )
-        has_body = attempt.method == "POST"
-        body = f"body of {attempt.id}".encode() if has_body else None
-        retry_after = 0.0
+        if attempt.prompt:
+            headers["Prompt-Prefix"] = attempt.prompt
+        body = f"body of {attempt.id}".encode() if attempt.method == "POST" else b""
+        request = encode_request(attempt.method, attempt.target, headers, body)
+        response = ResponseReader()
         try:
-            async with session.request(
-                attempt.method,
-                f"http://{self.addresses[attempt.gateway]}{attempt.target}",
-                headers=headers,
-                data=body,
-                timeout=aiohttp.ClientTimeout(total=CALLER_TIMEOUT, connect=1.0),
-            ) as response:
-                attempt.status = response.status
-                attempt.signature, retry_after = read_headers(response.headers)
-                async for chunk in response.content.iter_any():
-                    attempt.body += chunk
-                attempt.complete = True
-        except aiohttp.ClientConnectorError:
+            await connection.ensure_open()
+            attempt.reused = connection.is_reused
+            async with asyncio.timeout(CALLER_TIMEOUT):
+                await connection.exchange(request, response)
+            attempt.closed = not response.complete
+        except ConnectionRefusedError:
             attempt.reached = False
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            attempt.complete = False
+        except TimeoutError:
+            connection.close()
+        except (OSError, httptools.HttpParserError):
+            attempt.closed = True
+            connection.close()
+        attempt.record(response)
         attempt.ended = asyncio.get_running_loop().time()
-        return retry_after
+        return float(response.fields.get("retry-after", "0"))
--- a/lentilhaven/bench/soak/soak_checks.py
+++ b/lentilhaven/bench/soak/soak_checks.py
@@ -93,6 +93,8 @@
         findings.add("workspace", f"{attempt.id} ran as {run.fields.get('tenant')}")
     if "authorization" in run.fields:
         findings.add("key passed on", attempt.id)
+    if run.fields.get("prompt-prefix", "") != attempt.prompt:
+        findings.add("prompt", f"{attempt.id} ran with {run.fields}")
     if run.target != attempt.target:
         findings.add("target", f"{attempt.id} ran as {run.target}")
     if attempt.method == "POST" and run.body != f"body of {attempt.id}".encode():
--- /dev/null
+++ b/lentilhaven/bench/soak/soak_crashes.py
@@ -0,0 +1,102 @@
+"""Phase of a round in which a part of the prompt crashes engines, and its check."""
+
+import asyncio
+
+from lentilhaven.bench.soak.soak_callers import Attempt
+from lentilhaven.bench.soak.soak_checks import Findings
+from lentilhaven.bench.soak.soak_environment import SoakEnvironment
+from lentilhaven.bench.soak.soak_replica_faults import crashing_part
+
+#: Number of crashes after which gateways must know the part.
+CRASHES = 5
+
+#: Maximum seconds until these crashes.
+MAX_CRASH_TIME = 6.0
+
+#: Seconds after these crashes from which on gateways must keep the part from engines.
+REACTION_TIME = 3.0
+
+#: Maximum number of requests with the part that reach engines from then on.
+MAX_ARRIVALS = 3
+
+#: Seconds for which requests are counted before and after.
+COUNTED_TIME = 5.0
+
+#: Minimum ratio of the served fractions of sound requests after and before.
+MIN_SERVED_RATIO = 0.5
+
+
+async def crash_on_part(environment: SoakEnvironment, findings: Findings) -> None:
+    """Let engines crash on a part of the prompt; check that gateways contain it."""
+    loop = asyncio.get_running_loop()
+    fleet = environment.fleet
+    fleet.crashing_arrivals.clear()
+    began = loop.time()
+    # The last of the counted requests have ended.
+    before = (began - COUNTED_TIME - 1.0, began - 1.0)
+    with crashing_part(environment):
+        await wait_for_crashes(environment, began)
+        since = loop.time() + REACTION_TIME
+        await asyncio.sleep(REACTION_TIME + COUNTED_TIME)
+        until = loop.time()
+        # Time for the last of the counted requests to end.
+        await asyncio.sleep(1.0)
+    check_crashing_part(environment, before, (since, until), findings)
+
+
+def check_crashing_part(
+    environment: SoakEnvironment,
+    before: tuple[float, float],
+    after: tuple[float, float],
+    findings: Findings,
+) -> None:
+    """
+    Check that few requests with a crashing part reach engines, and others are served.
+
+    Parameters
+    ----------
+    environment : SoakEnvironment
+        Environment with the callers and engines.
+    before, after : tuple of (float, float)
+        Begin and end of the periods before the crashes and after the reaction to
+        them; times of the event loop, in seconds.
+    findings : Findings
+        Receives the violations.
+    """
+    arrivals = environment.fleet.crashing_arrivals
+    late_count = sum(it >= after[0] for it in arrivals)
+    if late_count > MAX_ARRIVALS:
+        detail = (
+            f"{late_count} of {len(arrivals)} requests with it reached engines late"
+        )
+        findings.add("crashing part", detail)
+    served = served_fraction(environment, *after)
+    earlier = served_fraction(environment, *before)
+    if served < MIN_SERVED_RATIO * earlier:
+        detail = f"{served:.2f} of them were served, {earlier:.2f} before"
+        findings.add("sound requests beside a crashing part", detail)
+
+
+async def wait_for_crashes(environment: SoakEnvironment, began: float) -> None:
+    """Wait for `CRASHES` crashes since a time, or for `MAX_CRASH_TIME`."""
+    replicas = environment.fleet.replicas.values()
+    for _ in range(int(MAX_CRASH_TIME / 0.05)):
+        if sum(time >= began for it in replicas for time in it.crashes) >= CRASHES:
+            return
+        await asyncio.sleep(0.05)
+
+
+def served_fraction(environment: SoakEnvironment, begin: float, end: float) -> float:
+    """Return the served fraction of the streams between two times, except faulty."""
+    counted = [
+        it
+        for it in environment.callers.attempts
+        if begin <= it.began < end and is_sound_stream(it)
+    ]
+    return sum(it.served for it in counted) / max(1, len(counted))
+
+
+def is_sound_stream(attempt: Attempt) -> bool:
+    """Return whether an attempt is a stream without the part that crashes engines."""
+    # Faulty prompts have a further part between the shared one and their own.
+    return bool(attempt.events) and attempt.reached and attempt.prompt.count(",") == 1
--- a/lentilhaven/bench/soak/soak_environment.py
+++ b/lentilhaven/bench/soak/soak_environment.py
@@ -12,6 +12,8 @@
 
 from lentilhaven.bench.soak.gateway_process import GatewayProcess, running_gateway
 from lentilhaven.bench.soak.loopback_proxy import LoopbackProxy, open_proxy
+from lentilhaven.bench.soak.soak_callers import SoakCallers
+from lentilhaven.bench.soak.soak_soundness import Soundness
 from lentilhaven.bench.soak.soak_tables import (
     soak_manifest,
     soak_replicas,
@@ -54,6 +56,12 @@
         Version of the newest manifest.
     last_fault_end : float
         Time of the event loop at which the last fault ended, in seconds.
+    soundness : Soundness
+        Times at which replicas were harmed.
+    callers : SoakCallers
+        Callers of the gateways.
+    peak_memory : dict
+        Largest resident memory of each gateway, in bytes, by name of its VM.
     """
 
     random: Random
@@ -65,6 +73,9 @@
     replica_proxies: dict[str, LoopbackProxy] = attrs.field(factory=dict)
     version: int = 1
     last_fault_end: float = 0.0
+    soundness: Soundness = attrs.field(factory=Soundness)
+    callers: SoakCallers = attrs.field(factory=lambda: SoakCallers(Random(0), []))
+    peak_memory: dict[str, int] = attrs.field(factory=dict)
 
     def edit_manifest(self) -> None:
         """Write the next manifest, which adds a route for its version."""
@@ -118,6 +129,8 @@
         for number in range(gateways):
             await open_gateway(stack, environment, number, block, folder)
         await asyncio.gather(*(it.wait_until_ready() for it in environment.gateways))
+        addresses = [it.decoded_settings.callers for it in environment.gateways]
+        environment.callers = SoakCallers(environment.random, addresses)
         yield environment
 
 
--- a/lentilhaven/bench/soak/soak_faults.py
+++ b/lentilhaven/bench/soak/soak_faults.py
@@ -6,11 +6,17 @@
 from functools import partial
 from typing import Any
 
-import attrs
-
 from lentilhaven.bench.soak.loopback_proxy import LinkFault
 from lentilhaven.bench.soak.soak_environment import SoakEnvironment
-from lentilhaven.standins.platform.fake_replica import FakeReplica, ReplicaFaults
+from lentilhaven.bench.soak.soak_replica_faults import (
+    announce_leaving,
+    crash_engines,
+    harm_replica,
+    harm_replica_link,
+    reset_replica_link,
+    restart_replica,
+    silence_replicas,
+)
 from lentilhaven.standins.platform.fake_store import StoreState
 from lentilhaven.standins.platform.sample_files import set_retry_slack
 
@@ -25,30 +31,6 @@
 #: Maximum time after a restore at which an object is written again, in seconds.
 MAX_REWRITE_TIME = 1.5
 
-#: Faults of a replica of a plain service, with their weights.  A lost response has the
-#: largest weight because it tests the handling of retries most.
-PLAIN_REPLICA_FAULTS = (
-    (ReplicaFaults(lose_answer=True), 4),
-    (ReplicaFaults(dark=True), 1),
-    (ReplicaFaults(shed=True), 1),
-    (ReplicaFaults(shed=True, pause="1"), 1),
-    (ReplicaFaults(truncate=True), 1),
-    (ReplicaFaults(extra=True), 1),
-    (ReplicaFaults(unframed=True), 1),
-    (ReplicaFaults(early=True), 1),
-    (ReplicaFaults(fail=True), 1),
-    (ReplicaFaults(delay=0.3), 1),
-)
-
-#: Faults of an engine, with their weights.
-ENGINE_FAULTS = (
-    (ReplicaFaults(dark=True), 2),
-    (ReplicaFaults(shed=True), 1),
-    (ReplicaFaults(shed=True, pause="0.5"), 1),
-    (ReplicaFaults(stop_after=3), 2),
-    (ReplicaFaults(delay=0.3), 1),
-)
-
 
 async def pause_gateway(environment: SoakEnvironment, seconds: float) -> None:
     """Suspend a gateway by SIGSTOP and resume it later."""
@@ -101,22 +83,9 @@
     proxy.reset()
 
 
-async def harm_replica_link(environment: SoakEnvironment, seconds: float) -> None:
-    """Inject a fault into the connections to one replica."""
-    proxy = environment.random.choice([*environment.replica_proxies.values()])
-    proxy.set_fault(
-        environment.random.choice([it for it in LinkFault if it is not LinkFault.NONE])
-    )
-    await asyncio.sleep(seconds)
-    proxy.set_fault(LinkFault.NONE)
-    if environment.random.random() < 0.5:
-        proxy.reset()
-
-
-async def reset_links(environment: SoakEnvironment, seconds: float) -> None:
-    """Reset all connections to one replica, or of one gateway to the store."""
-    proxies = [*environment.store_proxies, *environment.replica_proxies.values()]
-    environment.random.choice(proxies).reset()
+async def reset_store_link(environment: SoakEnvironment, seconds: float) -> None:
+    """Reset all connections of one gateway to the store."""
+    environment.random.choice(environment.store_proxies).reset()
 
 
 async def harm_store(environment: SoakEnvironment, seconds: float) -> None:
@@ -177,54 +146,11 @@
     write()
 
 
-async def announce_leaving(environment: SoakEnvironment, seconds: float) -> None:
-    """Let a replica say in its answers that it leaves, and restart it later."""
-    replica = pick_replica(environment)
-    replica.announces_leaving = True
-    await asyncio.sleep(seconds)
-    replica.restart()
-    environment.fleet.register(replica)
-
-
-async def harm_replica(environment: SoakEnvironment, seconds: float) -> None:
-    """Inject a fault into a replica for some time."""
-    replica = pick_replica(environment)
-    faults = ENGINE_FAULTS if replica.card else PLAIN_REPLICA_FAULTS
-    weights = [weight for _, weight in faults]
-    drawn = environment.random.choices([fault for fault, _ in faults], weights)[0]
-    # One fault at a time: a response that is truncated and has no declared length
-    # looks complete.
-    replica.faults = attrs.evolve(drawn)
-    await asyncio.sleep(seconds)
-    replica.faults = ReplicaFaults()
-
-
-async def restart_replica(environment: SoakEnvironment, seconds: float) -> None:
-    """Crash a replica and restart it with the same id."""
-    replica = pick_replica(environment)
-    replica.faults.dark = True
-    environment.replica_proxies[replica.id].reset()
-    await asyncio.sleep(seconds)
-    replica.restart()
-    environment.fleet.register(replica)
-
-
 async def edit_manifest(environment: SoakEnvironment, seconds: float) -> None:
-    """Write one or more new manifests in quick succession."""
-    for _ in range(environment.random.randint(1, 3)):
+    """Write new manifests in quick succession, with other limits and services."""
+    for _ in range(environment.random.randint(1, 8)):
         environment.edit_manifest()
-        await asyncio.sleep(0.2)
-
-
-def pick_replica(environment: SoakEnvironment) -> FakeReplica:
-    """Return a random replica, a plain one or an engine with equal probability."""
-    wants_engine = environment.random.random() < 0.5
-    names = sorted(
-        name
-        for name, it in environment.fleet.replicas.items()
-        if bool(it.card) is wants_engine
-    )
-    return environment.fleet.replicas[environment.random.choice(names)]
+        await asyncio.sleep(environment.random.uniform(0.05, 0.3))
 
 
 #: Faults to draw from; one that is listed several times is drawn more often.
@@ -235,7 +161,8 @@
     reload_gateway,
     harm_store_link,
     harm_replica_link,
-    reset_links,
+    reset_store_link,
+    reset_replica_link,
     harm_store,
     confuse_store,
     harm_replica,
@@ -244,8 +171,12 @@
     harm_replica,
     restart_replica,
     announce_leaving,
+    silence_replicas,
+    silence_replicas,
+    crash_engines,
     restore_store,
     edit_manifest,
+    edit_manifest,
     kill_all,
 )
 
--- a/lentilhaven/bench/soak/soak_tables.py
+++ b/lentilhaven/bench/soak/soak_tables.py
@@ -16,6 +16,11 @@
 #: Number of consecutive manifests that contain the route of a version.
 VERSIONS_PER_ROUTE = 2
 
+#: Idle timeouts of callers' connections, of which each manifest has one, and the
+#: smallest, in seconds.
+IDLE_TIMEOUTS = (30.0, 2.0, 5.0)
+MIN_IDLE_TIMEOUT = min(IDLE_TIMEOUTS)
+
 #: Seconds within which all gateways must use a new manifest, and seconds after which a
 #: leaving replica gets no more requests, as set in the settings files.
 CONFIG_APPLY, DRAIN_TIMEOUT = 2.0, 2.0
@@ -25,6 +30,8 @@
     """
     Return a manifest with a route of each kind and a route for each recent version.
 
+    The services, their limits and the limits of callers differ between versions.
+
     The route of a version is added by its own manifest and dropped after
     `VERSIONS_PER_ROUTE` manifests, so that the soak test can check that gateways add
     and remove routes.
@@ -42,9 +49,18 @@
         ],
         "services": [
             {"name": "gen", "engine": soak_engine(), "max_connections": 200},
-            {"name": "stock", "health_path": "/healthz", "max_connections": 200},
+            {
+                "name": "stock",
+                "health_path": "/healthz",
+                "max_connections": 200 - 10 * (version % 3),
+            },
+            # A service without replicas that only some versions have.
+            *[{"name": "spare", "max_connections": 10}] * (version % 2),
         ],
-        "limits": {"max_body_bytes": 1_000_000, "idle_timeout_ms": 30_000},
+        "limits": {
+            "max_body_bytes": 1_000_000 - 1000 * (version % 4),
+            "idle_timeout_ms": int(IDLE_TIMEOUTS[version % len(IDLE_TIMEOUTS)] * 1000),
+        },
         "tenants": [
             {"name": name, "api_keys": [key]} for name, key in sorted(API_KEYS.items())
         ],
--- a/lentilhaven/bench/soak/tests/test_soak_checks.py
+++ b/lentilhaven/bench/soak/tests/test_soak_checks.py
@@ -7,13 +7,16 @@
     check_attempts,
     check_fault_free,
 )
+from lentilhaven.bench.soak.soak_crashes import check_crashing_part
 from lentilhaven.bench.soak.soak_environment import SoakEnvironment
+from lentilhaven.bench.soak.soak_lost import check_lost
+from lentilhaven.bench.soak.soak_memory import check_memory
 from lentilhaven.standins.platform import FakeFleet, FakeReplica, FakeStore
 from lentilhaven.standins.platform.fake_replica import Run
 
 
-class CheckTests(unittest.TestCase):
-    """Every violated guarantee must be found."""
+class CheckTestCase(unittest.TestCase):
+    """Environment of a check: one replica and no gateway."""
 
     def setUp(self):
         self.replica = FakeReplica("i-1", "stock", "127.0.0.1")
@@ -34,7 +37,12 @@
             "complete": True,
             "ended": 2.0,
         }
-        return Attempt("r1", kind, "/post/1", "depot", 0, 1.0, **(values | fields))
+        values |= {"began": 1.0} | fields
+        return Attempt("r1", kind, "/post/1", "depot", 0, **values)
+
+
+class CheckTests(CheckTestCase):
+    """Every violated guarantee must be found."""
 
     def find_violations(self, attempt):
         findings = Findings()
@@ -82,6 +90,12 @@
             self.find_violations(self.make_attempt()), ["workspace", "key passed on"]
         )
 
+    def test_changed_prompt(self):
+        self.add_run("r1", "/post/1", **{"prompt-prefix": "a:1"})
+        self.assertEqual(
+            self.find_violations(self.make_attempt(prompt="a:2")), ["prompt"]
+        )
+
     def test_stream_that_skips_an_event(self):
         self.add_run("r1", "/post/1")
         body = b"id: 1\ndata: word-1\n\nid: 3\ndata: word-3\n\n"
@@ -99,3 +113,108 @@
         cut = self.make_attempt(status=0, complete=False)
         check_fault_free(self.environment, [cut], findings)
         self.assertEqual(len(findings.texts), 1)
+
+
+class GatewayStub:
+    """A gateway's record of its signals, and its settings."""
+
+    def __init__(self):
+        self.name = "front-1"
+        self.kill_times, self.stop_times = [], []
+        self.settings = {"limits": {"memory_mb": 128}}
+
+
+class LostRequestTests(CheckTestCase):
+    """A request that ends without a response must be found unless it is excepted."""
+
+    def setUp(self):
+        super().setUp()
+        self.gateway = GatewayStub()
+        self.environment.gateways.append(self.gateway)
+
+    def find_lost(self, **fields):
+        attempt = self.make_attempt(
+            **{"status": 0, "complete": False, "closed": True} | fields
+        )
+        findings = Findings()
+        check_lost(self.environment, [attempt], findings)
+        return len(findings.texts)
+
+    def harm(self, begin, end, replica_id="i-1"):
+        self.environment.soundness.spans.append([replica_id, begin, end])
+
+    def test_request_that_a_sound_replica_ran(self):
+        self.add_run("r1", "/post/1")
+        self.assertEqual(self.find_lost(), 1)
+        self.assertEqual(self.find_lost(status=200), 1)
+
+    def test_request_that_no_replica_received(self):
+        self.assertEqual(self.find_lost(), 1)
+
+    def test_request_that_a_harmed_replica_ran(self):
+        self.add_run("r1", "/post/1")
+        self.harm(0.0, 1.5)
+        self.assertEqual(self.find_lost(), 0)
+
+    def test_fault_at_another_time_or_replica_excepts_nothing(self):
+        self.add_run("r1", "/post/1")
+        self.harm(0.0, 0.5)
+        self.harm(2.5, 3.0)
+        self.harm(0.0, 3.0, "i-2")
+        self.assertEqual(self.find_lost(), 1)
+
+    def test_stream_whose_later_part_crashed(self):
+        path = "127.0.0.1:8000=0-4,127.0.0.2:8000=4-8"
+        self.add_run("r1", "/draft/1", **{"hop-count": path})
+        later = FakeReplica("i-2", "gen", "127.0.0.2")
+        self.environment.fleet.replicas["i-2"] = later
+        self.assertEqual(self.find_lost(kind="draft", events=9), 1)
+        later.crashes.append(1.5)
+        self.assertEqual(self.find_lost(kind="draft", events=9), 0)
+
+    def test_killed_gateway(self):
+        self.add_run("r1", "/post/1")
+        self.gateway.kill_times.append(3.0)
+        self.assertEqual(self.find_lost(), 1)
+        self.gateway.kill_times.append(1.5)
+        self.assertEqual(self.find_lost(), 0)
+
+    def test_terminated_gateway_may_close_only_before_the_run(self):
+        self.gateway.stop_times.append(0.5)
+        self.assertEqual(self.find_lost(), 0)
+        self.add_run("r1", "/post/1")
+        self.assertEqual(self.find_lost(), 1)
+
+    def test_memory_over_the_limit(self):
+        for peak, count in ((127, 0), (129, 1)):
+            self.environment.peak_memory["front-1"] = peak * 1_000_000
+            findings = Findings()
+            check_memory(self.environment, findings)
+            self.assertEqual(len(findings.texts), count)
+
+
+class CrashingPartTests(CheckTestCase):
+    """A part that goes on crashing engines, or its neighbours' loss, must be found."""
+
+    def find(self, arrivals, served):
+        """Return the violations after ten streams before and after the crashes."""
+        self.environment.callers.attempts = [
+            self.make_attempt(
+                "draft", events=3, prompt="a:1,b:2", status=status, began=began
+            )
+            for began, count in ((1.0, 10), (11.0, served))
+            for status in [200] * count + [503] * (10 - count)
+        ]
+        self.environment.fleet.crashing_arrivals = arrivals
+        findings = Findings()
+        check_crashing_part(self.environment, (0.0, 5.0), (10.0, 15.0), findings)
+        return [text.partition(":")[0] for text in findings.texts]
+
+    def test_contained_part(self):
+        self.assertEqual(self.find([1.0, 2.0, 3.0, 11.0, 12.0, 13.0], 5), [])
+
+    def test_part_that_still_reaches_engines(self):
+        self.assertEqual(self.find([10.0, 11.0, 12.0, 13.0], 10), ["crashing part"])
+
+    def test_sound_requests_that_are_no_longer_served(self):
+        self.assertEqual(self.find([], 4), ["sound requests beside a crashing part"])
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -66,6 +66,8 @@
     crashing_part : str
         Id of a part of prompts; an engine that begins to write an answer on a prompt
         with it crashes.  Empty for none.
+    crashing_arrivals : list of float
+        Event loop times at which requests with this part arrived, in seconds.
     crash_time : float
         Seconds of the event loop after which a crashed replica is back.
     keeps_layers : bool
@@ -83,6 +85,7 @@
     refused: int = 0
     invalid_paths: list[str] = attrs.field(factory=list)
     crashing_part: str = ""
+    crashing_arrivals: list[float] = attrs.field(factory=list)
     crash_time: float = 2.0
     keeps_layers: bool = False
     servers: dict[str, asyncio.Server] = attrs.field(factory=dict)
@@ -191,6 +194,8 @@
         if request.target == "/order":
             return await self.handle_order(replica, request, writer)
         replica.arrivals.append(asyncio.get_running_loop().time())
+        if self.has_crashing_part(request):
+            self.crashing_arrivals.append(replica.arrivals[-1])
         return await self.serve_work(replica, request, reader, writer)
 
     async def serve_work(
