Wait for the end of a silence once for each prolongation

The wait called itself while some of the silence was left. In virtual time the rest can be smaller than the clock's resolution, and the calls exceeded the limit of the interpreter: seen when random faults with silences ran in memory.

--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -482,11 +483,12 @@
 
 async def wait_while_silent(replica: FakeReplica) -> None:
     """Wait until a replica is no longer silent."""
-    left = replica.faults.silent_until - asyncio.get_running_loop().time()
-    if left > 0.0:
-        await asyncio.sleep(left)
-        # The silence may have been prolonged.
-        await wait_while_silent(replica)
+    loop = asyncio.get_running_loop()
+    until = -math.inf
+    # The silence may be prolonged meanwhile.
+    while replica.faults.silent_until > until:
+        until = replica.faults.silent_until
+        await asyncio.sleep(max(0.0, until - loop.time()))
 
 
 async def send_endlessly(
