--- a/lentilhaven/gateway/tests/test_random_faults.py
+++ b/lentilhaven/gateway/tests/test_random_faults.py
@@ -70,20 +70,45 @@
             bed.store.put("config", "main", sample_manifest(bed.store.revision + 10))
         else:
             replica = self.random.choice(list(bed.fleet.replicas.values()))
-            faults = ("dark", "shed", "lose_answer", "truncate", "extra", "unframed")
-            setattr(replica.faults, self.random.choice((*faults, "fail")), True)
-            if self.random.random() < 0.3:
-                replica.faults.stop_after = 3
+            self.harm(replica)
             await asyncio.sleep(duration)
             replica.faults = ReplicaFaults()
 
+    def harm(self, replica):
+        """Give a replica one random fault, and perhaps let its streams break off."""
+        faults = ("dark", "shed", "lose_answer", "truncate", "extra", "unframed")
+        setattr(replica.faults, self.random.choice((*faults, "fail")), True)
+        if self.random.random() < 0.3:
+            replica.faults.stop_after = 3
+
+
+class NewFaultsRun(RandomRun):
+    """A run with silence, broken-off or unframed streams, and answers without end."""
+
+    def harm(self, replica):
+        """Give a replica one of these faults."""
+        kind = self.random.choice(("silence", "unframed", "inside", "both", "endless"))
+        faults = replica.faults
+        if kind == "silence":
+            now = asyncio.get_running_loop().time()
+            faults.silent_until = now + self.random.uniform(0.2, 1.5)
+        if kind in ("unframed", "both"):
+            faults.unframed = True
+        if kind in ("inside", "both"):
+            faults.stop_after = self.random.randint(1, EVENTS - 1)
+            faults.ends_inside = self.random.random() < 0.5
+        if kind == "endless":
+            faults.endless = self.random.choice(("head", "body", "event"))
+
 
 class GuaranteeTests(unittest.TestCase):
+    run_class = RandomRun
+
     def run_seed(self, seed):
         """Return the simulated fleet and the replies of one run."""
         VIOLATIONS.clear()
         replicas = two_chains() + plain_replicas(3)
-        return run_on_testbed(RandomRun(seed).run, replicas, seed=seed + 1)
+        return run_on_testbed(self.run_class(seed).run, replicas, seed=seed + 1)
 
     def test_guarantees_hold_in_random_runs(self):
         for seed in SEEDS:
@@ -124,3 +149,9 @@
         # Each run has at most a few faults at a time, and at least two replicas can
         # serve each request.
         self.assertGreater(served, 0.75 * total)
+
+
+class NewFaultsGuaranteeTests(GuaranteeTests):
+    """The same guarantees must hold beside silence, cut streams and endless answers."""
+
+    run_class = NewFaultsRun
