Wait for a silent stage that nothing can replace

Cause: a probe told a stage that had accepted the connection and was silent like one that refused or broke it. Either was struck from the chain at once. Without another chain an answer without tokens ended with no-pipeline, and one with tokens went to the same stage again until `max_attempts` was used up, both within a second.

What callers saw: beside an engine that is silent for 1 s and goes on, 503 no-pipeline (ran unknown) before the first token, 502 attempts-exhausted (ran yes) after it.

Now a probe says whether the stage is silent, not reached or lost. An attempt whose stage is silent isn't counted. A lost stage is still given up at once.

Not covered: a host that neither accepts nor refuses connections (the test bed has none).

--- a/lentilhaven/endpoints/engine_client.py
+++ b/lentilhaven/endpoints/engine_client.py
@@ -54,6 +54,11 @@
 MAX_ANSWER_BYTES = 65_536
 MAX_ORDER_BYTES = 16_000_000
 
+#: Kinds of failure of a probe: a stage that has accepted the connection and does not
+#: respond, and a host that neither accepts nor refuses a connection.
+SILENT_KIND = "engine-silent"
+UNREACHED_KIND = "engine-unreached"
+
 #: Exceptions of a request that gets no usable response.
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
@@ -158,7 +163,7 @@
 
     async def probe(
         self, stage: Stage, request: RequestId, timeout: float = PROBE_TIMEOUT
-    ) -> StageProgress | None:
+    ) -> Result[StageProgress, Failure]:
         """
         Read the progress of a stage, over a new connection.
 
@@ -173,9 +178,12 @@
 
         Returns
         -------
-        StageProgress or None
-            None if the stage does not respond, or responds with invalid data.  A
-            status other than 200 counts as a stage that does not know the request.
+        Result
+            The progress; a status other than 200 counts as a stage that does not know
+            the request.  Otherwise a failure of kind `SILENT_KIND` if the stage has
+            accepted the connection but does not respond, `UNREACHED_KIND` if the
+            connection is neither accepted nor refused, and ``engine-lost`` if it is
+            refused or lost or the response is invalid.
         """
         limit = aiohttp.ClientTimeout(total=timeout)
         url = f"{stage.url}/streams/{request}/progress"
@@ -183,12 +191,11 @@
         try:
             async with session.get(url, timeout=limit) as response:
                 if response.status != 200:
-                    return StageProgress(known=False)
-                return CONVERTER.structure(
-                    await read_answer_json(response, MAX_ANSWER_BYTES), StageProgress
-                )
-        except Exception:  # Structuring hooks raise various types.
-            return None
+                    return Ok(StageProgress(known=False))
+                body = await read_answer_json(response, MAX_ANSWER_BYTES)
+                return Ok(CONVERTER.structure(body, StageProgress))
+        except Exception as error:  # Structuring hooks raise various types.
+            return Error(probe_failure(stage, error))
 
     async def cancel(
         self,
@@ -313,3 +320,22 @@
     ran = Ran.NO if refused else Ran.UNKNOWN
     detail = f"{type(error).__name__}: {error}"
     return FailureError(Failure(step, stage.endpoint, "engine-lost", detail, ran))
+
+
+def probe_failure(stage: Stage, error: BaseException) -> Failure:
+    """
+    Return the failure of a probe.
+
+    Parameters
+    ----------
+    stage : Stage
+        Engine that was probed.
+    error : BaseException
+        Exception of the HTTP client, or of the decoding of the response.
+    """
+    failure = engine_lost_error(Step.CONNECT, stage, error).failure
+    if isinstance(error, aiohttp.ConnectionTimeoutError):
+        return attrs.evolve(failure, kind=UNREACHED_KIND)
+    if isinstance(error, TimeoutError):
+        return attrs.evolve(failure, kind=SILENT_KIND)
+    return failure
--- a/lentilhaven/router/answer.py
+++ b/lentilhaven/router/answer.py
@@ -48,7 +48,8 @@
     latency_reporter : TokenLatencyReporter or None
         Reports token latencies to admission control; None for a resumed answer.
     consecutive_failures : int
-        Failed attempts since the newest token.
+        Failed attempts since the newest token, except those that failed since a
+        stage was silent.
     attempt_step : int
         Increment of the attempt number for the next attempt; large and random for
         a resumed answer (see `lentilhaven.router.resuming`).
@@ -62,6 +63,9 @@
     probe_results : dict
         Progress that each stage reported when the stages were last probed because
         the stream was silent, by endpoint; None for a stage that did not respond.
+    silent : set of str
+        Endpoints that gave no sign when the stages were last probed: neither a
+        response nor a refused or broken connection.
     """
 
     request: RequestId
@@ -81,6 +85,7 @@
     ended_by: Failure | None = None
     forward_from: int = 0
     probe_results: ProbeResults = attrs.field(factory=dict)
+    silent: set[EndpointId] = attrs.field(factory=set)
 
     @property
     def ran(self) -> Ran:
--- a/lentilhaven/router/chain_choice.py
+++ b/lentilhaven/router/chain_choice.py
@@ -35,6 +35,29 @@
     return reserve_path(state, answer, path, path_request)
 
 
+def choose_other_chain(
+    router: Router, answer: Answer, avoided: set[EndpointId]
+) -> list[Stage] | None:
+    """
+    Return a pipeline without some endpoints for an answer whose demand is counted.
+
+    Parameters
+    ----------
+    router : Router
+        Provides endpoints and their load.
+    answer : Answer
+        The answer.
+    avoided : set of str
+        Endpoints that are not used; they replace the answer's excluded endpoints.
+    """
+    answer.excluded = set(avoided)
+    state = get_path_state(router, answer)
+    plan = current_plan(router, answer, state)
+    path_request = make_path_request(answer)
+    path = state.chooser.choose(plan, path_request, router.rng)
+    return reserve_path(state, answer, path, path_request)
+
+
 def repair_chain(
     router: Router, answer: Answer, lost: set[EndpointId]
 ) -> list[Stage] | None:
--- a/lentilhaven/router/generation.py
+++ b/lentilhaven/router/generation.py
@@ -19,13 +19,10 @@
 from lentilhaven.router.answer import Answer
 from lentilhaven.router.chain_choice import choose_chain
 from lentilhaven.router.decisions import record_attempt
-from lentilhaven.router.recovery import (
-    deadline_failure,
-    no_pipeline_failure,
-    plan_next_attempt,
-)
+from lentilhaven.router.recovery import no_pipeline_failure, plan_next_attempt
 from lentilhaven.router.router import Router
 from lentilhaven.router.silence_diagnosis import diagnose_silence
+from lentilhaven.router.silence_wait import deadline_failure
 from lentilhaven.router.silence_watch import SilenceDetector
 
 #: Maximum number of times in a row, without a new token in between, that the stream
@@ -127,9 +124,7 @@
     order = answer.begin_attempt(router.clock.monotonic())
     record_attempt(router, answer)
     # After a failure, a pooled connection may look open but no longer carry data.
-    return router.engines.start_stream(
-        order, new_connection=answer.consecutive_failures > 0
-    )
+    return router.engines.start_stream(order, new_connection=order.attempt > 1)
 
 
 def resume_attempt(
--- a/lentilhaven/router/recovery.py
+++ b/lentilhaven/router/recovery.py
@@ -13,6 +13,7 @@
 from lentilhaven.router.chain_choice import choose_chain, repair_chain
 from lentilhaven.router.router import Router
 from lentilhaven.router.silence_diagnosis import probe_stages
+from lentilhaven.router.silence_wait import check_deadline, wait_for_silent_stages
 
 #: Kinds of failure after which the same chain is used again, on new connections.
 SAME_CHAIN_KINDS = frozenset({"order-lost", "stream-stuck", "read-again"})
@@ -32,7 +33,9 @@
     """
     Wait before the retry, and return the chain of the next attempt.
 
-    Failed and unresponsive endpoints are recorded in their circuit breakers.
+    Failed and unresponsive endpoints are recorded in their circuit breakers.  Stages
+    that are silent, which sound ones may be, are waited for if nothing can replace
+    them.
 
     Parameters
     ----------
@@ -63,16 +66,22 @@
         # Another router runs the answer, so the request has been executed.
         raise FailureError(attrs.evolve(failure, ran=Ran.YES))
     answer.maybe_ran |= failure.ran is not Ran.NO
-    count_failure(router, answer, failure)
+    check_deadline(router, answer)
     probe_results = await probe_chain(router, answer, failure)
     lost = find_lost_stages(answer, failure, probe_results)
+    if failure.peer not in answer.silent:
+        count_failure(answer, failure)
     record_probe_outcomes(router, failure, probe_results)
     spend_retry_budget(router, answer, failure, probe_results)
     await wait_before_retry(router, answer)
     router.counters["attempts_replaced"] += 1
     if not lost:
         return [attrs.evolve(stage, import_from="") for stage in answer.chain]
-    chain = repair_chain(router, answer, lost) or choose_fallback_chain(router, answer)
+    chain = repair_chain(router, answer, lost)
+    if chain is None and lost <= answer.silent:
+        chain = await wait_for_silent_stages(router, answer)
+    elif chain is None:
+        chain = choose_fallback_chain(router, answer)
     if chain is None:
         raise FailureError(no_pipeline_failure(answer))
     return set_cache_imports(answer.chain, chain, probe_results)
@@ -87,6 +96,7 @@
     probe are returned.
     """
     if failure.kind in SAME_CHAIN_KINDS:
+        answer.silent = set()
         return {}
     if failure.kind in PROBED_KINDS:
         return answer.probe_results
@@ -141,12 +151,9 @@
     await router.clock.sleep(max(0.0, min(delay, remaining)))
 
 
-def count_failure(router: Router, answer: Answer, failure: Failure) -> None:
-    """Count a failed attempt; raise `FailureError` if no time or attempt is left."""
-    now = router.clock.monotonic()
+def count_failure(answer: Answer, failure: Failure) -> None:
+    """Count a failed attempt; raise `FailureError` if no attempt is left."""
     position = len(answer.ledger.tokens)
-    if now >= answer.deadline:
-        raise FailureError(deadline_failure(answer))
     answer.consecutive_failures += 1
     if answer.consecutive_failures >= answer.route.retry.max_attempts:
         detail = (
@@ -167,7 +174,7 @@
     Two kinds of retry do not use the budget: the replacement of an unresponsive
     stage, since the load on that stage has ended too, and any retry in the middle of
     an answer, since the work done so far would otherwise be lost.  `count_failure`
-    bounds both.
+    and the deadline bound both.
     """
     if answer.ledger.tokens or None in probe_results.values():
         return
@@ -182,13 +189,6 @@
     return Failure(Step.STREAM, cause.peer, kind, detail, answer.ran, retry_after=1.0)
 
 
-def deadline_failure(answer: Answer) -> Failure:
-    """Return the failure of an answer whose deadline has passed."""
-    position = len(answer.ledger.tokens)
-    detail = f"the deadline passed at position {position}"
-    return Failure(Step.STREAM, "", "deadline", detail, answer.ran, retry_after=1.0)
-
-
 def choose_fallback_chain(router: Router, answer: Answer) -> list[Stage] | None:
     """
     Clear the answer's excluded endpoints, and return a chain or None.
--- a/lentilhaven/router/resuming.py
+++ b/lentilhaven/router/resuming.py
@@ -167,7 +167,8 @@
     """Return the chain of the newest attempt that any stage knows; empty if none."""
     request = RequestId(point.request)
     probes = [router.engines.probe(stage, request) for stage in stages]
-    found = [it for it in await asyncio.gather(*probes) if it is not None and it.known]
+    results = await asyncio.gather(*probes)
+    found = [it.ok for it in results if it.is_ok() and it.ok.known]
     if not found:
         return []
     return max(found, key=lambda progress: progress.attempt).chain
--- a/lentilhaven/router/silence_diagnosis.py
+++ b/lentilhaven/router/silence_diagnosis.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
+from expression import Result
+
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.ids import EndpointId
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
+from lentilhaven.endpoints.engine_client import SILENT_KIND, UNREACHED_KIND
 from lentilhaven.endpoints.stage import Stage
+from lentilhaven.endpoints.stage_progress import StageProgress
 from lentilhaven.router.answer import Answer, ProbeResults
 from lentilhaven.router.router import Router
 from lentilhaven.router.silence_watch import SilenceDetector
@@ -17,6 +21,9 @@
 #: Number of intervals into which the wait for a probe is divided.
 WAIT_STEPS = 5
 
+#: Kinds of failure of a probe of a stage that may be sound.
+SILENT_KINDS = frozenset({SILENT_KIND, UNREACHED_KIND})
+
 #: Multiple of the probe timeout after which a probe fails even if this process has
 #: stalled.
 STALL_FACTOR = 20.0
@@ -30,7 +37,8 @@
 
     Time during which this process stalled does not count towards the timeout:
     responses that arrived during a stall are still unread, and must not be mistaken
-    for silence.
+    for silence.  The stages that are silent, but not known to be lost, are stored in
+    `answer.silent`.
 
     Parameters
     ----------
@@ -56,7 +64,11 @@
     try:
         await wait_excluding_stalls(router, probes, timeout)
         names = [stage.endpoint for stage in stages]
-        found = [task.result() if task.done() else None for task in probes]
+        results = [task.result() if task.done() else None for task in probes]
+        answer.silent = {
+            name for name, it in zip(names, results, strict=True) if is_silent(it)
+        }
+        found = [it.default_value(None) if it is not None else None for it in results]
         return dict(zip(names, found, strict=True))
     finally:
         for task in probes:
@@ -64,6 +76,20 @@
         await asyncio.gather(*probes, return_exceptions=True)
 
 
+def is_silent(result: Result[StageProgress, Failure] | None) -> bool:
+    """
+    Return whether a stage may be sound although it has not responded to a probe.
+
+    Parameters
+    ----------
+    result : Result or None
+        Result of the probe; None if there is none yet.
+    """
+    if result is None:
+        return True
+    return result.is_error() and result.error.kind in SILENT_KINDS
+
+
 async def wait_excluding_stalls(
     router: Router, tasks: list[asyncio.Task], timeout: float
 ) -> None:
--- a/lentilhaven/router/tests/test_silent_engine.py
+++ b/lentilhaven/router/tests/test_silent_engine.py
@@ -17,27 +17,29 @@
 SILENCE = 1.0
 
 
-async def answer_during_silence(position, replicas):
+async def answer_during_silence(position, replicas, index=1):
     """
-    Return an answer, and whether it is correct, of which one engine falls silent.
+    Return an answer, and whether it is correct, of which one stage falls silent.
 
-    The engine is silent from the token at `position` on, or before the request if that
-    is 0.
+    All replicas of the stage are silent from the token at `position` on, or before the
+    request if that is 0.
     """
     async with open_testbed(TestbedPlan(replica_count=replicas)) as testbed:
         trial = draw_trial(testbed, derive_random(1, "trial"), silent=False)
 
-        def fall_silent(name):
-            fail_engine(testbed, name, silent=True)
-            running = testbed.engines[name].faults.running
-            asyncio.get_running_loop().call_later(SILENCE, running.set)
+        def fall_silent():
+            for replica in range(replicas):
+                name = f"engine-{replica + 1}{'abc'[index]}"
+                fail_engine(testbed, name, silent=True)
+                running = testbed.engines[name].faults.running
+                asyncio.get_running_loop().call_later(SILENCE, running.set)
 
         async def on_token(answer):
             if position and len(answer.tokens) == position:
-                fall_silent(chain_in_use(testbed)[1])
+                fall_silent()
 
         if not position:
-            fall_silent("engine-1b")
+            fall_silent()
         answer = await request_completion(
             testbed.session,
             testbed.vms[0].url,
@@ -55,8 +57,8 @@
     The attempt was given up before another one could begin, long before the deadline.
     """
 
-    def check(self, position, replicas=1):
-        answer, correct = run_virtual(answer_during_silence(position, replicas))
+    def check(self, position, replicas=1, index=1):
+        answer, correct = run_virtual(answer_during_silence(position, replicas, index))
         self.assertIsNone(answer.error)
         self.assertTrue(correct and answer.done)
 
@@ -66,6 +68,73 @@
     def test_answer_begins_after_the_silence(self):
         self.check(position=0)
 
+    def test_the_head_may_be_silent(self):
+        for position in (0, 5):
+            with self.subTest(position):
+                self.check(position, index=0)
+
+    def test_all_replicas_may_be_silent_at_once(self):
+        for position in (0, 5):
+            with self.subTest(position):
+                self.check(position, replicas=2)
+
+
+async def answer_of_a_lost_stage(position, end):
+    """
+    Return an answer whose middle stage is silent for ever, and its duration in seconds.
+
+    `end(engine)` is called with the engine 0.5 s after it has fallen silent.
+    """
+    async with open_testbed(TestbedPlan(replica_count=1)) as testbed:
+        trial = draw_trial(testbed, derive_random(1, "trial"), silent=False)
+        engine = testbed.engines["engine-1b"]
+
+        def fall_silent():
+            fail_engine(testbed, "engine-1b", silent=True)
+            asyncio.get_running_loop().call_later(0.5, end, engine)
+
+        async def on_token(answer):
+            if position and len(answer.tokens) == position:
+                fall_silent()
+
+        if not position:
+            fall_silent()
+        began = testbed.clock.monotonic()
+        answer = await request_completion(
+            testbed.session,
+            testbed.vms[0].url,
+            testbed.headers,
+            completion_body(testbed, trial),
+            on_token=on_token,
+        )
+        deadline = testbed.vms[0].router.view.tables.routes[0].deadline
+        return answer, testbed.clock.monotonic() - began, deadline
+
+
+class LostEngineTests(unittest.TestCase):
+    """Guard against waiting for an engine that is lost, or beyond the deadline."""
+
+    def test_a_stage_that_breaks_connections_is_given_up(self):
+        def end(engine):
+            engine.kill()
+            engine.faults.running.set()
+
+        for position in (0, 5):
+            with self.subTest(position):
+                found = answer_of_a_lost_stage(position, end)
+                answer, seconds, _ = run_virtual(found)
+                self.assertIsNotNone(answer.error)
+                self.assertLess(seconds, 2.0)
+
+    def test_the_wait_ends_at_the_deadline(self):
+        for position in (0, 5):
+            with self.subTest(position):
+                found = answer_of_a_lost_stage(position, lambda engine: None)
+                answer, seconds, deadline = run_virtual(found)
+                kind = answer.error["type"].rpartition(":")[2]
+                self.assertEqual((kind, answer.error["status"]), ("deadline", 504))
+                self.assertAlmostEqual(seconds, deadline, delta=0.5)
+
 
 class ResumeTests(unittest.TestCase):
     """Guard against an answer that is lost since its head was silent at its resume."""
