Answer 502, not 503, to a request that may have run

Cause: the status of a problem depended on its kind alone, so that no-pipeline, retry-budget and leaving were 503 also after an attempt that may have run.

What callers saw: 503 with "ran": "unknown"; a caller that repeats any 503 runs the request twice.

--- a/lentilhaven/router/tests/test_ran.py
+++ b/lentilhaven/router/tests/test_ran.py
@@ -2,6 +2,15 @@
 
 import attrs
 
+from lentilhaven.core.failure import Failure
+from lentilhaven.core.ran import Ran
+from lentilhaven.core.step import Step
+from lentilhaven.serving.problems import (
+    STATUS_BY_KIND,
+    problem_bytes,
+    problem_document,
+    problem_response,
+)
 from lentilhaven.standins.virtual import run_virtual
 from lentilhaven.testbed import TestbedPlan, open_testbed
 from lentilhaven.testbed.caller import request_completion
@@ -70,6 +79,24 @@
                 self.assertLess(elapsed, 1.0)
 
 
+class StatusTests(unittest.TestCase):
+    """Guard against a 503, which promises that nothing ran, after a possible run."""
+
+    def test_no_pipeline_after_a_possible_run_is_a_502(self):
+        answer, _, _ = run_virtual(ask_with_fault(kill_all))
+        kind = answer.error["type"].rpartition(":")[2]
+        self.assertEqual((kind, answer.error["status"]), ("no-pipeline", 502))
+
+    def test_every_kind_of_refusal_becomes_a_502_after_a_possible_run(self):
+        for kind in STATUS_BY_KIND:
+            for ran in (Ran.YES, Ran.UNKNOWN):
+                with self.subTest(kind, ran=ran):
+                    failure = Failure(Step.STREAM, "", kind, "", ran)
+                    self.assertNotEqual(problem_response(failure).status, 503)
+                    self.assertNotEqual(problem_document(failure)["status"], 503)
+                    self.assertNotIn(b" 503 ", problem_bytes(failure))
+
+
 class BudgetTests(unittest.TestCase):
     def test_retries_of_a_failing_pool_stay_within_the_budget(self):
         async def main():
--- a/lentilhaven/serving/problems.py
+++ b/lentilhaven/serving/problems.py
@@ -18,7 +18,8 @@
 #: Prefix of every problem's type, which is stable.
 TYPE_PREFIX = "urn:lentilhaven:problem:"
 
-#: HTTP status by kind of failure; the status of any other kind is 502.
+#: HTTP status by kind of failure; the status of any other kind is 502, and so is that
+#: of a request that may have run and would get a 503.
 STATUS_BY_KIND = {
     "bad-request": 400,
     "bad-key": 400,
@@ -56,6 +57,25 @@
 }
 
 
+def status_code_of(failure: Failure) -> int:
+    """
+    Return the HTTP status of a failure.
+
+    A 503 guarantees that the request has not run, so that callers may repeat it.
+
+    Examples
+    --------
+    >>> status_code_of(Failure(Step.CHOOSE, "", "no-pipeline", "", Ran.NO))
+    503
+    >>> status_code_of(Failure(Step.CHOOSE, "", "no-pipeline", "", Ran.UNKNOWN))
+    502
+    """
+    status = STATUS_BY_KIND.get(failure.kind, HTTPStatus.BAD_GATEWAY.value)
+    if status == HTTPStatus.SERVICE_UNAVAILABLE and failure.ran is not Ran.NO:
+        return HTTPStatus.BAD_GATEWAY.value
+    return status
+
+
 def problem_document(failure: Failure) -> dict:
     """
     Return the body of a problem response.
@@ -69,7 +89,7 @@
     document = {
         "type": TYPE_PREFIX + failure.kind,
         "title": failure.kind.replace("-", " "),
-        "status": STATUS_BY_KIND.get(failure.kind, 502),
+        "status": status_code_of(failure),
         "detail": failure.detail,
         "step": failure.step.value,
         "ran": failure.ran.value,
@@ -89,7 +109,7 @@
         The failure to report.
     """
     body = json.dumps(problem_document(failure)).encode()
-    status = STATUS_BY_KIND.get(failure.kind, 502)
+    status = status_code_of(failure)
     head = [
         f"HTTP/1.1 {status} {HTTPStatus(status).phrase}",
         "Content-Type: application/problem+json",
@@ -117,7 +137,7 @@
         headers["WWW-Authenticate"] = "Bearer"
     return web.json_response(
         problem_document(failure),
-        status=STATUS_BY_KIND.get(failure.kind, 502),
+        status=status_code_of(failure),
         headers=headers,
         content_type="application/problem+json",
     )
