Stop using an upstream connection at its end, not at its loss

Cause: `eof_received` left `usable` true until `connection_lost`, which asyncio calls later.

What callers saw: a request that took the connection in between failed unsent, which counted as a refusal by a sound replica.

Found by review.

--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -145,6 +145,7 @@
     def eof_received(self) -> None:
         """Complete a response that ends at EOF; the transport then closes itself."""
         self.eof_seen = True
+        self.usable = False
         if self.ends_at_eof and self.exchange is not None and self.matches_request:
             self.complete_exchange()
 
--- a/lentilhaven/upstream/tests/test_connection.py
+++ b/lentilhaven/upstream/tests/test_connection.py
@@ -162,6 +162,20 @@
 
         self.assertEqual(self.count_connections(answer, use)[1], 3)
 
+    def test_does_not_reuse_a_connection_between_its_end_and_its_loss(self):
+        # A request in this gap counted as a refusal by a sound replica.
+        async def use(pool):
+            connection = await pool.acquire(ENDPOINT, "r1", 1.0)
+            pool.release(ENDPOINT, connection)
+            connection.eof_received()
+            other = await pool.acquire(ENDPOINT, "r2", 1.0)
+            return other is connection
+
+        async def script(reader, writer):
+            await reader.read()
+
+        self.assertFalse(run_with_server(script, use))
+
     def test_does_not_reuse_a_connection_with_data_after_the_response(self):
         async def use(pool):
             found = []
