Bound the answers that our own processes read of each other

Cause: agents, routers and the operators' client read each other's answers with aiohttp's json(), which holds a body of any size until the timeout of the call.

What callers saw: nothing yet; a defective or foreign peer behind an address could fill the memory of an agent or a router.

Now each reads at most a named number of bytes: 64,000,000 where all tables or a state dump may come, as from the store, and 1,000,000 for a claim, a settlement or a forwarded message, which hold at most one recorded response. A claim whose answer is too large may stand, as after a timeout.

Found by review.

--- a/lentilhaven/cli/connection.py
+++ b/lentilhaven/cli/connection.py
@@ -14,6 +14,7 @@
 from lentilhaven.cli.common_options import CommonOptions
 from lentilhaven.cli.exit_codes import ExitCode
 from lentilhaven.cli.output import report_failure
+from lentilhaven.core.answer_body import read_answer_json
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.secrets import read_secret
 from lentilhaven.core.step import Step
@@ -21,6 +22,9 @@
 from lentilhaven.objects.object_client import ObjectClient, open_object_client
 from lentilhaven.objects.vm import ListedVm
 
+#: Maximum size of an answer, which may be a whole state dump, in bytes.
+MAX_ANSWER_BYTES = 64_000_000
+
 #: Exceptions raised if a VM can't be reached or its response is not JSON.
 CONNECTION_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
@@ -109,7 +113,7 @@
             async with self.session.request(
                 method, url, json=body, timeout=timeout
             ) as response:
-                document = await response.json(content_type=None)
+                document = await read_answer_json(response, MAX_ANSWER_BYTES)
                 if response.status < 300:
                     return Ok(document)
                 return Error(failure_from_problem(peer, document))
--- a/lentilhaven/idempotency/journal_peers.py
+++ b/lentilhaven/idempotency/journal_peers.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from lentilhaven.control.claim import ClaimAnswer, ClaimRequest, Settlement
+from lentilhaven.core.answer_body import read_answer_json
 from lentilhaven.core.converter import CONVERTER, to_document
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.ids import VmId
@@ -22,6 +23,9 @@
 #: Timeout for opening a connection to another agent, in seconds.
 CONNECT_TIMEOUT = 0.3
 
+#: Maximum size of an answer, which may hold a recorded response, in bytes.
+MAX_ANSWER_BYTES = 1_000_000
+
 #: Errors of a request to another agent; a malformed JSON body raises ValueError.
 TRANSPORT_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
@@ -94,7 +98,7 @@
                 url, json=to_document(message), timeout=limit, headers=headers
             ) as response:
                 response.raise_for_status()
-                body = await response.json()
+                body = await read_answer_json(response, MAX_ANSWER_BYTES)
                 kind: Any = ClaimAnswer if is_claim else SettlementAnswer
                 return Ok(CONVERTER.structure(body, kind))
         except (*TRANSPORT_ERRORS, KeyError, RuntimeError) as error:
--- a/lentilhaven/membership/peer_client.py
+++ b/lentilhaven/membership/peer_client.py
@@ -7,6 +7,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from lentilhaven.core.answer_body import read_answer_json
 from lentilhaven.core.converter import to_document
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.settings import structure_document
@@ -14,6 +15,9 @@
 
 T = TypeVar("T")
 
+#: Maximum size of an answer, which may hold all tables, in bytes.
+MAX_ANSWER_BYTES = 64_000_000
+
 #: Exceptions that mean that a request failed; ValueError includes invalid JSON.
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
@@ -113,7 +117,7 @@
                 timeout=aiohttp.ClientTimeout(total=timeout),
             ) as response:
                 response.raise_for_status()
-                return Ok(await response.json())
+                return Ok(await read_answer_json(response, MAX_ANSWER_BYTES))
         except REQUEST_ERRORS as error:
             detail = f"{type(error).__name__}: {error}"
             return Error(Failure(Step.SPREAD, url, "peer-lost", detail))
--- a/lentilhaven/router/agent_client.py
+++ b/lentilhaven/router/agent_client.py
@@ -11,6 +11,7 @@
     Settlement,
 )
 from lentilhaven.control.view_update import ViewUpdate
+from lentilhaven.core.answer_body import read_answer_json
 from lentilhaven.core.converter import CONVERTER, to_document
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.step import Step
@@ -21,6 +22,13 @@
 #: Timeout of a claim or a settlement, in seconds.
 CLAIM_TIMEOUT = 5.0
 
+#: Maximum size of a view, which may hold all tables, in bytes.
+MAX_VIEW_BYTES = 64_000_000
+
+#: Maximum size of the answer to a claim, which may hold a recorded response, or to a
+#: settlement, in bytes.
+MAX_ANSWER_BYTES = 1_000_000
+
 #: Errors of a request that received no usable answer.
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
@@ -79,7 +87,8 @@
                 headers=self.auth_headers(),
             ) as response:
                 response.raise_for_status()
-                return Ok(CONVERTER.structure(await response.json(), ViewUpdate))
+                body = await read_answer_json(response, MAX_VIEW_BYTES)
+                return Ok(CONVERTER.structure(body, ViewUpdate))
         except REQUEST_ERRORS as error:
             return Error(Failure(Step.SPREAD, "agent", "agent-lost", repr(error)))
 
@@ -139,7 +148,7 @@
             headers=self.auth_headers(),
         ) as response:
             response.raise_for_status()
-            return await response.json()
+            return await read_answer_json(response, MAX_ANSWER_BYTES)
 
     def auth_headers(self) -> dict[str, str]:
         """Return the authorization header with the cluster token."""
