Set each liveness option of a connection by itself

Cause: one `contextlib.suppress` covered four socket options, so that the first one that a system does not know left the others unset, without a line in the log.

What callers saw: on such a system a request waits for a peer that has lost power until its deadline. Not seen in operation.

Found by review.

--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -1,13 +1,13 @@
 """Connections to endpoints."""
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import httptools
 
+from lentilhaven.core.logs import get_logger
 from lentilhaven.platform.response_head import ResponseHead, decode_response_head
 from lentilhaven.upstream.answer_memory import (
     MAX_HEAD_BYTES,
@@ -29,6 +29,16 @@
 KEEPALIVE_IDLE = 1
 KEEPALIVE_INTERVAL = 1
 
+#: Socket options by which the kernel detects a lost peer: name, level, number, value.
+LIVENESS_OPTIONS = (
+    ("TCP_USER_TIMEOUT", socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    ("SO_KEEPALIVE", socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    ("TCP_KEEPIDLE", socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
+    ("TCP_KEEPINTVL", socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
+)
+
+log = get_logger("upstream")
+
 
 class UpstreamConnection(asyncio.Protocol):
     """
@@ -122,8 +132,7 @@
         self.transport = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            with contextlib.suppress(OSError):
-                set_liveness_options(sock)
+            set_liveness_options(sock)
 
     def data_received(self, data: bytes) -> None:
         """Parse received data; close the connection if no request is in progress."""
@@ -357,17 +366,15 @@
     """
     Let the kernel end a connection whose peer no longer acknowledges anything.
 
+    An option that the system does not know is logged, and the others are set.
+
     Parameters
     ----------
     sock : socket.socket
         Socket of a TCP connection.
-
-    Raises
-    ------
-    OSError
-        If the system does not know an option.
     """
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
+    for name, level, number, value in LIVENESS_OPTIONS:
+        try:
+            sock.setsockopt(level, number, value)
+        except OSError as error:
+            log.warning("socket option not set", option=name, error=str(error))
--- a/lentilhaven/upstream/tests/test_connection.py
+++ b/lentilhaven/upstream/tests/test_connection.py
@@ -2,12 +2,16 @@
 import socket
 import unittest
 
+from structlog.testing import capture_logs
+
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.standins.virtual import run_virtual
 from lentilhaven.upstream.connection import (
     KEEPALIVE_IDLE,
     KEEPALIVE_INTERVAL,
+    LIVENESS_OPTIONS,
     USER_TIMEOUT_MS,
+    set_liveness_options,
 )
 from lentilhaven.upstream.connection_pool import (
     CONNECT_TIMEOUT,
@@ -283,3 +287,27 @@
         keepalive, options = asyncio.run(main())
         self.assertTrue(keepalive)
         self.assertEqual(options, [KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, USER_TIMEOUT_MS])
+
+    def test_options_are_independent_of_an_unknown_one(self):
+        # The first unknown option left the others unset, without a line in the log.
+        for unknown in (it[2] for it in LIVENESS_OPTIONS):
+            with self.subTest(unknown), capture_logs() as lines:
+                sock = OldSocket(unknown)
+                set_liveness_options(sock)
+                self.assertEqual(len(sock.options), len(LIVENESS_OPTIONS) - 1)
+                self.assertEqual(
+                    [it["event"] for it in lines], ["socket option not set"]
+                )
+
+
+class OldSocket:
+    """A socket of a system that does not know one option."""
+
+    def __init__(self, unknown):
+        self.unknown = unknown
+        self.options = []
+
+    def setsockopt(self, level, number, value):
+        if number == self.unknown:
+            raise OSError("Protocol not available")
+        self.options.append(number)
