Log the attempts that a faster replica has ended

Cause: `try_replica` wrote its line after the exchange, which a cancellation skips.

What operators saw: no `replica tried` line of a replica that was silent until another one had answered, or until the caller left, so that the log did not name it.

Evidence: test_attempt_that_loses_has_a_line failed on (four lines "status 200", none "cancelled"); it passes now, as do the other tests of second attempts. Found by review.

--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -307,6 +307,10 @@
     state.requests += 1
     try:
         outcome = await exchange_once(gateway, call, endpoint, call.deadline)
+    except asyncio.CancelledError:
+        # Another replica has answered first, or the caller has left.
+        log_attempt(call, endpoint, began, state.failures, "cancelled")
+        raise
     finally:
         state.requests -= 1
     now = loop.time()
@@ -319,15 +323,38 @@
         state.record(now - began, failed)
     if isinstance(outcome, Failure) and outcome.kind == "connect":
         state.note_suspicion(now, now + SUSPICION_TIME)
+    log_attempt(call, endpoint, began, state.failures, describe_outcome(outcome))
+    return outcome
+
+
+def log_attempt(
+    call: Call, endpoint: Endpoint, began: float, failures: float, outcome: str
+) -> None:
+    """
+    Log the end of an attempt.
+
+    Parameters
+    ----------
+    call : Call
+        The request.
+    endpoint : Endpoint
+        The replica.
+    began : float
+        Event loop time at which the attempt began, in seconds.
+    failures : float
+        Recent failures of the replica, as its state counts them.
+    outcome : str
+        Short description of the outcome.
+    """
+    seconds = asyncio.get_running_loop().time() - began
     log.info(
         "replica tried",
         request=call.id,
         endpoint=endpoint.id,
-        ms=round((now - began) * 1000, 1),
-        failures=round(state.failures, 2),
-        outcome=describe_outcome(outcome),
+        ms=round(seconds * 1000, 1),
+        failures=round(failures, 2),
+        outcome=outcome,
     )
-    return outcome
 
 
 def describe_outcome(outcome: UpstreamResponse | Failure) -> str:
--- a/lentilhaven/gateway/tests/test_second_attempts.py
+++ b/lentilhaven/gateway/tests/test_second_attempts.py
@@ -1,6 +1,8 @@
 import asyncio
 import unittest
 
+from structlog.testing import capture_logs
+
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
@@ -56,3 +58,20 @@
 
         reply = run_on_testbed(scenario, plain_replicas())
         self.assertEqual(reply.status, 200)
+
+
+class AttemptLogTests(unittest.TestCase):
+    """Guard against an attempt without a line since another replica was faster."""
+
+    def test_attempt_that_loses_has_a_line(self):
+        async def scenario(bed):
+            silence(bed.fleet.replicas["i-stock-0"], 0.5)
+            replies = [await bed.call(f"/look/{it}", "GET") for it in range(4)]
+            return [it.status for it in replies]
+
+        with capture_logs() as lines:
+            statuses = run_on_testbed(scenario, plain_replicas())
+        self.assertEqual(statuses, [200] * 4)
+        outcomes = [it["outcome"] for it in lines if it["event"] == "replica tried"]
+        self.assertEqual(outcomes.count("status 200"), 4)
+        self.assertIn("cancelled", outcomes)
