Name the missing extra when the bench can't load its scenarios

Cause: the command line imported all scenarios at its start, and these import async_solipsism and hypothesis, which only the extra "test" declares.

What users saw: `lentilhaven-bench` of an installed wheel, even `--help`, ended with a traceback, ModuleNotFoundError: async_solipsism.

Now the scenarios are loaded by the commands that need them; without a package the program ends with status 1 and one line that names it and `lentilhaven[test]`.

Found by review.

--- a/lentilhaven/bench/__main__.py
+++ b/lentilhaven/bench/__main__.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated
 
@@ -11,17 +12,40 @@
 from lentilhaven.bench.fleet_observer import observe_fleet
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.scenario_options import ScenarioOptions
-from lentilhaven.bench.scenarios import SCENARIOS
 from lentilhaven.core.converter import to_document
 from lentilhaven.core.logs import configure_logs
 
+#: Packages of the extra "test" that scenarios import.
+EXTRA_PACKAGES = frozenset({"async_solipsism", "hypothesis"})
+
 app = cyclopts.App(name="lentilhaven-bench", help="Run benchmark scenarios.")
 
 
+def load_scenarios() -> dict[str, Callable[[ScenarioOptions], Report]]:
+    """
+    Return the scenarios by name.
+
+    Raises
+    ------
+    SystemExit
+        If a package of the extra "test" is missing; the text names it.
+    """
+    try:
+        from lentilhaven.bench.scenarios import SCENARIOS
+    except ModuleNotFoundError as error:
+        if error.name not in EXTRA_PACKAGES:
+            raise
+        raise SystemExit(
+            f"the scenarios need the package {error.name!r}; "
+            "install the extra: pip install 'lentilhaven[test]'"
+        ) from error
+    return SCENARIOS
+
+
 @app.command(name="list")
 def list_scenarios() -> int:
     """Print the names of the scenarios."""
-    print("\n".join(SCENARIOS))
+    print("\n".join(load_scenarios()))
     return 0
 
 
@@ -60,14 +84,15 @@
     log_level
         Least severe level to log.
     """
-    if scenario not in SCENARIOS:
+    scenarios = load_scenarios()
+    if scenario not in scenarios:
         print(
             f"unknown scenario {scenario!r}; 'list' prints all names", file=sys.stderr
         )
         return 2
     configure_logs(log_level)
     options = ScenarioOptions(seed, size, deployment, plot, inputs)
-    report = SCENARIOS[scenario](options)
+    report = scenarios[scenario](options)
     if json_file:
         text = json.dumps(to_document(report), indent=2, sort_keys=True)
         Path(json_file).write_text(text + "\n", encoding="utf-8")
@@ -95,7 +120,7 @@
         Least severe level to log.
     """
     configure_logs(log_level)
-    report = SCENARIOS["soak"](ScenarioOptions(seed, minutes=minutes))
+    report = load_scenarios()["soak"](ScenarioOptions(seed, minutes=minutes))
     print_report(report)
     return 0 if report.holds else 1
 
