--- a/lentilhaven/endpoints/engine_client.py
+++ b/lentilhaven/endpoints/engine_client.py
@@ -162,7 +162,11 @@
             return Error(engine_lost_error(Step.RESUME, head, error).failure)
 
     async def probe(
-        self, stage: Stage, request: RequestId, timeout: float = PROBE_TIMEOUT
+        self,
+        stage: Stage,
+        request: RequestId,
+        timeout: float = PROBE_TIMEOUT,
+        connect_timeout: float | None = None,
     ) -> Result[StageProgress, Failure]:
         """
         Read the progress of a stage, over a new connection.
@@ -175,6 +179,10 @@
             Id of the request that is stalled.
         timeout : float
             Maximum time to wait, in seconds.
+        connect_timeout : float or None
+            Time after which a connection that is neither accepted nor refused shows
+            that the stage is not reached, in seconds; None doesn't tell it from a
+            stage that is silent.
 
         Returns
         -------
@@ -185,7 +193,7 @@
             connection is neither accepted nor refused, and ``engine-lost`` if it is
             refused or lost or the response is invalid.
         """
-        limit = aiohttp.ClientTimeout(total=timeout)
+        limit = aiohttp.ClientTimeout(total=timeout, sock_connect=connect_timeout)
         url = f"{stage.url}/streams/{request}/progress"
         session = self.pick_session(fresh=True)
         try:
--- a/lentilhaven/router/silence_wait.py
+++ b/lentilhaven/router/silence_wait.py
@@ -6,7 +6,7 @@
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
-from lentilhaven.endpoints.engine_client import UNREACHED_KIND
+from lentilhaven.endpoints.engine_client import CONNECT_TIMEOUT, UNREACHED_KIND
 from lentilhaven.endpoints.stage import Stage
 from lentilhaven.router.answer import Answer
 from lentilhaven.router.chain_choice import choose_other_chain
@@ -16,7 +16,7 @@
 #: Seconds between two rounds of probes.
 PROBE_INTERVAL = 0.1
 
-#: Timeout of a probe, in seconds.
+#: Timeout of a probe, in seconds; longer than that of its connection.
 PROBE_TIMEOUT = 0.4
 
 #: Number of rounds in a row without a connection after which a host counts as lost: a
@@ -75,7 +75,10 @@
     remaining = answer.deadline - router.clock.monotonic()
     timeout = min(PROBE_TIMEOUT, remaining)
     stages = [it for it in answer.chain if it.endpoint in answer.silent]
-    probes = [router.engines.probe(it, answer.request, timeout) for it in stages]
+    probes = [
+        router.engines.probe(it, answer.request, timeout, CONNECT_TIMEOUT)
+        for it in stages
+    ]
     return [it.error for it in await asyncio.gather(*probes) if it.is_error()]
 
 
--- a/lentilhaven/router/tests/test_silent_engine.py
+++ b/lentilhaven/router/tests/test_silent_engine.py
@@ -1,5 +1,9 @@
 import asyncio
 import unittest
+from unittest import mock
+
+import aiohttp
+from expression import Error
 
 from lentilhaven.bench.recovery_trial import (
     chain_in_use,
@@ -9,6 +13,11 @@
     fail_engine,
 )
 from lentilhaven.core.randomness import derive_random
+from lentilhaven.endpoints.engine_client import (
+    CONNECT_TIMEOUT,
+    EngineClient,
+    probe_failure,
+)
 from lentilhaven.standins.virtual import run_virtual
 from lentilhaven.testbed import TestbedPlan, open_testbed
 from lentilhaven.testbed.caller import request_completion
@@ -126,6 +135,30 @@
                 self.assertIsNotNone(answer.error)
                 self.assertLess(seconds, 2.0)
 
+    def test_a_stage_whose_host_is_gone_is_given_up(self):
+        gone = []
+
+        async def probe(client, stage, request, *timeouts):
+            if stage.endpoint not in gone:
+                return await real_probe(client, stage, request, *timeouts)
+            await asyncio.sleep(CONNECT_TIMEOUT)
+            error = aiohttp.ConnectionTimeoutError()
+            return Error(probe_failure(stage, error))
+
+        real_probe = EngineClient.probe
+        for position in (0, 5):
+            with (
+                self.subTest(position),
+                mock.patch.object(EngineClient, "probe", probe),
+            ):
+                gone.clear()
+                found = answer_of_a_lost_stage(
+                    position, lambda engine: gone.append(engine.id)
+                )
+                answer, seconds, _ = run_virtual(found)
+                self.assertIsNotNone(answer.error)
+                self.assertLess(seconds, 3.0)
+
     def test_the_wait_ends_at_the_deadline(self):
         for position in (0, 5):
             with self.subTest(position):
