--- a/lentilhaven/bench/soak/soak_callers.py
+++ b/lentilhaven/bench/soak/soak_callers.py
@@ -16,7 +16,11 @@
     open_connection,
 )
 from lentilhaven.bench.soak.soak_tables import API_KEYS, MIN_IDLE_TIMEOUT
-from lentilhaven.standins.platform.sample_files import request_headers
+from lentilhaven.standins.platform.sample_files import (
+    PROMPT_HEADER,
+    SIGNATURE_FIELD,
+    request_headers,
+)
 
 #: Seconds after which a caller gives up a request.
 CALLER_TIMEOUT = 8.0
@@ -109,7 +113,7 @@
     def record(self, response: ResponseReader) -> None:
         """Record what was received of a response."""
         self.status = response.status
-        self.signature = response.fields.get("replica-signature", "")
+        self.signature = response.fields.get(SIGNATURE_FIELD, "")
         self.body = response.body
         self.complete = response.complete
 
@@ -201,7 +205,7 @@
             attempt.id, API_KEYS[attempt.workspace], CALLER_TIMEOUT, 4 * attempt.events
         )
         if attempt.prompt:
-            headers["Prompt-Prefix"] = attempt.prompt
+            headers[PROMPT_HEADER] = attempt.prompt
         body = f"body of {attempt.id}".encode() if attempt.method == "POST" else b""
         request = encode_request(attempt.method, attempt.target, headers, body)
         response = ResponseReader()
--- a/lentilhaven/bench/soak/soak_checks.py
+++ b/lentilhaven/bench/soak/soak_checks.py
@@ -93,7 +93,7 @@
         findings.add("workspace", f"{attempt.id} ran as {run.fields.get('tenant')}")
     if "authorization" in run.fields:
         findings.add("key passed on", attempt.id)
-    if run.fields.get("prompt-prefix", "") != attempt.prompt:
+    if run.prompt != attempt.prompt:
         findings.add("prompt", f"{attempt.id} ran with {run.fields}")
     if run.target != attempt.target:
         findings.add("target", f"{attempt.id} ran as {run.target}")
--- a/lentilhaven/bench/soak/soak_lost.py
+++ b/lentilhaven/bench/soak/soak_lost.py
@@ -85,10 +85,7 @@
         service = SERVICES[attempt.kind]
         return {it.id for it in fleet.replicas.values() if it.service == service}
     addresses = {
-        address
-        for run in runs
-        if "hop-count" in run.fields
-        for address, _, _ in decode_path(run.fields["hop-count"])
+        address for run in runs if run.path for address, _, _ in decode_path(run.path)
     } | {address for address, _, _ in fleet.replaced_paths.get(attempt.id, [])}
     found = {it.id for it in fleet.replicas.values() if it.address in addresses}
     ids = {replica_id for replica_id, run in runs_by_request(environment)[attempt.id]}
--- a/lentilhaven/standins/platform/fake_replica.py
+++ b/lentilhaven/standins/platform/fake_replica.py
@@ -99,6 +99,16 @@
     body: bytes
     at: float
 
+    @property
+    def path(self) -> str:
+        """Return the text of the chain in the request; empty for a plain service."""
+        return self.fields.get("hop-count", "")
+
+    @property
+    def prompt(self) -> str:
+        """Return the parts of the prompt as the request lists them, or an empty text."""
+        return self.fields.get("prompt-prefix", "")
+
 
 @attrs.define(eq=False)
 class FakeReplica:
--- a/lentilhaven/standins/platform/sample_files.py
+++ b/lentilhaven/standins/platform/sample_files.py
@@ -5,6 +5,10 @@
 
 HOST = "depot.example"
 
+#: Headers of the parts of a prompt and, in lower case, of a replica's signature.
+PROMPT_HEADER = "Prompt-Prefix"
+SIGNATURE_FIELD = "replica-signature"
+
 
 def settings_file(
     number: int, host: str, data_centre: str, seeds: Sequence[str], store: str
