--- a/lentilhaven/standins/platform/fake_replica.py
+++ b/lentilhaven/standins/platform/fake_replica.py
@@ -106,7 +106,7 @@
 
     @property
     def prompt(self) -> str:
-        """Return the parts of the prompt as the request lists them, or an empty text."""
+        """Return the parts of the prompt as the request lists them."""
         return self.fields.get("prompt-prefix", "")
 
 
