Keep the ranking of the gateways from which leaders are found

A gateway of a large fleet asks for leaders some 20 times a second: for its reports, for each check of whether it follows the store, and as a leader for its sums. Each time it went through all gateways and sorted those of the data centre, although they seldom change.

The ranking is now kept until a gateway is added or removed, or states another data centre or capacity; who is responsive is still checked at each call.

--- a/lentilhaven/peering/directory.py
+++ b/lentilhaven/peering/directory.py
@@ -1,5 +1,7 @@
 """The known gateways, and the leaders of each data centre."""
 
+from itertools import islice
+
 import attrs
 
 from lentilhaven.peering.member import Member
@@ -71,6 +73,9 @@
         `DirectoryEntry` by address.
     full_mesh_limit : int
         Largest number of gateways at which each one sends to all others.
+    ranking : dict or None
+        Entries by data centre, this gateway's included, in the order in which they
+        lead; None once the members have changed.
 
     Examples
     --------
@@ -86,6 +91,7 @@
     own: Member
     entries: dict[str, DirectoryEntry] = attrs.field(factory=dict)
     full_mesh_limit: int = FULL_MESH_LIMIT
+    ranking: dict[str, list[DirectoryEntry]] | None = None
 
     def note_member(self, member: Member, now: float) -> None:
         """Add another gateway or refresh its entry; this gateway is never added."""
@@ -94,10 +100,12 @@
         entry = self.entries.get(member.address)
         if entry is None:
             self.entries[member.address] = DirectoryEntry(member, now)
+            self.ranking = None
             return
         entry.last_seen_at = now
-        if member.data_centre:
+        if member.data_centre and member != entry.member:
             entry.member = member
+            self.ranking = None
 
     def note_received(self, member: Member, now: float) -> None:
         """Record a datagram from a gateway, which counts as its answer."""
@@ -119,6 +127,7 @@
         for address, entry in list(self.entries.items()):
             if now - entry.last_seen_at > MEMBER_EXPIRY:
                 del self.entries[address]
+                self.ranking = None
 
     def addresses(self) -> list[str]:
         """Return the addresses of all other known gateways."""
@@ -140,14 +149,25 @@
             Maximum number of gateways to return; a count above
             `LEADERS_PER_DATA_CENTRE` adds the next candidates in order.
         """
-        found = [
+        if self.ranking is None:
+            self.ranking = self.rank_entries()
+        responsive = (
             entry.member
-            for entry in self.entries.values()
-            if entry.member.data_centre == data_centre and entry.is_responsive(now)
-        ]
-        if data_centre == self.own.data_centre:
-            found.append(self.own)
-        return sorted(found, key=lambda member: member.sort_key)[:count]
+            for entry in self.ranking.get(data_centre, ())
+            if entry.is_responsive(now)
+        )
+        return list(islice(responsive, count))
+
+    def rank_entries(self) -> dict[str, list[DirectoryEntry]]:
+        """Return the entries by data centre, in the order in which they lead."""
+        # This gateway is sent nothing, so that its entry is always responsive.
+        own = DirectoryEntry(self.own, 0.0)
+        ranking: dict[str, list[DirectoryEntry]] = {}
+        for entry in sorted(
+            [own, *self.entries.values()], key=lambda entry: entry.member.sort_key
+        ):
+            ranking.setdefault(entry.member.data_centre, []).append(entry)
+        return ranking
 
     def is_leader(self, now: float) -> bool:
         """Return whether this gateway is a leader of its data centre."""
--- a/lentilhaven/peering/tests/test_directory.py
+++ b/lentilhaven/peering/tests/test_directory.py
@@ -1,4 +1,6 @@
 import unittest
+from random import Random
+from unittest import mock
 
 from lentilhaven.peering.directory import (
     ANSWER_TIMEOUT,
@@ -58,3 +60,61 @@
         self.assertNotIn("10.0.0.0:7", self.leaders(0.0))
         self.directory.note_received(member(0), 0.0)
         self.assertIn("10.0.0.0:7", self.leaders(0.0))
+
+
+def plain_leaders(directory, data_centre, now, count):
+    """Return the leaders by their definition, from the entries alone."""
+    found = [
+        entry.member
+        for entry in directory.entries.values()
+        if entry.member.data_centre == data_centre and entry.is_responsive(now)
+    ]
+    if data_centre == directory.own.data_centre:
+        found.append(directory.own)
+    return sorted(found, key=lambda it: it.sort_key)[:count]
+
+
+class RankingTests(unittest.TestCase):
+    """Guards against a search of all gateways for the leaders of each datagram."""
+
+    def test_gateways_are_ranked_once_while_they_stay_the_same(self):
+        directory = Directory(member(5))
+        for number in (1, 2, 6):
+            directory.note_member(member(number), 0.0)
+        key = mock.PropertyMock(return_value=(0.0, ""))
+        with mock.patch.object(Member, "sort_key", key):
+            for tenth in range(100):
+                now = tenth / 10
+                directory.note_received(member(1), now)
+                directory.note_sent("10.0.0.2:7", now)
+                directory.expire(now)
+                directory.leaders("dc-a", now)
+                directory.leaders("dc-b", now)
+        self.assertEqual(key.call_count, 4)
+
+    def test_leaders_are_those_of_the_definition_after_any_changes(self):
+        random = Random(1)
+        directory = Directory(member(5))
+        now = 0.0
+        for _ in range(3000):
+            now += random.choice((0.1, 0.5, 10.0))
+            other = member(
+                random.randrange(12),
+                random.choice(("dc-a", "dc-a", "dc-b", "")),
+                random.choice((1.0, 2.0)),
+            )
+            change = random.choice(("mention", "receive", "send", "expire"))
+            if change == "mention":
+                directory.note_member(other, now)
+            elif change == "receive":
+                directory.note_received(other, now)
+            elif change == "send":
+                directory.note_sent(other.address, now)
+            else:
+                directory.expire(now)
+            for data_centre in ("dc-a", "dc-b", "dc-c", ""):
+                for count in (2, 4):
+                    self.assertEqual(
+                        directory.leaders(data_centre, now, count),
+                        plain_leaders(directory, data_centre, now, count),
+                    )
