Let second callers repeat calls in the scenario idempotency

Now a second caller makes 5% of the calls at the same time with the same key, at VMs of its own. Its draws come from a random source of their own, so the first callers' calls are those of before. Its answers count for false-not-run.

--- a/lentilhaven/bench/idempotency.py
+++ b/lentilhaven/bench/idempotency.py
@@ -47,6 +47,9 @@
 #: Share of calls whose key contains no time.
 UNTIMED_KEY_SHARE = 0.02
 
+#: Share of calls that a second caller makes at the same time with the same key.
+REPEATED_SHARE = 0.05
+
 
 @attrs.define
 class RunRecord:
@@ -57,6 +60,8 @@
     ----------
     answers : list of list of PostingAnswer
         Answers to the attempts of each call, in order.
+    repeats : list of list of PostingAnswer
+        Answers to the attempts of each second caller.
     keys : list of str
         Idempotency key of each call, in the same order.
     crashes : list of tuple
@@ -67,6 +72,7 @@
     """
 
     answers: list[list[PostingAnswer]] = attrs.field(factory=list)
+    repeats: list[list[PostingAnswer]] = attrs.field(factory=list)
     keys: list[str] = attrs.field(factory=list)
     crashes: list[tuple[float, float]] = attrs.field(factory=list)
     faults: Counter[str] = attrs.field(factory=Counter)
@@ -131,20 +137,30 @@
 
 async def make_calls(testbed: Testbed, record: RunRecord, seed: int, size: int) -> None:
     """Start calls at random times, wait for them, and record their keys and answers."""
-    rng = derive_random(seed, "calls")
-    tasks = []
+    rng, repeats_rng = derive_random(seed, "calls"), derive_random(seed, "repeats")
+    tasks, repeats = [], []
     for index in range(size):
         await asyncio.sleep(rng.expovariate(CALL_RATE))
         untimed = rng.random() < UNTIMED_KEY_SHARE
         key = (
             f"issue-{index}" if untimed else time_ordered_key(testbed.clock.wall(), rng)
         )
-        vm_choices = [rng.randrange(1 << 16) for _ in range(MAX_ATTEMPTS)]
         record.keys.append(key)
-        tasks.append(
-            asyncio.create_task(post_until_final(testbed, index, key, vm_choices))
-        )
+        tasks.append(start_caller(testbed, str(index), key, rng))
+        # Without a second caller, a key would be used twice only after a fault.
+        if repeats_rng.random() < REPEATED_SHARE:
+            name = f"repeat-{index}"
+            repeats.append(start_caller(testbed, name, key, repeats_rng))
     record.answers = list(await asyncio.gather(*tasks))
+    record.repeats = list(await asyncio.gather(*repeats))
+
+
+def start_caller(
+    testbed: Testbed, name: str, key: str, rng: random.Random
+) -> "asyncio.Task[list[PostingAnswer]]":
+    """Start a caller that retries at random VMs until the outcome is final."""
+    vm_choices = [rng.randrange(1 << 16) for _ in range(MAX_ATTEMPTS)]
+    return asyncio.create_task(post_until_final(testbed, name, key, vm_choices))
 
 
 async def inject_faults(testbed: Testbed, record: RunRecord, seed: int) -> None:
@@ -231,7 +247,7 @@
     run_twice = sum(count > 1 for count in runs.values())
     false_not_run = sum(
         answer.ran == "no" and attempts[answer.attempt] > 0
-        for answers in record.answers
+        for answers in record.answers + record.repeats
         for answer in answers
     )
     unfinished = [it for it in record.answers if it[-1].ran != "yes"]
@@ -239,6 +255,7 @@
     undisturbed_unknown = [it for it in undisturbed if is_outcome_unknown(it[-1])]
     figures = {
         "calls": observed(size, "calls"),
+        "repeated-calls": observed(len(record.repeats), "calls"),
         "run-twice": at_most(run_twice, 0, "keys"),
         "false-not-run": at_most(false_not_run, 0, "requests"),
         "unknown-outside-crashes": at_most(
--- a/lentilhaven/bench/posting_caller.py
+++ b/lentilhaven/bench/posting_caller.py
@@ -102,7 +102,7 @@
 
 
 async def post_until_final(
-    testbed: Testbed, index: int, key: str, vm_choices: list[int]
+    testbed: Testbed, name: str, key: str, vm_choices: list[int]
 ) -> list[PostingAnswer]:
     """
     Make a call and retry it, each time at a random VM, until its outcome is final.
@@ -113,8 +113,8 @@
     ----------
     testbed : Testbed
         Testbed that serves the calls.
-    index : int
-        Index of the call, part of its attempt ids.
+    name : str
+        Name of the caller, unique in the run; part of its attempt ids.
     key : str
         Idempotency key.
     vm_choices : list of int
@@ -124,9 +124,7 @@
     answers: list[PostingAnswer] = []
     for attempt_index, vm_choice in enumerate(vm_choices[:MAX_ATTEMPTS]):
         vm = testbed.vms[vm_choice % len(testbed.vms)]
-        answers.append(
-            await post_once(testbed, vm.url, key, f"{index}.{attempt_index}")
-        )
+        answers.append(await post_once(testbed, vm.url, key, f"{name}.{attempt_index}"))
         if answers[-1].final:
             break
         await asyncio.sleep(max(0.2, answers[-1].retry_after))
