Answer forwarded claims and settlements before their forwarders give up

Soon all nine VMs committed to the same objects. Their conditional updates conflicted, each conflict costs a read and a further write, and the VMs spent their shares of the store's rate (50 calls/s each) on that, so that owners stayed late after the store had recovered. A claim without an answer added a withdrawal, each late settlement came again through three VMs, and the owners kept operations whose senders had long gone. Callers saw 503 `claim-unavailable` until the end.

Now a VM answers within 1.2 s, the timeout of a forward less that of its connection, that nothing is confirmed; the forwarder takes that as the answer. Operations whose answers nobody awaits are dropped before the next write.

Not covered: an owner that alone can't reach the store, in silence, was passed over before after 1.5 s and now answers `commit-late` until it is away.

--- a/lentilhaven/agent/agent_api.py
+++ b/lentilhaven/agent/agent_api.py
@@ -91,14 +91,14 @@
 async def commit_claim(request: web.Request) -> web.Response:
     """Commit a claim that another agent has forwarded; it is not forwarded again."""
     claim = await read_message(request, ClaimRequest)
-    answer = await request.app[AGENT].journal.journal.submit(claim)
+    answer = await request.app[AGENT].journal.commit(claim)
     return web.json_response(to_document(answer))
 
 
 async def commit_settlement(request: web.Request) -> web.Response:
     """Commit a forwarded settlement of another agent; it is not forwarded again."""
     settlement = await read_message(request, Settlement)
-    answer = await request.app[AGENT].journal.journal.submit(settlement)
+    answer = await request.app[AGENT].journal.commit(settlement)
     return web.json_response(to_document(answer))
 
 
--- a/lentilhaven/bench/journal_cluster.py
+++ b/lentilhaven/bench/journal_cluster.py
@@ -175,7 +175,7 @@
             return Error(unanswered_message(target))
         outcome = await self.call_agent(
             target,
-            lambda node: node.journal.submit(message),
+            lambda node: node.commit(message),
             FORWARD_TIMEOUT,
         )
         await self.wait_while_paused(vm)
--- a/lentilhaven/idempotency/journal.py
+++ b/lentilhaven/idempotency/journal.py
@@ -64,7 +64,8 @@
     layout : JournalLayout
         Mapping of keys to objects.
     counts : Counter
-        Numbers of operations, writes and unconfirmed writes so far.
+        Numbers of operations, late operations, writes and unconfirmed writes so
+        far.
     layout_checked : bool
         Whether the layout in the store is known to be equal to `layout`.
     shard_budgets : dict
@@ -98,18 +99,19 @@
         -------
         ClaimAnswer or SettlementAnswer
             The answer.  It is confirmed by the store, except for a claim that is
-            ``UNAVAILABLE`` and a settlement that is not `confirmed`.
+            ``UNAVAILABLE`` and a settlement that is not `confirmed`.  If the wait
+            for it is cancelled, the operation is dropped before its next write.
         """
         claim = message if isinstance(message, ClaimRequest) else message.claim
         location = self.layout.locate(claim)
         operation = Operation(message, location.bucket)
         failure = check_key(claim.key, self.clock.wall())
         if failure is not None:
-            return unconfirmed_answer(operation, failure)
+            return unconfirmed_answer(message, failure)
         if not self.layout_checked:
             failure = await check_layout(self.store, self.layout)
             if failure is not None:
-                return unconfirmed_answer(operation, failure)
+                return unconfirmed_answer(message, failure)
             self.layout_checked = True
         writer = self.writer_for(location)
         answer = writer.add(operation)
--- a/lentilhaven/idempotency/journal_node.py
+++ b/lentilhaven/idempotency/journal_node.py
@@ -1,5 +1,6 @@
 """Forwards claims and settlements to the VM that owns their shard."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -17,8 +18,11 @@
 from lentilhaven.core.ids import VmId
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.ran import Ran
+from lentilhaven.core.step import Step
 from lentilhaven.idempotency.journal import Journal
+from lentilhaven.idempotency.journal_peers import CONNECT_TIMEOUT, FORWARD_TIMEOUT
 from lentilhaven.idempotency.operation import Answer
+from lentilhaven.idempotency.segment_writer import unconfirmed_answer
 from lentilhaven.membership import rank_members
 
 #: Seconds for which a VM that did not answer is skipped.
@@ -27,6 +31,11 @@
 #: Maximum number of other VMs to try before this VM commits the message itself.
 MAX_FORWARDS = 2
 
+#: Seconds after which a commit on this VM is answered without a confirmation.  The
+#: answer reaches a forwarding VM before its timeout, so that it does not take a slow
+#: store for a lost owner and commit the message beside the owner.
+COMMIT_TIMEOUT = FORWARD_TIMEOUT - CONNECT_TIMEOUT
+
 Message = ClaimRequest | Settlement
 
 #: Asks another VM to commit a message; fails if that VM does not answer.
@@ -83,7 +92,7 @@
         -------
         ClaimAnswer or SettlementAnswer
             The answer of the VM that committed the message or tried to; see
-            `Journal.submit`.
+            `commit`.
         """
         claim = message if isinstance(message, ClaimRequest) else message.claim
         shard = self.journal.layout.locate(claim).shard
@@ -97,7 +106,36 @@
             may_stand = may_stand or outcome.error.ran is not Ran.NO
             log.warning("owner of a shard did not answer", vm=vm, shard=shard)
             self.suspected_until[vm] = self.clock.monotonic() + SUSPICION_TIME
-        return mark_may_stand(await self.journal.submit(message), may_stand)
+        return mark_may_stand(await self.commit(message), may_stand)
+
+    async def commit(self, message: Message) -> Answer:
+        """
+        Commit a claim or a settlement on this VM, within `COMMIT_TIMEOUT`.
+
+        Parameters
+        ----------
+        message : ClaimRequest or Settlement
+            The claim or settlement.
+
+        Returns
+        -------
+        ClaimAnswer or SettlementAnswer
+            The answer of `Journal.submit`, or one that grants and confirms nothing
+            if the store takes too long.
+        """
+        try:
+            async with asyncio.timeout(COMMIT_TIMEOUT):
+                return await self.journal.submit(message)
+        except TimeoutError:
+            return self.answer_late(message)
+
+    def answer_late(self, message: Message) -> Answer:
+        """Return the answer to a message that was not committed in time."""
+        self.journal.counts["late-operations"] += 1
+        log.info("journal operation was not committed in time")
+        detail = f"not committed within {COMMIT_TIMEOUT:g} s"
+        failure = Failure(Step.CLAIM, "", "commit-late", detail, retry_after=1.0)
+        return unconfirmed_answer(message, failure, may_stand=True)
 
     def describe(self) -> dict[str, Any]:
         """Return the state shown to operators; it contains no idempotency keys."""
--- a/lentilhaven/idempotency/segment_writer.py
+++ b/lentilhaven/idempotency/segment_writer.py
@@ -5,7 +5,12 @@
 
 import attrs
 
-from lentilhaven.control.claim import ClaimAnswer, ClaimOutcome, ClaimRequest
+from lentilhaven.control.claim import (
+    ClaimAnswer,
+    ClaimOutcome,
+    ClaimRequest,
+    Settlement,
+)
 from lentilhaven.core.clock import Clock
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.invariants import InvariantError
@@ -129,7 +134,7 @@
 
     async def run(self) -> None:
         """Commit operations until none is pending."""
-        while self.pending:
+        while self.drop_unawaited():
             if self.base is None and not await self.read_base():
                 continue
             batch, plan = self.plan()
@@ -144,6 +149,16 @@
             else:
                 self.finish(batch, plan)
 
+    def drop_unawaited(self) -> bool:
+        """
+        Drop the operations whose answers nobody awaits; return whether any are left.
+
+        The sender has withdrawn its claim or repeats its settlement, so an operation
+        kept for it would only add to the load that made it late.
+        """
+        self.pending = [item for item in self.pending if not item.answer.done()]
+        return bool(self.pending)
+
     async def read_base(self) -> bool:
         """
         Read the base, and return whether that succeeded.
@@ -185,6 +200,7 @@
         """Write one batch; operations that arrive during the waits join it."""
         await self.wait_for_claim()
         await self.budget.take()
+        self.drop_unawaited()
         base, arrival_count = self.base, self.arrival_count
         batch, plan = self.plan()
         if base is None or not plan.changed:
@@ -238,7 +254,9 @@
         for item in batch:
             self.resolve(
                 item,
-                unconfirmed_answer(item.operation, failure, may_stand=item.tries > 0),
+                unconfirmed_answer(
+                    item.operation.message, failure, may_stand=item.tries > 0
+                ),
             )
 
     def resolve(self, item: PendingOperation, answer: Answer) -> None:
@@ -249,21 +267,21 @@
 
 
 def unconfirmed_answer(
-    operation: Operation, failure: Failure, *, may_stand: bool = False
+    message: ClaimRequest | Settlement, failure: Failure, *, may_stand: bool = False
 ) -> Answer:
     """
-    Return the answer to an operation that the store did not confirm.
+    Return the answer to a message that the store did not confirm.
 
     Parameters
     ----------
-    operation : Operation
-        The operation.
+    message : ClaimRequest or Settlement
+        The claim or settlement.
     failure : Failure
         The reason.
     may_stand : bool
-        Whether a write that includes the operation may have taken effect.
+        Whether a write that includes the message may have taken effect.
     """
-    if isinstance(operation.message, ClaimRequest):
+    if isinstance(message, ClaimRequest):
         outcome = ClaimOutcome.UNAVAILABLE
         return ClaimAnswer(outcome, failure=failure, may_stand=may_stand)
     return SettlementAnswer(False)
