--- a/lentilhaven/idempotency/journal_node.py
+++ b/lentilhaven/idempotency/journal_node.py
@@ -19,7 +19,7 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
-from lentilhaven.idempotency.journal import Journal
+from lentilhaven.idempotency.journal import Journal, is_confirmed
 from lentilhaven.idempotency.journal_peers import CONNECT_TIMEOUT, FORWARD_TIMEOUT
 from lentilhaven.idempotency.operation import Answer
 from lentilhaven.idempotency.segment_writer import unconfirmed_answer
@@ -28,6 +28,12 @@
 #: Seconds for which a VM that did not answer is skipped.
 SUSPICION_TIME = 5.0
 
+#: Seconds of late claims only after which a VM is skipped, if another VM confirms.
+LATE_LIMIT = 3.0
+
+#: Kind of the failure of a claim that was not committed in time.
+LATE = "commit-late"
+
 #: Maximum number of other VMs to try before this VM commits the message itself.
 MAX_FORWARDS = 2
 
@@ -55,6 +61,10 @@
     the same request as the holder of the call, and the router that made a request
     dispatches it at most once.
 
+    A message that is late at its owner is not forwarded again.  A VM at which claims
+    are late, while another VM confirms messages, is skipped like one that does not
+    answer.
+
     Attributes
     ----------
     vm : str
@@ -70,6 +80,11 @@
     suspected_until : dict
         Monotonic time until which a VM is skipped, in seconds, by VM; entries
         are kept after that time.
+    late_since : dict
+        Monotonic time of the first late claim since the last confirmed message, in
+        seconds, by VM.
+    confirmed_at : dict
+        Monotonic time of the last confirmed message, in seconds, by VM.
     """
 
     vm: VmId
@@ -78,6 +93,8 @@
     live_vms: Callable[[], list[VmId]]
     clock: Clock
     suspected_until: dict[VmId, float] = attrs.field(factory=dict)
+    late_since: dict[VmId, float] = attrs.field(factory=dict)
+    confirmed_at: dict[VmId, float] = attrs.field(factory=dict)
 
     async def submit(self, message: Message) -> Answer:
         """
@@ -102,11 +119,30 @@
                 break
             outcome = await self.forward(vm, message)
             if outcome.is_ok():
+                self.record_answer(vm, outcome.ok)
                 return mark_may_stand(outcome.ok, may_stand)
             may_stand = may_stand or outcome.error.ran is not Ran.NO
             log.warning("owner of a shard did not answer", vm=vm, shard=shard)
             self.suspected_until[vm] = self.clock.monotonic() + SUSPICION_TIME
-        return mark_may_stand(await self.commit(message), may_stand)
+        answer = await self.commit(message)
+        self.record_answer(self.vm, answer)
+        return mark_may_stand(answer, may_stand)
+
+    def record_answer(self, vm: VmId, answer: Answer) -> None:
+        """Record whether a VM confirms messages, and suspect it if only it is late."""
+        now = self.clock.monotonic()
+        if is_confirmed(answer):
+            self.confirmed_at[vm] = now
+            self.late_since.pop(vm, None)
+        elif is_late(answer):
+            since = self.late_since.setdefault(vm, now)
+            # If no VM confirms, the store is slow for all, and another owner would be
+            # late too.
+            others = (at for it, at in self.confirmed_at.items() if it != vm)
+            others_confirm = any(now - at <= FORWARD_TIMEOUT for at in others)
+            if others_confirm and now - since >= LATE_LIMIT:
+                log.warning("commits are late at one VM only", vm=vm)
+                self.suspected_until[vm] = now + SUSPICION_TIME
 
     async def commit(self, message: Message) -> Answer:
         """
@@ -134,7 +170,7 @@
         self.journal.counts["late-operations"] += 1
         log.info("journal operation was not committed in time")
         detail = f"not committed within {COMMIT_TIMEOUT:g} s"
-        failure = Failure(Step.CLAIM, "", "commit-late", detail, retry_after=1.0)
+        failure = Failure(Step.CLAIM, "", LATE, detail, retry_after=1.0)
         return unconfirmed_answer(message, failure, may_stand=True)
 
     def describe(self) -> dict[str, Any]:
@@ -163,6 +199,13 @@
         return unsuspected[:MAX_FORWARDS]
 
 
+def is_late(answer: Answer) -> bool:
+    """Return whether an answer says that a claim was not committed in time."""
+    if not isinstance(answer, ClaimAnswer) or answer.failure is None:
+        return False
+    return answer.failure.kind == LATE
+
+
 def mark_may_stand(answer: Answer, may_stand: bool) -> Answer:
     """
     Mark the answer to a claim that was not granted but may still be committed.
--- a/lentilhaven/idempotency/tests/test_slow_store.py
+++ b/lentilhaven/idempotency/tests/test_slow_store.py
@@ -25,7 +25,7 @@
 
 NAMES = ["vm-1", "vm-2", "vm-3"]
 
-#: All keys of the tests belong to this shard and its one object.
+#: The first shard, to which all keys belong unless a test has several shards.
 SHARD = "u0"
 
 
@@ -53,22 +53,28 @@
 
 
 class Cluster:
-    """Nodes that forward to each other, over one slow store."""
+    """Nodes that forward to each other; each has its own slow path to one store."""
 
-    def __init__(self):
+    def __init__(self, shard_count=1):
         rng = random.Random(1)
-        store = FaultyStore(ObjectStore(rng), rng, lost_answer_rate=0.0, max_delay=0.0)
-        self.store = SlowStore(store)
+        self.objects = ObjectStore(rng)
+        store = FaultyStore(self.objects, rng, lost_answer_rate=0.0, max_delay=0.0)
+        self.stores = {name: SlowStore(store) for name in NAMES}
         self.clock = loop_clock()
+        self.layout = JournalLayout(untimed_count=shard_count)
         self.nodes = {name: self.make_node(name) for name in NAMES}
         self.handlers = set()
 
     def make_node(self, name):
         budget = WriteBudget(self.clock, 1e6, 1e6)
-        layout = JournalLayout(untimed_count=1)
-        journal = Journal(self.store, self.clock, budget, layout)
+        journal = Journal(self.stores[name], self.clock, budget, self.layout)
         return JournalNode(name, journal, self.forward, lambda: NAMES, self.clock)
 
+    def delay_stores(self, delay, names=NAMES):
+        """Set the delay of the calls of some nodes, in seconds."""
+        for name in names:
+            self.stores[name].delay = delay
+
     async def forward(self, vm, message):
         """Forward a message; its handler goes on after the timeout, as a server's."""
         handler = asyncio.create_task(self.nodes[vm].commit(message))
@@ -100,7 +106,7 @@
         async def main():
             cluster = Cluster()
             await cluster.submit_at_rate([make_claim(0)], 1.0)
-            cluster.store.delay = 1.8
+            cluster.delay_stores(1.8)
             claims = [make_claim(index) for index in range(1, 200)]
             await cluster.submit_at_rate(claims, 20.0)
             return {
@@ -116,7 +122,7 @@
     def test_late_claim_is_answered_before_its_forwarder_gives_up(self):
         async def main():
             cluster = Cluster()
-            cluster.store.delay = 60.0
+            cluster.delay_stores(60.0)
             began = cluster.clock.monotonic()
             answer = await cluster.nodes["vm-1"].commit(make_claim(0))
             return answer, cluster.clock.monotonic() - began
@@ -132,17 +138,43 @@
             cluster = Cluster()
             node = cluster.nodes["vm-1"]
             await node.commit(make_claim(0))
-            cluster.store.delay = 5.0
+            cluster.delay_stores(5.0)
             first = asyncio.create_task(node.commit(make_claim(1)))
             await asyncio.sleep(0.1)
             late = [make_claim(index) for index in range(2, 50)]
             settlements = [Settlement(it, SettleOutcome.ABANDONED) for it in late]
             await asyncio.gather(*map(node.commit, [*late, *settlements]), first)
-            calls = cluster.store.calls
+            calls = cluster.stores["vm-1"].calls
             await asyncio.sleep(60.0)
-            return cluster, cluster.store.calls - calls
+            return cluster, cluster.stores["vm-1"].calls - calls
 
         cluster, calls_afterwards = run_virtual(main())
-        stored = cluster.store.store.store.objects[f"journal/{SHARD}"]
+        stored = cluster.objects.objects[f"journal/{SHARD}"]
         self.assertEqual(len(stored.value["entries"]), 2)
         self.assertEqual(calls_afterwards, 0)
+
+    def test_owner_that_alone_is_slow_is_passed_over(self):
+        async def main():
+            cluster = Cluster(shard_count=8)
+            cluster.delay_stores(60.0, ["vm-1"])
+            claims = [make_claim(index) for index in range(400)]
+            answers = await cluster.submit_at_rate(claims, 40.0)
+            return [answer.outcome for answer in answers]
+
+        outcomes = run_virtual(main())
+        self.assertIn(ClaimOutcome.UNAVAILABLE, outcomes[:120])
+        self.assertEqual(set(outcomes[240:320]), {ClaimOutcome.GRANTED})
+
+    def test_store_that_is_slow_for_all_makes_nobody_suspected(self):
+        async def main():
+            cluster = Cluster(shard_count=8)
+            claims = [make_claim(index) for index in range(480)]
+            await cluster.submit_at_rate(claims[:80], 40.0)
+            cluster.delay_stores(1.8)
+            answers = await cluster.submit_at_rate(claims[80:], 40.0)
+            suspected = [node.suspected_until for node in cluster.nodes.values()]
+            return suspected, {answer.outcome for answer in answers}
+
+        suspected, outcomes = run_virtual(main())
+        self.assertEqual(suspected, [{}, {}, {}])
+        self.assertEqual(outcomes, {ClaimOutcome.UNAVAILABLE})
