Count an engine that ends inside an event as an end under a prompt

Two new rules meet: a part of a prompt may crash engines, and a stream without length ends with its connection. An engine that crashed after the start of its first event ended the run as truncated, which was no end of an engine, so that the part was never refused.

--- a/lentilhaven/gateway/prompt_checks.py
+++ b/lentilhaven/gateway/prompt_checks.py
@@ -15,7 +15,7 @@
 HARMFUL_PART = "harmful-part"
 
 #: Kinds of error with which an exchange ends if its endpoint has ended.
-END_KINDS = ("closed", "reset")
+END_KINDS = ("closed", "reset", "truncated")
 
 #: Number of events after which an answer counts as a proof of its prompt.
 PROOF_EVENTS = 2
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -69,6 +69,8 @@
         with it crashes.  Empty for none.
     crashing_arrivals : list of float
         Event loop times at which requests with this part arrived, in seconds.
+    last_words : bytes
+        Start of an unframed stream that such an engine sends before it crashes.
     crash_time : float
         Seconds of the event loop after which a crashed replica is back.
     keeps_layers : bool
@@ -87,6 +89,7 @@
     invalid_paths: list[str] = attrs.field(factory=list)
     crashing_part: str = ""
     crashing_arrivals: list[float] = attrs.field(factory=list)
+    last_words: bytes = b""
     crash_time: float = 2.0
     keeps_layers: bool = False
     servers: dict[str, asyncio.Server] = attrs.field(factory=dict)
@@ -319,6 +322,10 @@
         """
         await asyncio.sleep(replica.event_time)
         if self.has_crashing_part(request):
+            if self.last_words:
+                writer.write(encode_head(replica, request, 200, stream_frame(replica)))
+                writer.write(self.last_words)
+                await writer.drain()
             self.begin_crash(replica)
             return False
         await wait_while_silent(replica)
