Tell an empty answer without framing from a whole one

An engine that crashed after the head of a stream without length or chunks ended the answer as complete, with no event: the caller got 200 and nothing, and the part of its prompt was not counted. A stream that starts anew and ends without framing before its first event has been broken off.

--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -123,17 +123,17 @@
     Raises
     ------
     UpstreamError
-        If the run has ended within an event.
+        If the run has ended within an event, or before the first event of an answer
+        without framing.
     """
-    if remainder.strip():
+    is_empty = run.events == 0 and not relay.last_event_id
+    if remainder.strip() or (is_empty and run.exchange.ends_at_eof):
         # An engine that breaks off may still end the framing of its answer.
-        detail = "the stream ended within an event"
+        detail = "the stream ended within an event, or before the first"
         raise UpstreamError("truncated", detail, sent=True)
     run.take_over(relay)
     response = await ensure_response(relay, head)
     await response.write_eof(remainder)
-    # An engine that ends after the head of an answer without a length has answered
-    # nothing, although its stream looks complete.
     if run.events:
         note_proof(relay.gateway, relay.call)
     return None
--- a/lentilhaven/gateway/tests/test_prompt_faults.py
+++ b/lentilhaven/gateway/tests/test_prompt_faults.py
@@ -132,14 +132,14 @@
     sound streams found no engines any more.
     """
 
-    def check(self, prefix, last_words=b""):
+    def check(self, prefix, last_words=None):
         async def scenario(bed):
             bed.fleet.last_words = last_words
             return await play_harmful_part(bed, prefix)
 
         engines = full_engines()
         for replica in engines:
-            replica.faults.unframed = bool(last_words)
+            replica.faults.unframed = last_words is not None
         outcome = run_on_testbed(scenario, engines)
         fifth = outcome.fifth_crash
         late = [it for it in outcome.harmful_runs if it.at > fifth + LEARNING_TIME]
@@ -159,6 +159,9 @@
     def test_engines_that_end_inside_the_first_event_of_an_unframed_stream(self):
         self.check(f"{SHARED}:800,{HARMFUL}:410,{{own}}:250", b"id: 1\ndata: wo")
 
+    def test_engines_that_end_after_the_head_of_an_unframed_stream(self):
+        self.check(f"{SHARED}:800,{HARMFUL}:410,{{own}}:250", b"")
+
     def test_part_at_the_start(self):
         self.check(f"{HARMFUL}:410,{SHARED}:800,{{own}}:250")
 
--- a/lentilhaven/gateway/tests/test_streams.py
+++ b/lentilhaven/gateway/tests/test_streams.py
@@ -389,6 +389,21 @@
         self.assertEqual(runs, 8)
 
 
+class EmptyStreamTests(unittest.TestCase):
+    """Guard against an empty answer that looks whole after a crash of its engine."""
+
+    def test_unframed_stream_that_ends_after_its_head_is_not_whole(self):
+        async def use(bed):
+            bed.fleet.crashing_part, bed.fleet.last_words = "dead01", b""
+            return await bed.call("/once/1", Prompt_Prefix="dead01:40,beef:60")
+
+        engines = two_chains()
+        for replica in engines:
+            replica.faults.unframed = True
+        reply = run_on_testbed(use, engines)
+        self.assertEqual(reply.status, 502)
+
+
 class DefectTests(unittest.TestCase):
     """Guard against a second answer inside a stream that a defect has ended."""
 
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -69,8 +69,9 @@
         with it crashes.  Empty for none.
     crashing_arrivals : list of float
         Event loop times at which requests with this part arrived, in seconds.
-    last_words : bytes
-        Start of an unframed stream that such an engine sends before it crashes.
+    last_words : bytes or None
+        Bytes that such an engine sends after the head before it crashes; None if it
+        sends no head.
     crash_time : float
         Seconds of the event loop after which a crashed replica is back.
     keeps_layers : bool
@@ -89,7 +90,7 @@
     invalid_paths: list[str] = attrs.field(factory=list)
     crashing_part: str = ""
     crashing_arrivals: list[float] = attrs.field(factory=list)
-    last_words: bytes = b""
+    last_words: bytes | None = None
     crash_time: float = 2.0
     keeps_layers: bool = False
     servers: dict[str, asyncio.Server] = attrs.field(factory=dict)
@@ -322,7 +323,7 @@
         """
         await asyncio.sleep(replica.event_time)
         if self.has_crashing_part(request):
-            if self.last_words:
+            if self.last_words is not None:
                 writer.write(encode_head(replica, request, 200, stream_frame(replica)))
                 writer.write(self.last_words)
                 await writer.drain()
--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -207,6 +207,7 @@
             self.usable = False
         if head.keep_alive is not None:
             self.keep_alive = head.keep_alive
+        self.exchange.ends_at_eof = self.ends_at_eof
         self.exchange.head = head
         self.exchange.wake()
         if self.head_only:
--- a/lentilhaven/upstream/exchange.py
+++ b/lentilhaven/upstream/exchange.py
@@ -64,6 +64,8 @@
         The account of this exchange.
     given_up : bool
         Whether the response was too large.
+    ends_at_eof : bool
+        Whether the response has no framing and ends with the connection.
     complete : bool
         Whether the whole response has arrived.
     error : UpstreamError or None
@@ -88,6 +90,7 @@
     memory: AnswerMemory = attrs.field(factory=AnswerMemory)
     holding: Holding = attrs.field(init=False)
     given_up: bool = False
+    ends_at_eof: bool = False
     complete: bool = False
     error: UpstreamError | None = None
     waiter: asyncio.Future[None] | None = None
