Name a request across its attempts in the log of lost runs

A request that its caller sends again has a new id each time, so that no line told whether one request ended several replicas, nor whether a plain request or a stream of some events was counted. The line 'run lost with its connection' names each lost run by a digest of workspace, method, host, target and body. No logic changes.

--- a/lentilhaven/gateway/call.py
+++ b/lentilhaven/gateway/call.py
@@ -1,10 +1,17 @@
 """A caller's request with its routing decision."""
 
+import hashlib
+from functools import cached_property
+
 import attrs
 
 from lentilhaven.fleet.route_rule import RouteRule
 from lentilhaven.platform.request_head import RequestHead
 
+#: Bytes of the digest of a request: too many for two requests to share one by chance,
+#: or for a caller to find a body whose digest is that of another request.
+DIGEST_BYTES = 12
+
 
 @attrs.define(eq=False)
 class Call:
@@ -48,6 +55,21 @@
     deadline: float
     manifest_version: int
 
+    @cached_property
+    def digest(self) -> str:
+        """
+        Return a digest that is the same whenever a request comes again.
+
+        It covers the caller's workspace, the method, host and target, and the body.
+        Attempts of a caller differ in their id, and the headers do not count.
+        """
+        found = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for text in (self.tenant, self.method, self.route.host, self.target):
+            encoded = text.encode("utf-8", "surrogateescape")
+            found.update(b"%d:%b" % (len(encoded), encoded))
+        found.update(self.body)
+        return found.hexdigest()
+
     @property
     def id(self) -> str:
         """Return the id that the caller gave this attempt."""
--- a/lentilhaven/gateway/prompt_checks.py
+++ b/lentilhaven/gateway/prompt_checks.py
@@ -60,6 +60,23 @@
     return gateway.prompt_faults.forbids_repeat(call.service, parts)
 
 
+def log_lost_run(
+    call: Call, endpoint: Endpoint, error: UpstreamError, events: int
+) -> None:
+    """Log a run whose endpoint has closed the connection before the answer was whole."""
+    if not error.sent or error.kind not in END_KINDS:
+        return
+    log.warning(
+        "run lost with its connection",
+        request=call.id,
+        digest=call.digest,
+        workspace=call.tenant,
+        endpoint=endpoint.id,
+        born=endpoint.born,
+        events=events,
+    )
+
+
 def note_end(
     gateway: Gateway, call: Call, endpoint: Endpoint, error: UpstreamError
 ) -> None:
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -20,6 +20,7 @@
 from lentilhaven.gateway.prompt_checks import (
     HARMFUL_PART,
     forbids_repeat,
+    log_lost_run,
     note_answer,
     note_end,
     refuse_harmful_prompt,
@@ -395,6 +396,7 @@
             head = await exchange.wait_for_head(deadline)
             body = await exchange.read_body(deadline) if head else None
     except UpstreamError as error:
+        log_lost_run(call, endpoint, error, 0)
         note_end(gateway, call, endpoint, error)
         ran = Ran.UNKNOWN if error.sent else Ran.NO
         return Failure(Step.SEND, endpoint.id, error.kind, error.detail, ran)
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -9,7 +9,11 @@
 from lentilhaven.core.step import Step
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
 from lentilhaven.gateway.pipe_meter import count_crossings
-from lentilhaven.gateway.prompt_checks import PROOF_EVENTS, note_end
+from lentilhaven.gateway.prompt_checks import (
+    PROOF_EVENTS,
+    log_lost_run,
+    note_end,
+)
 from lentilhaven.gateway.service_relay import UpstreamResponse, check_before_send
 from lentilhaven.gateway.stream_events import relay_answer
 from lentilhaven.gateway.stream_state import (
@@ -79,6 +83,8 @@
     relay: StreamRelay, run: StreamRun | None, error: UpstreamError
 ) -> None:
     """Record the end of a run's first engine unless the run has proven its prompt."""
+    if run is not None:
+        log_lost_run(relay.call, run.chain.first, error, run.events)
     if run is not None and run.events < PROOF_EVENTS:
         note_end(relay.gateway, relay.call, run.chain.first, error)
 
