Show a request that ends one replica after the other

Stand-ins play a request that crashes each replica that begins to run it: before the head, within the answer, after some events, at a later part of a chain, and at a part to which the stream is moved. An engine that has started again no longer goes on with the streams of its former incarnation.

--- a/lentilhaven/gateway/prompt_checks.py
+++ b/lentilhaven/gateway/prompt_checks.py
@@ -63,7 +63,7 @@
 def log_lost_run(
     call: Call, endpoint: Endpoint, error: UpstreamError, events: int
 ) -> None:
-    """Log a run whose endpoint has closed the connection before the answer was whole."""
+    """Log a run whose connection has ended before the answer was whole."""
     if not error.sent or error.kind not in END_KINDS:
         return
     log.warning(
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -10,7 +10,11 @@
 
 import attrs
 
-from lentilhaven.standins.platform.fake_replica import FakeReplica, Run
+from lentilhaven.standins.platform.fake_replica import (
+    CrashingRequest,
+    FakeReplica,
+    Run,
+)
 from lentilhaven.standins.platform.fake_store import FakeStore
 from lentilhaven.standins.platform.replica_wire import (
     RequestReader,
@@ -31,6 +35,14 @@
 #: Delay of a response from an unresponsive replica, in seconds of the event loop.
 HANG_TIME = 3600.0
 
+#: Bytes in each piece of an answer in which a replica crashes, and the pause between
+#: two pieces, in seconds of the event loop.
+PIECE_BYTES = 4
+PIECE_INTERVAL = 0.01
+
+#: Pause between two checks of the parts of a stream, in seconds of the event loop.
+PART_CHECK_INTERVAL = 0.05
+
 #: Bytes that are missing from an event inside which a stream breaks off.
 CUT_BYTES = 4
 
@@ -69,6 +81,10 @@
         with it crashes.  Empty for none.
     crashing_arrivals : list of float
         Event loop times at which requests with this part arrived, in seconds.
+    crashing_requests : list of CrashingRequest
+        Requests that crash the replicas that run them.
+    crashing_request_arrivals : list of float
+        Event loop times at which these requests arrived, in seconds.
     last_words : bytes or None
         Bytes that such an engine sends after the head before it crashes; None if it
         sends no head.
@@ -80,6 +96,9 @@
         Server of each replica that is up, by replica id.
     crash_tasks : set of asyncio.Future
         Crashes whose replica is not back yet.
+    crashed_parts : set of (str, str)
+        Ids of crashing requests, each with the address of a part that has crashed on
+        it.
     """
 
     store: FakeStore
@@ -90,11 +109,14 @@
     invalid_paths: list[str] = attrs.field(factory=list)
     crashing_part: str = ""
     crashing_arrivals: list[float] = attrs.field(factory=list)
+    crashing_requests: list[CrashingRequest] = attrs.field(factory=list)
+    crashing_request_arrivals: list[float] = attrs.field(factory=list)
     last_words: bytes | None = None
     crash_time: float = 2.0
     keeps_layers: bool = False
     servers: dict[str, asyncio.Server] = attrs.field(factory=dict)
     crash_tasks: set[asyncio.Future[None]] = attrs.field(factory=set)
+    crashed_parts: set[tuple[str, str]] = attrs.field(factory=set)
 
     def register(self, replica: FakeReplica) -> None:
         """Write the entry of a replica to the store."""
@@ -201,6 +223,8 @@
         replica.arrivals.append(asyncio.get_running_loop().time())
         if self.has_crashing_part(request):
             self.crashing_arrivals.append(replica.arrivals[-1])
+        if self.find_crashing_request(request) is not None:
+            self.crashing_request_arrivals.append(replica.arrivals[-1])
         return await self.serve_work(replica, request, reader, writer)
 
     async def serve_work(
@@ -239,6 +263,9 @@
         faults = replica.faults
         await asyncio.sleep(0.01 + faults.delay)
         await wait_while_silent(replica)
+        crashing = self.find_crashing_request(request)
+        if crashing is not None:
+            return await self.crash_in_answer(replica, request, writer, crashing)
         if faults.lose_answer:
             reset_connection(writer)
             return False
@@ -330,6 +357,11 @@
             self.begin_crash(replica)
             return False
         await wait_while_silent(replica)
+        crashing = self.find_crashing_request(request)
+        if crashing is not None and crashing.pieces is None:
+            return await self.crash_before_head(
+                replica, request, parts, writer, crashing
+            )
         writer.write(encode_head(replica, request, 200, stream_frame(replica)))
         if replica.faults.endless == "event":
             return await send_endlessly(replica, writer, request)
@@ -355,8 +387,10 @@
         # One event stands for 4 tokens of the output.
         event_count = int(output) // 4
         last_received = int(request.fields.get("last-event-id") or 0)
+        births: dict[str, int] = {}
         for number in range(last_received + 1, event_count + 1):
-            if not await self.wait_for_parts(request.fields["request-id"], parts):
+            sent = number - last_received - 1
+            if not await self.reach_event(replica, request, parts, births, sent):
                 reset_connection(writer)
                 return False
             if has_lost_caller(replica, request, writer, disconnect):
@@ -379,27 +413,163 @@
         await writer.drain()
         return not unframed
 
+    async def reach_event(
+        self,
+        replica: FakeReplica,
+        request: RequestReader,
+        parts: list[tuple[str, int, int]],
+        births: dict[str, int],
+        sent: int,
+    ) -> bool:
+        """
+        Wait until all parts of a chain respond, or return False if the stream ends.
+
+        Parameters
+        ----------
+        replica, request, parts, births
+            As in `send_stream` and `wait_for_parts`.
+        sent : int
+            Number of events that this run has sent.
+        """
+        request_id = request.fields["request-id"]
+        rule = self.find_crashing_request(request)
+        while await self.wait_for_parts(request_id, parts, births):
+            if rule is None or not rule.is_due(sent):
+                return True
+            # A part that replaces a crashed one crashes too.
+            if self.crash_part(request_id, parts, rule) is replica:
+                return False
+            await asyncio.sleep(PART_CHECK_INTERVAL)
+        return False
+
     def has_crashing_part(self, request: RequestReader) -> bool:
         """Return whether a request has the part of prompts that crashes engines."""
         entries = request.fields.get("prompt-prefix", "").split(",")
         parts = [entry.partition(":")[0].strip() for entry in entries]
         return bool(self.crashing_part) and self.crashing_part in parts
 
+    def find_crashing_request(self, request: RequestReader) -> CrashingRequest | None:
+        """Return why a request crashes its replicas; None if it does not."""
+        for rule in self.crashing_requests:
+            if (
+                request.fields.get("tenant", "") == rule.tenant
+                and (request.method, request.target) == (rule.method, rule.target)
+                and request.body == rule.body
+            ):
+                return rule
+        return None
+
+    async def crash_in_answer(
+        self,
+        replica: FakeReplica,
+        request: RequestReader,
+        writer: asyncio.StreamWriter,
+        rule: CrashingRequest,
+    ) -> bool:
+        """
+        Let a replica of a plain service crash before or within its answer.
+
+        Returns that the connection does not stay open.
+        """
+        if rule.pieces is not None:
+            length = PIECE_BYTES * (rule.pieces + 1)
+            head = encode_head(replica, request, 200, f"Content-Length: {length}")
+            writer.write(head)
+            for _ in range(rule.pieces):
+                writer.write(b"x" * PIECE_BYTES)
+                await writer.drain()
+                await asyncio.sleep(PIECE_INTERVAL)
+        self.begin_crash(replica)
+        return False
+
+    async def crash_before_head(
+        self,
+        replica: FakeReplica,
+        request: RequestReader,
+        parts: list[tuple[str, int, int]],
+        writer: asyncio.StreamWriter,
+        rule: CrashingRequest,
+    ) -> bool:
+        """
+        Let a part of a chain crash before the first event of a stream.
+
+        If it is a later part, the first one refuses the request after `STALL_TIMEOUT`;
+        a part that replaces it meanwhile crashes too.  Returns whether the connection
+        stays open.
+        """
+        request_id = request.fields["request-id"]
+        crashed = None
+        until = math.inf
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            part = self.crash_part(request_id, parts, rule)
+            if part is replica:
+                return False
+            if part is not crashed:
+                crashed, until = part, loop.time() + STALL_TIMEOUT
+            await asyncio.sleep(PART_CHECK_INTERVAL)
+        address = crashed.address if crashed is not None else ""
+        return await send_response(replica, writer, request, 503, b"", True, address)
+
+    def crash_part(
+        self,
+        request_id: str,
+        parts: list[tuple[str, int, int]],
+        rule: CrashingRequest,
+    ) -> FakeReplica | None:
+        """
+        Let the part of a request's chain crash that a rule names, and return it.
+
+        A part that has crashed on the request before is not crashed again: after its
+        start it knows nothing of the request.
+        """
+        current_parts = self.replaced_paths.get(request_id, parts)
+        address, _, _ = current_parts[min(rule.part, len(current_parts) - 1)]
+        part = self.find_replica(address)
+        if part is not None and (request_id, address) not in self.crashed_parts:
+            self.crashed_parts.add((request_id, address))
+            self.begin_crash(part)
+        return part
+
     async def wait_for_parts(
-        self, request_id: str, parts: list[tuple[str, int, int]]
+        self,
+        request_id: str,
+        parts: list[tuple[str, int, int]],
+        births: dict[str, int],
     ) -> bool:
-        """Wait until all parts respond, or return False after `STALL_TIMEOUT`."""
+        """
+        Wait until all parts respond, or return False after `STALL_TIMEOUT`.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the request.
+        parts : list of tuple of (str, int, int)
+            Parts of the chain in the request.
+        births : dict
+            Start of each part when the request first reached it, by address; a part
+            that has started again knows nothing of the request.
+        """
         loop = asyncio.get_running_loop()
         until = loop.time() + STALL_TIMEOUT
         while True:
             current_parts = self.replaced_paths.get(request_id, parts)
+            addresses = [address for address, _, _ in current_parts]
             if not any(
-                self.is_unresponsive(address) for address, _, _ in current_parts
+                self.is_unresponsive(address) or self.has_restarted(address, births)
+                for address in addresses
             ):
                 return True
             if loop.time() >= until:
                 return False
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(PART_CHECK_INTERVAL)
+
+    def has_restarted(self, address: str, births: dict[str, int]) -> bool:
+        """Return whether the replica at an address has started again since `births`."""
+        part = self.find_replica(address)
+        if part is None:
+            return False
+        return births.setdefault(address, part.born) != part.born
 
     def pace_at(self, address: str) -> float:
         """Return the pace of the replica at an address; 1 if it is unknown."""
--- a/lentilhaven/standins/platform/fake_replica.py
+++ b/lentilhaven/standins/platform/fake_replica.py
@@ -110,6 +110,37 @@
         return self.fields.get("prompt-prefix", "")
 
 
+@attrs.frozen
+class CrashingRequest:
+    """
+    A request that crashes each replica that begins to run it.
+
+    Attributes
+    ----------
+    tenant, method, target : str
+        Name of the caller's workspace, method and target of the request.
+    body : bytes
+        Body of the request.
+    pieces : int or None
+        Number of events, or of pieces of another answer, that are sent before the
+        crash; None if not even the head is sent.
+    part : int
+        Index of the part of the chain that crashes.  A crash of another part than the
+        first one leaves the stream silent.
+    """
+
+    tenant: str
+    method: str
+    target: str
+    body: bytes
+    pieces: int | None = None
+    part: int = 0
+
+    def is_due(self, sent: int) -> bool:
+        """Return whether the crash comes after a number of events of the answer."""
+        return sent >= (self.pieces or 0)
+
+
 @attrs.define(eq=False)
 class FakeReplica:
     """
