--- /dev/null
+++ b/lentilhaven/crashes/breaker.py
@@ -0,0 +1,121 @@
+"""
+Circuit breakers of subjects that end endpoints.
+
+A breaker is open while its subject is refused.  Once the time of refusal has passed
+it is half-open: one request may run as a trial.  If that ends another endpoint, the
+breaker opens again for twice the time; if it is answered, the breaker closes.  So a
+subject that is still sent when the evidence is too old costs one endpoint, not a new
+set of them.
+"""
+
+import attrs
+
+#: Seconds for which a subject is refused after the last end, before the first trial.
+FIRST_HOLD = 120.0
+
+#: Maximum of that time, in seconds; it doubles with each trial.
+MAX_HOLD = 960.0
+
+#: Seconds after the begin of a trial for which no other one begins.  A trial that
+#: neither ends an endpoint nor is answered within this time has shown nothing.
+TRIAL_TIME = 30.0
+
+#: Seconds after the time of refusal for which a breaker is kept if nobody sends its
+#: subject.
+IDLE_TIME = 600.0
+
+#: Seconds by which the time of refusal that another gateway states must be later to be
+#: adopted.  Gateways that repeat each other's time would otherwise extend it for ever
+#: by the time that datagrams are in transit.
+ADOPTION_MARGIN = 5.0
+
+
+@attrs.define(eq=False)
+class Breaker:
+    """
+    The refusal of one subject.
+
+    All points in time are times of the event loop, in seconds.
+
+    Attributes
+    ----------
+    ended_at : float
+        Time of the last end of an endpoint under the subject.
+    until : float
+        Time until which the subject is refused, except the trial.
+    trials : int
+        Number of trials that have begun, at any gateway.
+    trial : str
+        Id of the request of this gateway that may run as a trial; empty for none.
+
+    Examples
+    --------
+    >>> breaker = Breaker(ended_at=0.0)
+    >>> breaker.until
+    120.0
+    >>> breaker.begin_trial("r1", 125.0)
+    >>> breaker.until, breaker.admits("r1", 126.0), breaker.admits("r2", 126.0)
+    (155.0, True, False)
+    >>> breaker.note_end(126.0)
+    >>> breaker.until
+    366.0
+    """
+
+    ended_at: float
+    until: float = attrs.field()
+    trials: int = 0
+    trial: str = ""
+
+    @until.default
+    def first_until(self) -> float:
+        """Return the end of the first time of refusal."""
+        return self.ended_at + FIRST_HOLD
+
+    def note_end(self, at: float) -> None:
+        """Record an end of an endpoint under the subject."""
+        if at > self.ended_at:
+            self.ended_at = at
+            hold = min(MAX_HOLD, FIRST_HOLD * 2.0**self.trials)
+            self.until = max(self.until, at + hold)
+
+    def admits(self, request_id: str, now: float) -> bool:
+        """Return whether a request may run: the trial, or any if none has begun."""
+        return now >= self.until or (bool(self.trial) and request_id == self.trial)
+
+    def begin_trial(self, request_id: str, now: float) -> None:
+        """Let a request run as a trial, and refuse others meanwhile."""
+        self.trial = request_id
+        self.trials += 1
+        self.until = now + TRIAL_TIME
+
+    def adopt(self, other: "Breaker") -> bool:
+        """
+        Take over what another gateway states, and return whether it was news.
+
+        Parameters
+        ----------
+        other : Breaker
+            The breaker of the same subject at the other gateway.
+        """
+        if other.until <= self.until + ADOPTION_MARGIN:
+            return False
+        self.ended_at = max(self.ended_at, other.ended_at)
+        self.until = other.until
+        self.trials = max(self.trials, other.trials)
+        return True
+
+    def is_forgotten(self, now: float) -> bool:
+        """Return whether the subject has not been sent for long."""
+        return now > self.until + IDLE_TIME
+
+
+def is_closed(breaker: Breaker, proven_at: float) -> bool:
+    """
+    Return whether a proof of the subject has closed a breaker.
+
+    Examples
+    --------
+    >>> is_closed(Breaker(10.0), 9.0), is_closed(Breaker(10.0), 11.0)
+    (False, True)
+    """
+    return proven_at > breaker.ended_at
--- /dev/null
+++ b/lentilhaven/crashes/ledger.py
@@ -0,0 +1,568 @@
+"""
+The ledger of ended endpoints, and the rule by which it finds out what is at fault.
+
+An end is recorded for each subject of each run that was lost with the endpoint, so that
+most of what is recorded is without fault: it ran beside something else.  A subject that
+is sent again, because it is popular or because each loss is repeated, collects ends as
+fast as the one at fault.  Three observations tell them apart:
+
+- An answer is a proof.  What was sound a moment ago is hardly at fault now, and ends
+  before a proof no longer count.
+- The subject at fault has ended every endpoint that ran it, so that it explains at
+  least as many ends as any other.  What is left of another subject's ends without those
+  that a stronger suspect explains is too little.
+- Subjects that explain the same ends can't be told apart until one of them runs alone.
+  Where they are parts of one request, all of which must be refused anyway, there is no
+  need to.
+
+The proof of a part of prompts is the begin of an answer, since a harmful one ends its
+endpoint before that.  A request may do so at any time, so that its proof is a whole
+answer.
+"""
+
+import itertools
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from operator import itemgetter
+
+import attrs
+
+from lentilhaven.crashes.breaker import Breaker, is_closed
+from lentilhaven.peering.messages import MAX_DISTANCE, BreakerState
+from lentilhaven.peering.subject import Incarnation, Subject, SubjectKind
+
+#: Seconds for which an end of an endpoint counts as evidence.
+EVIDENCE_TIME = 120.0
+
+#: Seconds for which an end is passed on to other gateways.  It must be less than
+#: `EVIDENCE_TIME` by more than datagrams are in transit; otherwise gateways would renew
+#: each other's evidence for ever.
+PASSED_TIME = 100.0
+
+#: Number of ended endpoints from which a subject may be at fault.
+MIN_ENDS = 3
+
+#: Number of ended endpoints from which a run that ended with its endpoint is not
+#: repeated: the repetition would end the next one.
+REPEAT_ENDS = MIN_ENDS - 1
+
+#: Seconds before the first end within which a proof speaks for a subject: what was
+#: sound a moment ago is unlikely to be at fault.
+PROOF_TIME = 30.0
+
+#: Number of ends, and seconds from the first to the last, that count as a fault in
+#: spite of an earlier proof.  Endpoints that fail together end within less time.
+CHANGED_ENDS, CHANGED_TIME = 5, 2.0
+
+#: Seconds after an end within which data from the same incarnation shows that it has
+#: not ended.  Data in transit may arrive before that, and a restarted endpoint answers
+#: later.
+ALIVE_AFTER, ALIVE_UNTIL = 0.25, 1.0
+
+#: Seconds after which an end is no longer compared with the data from its endpoint.
+ALIVE_CHECK_TIME = 2.0
+
+#: Seconds by which the last end that another gateway's breaker states must be later
+#: than a proof; its age does not contain the time that datagrams are in transit.
+STATED_END_MARGIN = 2.0
+
+#: Seconds for which an ended endpoint is remembered, and for which it is passed on.
+ENDED_TIME, ENDED_PASSED_TIME = 30.0, 3.0
+
+#: Maximum numbers of subjects with ends, of ends of each subject, of subjects of each
+#: kind with proofs, of breakers, and of ended endpoints.
+MAX_SUBJECTS_WITH_ENDS = 1024
+MAX_ENDS = 32
+MAX_PROVEN = 2048
+MAX_BREAKERS = 256
+MAX_ENDED = 256
+
+#: Maximum numbers in a datagram: of subjects of each kind with the most ends, of
+#: subjects with the latest ends, of proofs of each kind, of breakers and of ended
+#: endpoints.
+MAX_SENT_STRONGEST = 8
+MAX_SENT_LATEST = 24
+MAX_SENT_PROOFS = 16
+MAX_SENT_BREAKERS = 8
+MAX_SENT_ENDED = 16
+
+#: Seconds for which an end counts as a late one, which is passed on before others, and
+#: number of subjects with the latest ends that are compared for a datagram.
+LATEST_TIME = 1.0
+MAX_COMPARED = 128
+
+
+@attrs.frozen
+class Refusal:
+    """
+    Why a request is refused.
+
+    Attributes
+    ----------
+    subject : Subject
+        What has ended endpoints.
+    ends : int
+        Number of endpoints that have ended under it, as far as that is known.
+    age : float
+        Seconds since the first of these ends.
+    left : float
+        Seconds until the subject may run again.
+    """
+
+    subject: Subject
+    ends: int
+    age: float
+    left: float
+
+
+@attrs.define(eq=False)
+class CrashLedger:
+    """
+    The ends of endpoints under each subject, and the proofs of sound subjects.
+
+    All points in time are times of the event loop, in seconds.
+
+    Attributes
+    ----------
+    ends : dict
+        Time at which each incarnation of an endpoint ended, by subject; the subject
+        with the latest recorded end last.
+    recorded : dict
+        Time of the latest end that was recorded of a subject, by subject.
+    suspects : set of Subject
+        Subjects with at least `MIN_ENDS` ends, of which some may not count any more.
+    proofs : dict
+        By kind and subject, the latest proof of each distance (see
+        `peering.messages.MAX_DISTANCE`), least recently proven subject first.
+    alive : dict
+        Latest time at which an incarnation that seemed to have ended sent data.
+    breakers : dict
+        Breakers of refused subjects.
+    ended : dict
+        Time at which incarnations of endpoints were seen to have ended.
+    announced : set
+        Candidates of which `new_candidates` has told.
+
+    Examples
+    --------
+    >>> ledger, bad = CrashLedger(), Subject("gen", "bad")
+    >>> for number in range(3):
+    ...     new = ledger.note_end(bad, ("engine", number), float(number))
+    >>> refusal = ledger.find_refusal([bad, Subject("gen", "other")], 3.0)
+    >>> refusal.subject.name, refusal.ends, refusal.age, refusal.left
+    ('bad', 3, 3.0, 119.0)
+    """
+
+    ends: dict[Subject, dict[Incarnation, float]] = attrs.field(factory=dict)
+    recorded: dict[Subject, float] = attrs.field(factory=dict)
+    suspects: set[Subject] = attrs.field(factory=set)
+    proofs: dict[SubjectKind, dict[Subject, list[float]]] = attrs.field(
+        factory=lambda: {kind: {} for kind in SubjectKind}
+    )
+    alive: dict[Incarnation, float] = attrs.field(factory=dict)
+    breakers: dict[Subject, Breaker] = attrs.field(factory=dict)
+    ended: dict[Incarnation, float] = attrs.field(factory=dict)
+    announced: set[Subject] = attrs.field(factory=set)
+
+    # Evidence.
+
+    def note_end(self, subject: Subject, incarnation: Incarnation, at: float) -> bool:
+        """
+        Record the end of an endpoint; return whether it was not known.
+
+        The earliest time counts if several are reported.
+        """
+        if at <= self.alive.get(incarnation, -math.inf):
+            return False
+        ends = self.ends.pop(subject, {})
+        # The subject becomes the last one.
+        self.ends[subject] = ends
+        known = ends.get(incarnation)
+        if known is not None:
+            ends[incarnation] = min(known, at)
+            return False
+        ends[incarnation] = at
+        self.recorded[subject] = max(at, self.recorded.get(subject, -math.inf))
+        if len(ends) > MAX_ENDS:
+            del ends[min(ends, key=ends.__getitem__)]
+        if len(ends) >= MIN_ENDS:
+            self.suspects.add(subject)
+        if subject in self.breakers:
+            self.breakers[subject].note_end(at)
+        if len(self.ends) > MAX_SUBJECTS_WITH_ENDS:
+            self.drop_subject(self.least_important())
+        return incarnation in ends
+
+    def least_important(self) -> Subject:
+        """Return the subject whose latest end is the oldest, unless it is a suspect."""
+        others = (subject for subject in self.ends if subject not in self.suspects)
+        return next(others, next(iter(self.ends)))
+
+    def drop_subject(self, subject: Subject) -> None:
+        """Forget the ends under a subject."""
+        self.ends.pop(subject, None)
+        self.recorded.pop(subject, None)
+        self.suspects.discard(subject)
+
+    def note_proof(self, subject: Subject, at: float, distance: int = 0) -> None:
+        """
+        Record that a request with a subject was answered.
+
+        Parameters
+        ----------
+        subject : Subject
+            The subject.
+        at : float
+            Event loop time of the proof, in seconds.
+        distance : int
+            Distance of the observation; 0 if this gateway has received the answer.
+        """
+        proven = self.proofs[subject.kind]
+        proofs = proven.pop(subject, None) or [-math.inf] * (MAX_DISTANCE + 1)
+        proofs[distance] = max(proofs[distance], at)
+        proven[subject] = proofs
+        if len(proven) > MAX_PROVEN:
+            del proven[next(iter(proven))]
+
+    def proven_at(self, subject: Subject, distance: int = MAX_DISTANCE) -> float:
+        """Return the time of the latest proof of at most a distance, or -inf."""
+        proofs = self.proofs[subject.kind].get(subject, (-math.inf,))
+        return max(proofs[: distance + 1])
+
+    def note_data(self, incarnation: Incarnation, at: float) -> None:
+        """Remove the ends of an incarnation that has sent data shortly after them."""
+        ended_at = self.ended.get(incarnation, math.inf)
+        if ended_at + ALIVE_AFTER <= at <= ended_at + ALIVE_UNTIL:
+            del self.ended[incarnation]
+            self.alive[incarnation] = at
+        for subject, ends in self.ends.items():
+            ended_at = ends.get(incarnation, math.inf)
+            if ended_at + ALIVE_AFTER <= at <= ended_at + ALIVE_UNTIL:
+                del ends[incarnation]
+                self.alive[incarnation] = at
+                self.withdraw_breaker(subject)
+
+    def withdraw_breaker(self, subject: Subject) -> None:
+        """Remove the breaker of a subject if the ends that opened it are refuted."""
+        breaker = self.breakers.get(subject)
+        if breaker is None or breaker.trials > 0:
+            return
+        if len(self.counted_ends(subject)) < MIN_ENDS:
+            del self.breakers[subject]
+
+    def note_ended(self, incarnation: Incarnation, at: float) -> bool:
+        """Record that an endpoint was seen to have ended; return whether it is news."""
+        if incarnation in self.ended or at <= self.alive.get(incarnation, -math.inf):
+            return False
+        self.ended[incarnation] = at
+        if len(self.ended) > MAX_ENDED:
+            del self.ended[next(iter(self.ended))]
+        return True
+
+    def refute_ends(self, heard_at: Mapping[Incarnation, float], now: float) -> None:
+        """
+        Remove old evidence, and the ends of endpoints that are alive.
+
+        An answer may have been lost on its way.  This must be called more often than
+        every `ALIVE_UNTIL` - `ALIVE_AFTER` seconds.
+
+        Parameters
+        ----------
+        heard_at : mapping
+            Time of the latest data of endpoints.  It must come from this gateway or
+            the one that has received the data; others' times are not accurate enough.
+        now : float
+            Time of the event loop.
+        """
+        self.expire(now)
+        recent = {
+            name
+            for ends in self.ends.values()
+            for name, at in ends.items()
+            if now - at < ALIVE_CHECK_TIME
+        }
+        recent |= {
+            name for name, at in self.ended.items() if now - at < ALIVE_CHECK_TIME
+        }
+        for name in recent & heard_at.keys():
+            self.note_data(name, heard_at[name])
+
+    def expire(self, now: float) -> None:
+        """Remove evidence that is older than `EVIDENCE_TIME`, and idle breakers."""
+        oldest = now - EVIDENCE_TIME
+        for subject, ends in list(self.ends.items()):
+            for name in [name for name, at in ends.items() if at <= oldest]:
+                del ends[name]
+            if not ends:
+                self.drop_subject(subject)
+            elif len(ends) < MIN_ENDS:
+                self.suspects.discard(subject)
+        self.alive = {name: at for name, at in self.alive.items() if at > oldest}
+        oldest = now - ENDED_TIME
+        self.ended = {name: at for name, at in self.ended.items() if at > oldest}
+        self.expire_breakers(now)
+
+    def expire_breakers(self, now: float) -> None:
+        """Remove the breakers that are closed, or that nobody needs any more."""
+        for subject, breaker in list(self.breakers.items()):
+            proven_at = self.proven_at(subject)
+            is_old = is_closed(breaker, proven_at) and now - proven_at > PASSED_TIME
+            if is_old or breaker.is_forgotten(now):
+                del self.breakers[subject]
+
+    # The rule.
+
+    def counted_ends(self, subject: Subject) -> dict[Incarnation, float]:
+        """Return the ends since the latest proof of a subject."""
+        ends = self.ends.get(subject)
+        if not ends:
+            return {}
+        proven_at = self.proven_at(subject)
+        return {name: at for name, at in ends.items() if at > proven_at}
+
+    def is_unproven(self, subject: Subject, ends: Iterable[float]) -> bool:
+        """Return whether no proof was given shortly before some ends."""
+        return self.proven_at(subject) <= min(ends, default=-math.inf) - PROOF_TIME
+
+    def may_be_at_fault(self, subject: Subject) -> bool:
+        """Return whether no proof speaks against a fault of a subject with ends."""
+        ends = self.counted_ends(subject).values()
+        if not ends:
+            return False
+        if self.is_unproven(subject, ends):
+            return True
+        return len(ends) >= CHANGED_ENDS and max(ends) - min(ends) >= CHANGED_TIME
+
+    def is_candidate(self, subject: Subject) -> bool:
+        """Return whether a subject may be at fault for the ends under it."""
+        if subject not in self.suspects:
+            return False
+        ends = self.counted_ends(subject)
+        return len(ends) >= MIN_ENDS and self.may_be_at_fault(subject)
+
+    def rank(self, subject: Subject) -> tuple[bool, int]:
+        """
+        Return a key that is larger the better a subject explains the ends under it.
+
+        A subject that was answered shortly before explains them worse than one that was
+        not, however often it was lost.
+        """
+        ends = self.counted_ends(subject)
+        return self.is_unproven(subject, ends.values()), len(ends)
+
+    def unexplained_ends(
+        self, subject: Subject, together: Sequence[Subject]
+    ) -> dict[Incarnation, float]:
+        """
+        Return the ends under a subject that no other candidate explains as well.
+
+        Parameters
+        ----------
+        subject : Subject
+            The subject.
+        together : sequence of Subject
+            Subjects of the same request, which are refused with it and explain nothing
+            away.
+        """
+        ends = self.counted_ends(subject)
+        rank = self.rank(subject)
+        for other in self.suspects:
+            if (
+                other == subject
+                or other in together
+                or other.service != subject.service
+            ):
+                continue
+            if self.is_candidate(other) and self.rank(other) >= rank:
+                explained = self.counted_ends(other)
+                ends = {name: at for name, at in ends.items() if name not in explained}
+        return ends
+
+    def is_at_fault(self, subject: Subject, together: Sequence[Subject]) -> bool:
+        """Return whether a subject is the best explanation of the ends under it."""
+        if not self.is_candidate(subject):
+            return False
+        return len(self.unexplained_ends(subject, together)) >= MIN_ENDS
+
+    def new_candidates(self, subjects: Iterable[Subject]) -> list[Subject]:
+        """Return those of some subjects that have become candidates."""
+        self.announced = {it for it in self.announced if self.is_candidate(it)}
+        found = {it for it in subjects if self.is_candidate(it)} - self.announced
+        self.announced |= found
+        return sorted(found)
+
+    # Refusal.
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there is nothing for which a request could be refused."""
+        return not self.ends and not self.breakers
+
+    def find_refusal(
+        self, subjects: Sequence[Subject], now: float, request_id: str = ""
+    ) -> Refusal | None:
+        """
+        Return why a request must be refused; None if it may run.
+
+        Parameters
+        ----------
+        subjects : sequence of Subject
+            The request and the shared parts of its prompt.
+        now : float
+            Time of the event loop.
+        request_id : str
+            Id of the request, by which a trial is known.
+        """
+        for subject in subjects:
+            breaker = self.open_breaker(subject)
+            if self.is_at_fault(subject, subjects):
+                if breaker is None:
+                    breaker = self.open_new_breaker(subject)
+            elif breaker is not None and len(self.counted_ends(subject)) >= MIN_ENDS:
+                # Another subject has turned out to explain the ends.
+                del self.breakers[subject]
+                continue
+            if breaker is not None and not breaker.admits(request_id, now):
+                times = self.counted_ends(subject).values()
+                age = now - min(times, default=breaker.ended_at)
+                return Refusal(subject, len(times), age, breaker.until - now)
+        return None
+
+    def begin_trials(
+        self, subjects: Sequence[Subject], request_id: str, now: float
+    ) -> list[Subject]:
+        """
+        Begin the trials for which it is time with a request that is sent now.
+
+        Returns
+        -------
+        list of Subject
+            Subjects whose trial has begun.
+        """
+        begun = []
+        for subject in subjects:
+            breaker = self.open_breaker(subject)
+            if breaker is not None and breaker.trial != request_id:
+                breaker.begin_trial(request_id, now)
+                begun.append(subject)
+        return begun
+
+    def open_breaker(self, subject: Subject) -> Breaker | None:
+        """Return the breaker of a subject unless it is closed."""
+        breaker = self.breakers.get(subject)
+        if breaker is None or is_closed(breaker, self.proven_at(subject)):
+            return None
+        return breaker
+
+    def open_new_breaker(self, subject: Subject) -> Breaker:
+        """Open and return the breaker of a subject that is at fault."""
+        breaker = Breaker(max(self.counted_ends(subject).values()))
+        self.breakers[subject] = breaker
+        if len(self.breakers) > MAX_BREAKERS:
+            del self.breakers[
+                min(self.breakers, key=lambda it: self.breakers[it].until)
+            ]
+        return breaker
+
+    def forbids_repeat(self, subjects: Sequence[Subject]) -> bool:
+        """Return whether a repeated run is likely to end another endpoint."""
+        return any(
+            self.open_breaker(subject) is not None
+            or (
+                len(self.counted_ends(subject)) >= REPEAT_ENDS
+                and self.may_be_at_fault(subject)
+                and len(self.unexplained_ends(subject, subjects)) >= REPEAT_ENDS
+            )
+            for subject in subjects
+        )
+
+    # What other gateways are told, and what they tell.
+
+    def sent_ends(
+        self, kind: SubjectKind, now: float
+    ) -> dict[Subject, dict[Incarnation, float]]:
+        """
+        Return the ages of ends to pass on to other gateways, by subject of a kind.
+
+        These are the subjects with the most ends, and those with the latest: the ends
+        under one subject may be seen by as many gateways.
+        """
+        found = {}
+        late = itertools.islice(reversed(self.ends), MAX_COMPARED)
+        for subject in self.suspects.union(late):
+            if subject.kind is not kind:
+                continue
+            ages = {
+                name: round(now - at, 3)
+                for name, at in self.counted_ends(subject).items()
+                if now - at < PASSED_TIME
+            }
+            if ages:
+                found[subject] = ages
+        strongest = sorted(found, key=lambda it: (-len(found[it]), it))
+        latest = sorted(
+            (it for it in found if now - self.recorded[it] < LATEST_TIME),
+            key=lambda it: (-self.recorded[it], it),
+        )
+        chosen = [*strongest[:MAX_SENT_STRONGEST], *latest[:MAX_SENT_LATEST]]
+        return {subject: found[subject] for subject in chosen}
+
+    def sent_proofs(
+        self, kind: SubjectKind, now: float, distance: int
+    ) -> dict[Subject, float]:
+        """
+        Return the ages of proofs of refused or lost subjects, to pass on.
+
+        Parameters
+        ----------
+        kind : SubjectKind
+            Kind of the subjects.
+        now : float
+            Time of the event loop.
+        distance : int
+            Distance that the proofs have for the receiver.
+        """
+        found = {
+            subject: round(now - at, 3)
+            for subject in {**self.ends, **self.breakers}
+            if subject.kind is kind
+            and (at := self.proven_at(subject, distance - 1)) > now - EVIDENCE_TIME
+        }
+        count = {subject: len(self.ends.get(subject, ())) for subject in found}
+        chosen = sorted(found, key=lambda it: (-count[it], it))
+        return {subject: found[subject] for subject in chosen[:MAX_SENT_PROOFS]}
+
+    def sent_breakers(self, now: float) -> dict[Subject, BreakerState]:
+        """Return the open breakers to pass on to other gateways, the newest first."""
+        found = {
+            subject: BreakerState(
+                round(now - breaker.ended_at, 3),
+                round(breaker.until - now, 3),
+                breaker.trials,
+            )
+            for subject in self.breakers
+            if (breaker := self.open_breaker(subject)) is not None
+            and breaker.until > now
+        }
+        chosen = sorted(found, key=lambda it: (-found[it].left, it))
+        return {subject: found[subject] for subject in chosen[:MAX_SENT_BREAKERS]}
+
+    def adopt_breaker(self, subject: Subject, state: BreakerState, now: float) -> bool:
+        """Adopt the breaker of another gateway, and return whether it was news."""
+        stated = Breaker(now - state.age, now + state.left, state.trials)
+        if stated.ended_at <= self.proven_at(subject) + STATED_END_MARGIN:
+            return False
+        known = self.open_breaker(subject)
+        if known is not None:
+            return known.adopt(stated)
+        self.breakers[subject] = stated
+        return True
+
+    def sent_ended(self, now: float) -> dict[Incarnation, float]:
+        """Return the ages of the latest ends of endpoints to pass on."""
+        ages = {
+            name: round(now - at, 3)
+            for name, at in self.ended.items()
+            if now - at < ENDED_PASSED_TIME
+        }
+        return dict(sorted(ages.items(), key=itemgetter(1))[:MAX_SENT_ENDED])
--- a/lentilhaven/gateway/tests/test_prompt_evidence.py
+++ b/lentilhaven/crashes/tests/test_ledger.py
@@ -1,21 +1,23 @@
-"""The rule by which parts of prompts are held responsible for ends of endpoints."""
+"""The rule by which subjects are held responsible for ends of endpoints."""
 
 import unittest
 
-from lentilhaven.gateway.endpoint_states import EndpointState
-from lentilhaven.gateway.prompt_faults import (
+from lentilhaven.crashes.breaker import FIRST_HOLD
+from lentilhaven.crashes.ledger import (
     ALIVE_AFTER,
     EVIDENCE_TIME,
     MAX_ENDS,
-    MAX_PARTS_WITH_ENDS,
-    MAX_PROVEN_PARTS,
-    MAX_SENT_PARTS,
+    MAX_PROVEN,
+    MAX_SENT_LATEST,
     MAX_SENT_PROOFS,
+    MAX_SENT_STRONGEST,
+    MAX_SUBJECTS_WITH_ENDS,
     PASSED_TIME,
-    PromptFaults,
+    CrashLedger,
 )
+from lentilhaven.peering.subject import Subject, SubjectKind
 
-BAD, GOOD, OTHER = ("gen", "bad"), ("gen", "good"), ("gen", "other")
+BAD, GOOD, OTHER = (Subject("gen", name) for name in ("bad", "good", "other"))
 
 
 def note_ends(faults, part, numbers, start=100.0, step=0.1):
@@ -26,14 +28,14 @@
 
 def is_refused(faults, *parts, now=110.0):
     """Return whether a request with some parts is refused."""
-    return faults.find_block("gen", [part for _, part in parts], now) is not None
+    return faults.find_refusal(parts, now) is not None
 
 
 class RuleTests(unittest.TestCase):
     """Guard against refusals of sound requests, and of too few harmful ones."""
 
     def setUp(self):
-        self.faults = PromptFaults()
+        self.faults = CrashLedger()
 
     def test_three_ends_block_an_unproven_part(self):
         note_ends(self.faults, BAD, (1, 2))
@@ -49,7 +51,7 @@
 
     def test_parts_belong_to_a_service(self):
         note_ends(self.faults, BAD, (1, 2, 3))
-        self.assertIsNone(self.faults.find_block("other", ["bad"], 110.0))
+        self.assertIsNone(self.faults.find_refusal([Subject("other", "bad")], 110.0))
 
     def test_part_that_shares_every_end_is_not_refused_once_proven(self):
         for part in (BAD, GOOD):
@@ -98,21 +100,21 @@
 
     def test_block_lasts_as_long_as_its_evidence(self):
         note_ends(self.faults, BAD, (1, 2, 3), step=10.0)
-        block = self.faults.find_block("gen", ["bad"], 130.0)
+        block = self.faults.find_refusal([BAD], 130.0)
         self.assertEqual((block.ends, block.age), (3, 30.0))
-        self.assertEqual(block.left, EVIDENCE_TIME - 30.0)
+        self.assertEqual(block.left, FIRST_HOLD - 10.0)
         end = 130.0 + block.left
         self.assertTrue(is_refused(self.faults, BAD, now=end - 0.1))
         self.assertFalse(is_refused(self.faults, BAD, now=end + 0.1))
 
     def test_run_is_not_repeated_from_the_second_end(self):
         note_ends(self.faults, BAD, (1,))
-        self.assertFalse(self.faults.forbids_repeat("gen", ["bad"]))
+        self.assertFalse(self.faults.forbids_repeat([BAD]))
         note_ends(self.faults, BAD, (2,))
-        self.assertTrue(self.faults.forbids_repeat("gen", ["good", "bad"]))
-        self.assertFalse(self.faults.forbids_repeat("gen", ["good"]))
+        self.assertTrue(self.faults.forbids_repeat([GOOD, BAD]))
+        self.assertFalse(self.faults.forbids_repeat([GOOD]))
         self.faults.note_proof(BAD, 101.0)
-        self.assertFalse(self.faults.forbids_repeat("gen", ["bad"]))
+        self.assertFalse(self.faults.forbids_repeat([BAD]))
 
 
 class AliveTests(unittest.TestCase):
@@ -120,10 +122,9 @@
 
     def check(self, heard_at):
         """Return whether a part is refused whose first engine sends data later."""
-        faults, state = PromptFaults(), EndpointState()
+        faults = CrashLedger()
         note_ends(faults, BAD, (1, 2, 3), step=0.0)
-        state.note_heard(heard_at)
-        faults.refute_ends({("e1", 1): state}, 101.0)
+        faults.refute_ends({("e1", 1): heard_at}, 101.0)
         faults.note_end(BAD, ("e1", 1), 100.1)
         return is_refused(faults, BAD)
 
@@ -134,54 +135,49 @@
         self.assertTrue(self.check(100.0 + ALIVE_AFTER / 2))
 
     def test_answer_of_a_plain_replica_shows_that_it_has_not_ended(self):
-        faults = PromptFaults()
+        faults = CrashLedger()
         note_ends(faults, BAD, (1, 2, 3), step=0.0)
         faults.note_data(("e9", 1), 100.5)
         self.assertTrue(is_refused(faults, BAD))
         faults.note_data(("e1", 1), 100.5)
         self.assertFalse(is_refused(faults, BAD))
 
-    def test_late_report_of_another_gateway_refutes_nothing(self):
-        faults, state = PromptFaults(), EndpointState()
-        note_ends(faults, BAD, (1, 2, 3), step=0.0)
-        state.note_heard(100.5, distance=2)
-        faults.refute_ends({("e1", 1): state}, 101.0)
-        self.assertTrue(is_refused(faults, BAD))
-
 
 class BoundTests(unittest.TestCase):
     """Guard against state and datagrams that grow with the parts of prompts."""
 
     def setUp(self):
-        self.faults = PromptFaults()
+        self.faults = CrashLedger()
         note_ends(self.faults, BAD, range(40), step=0.01)
         for number in range(3000):
-            part = ("gen", f"part-{number}")
+            part = Subject("gen", f"part-{number}")
             self.faults.note_proof(part, 90.0)
-            note_ends(self.faults, part, (number,), start=101.0)
+            note_ends(self.faults, part, (number,), start=101.0 + number * 1e-4)
 
     def test_state_is_bounded_and_keeps_the_strongest_evidence(self):
-        self.assertEqual(len(self.faults.proofs), MAX_PROVEN_PARTS)
-        self.assertLessEqual(len(self.faults.ends), MAX_PARTS_WITH_ENDS)
+        self.assertEqual(len(self.faults.proofs[SubjectKind.PART]), MAX_PROVEN)
+        self.assertLessEqual(len(self.faults.ends), MAX_SUBJECTS_WITH_ENDS)
         self.assertEqual(len(self.faults.ends[BAD]), MAX_ENDS)
         self.assertTrue(is_refused(self.faults, BAD))
 
     def test_datagrams_are_bounded_and_hold_the_strongest_evidence(self):
-        sent = self.faults.sent_ends(102.0)
-        self.assertEqual(len(sent), MAX_SENT_PARTS)
+        sent = self.faults.sent_ends(SubjectKind.PART, 101.5)
+        self.assertEqual(len(sent), MAX_SENT_STRONGEST + MAX_SENT_LATEST)
         self.assertEqual(next(iter(sent)), BAD)
-        self.assertLessEqual(len(self.faults.sent_proofs(102.0, 1)), MAX_SENT_PROOFS)
+        proofs = self.faults.sent_proofs(SubjectKind.PART, 102.0, 1)
+        self.assertLessEqual(len(proofs), MAX_SENT_PROOFS)
 
     def test_old_evidence_is_removed(self):
         self.faults.expire(102.0 + EVIDENCE_TIME)
         self.assertEqual(self.faults.ends, {})
 
     def test_old_evidence_is_not_passed_on(self):
-        self.assertEqual(self.faults.sent_ends(101.5 + PASSED_TIME), {})
+        sent = self.faults.sent_ends(SubjectKind.PART, 101.5 + PASSED_TIME)
+        self.assertEqual(sent, {})
 
     def test_proof_is_passed_on_only_through_fewer_gateways(self):
-        faults = PromptFaults()
+        faults = CrashLedger()
         note_ends(faults, GOOD, (1,))
         faults.note_proof(GOOD, 99.0, distance=1)
-        self.assertEqual(faults.sent_proofs(100.0, 1), {})
-        self.assertEqual(faults.sent_proofs(100.0, 2), {GOOD: 1.0})
+        self.assertEqual(faults.sent_proofs(SubjectKind.PART, 100.0, 1), {})
+        self.assertEqual(faults.sent_proofs(SubjectKind.PART, 100.0, 2), {GOOD: 1.0})
--- a/lentilhaven/gateway/endpoint_states.py
+++ b/lentilhaven/gateway/endpoint_states.py
@@ -3,6 +3,7 @@
 import attrs
 
 from lentilhaven.fleet.endpoint import Endpoint
+from lentilhaven.peering.messages import MAX_DISTANCE
 
 #: Weight of the newest observation in an exponentially weighted moving average.
 EWMA_WEIGHT = 0.15
@@ -16,11 +17,6 @@
 #: that was in transit when the endpoint failed still arrives.
 REFUTE_MARGIN = 0.05
 
-#: Largest distance of an observation: it is 0 for a gateway's own, 1 for one that
-#: another gateway has reported of itself, 2 for one in the sum of a data centre, and 3
-#: for one in the sum of all.
-MAX_DISTANCE = 3
-
 #: Largest distance of an observation that a gateway passes on.
 MAX_PASSED_DISTANCE = MAX_DISTANCE - 1
 
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -10,13 +10,14 @@
 
 from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.signal import Signal
+from lentilhaven.crashes.ledger import CrashLedger
+from lentilhaven.crashes.run_log import RunLog
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.gateway.budget import RetryBudgetShare
 from lentilhaven.gateway.endpoint_signals import note_signals
 from lentilhaven.gateway.endpoint_states import EndpointStates
 from lentilhaven.gateway.pipe_meter import PipeMeter
-from lentilhaven.gateway.prompt_faults import PromptFaults
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.peer_table import PeerTable
@@ -78,8 +79,10 @@
         The other gateways.
     link_traffic : PipeMeter
         Traffic of this gateway's requests between data centres.
-    prompt_faults : PromptFaults
-        Parts of prompts under which endpoints have ended.
+    crash_ledger : CrashLedger
+        Requests and parts of prompts under which endpoints have ended.
+    run_log : RunLog
+        The runs of this gateway's requests, by endpoint.
     urgent_signal : Signal
         Wakes the task that sends messages to the other gateways.
     pace_questions : dict
@@ -117,7 +120,8 @@
     budgets: dict[str, RetryBudgetShare] = attrs.field(factory=dict)
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
-    prompt_faults: PromptFaults = attrs.field(factory=PromptFaults)
+    crash_ledger: CrashLedger = attrs.field(factory=CrashLedger)
+    run_log: RunLog = attrs.field(factory=RunLog)
     urgent_signal: Signal = attrs.field(factory=Signal)
     pace_questions: dict[tuple[str, int], Endpoint] = attrs.field(factory=dict)
     pace_signal: Signal = attrs.field(factory=Signal)
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -20,11 +20,11 @@
     current_limits,
 )
 from lentilhaven.gateway.caller_request import make_request_factory
+from lentilhaven.gateway.crash_checks import refuse_harmful
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.gateway_metrics import record_request
 from lentilhaven.gateway.intake import read_call
-from lentilhaven.gateway.prompt_checks import refuse_harmful_prompt
 from lentilhaven.gateway.service_relay import relay_call
 from lentilhaven.gateway.stream_relay import relay_stream
 from lentilhaven.platform.request_head import decode_request_head
@@ -124,7 +124,7 @@
     gateway: Gateway, request: web.BaseRequest, call: Call
 ) -> web.StreamResponse:
     """Forward a request according to the kind of its route, unless it is harmful."""
-    refusal = refuse_harmful_prompt(gateway, call)
+    refusal = refuse_harmful(gateway, call)
     if refusal is not None:
         return make_error_response(refusal)
     if call.route.kind is RouteKind.STREAMING:
--- a/lentilhaven/gateway/message_composer.py
+++ b/lentilhaven/gateway/message_composer.py
@@ -9,6 +9,7 @@
 from lentilhaven.peering.load_sums import LoadSums
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage, Scope
+from lentilhaven.peering.subject import SubjectKind
 
 #: Number of randomly chosen gateways listed in a datagram, so that new gateways learn
 #: of all others.
@@ -57,6 +58,7 @@
         """
         gateway = self.gateway
         peers, view = gateway.peers, gateway.view
+        ledger = gateway.crash_ledger
         is_sum = scope in (Scope.DATA_CENTRE, Scope.FLEET)
         states = self.endpoint_states()
         sums = self.sum_load(scope, states, now)
@@ -93,8 +95,12 @@
             manifest_version=view.manifest.version if view.manifest else 0,
             paces=stated_paces(states, now, scope.distance),
             leaving=view.leaving.recent(view.monotonic()),
-            prompt_ends=gateway.prompt_faults.sent_ends(now),
-            prompt_proofs=gateway.prompt_faults.sent_proofs(now, scope.distance),
+            prompt_ends=ledger.sent_ends(SubjectKind.PART, now),
+            prompt_proofs=ledger.sent_proofs(SubjectKind.PART, now, scope.distance),
+            request_ends=ledger.sent_ends(SubjectKind.REQUEST, now),
+            request_proofs=ledger.sent_proofs(SubjectKind.REQUEST, now, scope.distance),
+            breakers=ledger.sent_breakers(now),
+            ended=ledger.sent_ended(now),
         )
 
     def endpoint_states(self) -> dict[str, EndpointState]:
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -9,10 +9,14 @@
 
 from lentilhaven.fleet.endpoint_history import EndpointChanges
 from lentilhaven.gateway.connection_factories import OpenDatagrams
+from lentilhaven.gateway.crash_checks import (
+    merge_evidence,
+    refute_ends,
+    settle_runs,
+)
 from lentilhaven.gateway.endpoint_states import REFUTE_MARGIN
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.message_composer import MessageComposer
-from lentilhaven.gateway.prompt_checks import merge_evidence
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import (
     PeerMessage,
@@ -114,9 +118,8 @@
             if await gateway.urgent_signal.wait(self.interval(loop.time())):
                 await asyncio.sleep(URGENT_DELAY)
             gateway.peers.expire(loop.time())
-            gateway.prompt_faults.refute_ends(
-                gateway.endpoint_states.states, loop.time()
-            )
+            refute_ends(gateway, loop.time())
+            settle_runs(gateway, loop.time())
             self.send_due()
 
     def interval(self, now: float) -> float:
@@ -241,7 +244,7 @@
     -------
     bool
         Whether the datagram reports a suspicion of an endpoint that was not suspected
-        before, or an end of an endpoint under a prompt that was not known.
+        before, or evidence of what ends endpoints that was not known.
     """
     gateway.peers_store_read_at = max(
         gateway.peers_store_read_at, now - message.checked
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -13,7 +13,9 @@
 from lentilhaven.core.ids import VmId
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
+from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.connection_factories import ConnectionFactories
+from lentilhaven.gateway.crash_checks import note_gone
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.gateway_metrics import open_metrics_listener
 from lentilhaven.gateway.listeners import (
@@ -35,6 +37,7 @@
 from lentilhaven.leases.lease_settings import LeaseSettings
 from lentilhaven.objects.share import RateLimit
 from lentilhaven.objects.token_bucket import TokenBucket
+from lentilhaven.peering.subject import Incarnation
 from lentilhaven.placement.placer import Placer
 from lentilhaven.platform.settings import (
     PlatformSettings,
@@ -236,9 +239,12 @@
 
 async def sweep_endpoints(gateway: Gateway) -> None:
     """Periodically remove connections and states of endpoints that are gone."""
+    known: dict[Incarnation, Endpoint] = {}
     while True:
         await asyncio.sleep(SWEEP_INTERVAL)
-        live = {it.incarnation for it in gateway.view.endpoints.values()}
+        note_gone(gateway, known)
+        known = {it.incarnation: it for it in gateway.view.endpoints.values()}
+        live = set(known)
         gateway.pool.close_stale(live)
         gateway.endpoint_states.remove_gone(live)
         gateway.view.expire()
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -13,21 +13,23 @@
 from lentilhaven.core.tasks import cancel_tasks
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.call import Call
+from lentilhaven.gateway.crash_checks import (
+    HARMFUL_KINDS,
+    begin_trials,
+    forbids_repeat,
+    note_plain_answer,
+    note_refused_connection,
+    recording_run,
+    refuse_harmful,
+)
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.held_response import HeldResponse
-from lentilhaven.gateway.prompt_checks import (
-    HARMFUL_PART,
-    forbids_repeat,
-    log_lost_run,
-    note_answer,
-    note_end,
-    refuse_harmful_prompt,
-)
 from lentilhaven.gateway.replica_choice import choose_replica, pause_left
 from lentilhaven.platform.request_head import encode_request, gateway_headers
 from lentilhaven.platform.response_head import ResponseHead
+from lentilhaven.upstream.connection import UpstreamConnection
 from lentilhaven.upstream.connection_pool import MAX_IDLE_TIME
 from lentilhaven.upstream.exchange import UpstreamError
 
@@ -43,7 +45,10 @@
 REFUSAL_STATUSES = (421, 429, 503)
 
 #: Kinds of failure of an attempt in which the replica received nothing.
-UNSENT_KINDS = ("connect", "withheld", HARMFUL_PART)
+UNSENT_KINDS = ("connect", "withheld", *HARMFUL_KINDS.values())
+
+#: Kinds of failure of an attempt that say nothing about the replica.
+NEUTRAL_KINDS = ("withheld", *HARMFUL_KINDS.values())
 
 #: Number of replicas that may refuse a request before the gateway refuses it.
 MAX_REFUSALS = 3
@@ -112,9 +117,9 @@
 
     @property
     def is_harmful(self) -> bool:
-        """Return whether the latest attempt was refused for a part of its prompt."""
+        """Return whether the latest attempt was refused since it ends endpoints."""
         last = self.last_outcome
-        return isinstance(last, Failure) and last.kind == HARMFUL_PART
+        return isinstance(last, Failure) and last.kind in HARMFUL_KINDS.values()
 
     @property
     def succeeded(self) -> bool:
@@ -207,7 +212,7 @@
     if endpoint is None or now >= call.deadline:
         return False
     if attempts.endpoints and forbids_repeat(gateway, call):
-        log.info("request not repeated for its prompt", request=call.id)
+        log.info("request not repeated since it ends endpoints", request=call.id)
         return False
     # While no replica has received the request, another attempt is no retry.
     if attempts.possible_runs + attempts.refusals + len(attempts.running) > 0:
@@ -316,7 +321,7 @@
         state.requests -= 1
     now = loop.time()
     failed = not isinstance(outcome, UpstreamResponse) or outcome.failed
-    if isinstance(outcome, Failure) and outcome.kind in ("withheld", HARMFUL_PART):
+    if isinstance(outcome, Failure) and outcome.kind in NEUTRAL_KINDS:
         pass
     elif isinstance(outcome, Failure) and outcome.ran is Ran.NO:
         state.refused_until = now + REFUSAL_BACKOFF
@@ -384,32 +389,66 @@
             endpoint, call.id, deadline - loop.time(), max_idle
         )
     except UpstreamError as error:
+        note_refused_connection(gateway, endpoint, error)
         return Failure(Step.CONNECT, endpoint.id, "connect", error.detail)
     withheld = check_before_send(gateway, call, [endpoint])
     if withheld is not None:
         gateway.pool.release(endpoint, connection)
         return withheld
-    own = gateway_headers(endpoint, call.deadline - loop.time(), call.tenant)
-    request = encode_request(call.method, call.target, call.head, len(call.body), own)
     try:
-        with connection.exchanging(call.id, request, call.body) as exchange:
-            head = await exchange.wait_for_head(deadline)
-            body = await exchange.read_body(deadline) if head else None
+        outcome = await run_exchange(gateway, call, endpoint, connection, deadline)
     except UpstreamError as error:
-        log_lost_run(call, endpoint, error, 0)
-        note_end(gateway, call, endpoint, error)
         ran = Ran.UNKNOWN if error.sent else Ran.NO
         return Failure(Step.SEND, endpoint.id, error.kind, error.detail, ran)
     except asyncio.CancelledError:
         connection.abort()
         raise
-    if head is None or body is None:
+    if outcome is None:
         connection.abort()
         gateway.pool.close_idle(endpoint)
         detail = "no whole answer in time"
         return Failure(Step.SEND, endpoint.id, "timeout", detail, Ran.UNKNOWN)
     gateway.pool.release(endpoint, connection)
-    return interpret_answer(gateway, call, endpoint, UpstreamResponse(head, body))
+    return outcome
+
+
+async def run_exchange(
+    gateway: Gateway,
+    call: Call,
+    endpoint: Endpoint,
+    connection: UpstreamConnection,
+    deadline: float,
+) -> UpstreamResponse | Failure | None:
+    """
+    Send a request on a connection, read the response and record what it proves.
+
+    Returns
+    -------
+    UpstreamResponse, Failure or None
+        None if there is no complete response by the deadline; a failure if the replica
+        guarantees that it has not run the request.
+
+    Raises
+    ------
+    UpstreamError
+        If the exchange fails.
+    """
+    loop = asyncio.get_running_loop()
+    own = gateway_headers(endpoint, call.deadline - loop.time(), call.tenant)
+    request = encode_request(call.method, call.target, call.head, len(call.body), own)
+    with (
+        recording_run(gateway, call, [endpoint]) as record,
+        connection.exchanging(call.id, request, call.body) as exchange,
+    ):
+        head = await exchange.wait_for_head(deadline)
+        body = await exchange.read_body(deadline) if head else None
+        if head is None or body is None:
+            return None
+        outcome = interpret_answer(endpoint, UpstreamResponse(head, body))
+        if isinstance(outcome, UpstreamResponse):
+            is_framed = not exchange.ends_at_eof
+            note_plain_answer(gateway, endpoint, record, head.status, is_framed)
+        return outcome
 
 
 def check_before_send(
@@ -435,21 +474,18 @@
     if not all(gateway.accepts_new_work(endpoint) for endpoint in endpoints):
         detail = "it refused another request while this one waited for a connection"
         return Failure(Step.CONNECT, endpoints[0].id, "withheld", detail)
-    return refuse_harmful_prompt(gateway, call)
+    refusal = refuse_harmful(gateway, call)
+    if refusal is None:
+        begin_trials(gateway, call)
+    return refusal
 
 
 def interpret_answer(
-    gateway: Gateway, call: Call, endpoint: Endpoint, response: UpstreamResponse
+    endpoint: Endpoint, response: UpstreamResponse
 ) -> UpstreamResponse | Failure:
-    """
-    Return a complete response, or a failure if the replica has refused the request.
-
-    A success is a proof of the request's prompt.
-    """
+    """Return a complete response, or a failure if the replica has refused to run it."""
     head = response.head
     if head.not_executed and head.status in REFUSAL_STATUSES:
         detail = f"status {head.status}"
         return Failure(Step.SEND, endpoint.id, "refused", detail, Ran.NO)
-    if head.status < 300:
-        note_answer(gateway, call, endpoint)
     return response
--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -6,10 +6,10 @@
 
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
+from lentilhaven.gateway.crash_checks import PROOF_EVENTS, note_answered, note_begun
 from lentilhaven.gateway.event_splitter import Events, EventSplitter
 from lentilhaven.gateway.gateway_metrics import record_first_event
 from lentilhaven.gateway.pace_check import note_pause
-from lentilhaven.gateway.prompt_checks import PROOF_EVENTS, note_proof
 from lentilhaven.gateway.silence import (
     PauseEstimator,
     first_event_limit,
@@ -90,7 +90,7 @@
     is_proven = run.events >= PROOF_EVENTS
     run.events += max(1, len(events.ids))
     if run.events >= PROOF_EVENTS and not is_proven:
-        note_proof(relay.gateway, relay.call)
+        note_begun(relay.gateway, relay.call, run.record)
 
 
 async def write_events(relay: StreamRelay, head: ResponseHead, events: Events) -> None:
@@ -135,7 +135,7 @@
     response = await ensure_response(relay, head)
     await response.write_eof(remainder)
     if run.events:
-        note_proof(relay.gateway, relay.call)
+        note_answered(relay.gateway, run.record, not run.exchange.ends_at_eof)
     return None
 
 
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -20,10 +20,10 @@
     log_missing_layers,
     time_to_cover,
 )
+from lentilhaven.gateway.crash_checks import HARMFUL_KINDS, forbids_repeat
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.held_response import HeldResponse
-from lentilhaven.gateway.prompt_checks import HARMFUL_PART, forbids_repeat
 from lentilhaven.gateway.service_relay import MAX_REFUSALS, UpstreamResponse
 from lentilhaven.gateway.stream_run import run_on_chain
 from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
@@ -228,12 +228,12 @@
     has_begun = relay.response is not None
     if relay.refusals >= MAX_REFUSALS and not has_begun:
         return False
-    if failure.kind == HARMFUL_PART:
+    if failure.kind in HARMFUL_KINDS.values():
         return False
     if failure.ran is not Ran.NO and not relay.may_run_again:
         return False
     if relay.runs > 0 and forbids_repeat(relay.gateway, relay.call):
-        log.info("request not repeated for its prompt", request=relay.call.id)
+        log.info("request not repeated since it ends endpoints", request=relay.call.id)
         return False
     return True
 
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -7,13 +7,12 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
+from lentilhaven.gateway.crash_checks import (
+    note_refused_connection,
+    recording_run,
+)
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
 from lentilhaven.gateway.pipe_meter import count_crossings
-from lentilhaven.gateway.prompt_checks import (
-    PROOF_EVENTS,
-    log_lost_run,
-    note_end,
-)
 from lentilhaven.gateway.service_relay import UpstreamResponse, check_before_send
 from lentilhaven.gateway.stream_events import relay_answer
 from lentilhaven.gateway.stream_state import (
@@ -79,16 +78,6 @@
         )
 
 
-def note_run_end(
-    relay: StreamRelay, run: StreamRun | None, error: UpstreamError
-) -> None:
-    """Record the end of a run's first engine unless the run has proven its prompt."""
-    if run is not None:
-        log_lost_run(relay.call, run.chain.first, error, run.events)
-    if run is not None and run.events < PROOF_EVENTS:
-        note_end(relay.gateway, relay.call, run.chain.first, error)
-
-
 def describe_outcome(outcome: UpstreamResponse | Failure) -> str:
     """Return a short description of an outcome for the log."""
     if isinstance(outcome, UpstreamResponse):
@@ -121,6 +110,7 @@
             first, call.id, call.deadline - loop.time()
         )
     except UpstreamError as error:
+        note_refused_connection(gateway, first, error)
         failed_at = loop.time()
         gateway.endpoint_states.of(first).note_suspicion(
             failed_at, failed_at + SUSPICION_TIME
@@ -143,9 +133,14 @@
             relay.weights,
         )
         head = encode_request(call.method, call.target, call.head, len(call.body), own)
-        with connection.exchanging(call.id, head, call.body) as exchange:
+        with (
+            recording_run(gateway, call, chain.endpoints) as record,
+            connection.exchanging(call.id, head, call.body) as exchange,
+        ):
             relay.runs += 1
-            run = StreamRun(chain, exchange, loop.time(), predecessor=predecessor)
+            run = StreamRun(
+                chain, exchange, record, loop.time(), predecessor=predecessor
+            )
             if predecessor is None:
                 relay.leader = run
             try:
@@ -155,7 +150,6 @@
     except SupersededError as error:
         return Failure(Step.STREAM, first.id, error.kind, error.detail, Ran.UNKNOWN)
     except UpstreamError as error:
-        note_run_end(relay, run, error)
         if error.sent:
             gateway.endpoint_states.of(first).refused_until = (
                 loop.time() + REFUSAL_BACKOFF
--- a/lentilhaven/gateway/stream_state.py
+++ b/lentilhaven/gateway/stream_state.py
@@ -8,6 +8,7 @@
 
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
+from lentilhaven.crashes.run_log import RunRecord
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
@@ -116,6 +117,8 @@
         The chain on which the request runs now.
     exchange : Exchange
         The exchange with the first engine of the chain.
+    record : RunRecord
+        The record of the run, by which it is found if one of its engines ends.
     silent_since : float
         Start of the current silence: event loop time of the last event, or of the
         request.  An attempt to move the run sets it to `MOVE_ALLOWANCE` seconds in the
@@ -132,6 +135,7 @@
 
     chain: Chain
     exchange: Exchange
+    record: RunRecord
     silent_since: float
     events: int = 0
     moves: int = 0
--- a/lentilhaven/gateway/stream_waiting.py
+++ b/lentilhaven/gateway/stream_waiting.py
@@ -8,7 +8,7 @@
 from lentilhaven.core.tasks import report_task_failure
 from lentilhaven.gateway.chain_choice import choose_chain
 from lentilhaven.gateway.chain_move import MAX_MOVES, move_chain
-from lentilhaven.gateway.prompt_checks import forbids_repeat
+from lentilhaven.gateway.crash_checks import forbids_repeat, is_refused
 from lentilhaven.gateway.silence import suspect_silent_parts
 from lentilhaven.gateway.stream_state import StreamRelay, StreamRun
 
@@ -78,7 +78,7 @@
         elif relay.may_run_again:
             begin_second_run(relay, run, suspects, now)
             until = now + RECHECK_INTERVAL
-        elif run.moves < MAX_MOVES:
+        elif run.moves < MAX_MOVES and not is_refused(relay.gateway, relay.call):
             moved = await move_run(relay, run, suspects, now)
             until = run.silent_since + limit if moved else now + MOVE_RETRY_INTERVAL
         else:
@@ -135,6 +135,8 @@
         return False
     run.moves += 1
     run.chain = moved
+    incarnations = [endpoint.incarnation for endpoint in moved.endpoints]
+    relay.gateway.run_log.add_endpoints(run.record, incarnations)
     # The new endpoints process the prompt and all output so far before they produce
     # the next event.
     run.silent_since = asyncio.get_running_loop().time() + MOVE_ALLOWANCE
--- a/lentilhaven/gateway/suspect_check.py
+++ b/lentilhaven/gateway/suspect_check.py
@@ -11,10 +11,11 @@
 
 from lentilhaven.core.logs import get_logger
 from lentilhaven.fleet.endpoint import Endpoint
+from lentilhaven.gateway.crash_checks import note_ended
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.pace_check import question_limit, take_affordable
 from lentilhaven.objects.token_bucket import TokenBucket
-from lentilhaven.platform.engine_calls import EngineReport, fetch_report
+from lentilhaven.platform.engine_calls import NO_LISTENER, EngineReport, fetch_report
 
 #: Seconds between two rounds of questions.
 CHECK_INTERVAL = 0.25
@@ -78,6 +79,8 @@
         gateway.session, endpoint, CALL_TIMEOUT, gateway.note_head
     )
     if report.is_error():
+        if report.error.kind == NO_LISTENER:
+            note_ended(gateway, endpoint, "refused question")
         log.info(
             "suspected engine is silent",
             endpoint=endpoint.id,
--- a/lentilhaven/gateway/tests/test_prompt_faults.py
+++ b/lentilhaven/gateway/tests/test_prompt_faults.py
@@ -5,7 +5,9 @@
 
 import attrs
 
-from lentilhaven.gateway.prompt_faults import EVIDENCE_TIME
+from lentilhaven.crashes.ledger import EVIDENCE_TIME
+from lentilhaven.gateway.crash_checks import refute_ends
+from lentilhaven.gateway.endpoint_states import EndpointState
 from lentilhaven.gateway.tests import platform_testbed
 from lentilhaven.gateway.tests.platform_testbed import (
     LAYERS,
@@ -16,6 +18,7 @@
     start_gateway,
 )
 from lentilhaven.gateway.tests.test_large_fleet import LARGE, SETTLING
+from lentilhaven.peering.subject import Subject
 from lentilhaven.platform.settings import decode_settings
 from lentilhaven.standins.platform.fake_replica import Run
 from lentilhaven.upstream.connection_pool import ConnectionPool
@@ -174,14 +177,16 @@
 def blocked_at(gateway, *parts):
     """Return whether a gateway refuses a prompt with some shared parts."""
     now = asyncio.get_running_loop().time()
-    return gateway.prompt_faults.find_block("gen", parts, now) is not None
+    subjects = [Subject("gen", part) for part in parts]
+    return gateway.crash_ledger.find_refusal(subjects, now) is not None
 
 
 def note_ends(gateway, part=HARMFUL, service="gen", count=3):
     """Let a gateway see some endpoints end under a part just now."""
     now = asyncio.get_running_loop().time()
     for number in range(count):
-        gateway.prompt_faults.note_end((service, part), (f"x{number}", 1), now)
+        subject = Subject(service, part)
+        gateway.crash_ledger.note_end(subject, (f"x{number}", 1), now)
     gateway.urgent_signal.notify()
 
 
@@ -267,7 +272,8 @@
             await asyncio.sleep(SETTLING)
             note_ends(bed.gateways[11], part=SHARED)
             now = asyncio.get_running_loop().time()
-            bed.gateways[0].prompt_faults.note_proof(("gen", SHARED), now - 5.0)
+            subject = Subject("gen", SHARED)
+            bed.gateways[0].crash_ledger.note_proof(subject, now - 5.0)
             await asyncio.sleep(1.0)
             return [blocked_at(gateway, SHARED) for gateway in bed.gateways]
 
@@ -279,13 +285,37 @@
             await asyncio.sleep(SETTLING)
             note_ends(bed.gateways[11])
             await asyncio.sleep(EVIDENCE_TIME + 2.0)
-            return [len(gateway.prompt_faults.ends) for gateway in bed.gateways]
+            return [len(gateway.crash_ledger.ends) for gateway in bed.gateways]
 
         with mock.patch.object(platform_testbed, "DATAGRAM_LATENCY", 0.15):
             found = run_on_testbed(scenario, full_engines(1), **LARGE)
         self.assertEqual(found, [0] * 12)
 
 
+class AliveTests(unittest.TestCase):
+    """Guard against blocks by ends of engines that go on, as other gateways tell."""
+
+    def check(self, distance):
+        """Return whether a part is refused whose engine is heard of after its end."""
+
+        async def scenario(bed):
+            gateway = bed.gateways[0]
+            note_ends(gateway)
+            now = asyncio.get_running_loop().time()
+            state = gateway.endpoint_states.states[("x1", 1)] = EndpointState()
+            state.note_heard(now + 0.5, distance)
+            refute_ends(gateway, now + 1.0)
+            return blocked_at(gateway, HARMFUL)
+
+        return run_on_testbed(scenario, full_engines(1), gateways=1)
+
+    def test_late_report_of_another_gateway_refutes_nothing(self):
+        self.assertTrue(self.check(distance=2))
+
+    def test_report_of_the_gateway_that_has_heard_of_it_refutes_the_end(self):
+        self.assertFalse(self.check(distance=1))
+
+
 class RepeatTests(unittest.TestCase):
     """Guard against repetitions that end the next engine."""
 
--- a/lentilhaven/logbook/request_story.py
+++ b/lentilhaven/logbook/request_story.py
@@ -26,7 +26,7 @@
         "order did not take effect",
         "endpoint is leaving",
         "pace of an engine",
-        "endpoint ended under a prompt",
+        "run lost with its endpoint",
     }
 )
 
@@ -175,13 +175,17 @@
     return f"refused at the step {line.fields.get('step')}: {line.fields.get('kind')}"
 
 
-def explain_harmful_part(line: LogLine, lines: list[LogLine]) -> str:
-    """Explain a refusal of a request whose prompt has ended endpoints."""
+def explain_harmful(line: LogLine, lines: list[LogLine]) -> str:
+    """Explain a refusal of a request that has ended endpoints, or whose prompt has."""
     fields = line.fields
+    subject = fields.get("subject")
+    what = f"part {subject} of its prompt"
+    if fields.get("kind") == "request":
+        what = f"the same request, {subject}"
     return (
-        f"refused, as {fields.get('ends')} endpoints have ended under part "
-        f"{fields.get('part')} of its prompt, the first {fields.get('age')} s before; "
-        f"such requests are refused for {fields.get('seconds')} s more"
+        f"refused, as {fields.get('ends')} endpoints have ended under {what}, "
+        f"the first {fields.get('age')} s before; "
+        f"it is refused for {fields.get('seconds')} s more"
     )
 
 
@@ -258,7 +262,7 @@
     ("request failed here", explain_internal_error),
     ("caller left", explain_disconnect),
     ("stream broken off", explain_broken_stream),
-    ("request refused for a part of its prompt", explain_harmful_part),
+    ("request refused since it ends endpoints", explain_harmful),
     ("chain too slow", explain_slow_chain),
     ("no chain", explain_no_chain),
     ("replica tried", explain_replica_attempts),
--- a/lentilhaven/logbook/tests/test_request_story.py
+++ b/lentilhaven/logbook/tests/test_request_story.py
@@ -55,30 +55,40 @@
             ["endpoint wants no requests"],
         )
 
-    def test_refusal_for_a_part_of_the_prompt(self):
+    def explain_refusal(self, kind):
+        """Return the cause of a refusal of a request that ends endpoints."""
         diagnosis = diagnose(
             log_line(
-                "request refused for a part of its prompt",
+                "request refused since it ends endpoints",
                 1.0,
                 request="r1",
-                part="dead01",
+                kind=kind,
+                subject="dead01",
                 ends=4,
                 age=2.5,
                 seconds=117.5,
             ),
             log_line("request ended", 1.0, request="r1", status=503),
         )
-        self.assertIn("4 endpoints have ended under part dead01", diagnosis.cause)
+        return diagnosis.cause
+
+    def test_refusal_for_a_part_of_the_prompt(self):
+        cause = self.explain_refusal("part")
+        self.assertIn("4 endpoints have ended under part dead01", cause)
+
+    def test_refusal_of_a_request_that_ends_endpoints(self):
+        cause = self.explain_refusal("request")
+        self.assertIn("4 endpoints have ended under the same request, dead01", cause)
 
-    def test_end_of_its_endpoint_under_another_prompt_stands_beside_a_request(self):
+    def test_end_of_its_endpoint_under_another_run_stands_beside_a_request(self):
         diagnosis = diagnose(
-            log_line("endpoint ended under a prompt", 0.9, vm="vm-2", endpoint="e1"),
+            log_line("run lost with its endpoint", 0.9, vm="vm-2", endpoint="e1"),
             log_line("chain tried", 1.0, request="r1", parts=["e1=0-8"], outcome="x"),
             log_line("request ended", 1.1, request="r1", status=502),
         )
         self.assertEqual(
             [it.event for it in diagnosis.related_lines],
-            ["endpoint ended under a prompt"],
+            ["run lost with its endpoint"],
         )
 
     def test_stream_broken_off_by_a_silent_stage(self):
--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -2,7 +2,9 @@
 
 import enum
 import json
+import math
 import zlib
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -12,16 +14,16 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.endpoint_history import EndpointChanges
 from lentilhaven.peering.member import Member
+from lentilhaven.peering.subject import Incarnation, Subject, SubjectKind
 
 #: zlib compression level; the fastest, which is enough for text that repeats the
 #: names of endpoints.
 COMPRESSION_LEVEL = 1
 
-#: Id of an endpoint and time of its start (see `Endpoint.incarnation`).
-Incarnation = tuple[str, int]
-
-#: A part of prompts: name of the service that runs them, and id of the part.
-PromptPart = tuple[str, str]
+#: Largest distance of an observation: it is 0 for a gateway's own, 1 for one that
+#: another gateway has reported of itself, 2 for one in the sum of a data centre, and 3
+#: for one in the sum of all.
+MAX_DISTANCE = 3
 
 #: Largest decompressed datagram that is accepted, in bytes; many times what the
 #: largest fleet sends.
@@ -50,6 +52,26 @@
         return {Scope.DATA_CENTRE: 2, Scope.FLEET: 3}.get(self, 1)
 
 
+@attrs.frozen
+class BreakerState:
+    """
+    The refusal of a subject that ends endpoints, as a datagram states it.
+
+    Attributes
+    ----------
+    age : float
+        Seconds since the last end of an endpoint under the subject.
+    left : float
+        Seconds until the subject may be tried again.
+    trials : int
+        Number of trials that have begun.
+    """
+
+    age: float
+    left: float
+    trials: int
+
+
 @attrs.frozen
 class PeerMessage:
     """
@@ -90,12 +112,16 @@
         slow endpoints.
     leaving : tuple of (str, int)
         Incarnations of endpoints that have recently said that they are leaving.
-    prompt_ends : dict
-        Seconds since the end of endpoints that ended before they answered a prompt, by
-        part of the prompt and incarnation.
-    prompt_proofs : dict
-        Seconds since a prompt was last answered, by part of the prompt, for parts under
-        which endpoints have ended.
+    prompt_ends, request_ends : dict
+        Seconds since the end of endpoints that ended before they answered, by part of
+        the prompt or by request, and incarnation.
+    prompt_proofs, request_proofs : dict
+        Seconds since the last answer, by part of the prompt or by request, for those
+        under which endpoints have ended.
+    breakers : dict
+        Refusals of parts of prompts and of requests.
+    ended : dict
+        Seconds since endpoints were seen to have ended, by incarnation.
     digest : str
         Digest of the endpoints that the sender holds.
     checked : float
@@ -151,8 +177,12 @@
     manifest_version: int | None = None
     paces: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     leaving: tuple[Incarnation, ...] = ()
-    prompt_ends: dict[PromptPart, dict[Incarnation, float]] = attrs.field(factory=dict)
-    prompt_proofs: dict[PromptPart, float] = attrs.field(factory=dict)
+    prompt_ends: dict[Subject, dict[Incarnation, float]] = attrs.field(factory=dict)
+    prompt_proofs: dict[Subject, float] = attrs.field(factory=dict)
+    request_ends: dict[Subject, dict[Incarnation, float]] = attrs.field(factory=dict)
+    request_proofs: dict[Subject, float] = attrs.field(factory=dict)
+    breakers: dict[Subject, BreakerState] = attrs.field(factory=dict)
+    ended: dict[Incarnation, float] = attrs.field(factory=dict)
 
     @property
     def sender(self) -> Member:
@@ -183,17 +213,33 @@
     ]
     fields["changes"] = encode_changes(message.changes)
     fields["leaving"] = [list(incarnation) for incarnation in message.leaving]
-    fields["prompt_ends"] = [
-        (*part, [(*incarnation, age) for incarnation, age in ages.items()])
-        for part, ages in message.prompt_ends.items()
+    for name in ("prompt_ends", "request_ends"):
+        fields[name] = encode_ends(fields[name])
+    for name in ("prompt_proofs", "request_proofs"):
+        fields[name] = [(it.service, it.name, age) for it, age in fields[name].items()]
+    fields["breakers"] = [
+        (it.kind.value, it.service, it.name, state.age, state.left, state.trials)
+        for it, state in message.breakers.items()
     ]
-    fields["prompt_proofs"] = [
-        (*part, age) for part, age in message.prompt_proofs.items()
+    fields["ended"] = [
+        (*incarnation, age) for incarnation, age in message.ended.items()
     ]
     text = json.dumps(fields, separators=(",", ":")).encode()
     return zlib.compress(text, COMPRESSION_LEVEL)
 
 
+def encode_ends(ends: dict[Subject, dict[Incarnation, float]]) -> list[Any]:
+    """Encode the ages of ends of endpoints, by subjects of one kind."""
+    return [
+        (
+            it.service,
+            it.name,
+            [(*incarnation, age) for incarnation, age in ages.items()],
+        )
+        for it, ages in ends.items()
+    ]
+
+
 def encode_changes(changes: EndpointChanges | None) -> list[Any] | None:
     """Encode changes of endpoints."""
     if changes is None:
@@ -255,21 +301,66 @@
             leaving=tuple(
                 (str(name), int(born)) for name, born in fields.get("leaving", ())
             ),
-            prompt_ends={
-                (str(service), str(part)): {
-                    (str(name), int(born)): float(age) for name, born, age in ages
-                }
-                for service, part, ages in fields.get("prompt_ends", ())
-            },
-            prompt_proofs={
-                (str(service), str(part)): float(age)
-                for service, part, age in fields.get("prompt_proofs", ())
+            prompt_ends=decode_ends(SubjectKind.PART, fields.get("prompt_ends", ())),
+            prompt_proofs=decode_proofs(
+                SubjectKind.PART, fields.get("prompt_proofs", ())
+            ),
+            request_ends=decode_ends(
+                SubjectKind.REQUEST, fields.get("request_ends", ())
+            ),
+            request_proofs=decode_proofs(
+                SubjectKind.REQUEST, fields.get("request_proofs", ())
+            ),
+            breakers={
+                Subject(str(service), str(name), SubjectKind(kind)): BreakerState(
+                    decode_finite(age), decode_finite(left), int(trials)
+                )
+                for kind, service, name, age, left, trials in fields.get("breakers", ())
             },
+            ended=decode_ages(fields.get("ended", ())),
         )
     except (ValueError, KeyError, TypeError, AttributeError, IndexError, zlib.error):
         return None
 
 
+def decode_ends(
+    kind: SubjectKind, value: Iterable[Any]
+) -> dict[Subject, dict[Incarnation, float]]:
+    """Decode the ages of ends of endpoints, by subjects of one kind."""
+    return {
+        Subject(str(service), str(name), kind): decode_ages(ages)
+        for service, name, ages in value
+    }
+
+
+def decode_proofs(kind: SubjectKind, value: Iterable[Any]) -> dict[Subject, float]:
+    """Decode the ages of proofs of subjects of one kind."""
+    return {
+        Subject(str(service), str(name), kind): decode_finite(age)
+        for service, name, age in value
+    }
+
+
+def decode_ages(value: Iterable[Any]) -> dict[Incarnation, float]:
+    """Decode ages by incarnation of an endpoint."""
+    return {(str(name), int(born)): decode_finite(age) for name, born, age in value}
+
+
+def decode_finite(value: Any) -> float:
+    """
+    Decode a number of seconds.
+
+    Raises
+    ------
+    TypeError, ValueError
+        If it is no finite number.
+    """
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{value} seconds")
+    return number
+
+
 def decompress(data: bytes) -> bytes:
     """
     Return the decompressed text of a datagram.
--- a/lentilhaven/peering/tests/test_previous_release.py
+++ b/lentilhaven/peering/tests/test_previous_release.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 import unittest
 import zlib
 
@@ -12,7 +13,15 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.endpoint_history import EndpointChanges
 from lentilhaven.fleet.store_era import StoreEra
-from lentilhaven.peering.messages import PeerMessage, decode_message, encode_message
+from lentilhaven.peering.messages import (
+    BreakerState,
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
+from lentilhaven.peering.subject import Subject, SubjectKind
+
+REQUEST = SubjectKind.REQUEST
 
 #: Fields of a datagram that the release before neither sends nor reads.
 NEW_FIELDS = (
@@ -22,6 +31,10 @@
     "leaving",
     "prompt_ends",
     "prompt_proofs",
+    "request_ends",
+    "request_proofs",
+    "breakers",
+    "ended",
 )
 
 #: Fields of a datagram that the release before reads.
@@ -83,8 +96,12 @@
         manifest_version=4,
         paces={"a": (3.0, 0.2)},
         leaving=(("c", 9),),
-        prompt_ends={("gen", "5c1e"): {("a", 7): 1.5, ("b", 8): 0.2}},
-        prompt_proofs={("gen", "91bd"): 0.4},
+        prompt_ends={Subject("gen", "5c1e"): {("a", 7): 1.5, ("b", 8): 0.2}},
+        prompt_proofs={Subject("gen", "91bd"): 0.4},
+        request_ends={Subject("gen", "af26", REQUEST): {("a", 7): 1.5}},
+        request_proofs={Subject("gen", "5b25", REQUEST): 0.3},
+        breakers={Subject("gen", "af26", REQUEST): BreakerState(1.5, 118.5, 0)},
+        ended={("a", 7): 1.5},
     )
 
 
@@ -105,6 +122,8 @@
         self.assertEqual((message.era, message.manifest_version), (None, None))
         self.assertEqual(message.leaving, ())
         self.assertEqual((message.prompt_ends, message.prompt_proofs), ({}, {}))
+        self.assertEqual((message.request_ends, message.request_proofs), ({}, {}))
+        self.assertEqual((message.breakers, message.ended), ({}, {}))
         self.assertEqual(message.changes.until, StorePosition(0, 5))
 
     def test_new_fields_stand_beside_those_that_the_release_before_reads(self):
@@ -113,10 +132,23 @@
 
     def test_malformed_evidence_makes_a_datagram_unreadable(self):
         fields = fields_of(encode_message(message_with_changes(2)))
-        for value in ([["gen"]], [["gen", "5c1e", [["a", "x", 1]]]], 7):
-            with self.subTest(value=value):
-                text = json.dumps(fields | {"prompt_ends": value}).encode()
-                self.assertIsNone(decode_message(zlib.compress(text)))
+        bad_ends = ([["gen"]], [["gen", "5c1e", [["a", "x", 1]]]], 7)
+        malformed = {
+            "prompt_ends": bad_ends,
+            "request_ends": bad_ends,
+            "request_proofs": ([["gen", "af26", "soon"]], [["gen", "af26", math.nan]]),
+            "breakers": (
+                [["request", "gen", "af26", 1.0, math.inf, 0]],
+                [["tenant", "gen", "af26", 1.0, 2.0, 0]],
+                [["request", "gen", "af26", 1.0]],
+            ),
+            "ended": ([["a", 7]], [["a", 7, math.inf]]),
+        }
+        for name, values in malformed.items():
+            for value in values:
+                with self.subTest(name=name, value=value):
+                    text = json.dumps(fields | {name: value}).encode()
+                    self.assertIsNone(decode_message(zlib.compress(text)))
 
     def test_changes_hold_only_what_the_release_before_accepts(self):
         fields = fields_of(encode_message(message_with_changes(2)))
--- a/lentilhaven/platform/engine_calls.py
+++ b/lentilhaven/platform/engine_calls.py
@@ -22,6 +22,9 @@
 #: Maximum size of a status report, in bytes: one with a thousand stalled requests.
 MAX_REPORT_BYTES = 131_072
 
+#: Kind of the failure of a question to an engine on whose port nothing listens.
+NO_LISTENER = "no-listener"
+
 #: Takes an endpoint and the head of an answer that it has sent.
 NoteHead = Callable[[Endpoint, ResponseHead], None]
 
@@ -115,7 +118,8 @@
     Returns
     -------
     Result
-        The report; or a failure of kind ``"report"`` if there is no valid one.
+        The report; or a failure of kind ``"report"`` if there is no valid one, or
+        `NO_LISTENER` if nothing listens on the engine's port.
     """
     url = f"http://{endpoint.address}/report"
     limit = aiohttp.ClientTimeout(total=timeout)
@@ -129,7 +133,10 @@
             return Ok(decode_report(await read_answer_json(response, MAX_REPORT_BYTES)))
     except (*REQUEST_ERRORS, TypeError) as error:
         detail = f"{type(error).__name__}: {error}"
-        return Error(Failure(Step.ORDER, endpoint.id, "report", detail))
+        cause = getattr(error, "os_error", None)
+        is_refused = isinstance(cause, ConnectionRefusedError)
+        kind = NO_LISTENER if is_refused else "report"
+        return Error(Failure(Step.ORDER, endpoint.id, kind, detail))
 
 
 def decode_report(value: dict[str, Any]) -> EngineReport:
