Count a lost run for one end of an endpoint only

A chain may lose several parts at once for a reason of their own; its run was then lost with three endpoints, and the request refused as if it had ended them. Each run now counts for the first end that is seen, and again after it was moved; runs that were sent to an endpoint after it was last heard of count only if they are the first, since they can't have ended it otherwise; and a first part that breaks off since another part has ended is not taken for ended.

test_several_parts_of_one_chain_at_once failed before (503, ends 4).

--- a/lentilhaven/crashes/run_log.py
+++ b/lentilhaven/crashes/run_log.py
@@ -6,6 +6,9 @@
 names a run, and as a later part of a chain an endpoint has no connection to the gateway
 at all.  So each run is recorded with all of its endpoints, and whoever sees an end asks
 here for the runs that it took.
+
+Several parts of a chain may end at once, for a reason of their own, and others before a
+run has reached them.  A run counts for one end only, and for none that came before it.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -23,6 +26,10 @@
 #: ended: it ends with the connection, and so does an answer in which the endpoint ends.
 DOUBT_TIME = 1.0
 
+#: Seconds after the last data from an endpoint until which it counts as alive: data of
+#: other runs through it come seldom, or are reported by other gateways.
+HEARD_SLACK = 0.1
+
 #: Maximum number of ended runs that are remembered.
 MAX_ENDED_RUNS = 4096
 
@@ -40,24 +47,30 @@
         What is proven by the answer if it was whole.
     incarnations : set of (str, int)
         Endpoints that have run it.
+    began : float
+        Event loop time at which it was sent, in seconds.
     ended_at : float or None
         Event loop time at which the run ended, in seconds; None while it goes on.
     is_whole : bool
         Whether its answer was whole.
     is_doubtful : bool
         Whether the answer looks whole, but has no framing.
+    is_blamed : bool
+        Whether the end of one of its endpoints has been recorded under its subjects.
     """
 
     subjects: tuple[Subject, ...]
     proven: tuple[Subject, ...]
     incarnations: set[Incarnation]
+    began: float
     ended_at: float | None = None
     is_whole: bool = False
     is_doubtful: bool = False
+    is_blamed: bool = False
 
     def was_lost(self, heard_at: float) -> bool:
         """Return whether the run was in progress when its endpoint ended."""
-        if self.is_whole:
+        if self.is_whole or self.is_blamed:
             return False
         return self.ended_at is None or self.is_doubtful or self.ended_at > heard_at
 
@@ -106,7 +119,7 @@
         time : callable
             Returns the event loop time, in seconds.
         """
-        record = RunRecord(subjects, proven, set())
+        record = RunRecord(subjects, proven, set(), time())
         self.add_endpoints(record, incarnations)
         try:
             yield record
@@ -123,7 +136,12 @@
     def add_endpoints(
         self, record: RunRecord, incarnations: Iterable[Incarnation]
     ) -> None:
-        """Record that a run has reached further endpoints, as when it is moved."""
+        """
+        Record that a run has reached further endpoints, as when it is moved.
+
+        These may end under it too.
+        """
+        record.is_blamed = False
         for incarnation in set(incarnations) - record.incarnations:
             record.incarnations.add(incarnation)
             self.running.setdefault(incarnation, []).append(record)
@@ -132,6 +150,9 @@
         """
         Return the runs that an endpoint has taken with its end.
 
+        Of those that began after it was last heard of, only the first can have ended
+        it.
+
         Parameters
         ----------
         incarnation : tuple of (str, int)
@@ -141,7 +162,11 @@
         """
         ended = [it for it in self.ended if incarnation in it.incarnations]
         found = [*self.running.get(incarnation, ()), *ended]
-        return [it for it in found if it.was_lost(heard_at)]
+        lost = sorted(
+            (it for it in found if it.was_lost(heard_at)), key=lambda it: it.began
+        )
+        count = sum(it.began <= heard_at + HEARD_SLACK for it in lost)
+        return lost[: max(1, count)]
 
     def settle(self, now: float) -> list[RunRecord]:
         """
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -135,7 +135,7 @@
     Record that a request runs on some endpoints until the context ends.
 
     If its exchange with the first of them fails as it does when the endpoint ends, the
-    end is recorded too.
+    end is recorded too, unless another part has ended: the first one then breaks off.
     """
     subjects = subjects_of(call)
     incarnations = [endpoint.incarnation for endpoint in endpoints]
@@ -144,7 +144,8 @@
         try:
             yield record
         except UpstreamError as error:
-            if error.sent and error.kind in END_KINDS:
+            is_end = error.sent and error.kind in END_KINDS
+            if is_end and not record.is_blamed:
                 note_lost(gateway, call, incarnations[0], record)
             raise
 
@@ -154,22 +155,19 @@
 ) -> None:
     """Record that an endpoint has ended before a run on it was answered."""
     now = asyncio.get_running_loop().time()
-    add_ends(gateway, [record], incarnation, now)
+    add_ends(gateway, record, incarnation, now)
     log_lost(gateway, call.id, call.tenant, incarnation, record)
     gateway.urgent_signal.notify()
 
 
 def add_ends(
-    gateway: Gateway,
-    records: Sequence[RunRecord],
-    incarnation: Incarnation,
-    at: float,
+    gateway: Gateway, record: RunRecord, incarnation: Incarnation, at: float
 ) -> None:
-    """Record the end of an endpoint under what some runs on it were running."""
-    subjects = [subject for record in records for subject in record.subjects]
-    for subject in subjects:
+    """Record the end of an endpoint under what a run on it was running."""
+    record.is_blamed = True
+    for subject in record.subjects:
         gateway.crash_ledger.note_end(subject, incarnation, at)
-    log_new_candidates(gateway, subjects)
+    log_new_candidates(gateway, record.subjects)
 
 
 def log_lost(
@@ -292,8 +290,8 @@
         how=how,
         runs=len(lost),
     )
-    add_ends(gateway, lost, incarnation, now)
     for record in lost:
+        add_ends(gateway, record, incarnation, max(heard_at, record.began))
         log_lost(gateway, "", "", incarnation, record)
     gateway.urgent_signal.notify()
 
