Withdraw the ends of replicas that the store still lists

What callers saw: replicas reset connections beyond their limit, or cut answers short, and went on; after three such attempts of one request every gateway refused it for two minutes, also while the same replicas answered others twice a second.

Cause: a connection that closes within an exchange counts as the end of its replica. It was refuted only by an answer to the same gateway 0.25 to 1 s later, and a gateway that had refuted it took the breaker of one that had not. Class: a sign that sound peers also send (a closed connection) is taken for their end.

Change: an end is withdrawn if the store lists the same incarnation 6 s later. One that has restarted is listed with a later start, and the entry of a silent one is removed after three heartbeats, so that real ends stay. Each gateway finds that out by its own view, and ignores breakers of the withdrawn ends. Nothing is withdrawn within 5 s of a failed call to the store.

Within the 6 s such a request is still refused.

--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -59,11 +59,18 @@
 #: later.
 ALIVE_AFTER, ALIVE_UNTIL = 0.25, 1.0
 
+#: Seconds after an end from which the store's list shows that the endpoint has not
+#: ended if it lists the same incarnation.  A restarted endpoint is listed with a later
+#: start, and the store removes the entry of a silent one after three heartbeats, which
+#: take `LISTED_SILENCE` seconds at most.
+LISTED_AFTER, LISTED_SILENCE = 6.0, 5.0
+
 #: Seconds after which an end is no longer compared with the data from its endpoint.
 ALIVE_CHECK_TIME = 2.0
 
 #: Seconds by which the last end that another gateway's breaker states must be later
-#: than a proof; its age does not contain the time that datagrams are in transit.
+#: than a proof or a refuted end; its age does not contain the time that datagrams are
+#: in transit.
 STATED_END_MARGIN = 2.0
 
 #: Seconds for which an ended endpoint is remembered, and for which it is passed on.
@@ -135,7 +142,9 @@
         By kind and subject, the latest proof of each distance (see
         `peering.messages.MAX_DISTANCE`), least recently proven subject first.
     alive : dict
-        Latest time at which an incarnation that seemed to have ended sent data.
+        Latest time at which an incarnation that seemed to have ended was alive.
+    refuted : dict
+        Time of the latest end that has turned out to be none, by subject.
     breakers : dict
         Breakers of refused subjects.
     ended : dict
@@ -160,6 +169,7 @@
         factory=lambda: {kind: {} for kind in SubjectKind}
     )
     alive: dict[Incarnation, float] = attrs.field(factory=dict)
+    refuted: dict[Subject, float] = attrs.field(factory=dict)
     breakers: dict[Subject, Breaker] = attrs.field(factory=dict)
     ended: dict[Incarnation, float] = attrs.field(factory=dict)
     announced: set[Subject] = attrs.field(factory=set)
@@ -231,15 +241,45 @@
 
     def note_data(self, incarnation: Incarnation, at: float) -> None:
         """Remove the ends of an incarnation that has sent data shortly after them."""
-        ended_at = self.ended.get(incarnation, math.inf)
-        if ended_at + ALIVE_AFTER <= at <= ended_at + ALIVE_UNTIL:
+        self.refute(incarnation, at - ALIVE_UNTIL, at - ALIVE_AFTER, at)
+
+    def ended_before(self, until: float) -> set[Incarnation]:
+        """Return the incarnations of which an end up to a time is recorded."""
+        found = {name for name, at in self.ended.items() if at <= until}
+        for ends in self.ends.values():
+            found.update(name for name, at in ends.items() if at <= until)
+        return found
+
+    def note_listed(self, incarnation: Incarnation, at: float) -> None:
+        """Remove the ends of an incarnation that the store lists long after them."""
+        self.refute(incarnation, -math.inf, at - LISTED_AFTER, at - LISTED_SILENCE)
+
+    def refute(
+        self, incarnation: Incarnation, since: float, until: float, alive_at: float
+    ) -> None:
+        """
+        Remove the ends of an incarnation in an interval, as it was alive later.
+
+        Parameters
+        ----------
+        incarnation : tuple of (str, int)
+            The incarnation.
+        since, until : float
+            Bounds of the interval.
+        alive_at : float
+            Time at which the incarnation was certainly alive.
+        """
+        if since <= self.ended.get(incarnation, math.inf) <= until:
             del self.ended[incarnation]
-            self.alive[incarnation] = at
+            self.alive[incarnation] = alive_at
         for subject, ends in self.ends.items():
             ended_at = ends.get(incarnation, math.inf)
-            if ended_at + ALIVE_AFTER <= at <= ended_at + ALIVE_UNTIL:
+            if since <= ended_at <= until:
                 del ends[incarnation]
-                self.alive[incarnation] = at
+                self.alive[incarnation] = alive_at
+                self.refuted[subject] = max(
+                    ended_at, self.refuted.get(subject, -math.inf)
+                )
                 self.withdraw_breaker(subject)
 
     def withdraw_breaker(self, subject: Subject) -> None:
@@ -250,6 +290,11 @@
         if len(self.counted_ends(subject)) < MIN_ENDS:
             del self.breakers[subject]
 
+    def is_withdrawn(self, subject: Subject, breaker: Breaker) -> bool:
+        """Return whether the ends that opened another gateway's breaker are refuted."""
+        refuted_at = self.refuted.get(subject, -math.inf) + STATED_END_MARGIN
+        return breaker.trials == 0 and breaker.ended_at <= refuted_at
+
     def note_ended(self, incarnation: Incarnation, at: float) -> bool:
         """Record that an endpoint was seen to have ended; return whether it is news."""
         if incarnation in self.ended or at <= self.alive.get(incarnation, -math.inf):
@@ -298,6 +343,7 @@
             elif len(ends) < MIN_ENDS:
                 self.suspects.discard(subject)
         self.alive = {name: at for name, at in self.alive.items() if at > oldest}
+        self.refuted = {it: at for it, at in self.refuted.items() if at > oldest}
         oldest = now - ENDED_TIME
         self.ended = {name: at for name, at in self.ended.items() if at > oldest}
         self.expire_breakers(now)
@@ -552,6 +598,8 @@
         stated = Breaker(now - state.age, now + state.left, state.trials)
         if stated.ended_at <= self.proven_at(subject) + STATED_END_MARGIN:
             return False
+        if self.is_withdrawn(subject, stated):
+            return False
         known = self.open_breaker(subject)
         if known is not None:
             return known.adopt(stated)
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -11,6 +11,7 @@
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
+from lentilhaven.crashes.ledger import LISTED_AFTER, LISTED_SILENCE
 from lentilhaven.crashes.run_log import RunRecord
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.call import Call
@@ -246,6 +247,26 @@
     )
 
 
+def refute_listed(gateway: Gateway) -> None:
+    """
+    Remove the ends of endpoints that the store still lists long after them.
+
+    A sound endpoint resets connections beyond its limit and closes idle ones; a faulty
+    one cuts answers short.  Nothing follows from the list while calls to the store
+    fail, and for a while after that: entries of silent endpoints may stay in it.
+    """
+    ledger, view = gateway.crash_ledger, gateway.view
+    if view.monotonic() < view.removals_doubtful_until + LISTED_SILENCE:
+        return
+    read_at = max(gateway.store_read_at, gateway.peers_store_read_at)
+    for incarnation in ledger.ended_before(read_at - LISTED_AFTER):
+        name, born = incarnation
+        endpoint = view.endpoints.get(name)
+        is_listed = name not in view.restored.unconfirmed
+        if endpoint is not None and endpoint.born == born and is_listed:
+            ledger.note_listed(incarnation, read_at)
+
+
 def settle_runs(gateway: Gateway, now: float) -> None:
     """Count answers without framing as proofs unless their endpoints have ended."""
     ledger = gateway.crash_ledger
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -12,6 +12,7 @@
 from lentilhaven.gateway.crash_checks import (
     merge_evidence,
     refute_ends,
+    refute_listed,
     settle_runs,
 )
 from lentilhaven.gateway.endpoint_states import REFUTE_MARGIN
@@ -119,6 +120,7 @@
                 await asyncio.sleep(URGENT_DELAY)
             gateway.peers.expire(loop.time())
             refute_ends(gateway, loop.time())
+            refute_listed(gateway)
             settle_runs(gateway, loop.time())
             self.send_due()
 
