Forward encoded bodies as they were sent

What callers saw: a request with Content-Encoding reached the replica with a decoded body under the old header (gzip), or was answered 400 or 500.

Cause: aiohttp decodes the bodies of requests by default. The protocol asks for bodies to be forwarded unchanged.

Before: 24 of 24 cases of test_encoded_bodies fail. After: all pass.

--- a/lentilhaven/gateway/caller_connection.py
+++ b/lentilhaven/gateway/caller_connection.py
@@ -77,6 +77,8 @@
             access_log=None,  # type: ignore[arg-type]
             keepalive_timeout=LIBRARY_IDLE_TIMEOUT,
             lingering_time=LINGERING_TIME,
+            # Bodies are forwarded as they were sent.
+            auto_decompress=False,
         )
         self.used_at = loop.time()
         self.promised_time = promised_time
