--- a/lentilhaven/gateway/tests/test_edits_of_waiting_requests.py
+++ b/lentilhaven/gateway/tests/test_edits_of_waiting_requests.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 
+from lentilhaven.gateway.caller_connection import IDLE_SLACK
 from lentilhaven.gateway.tests.platform_testbed import (
     plain_replicas,
     run_on_testbed,
@@ -29,6 +30,9 @@
 #: Time limit after an edit, in milliseconds; shorter than the silence.
 SHORTER_MS = 1_000
 
+#: Shortest idle limit, in milliseconds, for which connections are kept.
+SHORT_IDLE_MS = 1_000
+
 #: Body of each kind of request, by the name of its route; None for a GET request.
 BODIES = {"look": None, "post": b"count 7", "draft": b"count 7", "once": b"count 7"}
 
@@ -71,7 +75,7 @@
         ]
     },
     "other keys": {"tenants": [{"name": "depot", "api_keys": ["another-key"]}]},
-    "lower limits": {"idle_ms": 1_000, "body_bytes": 1},
+    "lower limits": {"idle_ms": SHORT_IDLE_MS, "body_bytes": 1},
 }
 
 
@@ -142,12 +146,12 @@
             caller.writer.write(request[:-3])
             await asyncio.sleep(EDIT_DELAY)
             bed.store.put("config", "main", make_manifest(2, **edit))
-            # Longer than the idle limit of the edit and its slack.
-            await asyncio.sleep(3.5)
+            await asyncio.sleep(SHORT_IDLE_MS / 1000 + IDLE_SLACK + 1.5)
             return await caller.ask(request[-3:], PATIENCE)
 
         replicas = two_chains() + plain_replicas()
-        return run_on_testbed(scenario, replicas, manifest=make_manifest())
+        manifest = make_manifest(idle_ms=SHORT_IDLE_MS)
+        return run_on_testbed(scenario, replicas, manifest=manifest)
 
     def test_request_is_answered_or_refused(self):
         for kind in ("post", "draft"):
