Connect to an endpoint whose connection has closed before the store is believed

An endpoint that has ended may be listed by the store for longer than 6 s: its heartbeat is the deployment's. The gateway that loses a connection now opens another one 50 ms later; if nothing listens, the end is certain and told to all gateways, and the list no longer refutes it. A connection that is accepted goes to the pool.

--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -74,7 +74,7 @@
 STATED_END_MARGIN = 2.0
 
 #: Seconds for which an ended endpoint is remembered, and for which it is passed on.
-ENDED_TIME, ENDED_PASSED_TIME = 30.0, 3.0
+ENDED_TIME, ENDED_PASSED_TIME = EVIDENCE_TIME, 3.0
 
 #: Maximum numbers of subjects with ends, of ends of each subject, of subjects of each
 #: kind with proofs, of breakers, and of ended endpoints.
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -11,6 +11,7 @@
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
+from lentilhaven.core.tasks import report_task_failure
 from lentilhaven.crashes.ledger import LISTED_AFTER, LISTED_SILENCE
 from lentilhaven.crashes.run_log import RunRecord
 from lentilhaven.fleet.endpoint import Endpoint
@@ -40,6 +41,10 @@
 #: the gateway learns of the end by the connection of each of them.
 PLAIN_LOSS_TIME = 0.3
 
+#: Seconds after the close of a connection until it is checked whether the endpoint has
+#: ended, in which its other connections close, and timeout of the check.
+END_CHECK_DELAY, END_CHECK_TIMEOUT = 0.05, 0.4
+
 #: Largest distance of an observation of data by which an end is refuted; the time of a
 #: more distant one is not accurate enough.
 ALIVE_DISTANCE = 1
@@ -147,18 +152,46 @@
         except UpstreamError as error:
             is_end = error.sent and error.kind in END_KINDS
             if is_end and not record.is_blamed:
-                note_lost(gateway, call, incarnations[0], record)
+                note_lost(gateway, call, endpoints[0], record)
             raise
 
 
 def note_lost(
-    gateway: Gateway, call: Call, incarnation: Incarnation, record: RunRecord
+    gateway: Gateway, call: Call, endpoint: Endpoint, record: RunRecord
 ) -> None:
     """Record that an endpoint has ended before a run on it was answered."""
     now = asyncio.get_running_loop().time()
-    add_ends(gateway, record, incarnation, now)
-    log_lost(gateway, call.id, call.tenant, incarnation, record)
+    add_ends(gateway, record, endpoint.incarnation, now)
+    log_lost(gateway, call.id, call.tenant, endpoint.incarnation, record)
     gateway.urgent_signal.notify()
+    begin_end_check(gateway, endpoint)
+
+
+def begin_end_check(gateway: Gateway, endpoint: Endpoint) -> None:
+    """Begin to check whether an endpoint whose connection has closed has ended."""
+    incarnation = endpoint.incarnation
+    checks = gateway.end_checks
+    if incarnation in checks or incarnation in gateway.crash_ledger.ended:
+        return
+    task = asyncio.ensure_future(check_end(gateway, endpoint))
+    task.add_done_callback(report_task_failure)
+    task.add_done_callback(lambda done: checks.pop(incarnation, None))
+    checks[incarnation] = task
+
+
+async def check_end(gateway: Gateway, endpoint: Endpoint) -> None:
+    """
+    Connect to an endpoint, which has ended if nothing listens on its port.
+
+    One that has closed a single connection accepts another, which is kept for use.
+    """
+    await asyncio.sleep(END_CHECK_DELAY)
+    try:
+        connection = await gateway.pool.acquire(endpoint, "", END_CHECK_TIMEOUT)
+    except UpstreamError as error:
+        note_refused_connection(gateway, endpoint, error)
+        return
+    gateway.pool.release(endpoint, connection)
 
 
 def add_ends(
@@ -250,14 +283,16 @@
     Remove the ends of endpoints that the store still lists long after them.
 
     A sound endpoint resets connections beyond its limit and closes idle ones; a faulty
-    one cuts answers short.  Nothing follows from the list while calls to the store
-    fail, and for a while after that: entries of silent endpoints may stay in it.
+    one cuts answers short.  Nothing follows from the list if the end was seen in
+    another way too, nor while calls to the store fail, and for a while after that:
+    entries of silent endpoints may stay in it.
     """
     ledger, view = gateway.crash_ledger, gateway.view
     if view.monotonic() < view.removals_doubtful_until + LISTED_SILENCE:
         return
     read_at = max(gateway.store_read_at, gateway.peers_store_read_at)
-    for incarnation in ledger.ended_before(read_at - LISTED_AFTER):
+    listed = ledger.ended_before(read_at - LISTED_AFTER) - ledger.ended.keys()
+    for incarnation in listed:
         name, born = incarnation
         endpoint = view.endpoints.get(name)
         is_listed = name not in view.restored.unconfirmed
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -21,6 +21,7 @@
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.peer_table import PeerTable
+from lentilhaven.peering.subject import Incarnation
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.serving.metrics import Metrics
@@ -83,6 +84,8 @@
         Requests and parts of prompts under which endpoints have ended.
     run_log : RunLog
         The runs of this gateway's requests, by endpoint.
+    end_checks : dict
+        Checks in progress whether endpoints have ended, by incarnation.
     urgent_signal : Signal
         Wakes the task that sends messages to the other gateways.
     pace_questions : dict
@@ -122,6 +125,7 @@
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
     crash_ledger: CrashLedger = attrs.field(factory=CrashLedger)
     run_log: RunLog = attrs.field(factory=RunLog)
+    end_checks: dict[Incarnation, asyncio.Future[None]] = attrs.field(factory=dict)
     urgent_signal: Signal = attrs.field(factory=Signal)
     pace_questions: dict[tuple[str, int], Endpoint] = attrs.field(factory=dict)
     pace_signal: Signal = attrs.field(factory=Signal)
--- a/lentilhaven/gateway/tests/test_resets_of_sound_replicas.py
+++ b/lentilhaven/gateway/tests/test_resets_of_sound_replicas.py
@@ -94,7 +94,7 @@
     """Replicas that have ended must not count as alive since the store lists them."""
 
     def test_request_that_ends_replicas_stays_refused(self):
-        for seconds in (2.0, 4.0):
+        for seconds in (2.0, 4.0, 12.0):
             with self.subTest(seconds=seconds):
                 self.assertEqual(self.ask_after_crashes(seconds), [503] * 4)
 
