Show that streams of one body are not repeated after resets

Callers of one stream (same path and body) on sound engines, of which nobody has had an answer in the last 30 s: a reset of all channels ends all 12 streams; of 12 with different bodies 9 go on. Two resets count as two ends of engines, after which a request is not repeated. Not mended here: at the moment of a reset nothing tells it from an end, and a repetition that waits until the engine has been asked is a change of the design.

--- a/lentilhaven/gateway/tests/test_resets_of_sound_replicas.py
+++ b/lentilhaven/gateway/tests/test_resets_of_sound_replicas.py
@@ -14,6 +14,9 @@
 #: Body of the request that meets the resets.
 BODY = b"count of meter 13"
 
+#: Number of streams whose channels are reset.
+STREAMS = 12
+
 
 async def ask(bed, path, count):
     """Send a request some times, the last gateway first; return the status codes."""
@@ -90,6 +93,33 @@
         self.assertEqual(statuses, [200] * 6)
 
 
+class StreamResetTests(unittest.TestCase):
+    """Streams that share a body were not repeated after their channels were reset."""
+
+    def count_complete(self, make_body):
+        """Return how many of `STREAMS` streams are complete after a reset of all."""
+
+        async def scenario(bed):
+            streams = [
+                asyncio.ensure_future(
+                    bed.call("/draft/7", body=make_body(number), output=120)
+                )
+                for number in range(STREAMS)
+            ]
+            await asyncio.sleep(0.2)
+            for replica in bed.fleet.replicas.values():
+                for writer in list(replica.writers):
+                    writer.transport.abort()
+            return [it.complete for it in await asyncio.gather(*streams)]
+
+        return sum(run_on_testbed(scenario, full_engines(6)))
+
+    def test_streams_of_one_body_go_on_like_others(self):
+        others = self.count_complete(lambda number: b"count %d" % number)
+        self.assertGreater(others, STREAMS // 2)
+        self.assertGreaterEqual(self.count_complete(lambda number: BODY), others)
+
+
 class EndedReplicaTests(unittest.TestCase):
     """Replicas that have ended must not count as alive since the store lists them."""
 
