Withhold orders that end the engines that carry them out

What operators would see: engines without end that restart, are ordered the same layers, and end again; with a layer that can't be loaded, engines that hold other layers are moved there too, four at a time, and end.

Cause: the placer drops an order with the engine that ends under it, so that nothing names the layers that it was loading, and plans the same order for the next engine, and for this one after its restart.

Change: the end of an engine with an order that has not taken effect is recorded under each layer of the order and under their number on its type of accelerator, in a ledger of the placer's own, with the rule of requests (lentilhaven.crashes): three ends since the last success of another engine, not explained by something else. Such orders are withheld; after 120 s one engine tries, and another end doubles the time. A type whose engines end under as many layers as they get is left out of the plan, so that others get the layers. Engines that leave, and entries missing from a failing or restored store, do not count.

--- a/lentilhaven/placement/placer.py
+++ b/lentilhaven/placement/placer.py
@@ -1,6 +1,7 @@
 """Carries out placement plans by sending orders to engines."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 
@@ -12,8 +13,15 @@
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.fleet.layer_span import LayerSpan
-from lentilhaven.placement.plan import plan_layers, plan_moves
+from lentilhaven.peering.subject import Incarnation, Subject
+from lentilhaven.placement.load_failures import (
+    LoadFailures,
+    size_subject,
+    subjects_of_order,
+)
+from lentilhaven.placement.plan import order_size, plan_layers, plan_moves
 from lentilhaven.platform.engine_calls import (
+    EngineReport,
     NoteHead,
     OrderOutcome,
     fetch_report,
@@ -65,11 +73,17 @@
         Range that the engine is to hold.
     sent_at : float
         Monotonic time at which the order was sent, in seconds.
+    subjects : tuple of Subject
+        What may be at fault if the engine ends before the order takes effect.
+    era : int
+        Era of the store in which the order was sent.
     """
 
-    incarnation: tuple[str, int]
+    incarnation: Incarnation
     layers: LayerSpan
     sent_at: float
+    subjects: tuple[Subject, ...] = ()
+    era: int = 0
 
 
 @attrs.define
@@ -98,6 +112,11 @@
         Inputs of the last plan that required no order, by service: the model, and
         the engines, each with whether it may move.  No plan is made again from the
         same inputs, since a plan takes a tenth of a second for 93 engines.
+    load_failures : LoadFailures
+        What engines were ordered when they ended.
+    withheld_until : dict
+        Monotonic time at which an order that was withheld may be sent, in seconds, by
+        service.
     ordered_at : dict
         Monotonic time of the last order, in seconds, by incarnation of the engine.
     known_engines : frozenset of str
@@ -116,6 +135,8 @@
     note_head: NoteHead = lambda engine, head: None
     pending: dict[str, PendingOrder] = attrs.field(factory=dict)
     converged: dict[str, tuple[EngineSpec, frozenset]] = attrs.field(factory=dict)
+    load_failures: LoadFailures = attrs.field(factory=LoadFailures)
+    withheld_until: dict[str, float] = attrs.field(factory=dict)
     ordered_at: dict[tuple[str, int], float] = attrs.field(factory=dict)
     known_engines: frozenset[str] = frozenset()
     known_since: float = 0.0
@@ -165,24 +186,33 @@
         ]
         if not self.may_begin(engines) or self.has_converged(service, spec, engines):
             return []
+        self.withheld_until.pop(service, None)
+        placeable = [
+            engine
+            for engine in engines
+            if engine.layers is not None
+            or engine.id in self.pending
+            or not self.is_too_large(service, spec, engine)
+        ]
         pending = {name: order.layers for name, order in self.pending.items()}
-        plan = plan_layers(spec, engines, pending)
+        plan = plan_layers(spec, placeable, pending)
         moves = {}
         if len(pending) < MAX_CONCURRENT_MOVES:
             moves = plan_moves(
                 spec,
-                engines,
+                placeable,
                 plan,
                 self.is_movable,
                 MAX_CONCURRENT_MOVES - len(pending),
             )
         required = [
             (engine, moves.get(engine.id) or plan[engine.id])
-            for engine in engines
+            for engine in placeable
             if engine.id in plan
             and engine.id not in pending
             and (engine.layers is None or engine.id in moves)
         ]
+        required = [it for it in required if not self.must_withhold(*it)]
         if not required and not pending:
             self.converged[service] = (spec, self.plan_inputs(engines))
         return required
@@ -191,8 +221,44 @@
         self, service: str, spec: EngineSpec, engines: list[Endpoint]
     ) -> bool:
         """Return whether the last plan for the same inputs required no order."""
+        if self.pending or self.monotonic() >= self.withheld_until.get(
+            service, math.inf
+        ):
+            return False
         inputs = (spec, self.plan_inputs(engines))
-        return not self.pending and self.converged.get(service) == inputs
+        return self.converged.get(service) == inputs
+
+    def is_too_large(self, service: str, spec: EngineSpec, engine: Endpoint) -> bool:
+        """
+        Return whether engines of a type end under as many layers as one would get.
+
+        Such an engine is left out of the plan, so that others get the layers.
+        """
+        size = size_subject(service, engine.card, order_size(spec, engine.card))
+        return self.is_withheld(service, (size,))
+
+    def must_withhold(self, engine: Endpoint, layers: LayerSpan) -> bool:
+        """Return whether an order would probably end the engine."""
+        return self.is_withheld(engine.service, subjects_of_order(engine, layers))
+
+    def is_withheld(self, service: str, subjects: tuple[Subject, ...]) -> bool:
+        """Return whether an order must not be sent, and note until when."""
+        now = self.monotonic()
+        refusal = self.load_failures.find_refusal(subjects, now)
+        if refusal is None:
+            return False
+        until = now + refusal.left
+        if until < self.withheld_until.get(service, math.inf):
+            self.withheld_until[service] = until
+        if self.load_failures.note_withheld(refusal):
+            log.info(
+                "orders withheld since they end engines",
+                service=service,
+                subject=refusal.subject.name,
+                ends=refusal.ends,
+                seconds=round(refusal.left, 3),
+            )
+        return True
 
     def plan_inputs(self, engines: list[Endpoint]) -> frozenset[tuple[Endpoint, bool]]:
         """Return the engines that a plan depends on, with whether each may move."""
@@ -220,22 +286,56 @@
         """
         Drop orders that took effect or expired.
 
-        Orders to engines that have vanished or restarted are dropped too.
+        Orders to engines that have vanished or restarted are dropped too, as lost with
+        the engine.
         """
+        now = self.monotonic()
+        self.load_failures.expire(now)
         for name, order in list(self.pending.items()):
             engine = self.view.endpoints.get(name)
             if engine is None or engine.incarnation != order.incarnation:
                 del self.pending[name]
+                self.note_lost(order)
             elif engine.layers == order.layers:
                 del self.pending[name]
+                self.load_failures.note_loaded(order.subjects, now)
             elif self.monotonic() - order.sent_at > self.order_timeout(order):
                 log.info("order did not take effect", endpoint=name)
                 del self.pending[name]
 
+    def note_lost(self, order: PendingOrder) -> None:
+        """
+        Record that an engine has ended before its order took effect.
+
+        One that has announced that it leaves has not ended under the order, and one
+        that a failing or restored store does not list may not have ended at all.
+        """
+        name, _ = order.incarnation
+        if order.incarnation in self.view.leaving or name in self.view.retained:
+            return
+        if order.era != self.view.era.current:
+            return
+        self.load_failures.note_end(order.incarnation, order.subjects, order.sent_at)
+        log.warning(
+            "engine ended under an order",
+            endpoint=name,
+            born=order.incarnation[1],
+            layers=f"{order.layers.start}-{order.layers.end}",
+        )
+
     def order_timeout(self, order: PendingOrder) -> float:
         """Return the seconds after which an order expires."""
         return ORDER_TIMEOUT + len(order.layers) * TIMEOUT_PER_LAYER
 
+    def may_order(
+        self, engine: Endpoint, layers: LayerSpan, reported: EngineReport
+    ) -> bool:
+        """Return whether an engine that has just reported may be sent an order."""
+        if reported.busy or reported.layers != engine.layers:
+            return False
+        # Another engine may have begun a trial since the plan was made.
+        return self.accepts_new_work(engine) and not self.must_withhold(engine, layers)
+
     async def send_order(self, engine: Endpoint, layers: LayerSpan) -> None:
         """
         Order an engine to hold a range of layers.
@@ -253,15 +353,18 @@
             )
             return
         reported = report.ok
-        if reported.busy or reported.layers != engine.layers:
-            return
-        if not self.accepts_new_work(engine):
+        if not self.may_order(engine, layers, reported):
             return
         token = self.fencing_number(ORDER_LEASE_TIME)
         if token is None:
             return
         now = self.monotonic()
-        self.pending[engine.id] = PendingOrder(engine.incarnation, layers, now)
+        subjects = subjects_of_order(engine, layers)
+        if self.load_failures.begin_trial(subjects, now, engine.incarnation):
+            log.info("trial of an order that has ended engines", endpoint=engine.id)
+        self.pending[engine.id] = PendingOrder(
+            engine.incarnation, layers, now, subjects, self.view.era.current
+        )
         self.ordered_at[engine.incarnation] = now
         outcome = await order_layers(
             self.session,
--- a/lentilhaven/placement/plan.py
+++ b/lentilhaven/placement/plan.py
@@ -188,6 +188,11 @@
     return spec.max_layers(card, tokens) or min(1, spec.max_layers(card))
 
 
+def order_size(spec: EngineSpec, card: str) -> int:
+    """Return how many layers an engine of a kind is ordered to hold."""
+    return min(spec.layers, target_size(spec, card))
+
+
 def best_span(
     spec: EngineSpec, engine: Endpoint, coverage: Coverage, filled: bool = False
 ) -> LayerSpan:
@@ -208,7 +213,7 @@
     filled : bool
         As in `Coverage.gains`.
     """
-    size = min(spec.layers, target_size(spec, engine.card))
+    size = order_size(spec, engine.card)
     sums = [0.0, *accumulate(coverage.gains(engine.data_centre, filled))]
     holders = coverage.holders_in(engine.data_centre)
 
--- a/lentilhaven/placement/tests/test_placer.py
+++ b/lentilhaven/placement/tests/test_placer.py
@@ -10,6 +10,7 @@
 from lentilhaven.fleet.layer_span import LayerSpan
 from lentilhaven.fleet.manifest import Manifest
 from lentilhaven.fleet.service_spec import ServiceSpec
+from lentilhaven.placement.load_failures import subjects_of_order
 from lentilhaven.placement.placer import (
     FIRST_PLACEMENT_DELAY,
     ORDER_TIMEOUT,
@@ -18,7 +19,7 @@
     Placer,
 )
 
-AT_1 = StorePosition(0, 1)
+AT_1, AT_2 = StorePosition(0, 1), StorePosition(0, 2)
 
 
 class ManualClock:
@@ -130,6 +131,61 @@
         self.assertNotIn("a", self.placer.pending)
 
 
+class LostOrderTests(unittest.TestCase):
+    """Guards against ends that are counted although no engine ended under its order."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.placer = make_placer(self.clock)
+        self.view = self.placer.view
+        self.span = LayerSpan(0, 4)
+        self.names = ("a", "b", "c")
+        self.put(AT_1, *(engine(name) for name in self.names))
+        for name in self.names:
+            subjects = subjects_of_order(engine(name), self.span)
+            self.placer.pending[name] = PendingOrder(
+                (name, 1), self.span, 100.0, subjects
+            )
+
+    def put(self, position, *engines):
+        self.view.replace_endpoints(engines, position, "test")
+
+    def is_withheld(self):
+        """Return whether another engine would not be ordered to hold the layers."""
+        self.placer.drop_finished_orders()
+        self.assertEqual(self.placer.pending, {})
+        return self.placer.must_withhold(engine("d"), self.span)
+
+    def test_ended_engines_count(self):
+        self.put(AT_2)
+        self.assertTrue(self.is_withheld())
+
+    def test_restarted_engines_count(self):
+        self.put(AT_2, *(engine(name, born=2) for name in self.names))
+        self.assertTrue(self.is_withheld())
+
+    def test_engine_that_leaves_does_not_count(self):
+        self.view.mark_leaving(("a", 1), "test")
+        self.put(AT_2)
+        self.assertFalse(self.is_withheld())
+
+    def test_engines_that_a_failing_store_does_not_list_do_not_count(self):
+        self.view.record_store_failure()
+        self.put(AT_2)
+        self.assertFalse(self.is_withheld())
+
+    def test_engines_that_a_restored_store_does_not_list_do_not_count(self):
+        self.view.era.learn(1, "test")
+        self.put(StorePosition(1, 1))
+        self.clock.now += 10.0
+        self.view.expire()
+        self.assertFalse(self.is_withheld())
+
+    def test_layers_that_another_engine_has_loaded_since_are_ordered(self):
+        self.put(AT_2, engine("a", self.span))
+        self.assertFalse(self.is_withheld())
+
+
 class LeaseTests(unittest.TestCase):
     def fails_soon(self, token):
         """Return whether the placer's task ends within 0.05 s."""
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -92,6 +92,8 @@
         Seconds of the event loop after which a crashed replica is back.
     keeps_layers : bool
         Whether a crashed engine is back with the layers that it held.
+    crashing_layer : int or None
+        Layer whose loading crashes an engine; None for none.
     servers : dict
         Server of each replica that is up, by replica id.
     crash_tasks : set of asyncio.Future
@@ -114,6 +116,7 @@
     last_words: bytes | None = None
     crash_time: float = 2.0
     keeps_layers: bool = False
+    crashing_layer: int | None = None
     servers: dict[str, asyncio.Server] = attrs.field(factory=dict)
     crash_tasks: set[asyncio.Future[None]] = attrs.field(factory=set)
     crashed_parts: set[tuple[str, str]] = attrs.field(factory=set)
@@ -627,7 +630,15 @@
 
     async def execute_order(self, replica: FakeReplica, order: dict[str, Any]) -> None:
         """Load the ordered layers, then write the new entry of the replica."""
-        await replica.load_layers(order["from"], order["target"])
+        layers = range(order["from"], order["target"])
+        is_too_large = replica.max_layers is not None and (
+            len(layers) > replica.max_layers
+        )
+        if is_too_large or self.crashing_layer in layers:
+            await asyncio.sleep(replica.load_time / 2)
+            await self.crash(replica)
+            return
+        await replica.load_layers(layers.start, layers.stop)
         self.register(replica)
 
 
--- a/lentilhaven/standins/platform/fake_replica.py
+++ b/lentilhaven/standins/platform/fake_replica.py
@@ -173,6 +173,9 @@
         Highest fencing number seen.
     load_time : float
         Time to load layers, in seconds of the event loop.
+    max_layers : int or None
+        Number of layers for which the replica has memory; loading more crashes it.
+        None for no limit.
     event_time : float
         Time before the head of a stream and after each event, in seconds of the event
         loop.
@@ -213,6 +216,7 @@
     orders: int = 0
     fence: int = 0
     load_time: float = 0.5
+    max_layers: int | None = None
     event_time: float = 0.02
     faults: ReplicaFaults = attrs.field(factory=ReplicaFaults)
     runs: list[Run] = attrs.field(factory=list)
