Refuse calls and prompts that end endpoints in the router

Its subject is the request (workspace, pool and content, whatever its idempotency key), its ends are broken connections, its proofs whole answers. A call is not sent again after two ends, and refused with 503 harmful-request and ran "no" after three, until a trial succeeds. An attempt over several engines counts one end at most, since engines that are gone together have not ended under the request. The tables have no incarnations: an endpoint that has not answered since it was lost counts once. A timeout and an unusable answer are no ends; they were service-lost too and are service-silent and bad-answer now.

Routers tell each other nothing of it, so that each one learns alone.

--- a/lentilhaven/endpoints/service_client.py
+++ b/lentilhaven/endpoints/service_client.py
@@ -149,11 +149,19 @@
     """
     Return the failure of a call that got no complete response.
 
-    The failure asks the caller to retry after 1 s only if the call has not run.
+    The failure asks the caller to retry after 1 s only if the call has not run.  Its
+    kind is ``"service-lost"`` if the connection was refused or broken,
+    ``"service-silent"`` if no answer came in time, and ``"bad-answer"`` if it can't be
+    used.
     """
     detail = f"{type(error).__name__}: {error}"
     retry_after = 1.0 if ran is Ran.NO else None
-    return Failure(Step.SEND, endpoint.id, "service-lost", detail, ran, retry_after)
+    kind = "service-lost"
+    if isinstance(error, TimeoutError):
+        kind = "service-silent"
+    elif isinstance(error, ValueError):
+        kind = "bad-answer"
+    return Failure(Step.SEND, endpoint.id, kind, detail, ran, retry_after)
 
 
 async def read_key_status(
--- a/lentilhaven/router/answer.py
+++ b/lentilhaven/router/answer.py
@@ -9,7 +9,9 @@
 from lentilhaven.endpoints.stage import Stage
 from lentilhaven.endpoints.stage_progress import StageProgress
 from lentilhaven.endpoints.stream_order import StreamOrder
+from lentilhaven.peering.subject import Subject
 from lentilhaven.router.completion_request import CompletionRequest
+from lentilhaven.router.crash_checks import prompt_subject
 from lentilhaven.router.token_latency import TokenLatencyReporter
 from lentilhaven.tables.pool import Pool
 from lentilhaven.tables.route import Route
@@ -66,6 +68,8 @@
     silent : set of str
         Endpoints that gave no sign when the stages were last probed: neither a
         response nor a refused or broken connection.
+    subject : Subject
+        The request as what may be at fault if an engine ends.
     """
 
     request: RequestId
@@ -86,6 +90,15 @@
     forward_from: int = 0
     probe_results: ProbeResults = attrs.field(factory=dict)
     silent: set[EndpointId] = attrs.field(factory=set)
+    subject: Subject = attrs.field(init=False)
+
+    @subject.default
+    def make_subject(self) -> Subject:
+        """Return the request as what may be at fault if an engine ends."""
+        wanted = self.completion_request
+        return prompt_subject(
+            self.workspace, self.route, wanted.prompt, wanted.max_tokens
+        )
 
     @property
     def ran(self) -> Ran:
--- a/lentilhaven/router/completions.py
+++ b/lentilhaven/router/completions.py
@@ -69,6 +69,9 @@
     if event_id and parsed.ok.stream:
         return await resume_answer(request, route, workspace, parsed.ok, event_id)
     answer = make_answer(router, workspace, parsed.ok, route)
+    refusal = refuse_harmful(router, answer)
+    if refusal is not None:
+        return problem_response(refusal)
     with within_quota(router, workspace):
         async with admitted(router, answer, workspace):
             return await send_answer(request, router, answer)
@@ -181,6 +184,12 @@
     )
 
 
+def refuse_harmful(router: Router, answer: Answer) -> Failure | None:
+    """Return the failure of an answer whose request has ended engines, or None."""
+    now = router.clock.monotonic()
+    return router.crash_watch.refuse(answer.subject, answer.request, now)
+
+
 async def send_json(
     request: web.Request, router: Router, answer: Answer
 ) -> web.StreamResponse:
--- a/lentilhaven/router/generation.py
+++ b/lentilhaven/router/generation.py
@@ -68,6 +68,7 @@
                 raise
             answer.chain = await plan_next_attempt(router, answer, error.failure)
         resuming = False
+    router.crash_watch.note_answered(answer.subject, router.clock.monotonic())
 
 
 async def run_attempt(router: Router, answer: Answer, resuming: bool) -> PieceBatches:
@@ -106,6 +107,7 @@
                 ):
                     async for batch in batches:
                         router.circuit_breakers.record_successes(endpoints)
+                        router.crash_watch.note_alive(endpoints)
                         yield batch
                 return
             except FailureError as error:
--- a/lentilhaven/router/recovery.py
+++ b/lentilhaven/router/recovery.py
@@ -21,6 +21,9 @@
 #: Kinds of failure that were found by probing every stage.
 PROBED_KINDS = frozenset({"stage-silent", "stage-hung"})
 
+#: Kinds of failure with which an engine of the chain may have ended.
+END_KINDS = frozenset({"engine-lost", "stage-lost", "stage-silent"})
+
 #: Kinds of failure that no further attempt can resolve.
 FINAL_KINDS = frozenset({"superseded"})
 
@@ -69,6 +72,7 @@
     check_deadline(router, answer)
     probe_results = await probe_chain(router, answer, failure)
     lost = find_lost_stages(answer, failure, probe_results)
+    check_harmful(router, answer, failure, probe_results)
     if failure.peer not in answer.silent:
         count_failure(answer, failure)
     record_probe_outcomes(router, failure, probe_results)
@@ -126,6 +130,39 @@
     return lost
 
 
+def check_harmful(
+    router: Router,
+    answer: Answer,
+    failure: Failure,
+    probe_results: ProbeResults,
+) -> None:
+    """
+    Record an engine that has ended, and end an answer that has ended too many.
+
+    An engine that is silent may be sound, and one that still knows the request is.
+    Engines that have ended at the same time as the one that failed do not count.
+
+    Raises
+    ------
+    FailureError
+        If the request must not be sent to further engines.
+    """
+    if failure.kind not in END_KINDS:
+        return
+    peer = EndpointId(failure.peer)
+    found = probe_results.get(peer)
+    is_alive = peer in answer.silent or (found is not None and found.known)
+    if is_alive or failure.ran is Ran.NO:
+        return
+    now = router.clock.monotonic()
+    router.crash_watch.note_lost(answer.subject, [peer], now)
+    refusal = router.crash_watch.refuse(answer.subject, answer.request, now)
+    if refusal is not None:
+        raise FailureError(
+            give_up_failure("harmful-request", answer, refusal.detail, failure)
+        )
+
+
 def record_probe_outcomes(
     router: Router, failure: Failure, probe_results: ProbeResults
 ) -> None:
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -27,6 +27,7 @@
 from lentilhaven.retries.circuit_breakers import CircuitBreakers
 from lentilhaven.retries.retry_budget import RetryBudget
 from lentilhaven.router.agent_client import AgentClient
+from lentilhaven.router.crash_checks import CrashWatch
 from lentilhaven.router.path_state import PathState
 from lentilhaven.router.pool_admission import PoolAdmission
 from lentilhaven.router.request_record import RequestRecord
@@ -103,6 +104,8 @@
         `PathState` by the name of the pool.
     admissions : dict
         `PoolAdmission` by the name of the pool.
+    crash_watch : CrashWatch
+        The requests during which endpoints have ended.
     quotas : dict
         `Quota` by the id of the workspace, for workspaces that have limits.
     """
@@ -141,6 +144,7 @@
     )
     path_states: dict[PoolName, PathState] = attrs.field(factory=dict)
     admissions: dict[PoolName, PoolAdmission] = attrs.field(factory=dict)
+    crash_watch: CrashWatch = attrs.field(factory=CrashWatch)
     quotas: dict[WorkspaceId, Quota] = attrs.field(factory=dict)
 
     @property
--- a/lentilhaven/router/service_attempt.py
+++ b/lentilhaven/router/service_attempt.py
@@ -6,7 +6,7 @@
 
 from lentilhaven.control.claim import RecordedResponse
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.ids import EndpointId
+from lentilhaven.core.ids import EndpointId, RequestId
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
 from lentilhaven.endpoints.service_client import (
@@ -15,12 +15,17 @@
     call_service,
     read_key_status,
 )
+from lentilhaven.peering.subject import Subject
 from lentilhaven.router.router import Router
 from lentilhaven.router.service_records import record_response
 from lentilhaven.tables.endpoint_spec import EndpointSpec
 from lentilhaven.tables.pool import Pool
 from lentilhaven.tables.route import Route
 
+#: Statuses from which an answer proves nothing: an endpoint that fails calls may do so
+#: without running them.
+FAILURE_STATUS = 500
+
 
 @attrs.define
 class ServiceAttempt:
@@ -37,6 +42,12 @@
         Pool of the route.
     call : ServiceCall
         Call to send.
+    subject : Subject
+        The call as what may be at fault if an endpoint ends.
+    request : str
+        Id of the request.
+    failure : Failure or None
+        Failure of the latest send; None before.
     response : ServiceResponse or None
         Complete response; None until one has been received.
     unreachable : set of str
@@ -49,6 +60,9 @@
     route: Route
     pool: Pool
     call: ServiceCall
+    subject: Subject
+    request: RequestId
+    failure: Failure | None = None
     response: ServiceResponse | None = None
     unreachable: set[EndpointId] = attrs.field(factory=set)
     deadline: float = attrs.field(
@@ -62,12 +76,17 @@
         """
         Choose a usable endpoint and send the call to it once.
 
+        It is not sent if it has ended endpoints.
+
         Returns
         -------
         Result
             The record of the response, which is also stored in `response`, or the
             failure.
         """
+        withheld = self.find_refusal()
+        if withheld is not None:
+            return Error(withheld)
         endpoint = choose_endpoint(self.router, self.route, self.unreachable)
         if endpoint is None:
             return Error(no_endpoint_failure(self.route))
@@ -79,12 +98,23 @@
         # a send on it, it would be unknown whether the call ran.  If a new connection
         # is refused, the call certainly did not run.
         session = self.router.unpooled_session or self.router.session
-        outcome = await send_call(self.router, session, endpoint, self.call, remaining)
+        outcome = await send_call(
+            self.router, session, endpoint, self.call, self.subject, remaining
+        )
         if outcome.is_error():
+            self.failure = outcome.error
             return await self.resolve_failure(endpoint, outcome.error)
         self.response = outcome.ok
         return Ok(record_response(outcome.ok))
 
+    def find_refusal(self) -> Failure | None:
+        """Return why the call must not be sent; None if it may be."""
+        watch = self.router.crash_watch
+        if self.failure is None:
+            now = self.router.clock.monotonic()
+            return watch.refuse(self.subject, self.request, now)
+        return self.failure if watch.forbids_repeat(self.subject) else None
+
     async def resolve_failure(
         self, endpoint: EndpointSpec, failure: Failure
     ) -> Result[RecordedResponse, Failure]:
@@ -131,6 +161,7 @@
     session: aiohttp.ClientSession,
     endpoint: EndpointSpec,
     call: ServiceCall,
+    subject: Subject,
     timeout: float,
 ) -> Result[ServiceResponse, Failure]:
     """
@@ -146,6 +177,8 @@
         Endpoint to send it to.
     call : ServiceCall
         Call to send.
+    subject : Subject
+        The call as what may be at fault if the endpoint ends.
     timeout : float
         Timeout of the whole exchange, in seconds.
 
@@ -156,6 +189,7 @@
     """
     with router.counted_service_call(endpoint.id):
         outcome = await call_service(session, endpoint, call, timeout)
+    note_outcome(router, endpoint, subject, outcome)
     if outcome.is_ok():
         router.circuit_breakers.record_success(endpoint.id)
     elif outcome.error.ran is not Ran.YES:
@@ -167,6 +201,22 @@
     return outcome
 
 
+def note_outcome(
+    router: Router,
+    endpoint: EndpointSpec,
+    subject: Subject,
+    outcome: Result[ServiceResponse, Failure],
+) -> None:
+    """Record that an endpoint has answered a call, or has ended while it ran."""
+    now = router.clock.monotonic()
+    if outcome.is_ok():
+        router.crash_watch.note_alive([endpoint.id])
+        if outcome.ok.status < FAILURE_STATUS:
+            router.crash_watch.note_answered(subject, now)
+    elif outcome.error.kind == "service-lost" and outcome.error.ran is not Ran.NO:
+        router.crash_watch.note_lost(subject, [endpoint.id], now)
+
+
 def choose_endpoint(
     router: Router, route: Route, excluded: set[EndpointId]
 ) -> EndpointSpec | None:
--- a/lentilhaven/router/services.py
+++ b/lentilhaven/router/services.py
@@ -22,8 +22,10 @@
 from lentilhaven.endpoints.service_client import ServiceCall
 from lentilhaven.idempotency.dispatch import DispatchCallbacks, dispatch
 from lentilhaven.idempotency.guarded_call import GuardedCall
+from lentilhaven.peering.subject import Subject
 from lentilhaven.router.admission import within_quota
 from lentilhaven.router.app_keys import ROUTER, authenticate_caller
+from lentilhaven.router.crash_checks import call_subject
 from lentilhaven.router.problems import problem_response
 from lentilhaven.router.router import Router
 from lentilhaven.router.service_attempt import (
@@ -63,8 +65,9 @@
 ) -> web.StreamResponse:
     """Forward a call, under a claim unless the route lists its method as idempotent."""
     call = await read_call(request)
+    subject = call_subject(workspace.id, route, call)
     if request.method in route.idempotent_methods:
-        return await forward_idempotent(router, route, call)
+        return await forward_idempotent(router, route, call, subject)
     key = read_idempotency_key(request)
     if router.settler.overloaded:
         detail = "too many calls wait for their settlement"
@@ -73,7 +76,7 @@
     claim = make_claim(router, workspace, route, key, call)
     # A caller that disconnects cancels this handler but must not cancel the call.
     task = router.settler.run_tracked(
-        forward_non_idempotent(router, route, call, claim)
+        forward_non_idempotent(router, route, call, subject, claim)
     )
     return await asyncio.shield(task)
 
@@ -157,14 +160,19 @@
 
 
 async def forward_idempotent(
-    router: Router, route: Route, call: ServiceCall
+    router: Router, route: Route, call: ServiceCall, subject: Subject
 ) -> web.StreamResponse:
     """
     Send a call to one endpoint after another until one of them responds.
 
     The route's deadline, its maximum number of attempts and its retry budget bound
-    the sends.
+    the sends, and so do the endpoints that have ended under the call.
     """
+    now = router.clock.monotonic()
+    request = current_request(router.rng)
+    refusal = router.crash_watch.refuse(subject, request, now)
+    if refusal is not None:
+        return problem_response(refusal)
     tried: set[EndpointId] = set()
     failure = no_endpoint_failure(route)
     budget = router.retry_budget(route)
@@ -173,10 +181,14 @@
     for _ in range(route.retry.max_attempts):
         endpoint = choose_endpoint(router, route, tried)
         now = router.clock.monotonic()
-        if endpoint is None or now >= deadline or (tried and not budget.spend(now)):
+        if endpoint is None or now >= deadline:
+            break
+        if tried and (
+            router.crash_watch.forbids_repeat(subject) or not budget.spend(now)
+        ):
             break
         outcome = await send_call(
-            router, router.session, endpoint, call, deadline - now
+            router, router.session, endpoint, call, subject, deadline - now
         )
         if outcome.is_ok():
             return relay_response(outcome.ok)
@@ -187,12 +199,16 @@
 
 
 async def forward_non_idempotent(
-    router: Router, route: Route, call: ServiceCall, claim: ClaimRequest
+    router: Router,
+    route: Route,
+    call: ServiceCall,
+    subject: Subject,
+    claim: ClaimRequest,
 ) -> web.StreamResponse:
     """Dispatch a call under a claim, so that it runs at most once."""
     pool = router.view.tables.find_pool(route.pool)
     scoped_call = scope_key(pool, call, claim)
-    attempt = ServiceAttempt(router, route, pool, scoped_call)
+    attempt = ServiceAttempt(router, route, pool, scoped_call, subject, claim.request)
     ports = DispatchCallbacks(
         router.agent.claim,
         attempt.send,
--- a/lentilhaven/serving/problems.py
+++ b/lentilhaven/serving/problems.py
@@ -47,6 +47,7 @@
     "leaving": 503,
     "no-pipeline": 503,
     "retry-budget": 503,
+    "harmful-request": 503,
     "not-ready": 503,
     "overloaded": 503,
     "claim-unavailable": 503,
--- a/lentilhaven/standins/engine_api.py
+++ b/lentilhaven/standins/engine_api.py
@@ -114,7 +114,13 @@
 async def open_stream(request: web.Request) -> web.StreamResponse:
     """Start a stream and send its pieces after those already generated."""
     order = CONVERTER.structure(await request.json(), StreamOrder)
-    stream = request.app[ENGINE].open_stream(order)
+    engine = request.app[ENGINE]
+    if engine.faults.crashing_prompt and order.prompt == engine.faults.crashing_prompt:
+        engine.faults.crashes += 1
+        engine.kill()
+        engine.revive()
+        raise asyncio.CancelledError
+    stream = engine.open_stream(order)
     return await send_events(request, stream, order, len(order.generated))
 
 
--- a/lentilhaven/standins/engine_faults.py
+++ b/lentilhaven/standins/engine_faults.py
@@ -32,6 +32,11 @@
         Open connections that have carried a call.
     muted : set of asyncio.Transport
         Connections that stay open but transmit nothing from now on.
+    crashing_prompt : list of str
+        Prompt on which the engine crashes as the head of a chain; it is up again at
+        once.  Empty for none.
+    crashes : int
+        Number of these crashes.
     noise : PieceFaults or None
         Source of faults in the pieces that the engine sends; None for no faults.
     """
@@ -41,6 +46,8 @@
     running: asyncio.Event = attrs.field(factory=create_set_event)
     transports: set[asyncio.Transport] = attrs.field(factory=set)
     muted: set[asyncio.Transport] = attrs.field(factory=set)
+    crashing_prompt: list[str] = attrs.field(factory=list)
+    crashes: int = 0
     noise: PieceFaults | None = None
 
     def silence_connections(self) -> None:
--- a/lentilhaven/standins/service.py
+++ b/lentilhaven/standins/service.py
@@ -48,6 +48,11 @@
     lost_before_rate, lost_after_rate : float
         Fraction of postings whose connection breaks before they run, and fraction of
         postings whose connection breaks after they ran.
+    crashing_text : str
+        Text in the path or body of a request that crashes the service, which is up
+        again at once; empty for none.
+    crashes : int
+        Number of crashes.
     source : random.Random
         Random number generator that selects the postings that fail.
     """
@@ -63,6 +68,8 @@
     answers_status: bool = False
     lost_before_rate: float = 0.0
     lost_after_rate: float = 0.0
+    crashing_text: str = ""
+    crashes: int = 0
     source: random.Random = attrs.field(factory=lambda: random.Random(1))
 
 
@@ -75,7 +82,7 @@
     service : Service
         State and faults of the service.
     """
-    app = web.Application()
+    app = web.Application(middlewares=[crash_middleware])
     app[SERVICE] = service
     app.router.add_get("/items/{name}", read_item)
     app.router.add_post("/postings", post_item)
@@ -84,6 +91,17 @@
     return app
 
 
+@web.middleware
+async def crash_middleware(request: web.Request, handler) -> web.StreamResponse:
+    """Let the service crash on a request with `Service.crashing_text`."""
+    service = request.app[SERVICE]
+    text = service.crashing_text
+    if text and text in request.path + await request.text():
+        service.crashes += 1
+        break_connection(request)
+    return await handler(request)
+
+
 async def read_item(request: web.Request) -> web.Response:
     """Return the count of an item, which is the same for all."""
     service = request.app[SERVICE]
