Run a gateway's background tasks again after a failure

What callers would see: after one malformed manifest, report of an engine or answer of another gateway, each gateway that has read it follows no manifest any more, places no layers although it holds the lease, or asks no other gateway, until it is started again.

Cause: a background task whose loop raised something that its handler does not list was logged and never ran again. Found: a number that is no finite one (OverflowError), a manifest without the size of layers (division by zero in the plan; the lease goes on being renewed beside the ended task), a report whose list of stalled requests holds no objects, an answer with malformed endpoints.

Change: the tasks of a gateway run again half a second after a failure, which is logged as before. Numbers that can't be used are errors of the manifest, the settings file and the report now. The task of the lease is left as it was: if it ends, the lease lapses and another gateway places.

--- a/lentilhaven/core/tasks.py
+++ b/lentilhaven/core/tasks.py
@@ -1,7 +1,7 @@
 """Background tasks whose lifetime is bound to a context manager."""
 
 import asyncio
-from collections.abc import AsyncIterator, Coroutine, Iterable
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -10,6 +10,9 @@
 #: Interval at which a task that has not ended is cancelled again, in seconds.
 CANCEL_RETRY_INTERVAL = 0.5
 
+#: Seconds after a failure of a background task until it runs again.
+FAILURE_PAUSE = 0.5
+
 log = get_logger("core")
 
 
@@ -41,6 +44,29 @@
         await cancel_tasks(tasks)
 
 
+async def keep_running(make: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """
+    Run a coroutine that never returns, and run it again whenever it has failed.
+
+    Whatever a background task reads may be malformed in a way that nobody has thought
+    of.  A task that ended would do nothing any more until the process ends, and so
+    would those of other processes that read the same.
+
+    Parameters
+    ----------
+    make : callable
+        Returns the coroutine.
+    """
+    while True:
+        try:
+            return await make()
+        except Exception as error:
+            fields = describe_exception(error)
+            name = getattr(make, "__qualname__", repr(make))
+            log.error("background task failed", task=name, **fields)
+        await asyncio.sleep(FAILURE_PAUSE)
+
+
 async def cancel_tasks(tasks: Iterable[asyncio.Task]) -> None:
     """
     Cancel tasks repeatedly until all of them have ended.
--- a/lentilhaven/core/tests/test_tasks.py
+++ b/lentilhaven/core/tests/test_tasks.py
@@ -2,7 +2,7 @@
 import unittest
 
 from lentilhaven.core.task_set import open_task_set
-from lentilhaven.core.tasks import running_tasks
+from lentilhaven.core.tasks import FAILURE_PAUSE, keep_running, running_tasks
 from lentilhaven.standins.virtual import run_virtual
 
 
@@ -31,3 +31,24 @@
             return asyncio.get_running_loop().time()
 
         self.assertLess(run_virtual(main()), 5.0)
+
+
+class FailureTests(unittest.TestCase):
+    """Guards against a background task that does nothing more after a failure."""
+
+    def test_task_runs_again_after_failures_until_it_is_cancelled(self):
+        began = []
+
+        async def fail_twice():
+            began.append(asyncio.get_running_loop().time())
+            if len(began) < 3:
+                raise ZeroDivisionError
+            await asyncio.sleep(3600.0)
+
+        async def main():
+            async with running_tasks(keep_running(fail_twice)):
+                await asyncio.sleep(60.0)
+
+        run_virtual(main())
+        self.assertEqual(len(began), 3)
+        self.assertGreaterEqual(began[1] - began[0], FAILURE_PAUSE)
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -12,7 +12,7 @@
 
 from lentilhaven.core.ids import VmId
 from lentilhaven.core.logs import get_logger
-from lentilhaven.core.tasks import running_tasks
+from lentilhaven.core.tasks import keep_running, running_tasks
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.connection_factories import ConnectionFactories
 from lentilhaven.gateway.crash_checks import note_gone
@@ -102,7 +102,9 @@
         # The callers' listener is opened last so that it closes first: the shutdown
         # of the background tasks must not keep a caller waiting.
         await stack.enter_async_context(running_background_tasks(gateway))
-        await stack.enter_async_context(running_tasks(poll_settings(gateway)))
+        await stack.enter_async_context(
+            running_tasks(keep_running(lambda: poll_settings(gateway)))
+        )
         listener = await stack.enter_async_context(open_caller_listener(gateway))
         log.info("gateway started", callers=settings.callers)
         await stop.wait()
@@ -199,19 +201,25 @@
         )
         manifest_watch = watch_manifest(gateway, client)
         replica_watch = watch_replicas(gateway, client)
+        read_manifest = partial(read_all, manifest_watch)
         await stack.enter_async_context(open_relay(gateway))
         await stack.enter_async_context(
             running_tasks(
-                exchange.run(),
-                manifest_watch.follow(),
-                replica_watch.follow(),
-                check_store(gateway, manifest_watch, replica_watch),
-                catch_up(gateway, session, partial(read_all, manifest_watch)),
-                refresh_digest(gateway),
-                placer.run(),
-                check_paces(gateway),
-                check_suspects(gateway),
-                sweep_endpoints(gateway),
+                *map(
+                    keep_running,
+                    (
+                        exchange.run,
+                        manifest_watch.follow,
+                        replica_watch.follow,
+                        lambda: check_store(gateway, manifest_watch, replica_watch),
+                        lambda: catch_up(gateway, session, read_manifest),
+                        lambda: refresh_digest(gateway),
+                        placer.run,
+                        lambda: check_paces(gateway),
+                        lambda: check_suspects(gateway),
+                        lambda: sweep_endpoints(gateway),
+                    ),
+                )
             )
         )
         yield
--- a/lentilhaven/gateway/store_watch.py
+++ b/lentilhaven/gateway/store_watch.py
@@ -216,7 +216,14 @@
             return
     try:
         manifest = decode_manifest(value)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        IndexError,
+        OverflowError,
+    ) as error:
         detail = f"{type(error).__name__}: {error}"
         log.error("manifest can't be read", position=str(position), detail=detail)
         return
--- a/lentilhaven/platform/engine_calls.py
+++ b/lentilhaven/platform/engine_calls.py
@@ -131,7 +131,13 @@
                 detail = f"status {response.status}"
                 return Error(Failure(Step.ORDER, endpoint.id, "report", detail))
             return Ok(decode_report(await read_answer_json(response, MAX_REPORT_BYTES)))
-    except (*REQUEST_ERRORS, TypeError) as error:
+    except (
+        *REQUEST_ERRORS,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         detail = f"{type(error).__name__}: {error}"
         cause = getattr(error, "os_error", None)
         is_refused = isinstance(cause, ConnectionRefusedError)
--- a/lentilhaven/platform/settings.py
+++ b/lentilhaven/platform/settings.py
@@ -152,5 +152,11 @@
         raise SettingsFileError(f"{name}: {error.strerror}") from error
     except KeyError as error:
         raise SettingsFileError(f"{name}: field {error} is missing") from error
-    except (TypeError, ValueError, AttributeError) as error:
+    except (
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise SettingsFileError(f"{name}: {error}") from error
