Ignore entries whose address can't be connected to

What callers would see: 500 at every gateway, each time that the replica is chosen. Cause: an entry, which any process may write, passed with a port above 65535; the event loop raises OverflowError for it, which nobody expects from a connection (seen with Python's own create_connection). Class: input that fails its reader is handed to the next one.

Evidence: EntryTests of test_harmful_input: both gateways had the endpoint in their view before and do not after. Doctests of is_address.

--- a/lentilhaven/gateway/tests/test_harmful_input.py
+++ b/lentilhaven/gateway/tests/test_harmful_input.py
@@ -132,3 +132,20 @@
             path.write_text(json.dumps(settings))
             with self.assertRaises(SettingsFileError):
                 read_settings(str(path))
+
+
+class EntryTests(unittest.TestCase):
+    """Guards against an entry of a replica on which each gateway's requests fail."""
+
+    def test_entry_whose_port_cannot_be_connected_to_is_not_used(self):
+        async def scenario(bed):
+            entry = FakeReplica("i-x", "stock", "10.3.0.9", 99_999).entry()
+            bed.store.put("servers", "i-x", entry)
+            await asyncio.sleep(READ_TIME)
+            return [
+                (await bed.call(f"/look/{it}", gateway=it % 2)).status for it in range(8)
+            ], ["i-x" in it.view.endpoints for it in bed.gateways]
+
+        statuses, known = run_on_testbed(scenario, plain_replicas())
+        self.assertEqual(statuses, [200] * 8)
+        self.assertEqual(known, [False] * 2)
--- a/lentilhaven/platform/replica_format.py
+++ b/lentilhaven/platform/replica_format.py
@@ -8,6 +8,9 @@
 #: Valid states of a replica's entry.
 READY, DRAINING = "ready", "draining"
 
+#: Largest port, and largest number in an IP address.
+MAX_PORT, MAX_OCTET = 65_535, 255
+
 
 def decode_replica(name: str, value: Any) -> Endpoint | None:
     """
@@ -94,13 +97,23 @@
 
 def is_address(text: str) -> bool:
     """
-    Return whether a text has the form ``IP:PORT``.
+    Return whether a text has the form ``IP:PORT``, and can be connected to.
 
     Examples
     --------
     >>> is_address("10.0.0.1:80"), is_address("10.0.0.1"), is_address("x:y")
     (True, False, False)
+    >>> is_address("10.0.0.1:99999"), is_address("10.0.0.300:80")
+    (False, False)
     """
     host, _, port = text.rpartition(":")
     numbers = host.split(".")
-    return port.isdigit() and len(numbers) == 4 and all(n.isdigit() for n in numbers)
+    return len(numbers) == 4 and all(
+        is_number_up_to(number, limit)
+        for number, limit in [(port, MAX_PORT), *((it, MAX_OCTET) for it in numbers)]
+    )
+
+
+def is_number_up_to(text: str, limit: int) -> bool:
+    """Return whether a text is a decimal number of at most a limit."""
+    return text.isascii() and text.isdigit() and len(text) < 6 and int(text) <= limit
