Pass every end on in turn, however many runs were lost with an endpoint

What callers saw: a request whose three ends three gateways had seen, one each, ran on at every gateway and ended more replicas, if some 80 other runs were lost with each of them.

Cause: a datagram held the 24 subjects with the latest ends in a fixed order, so that each datagram of the second in which they were late held the same 24. With tens of runs lost at the same moment, the one at fault was in all of them or in none, as its digest came first or last.

A lost datagram is made up for by the next turns.

The testbed's connectors have no limit of connections (100 before, for all callers together), and its network can lose single links or a share of the datagrams.

--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -28,7 +28,7 @@
 import attrs
 
 from lentilhaven.crashes.breaker import Breaker, is_closed
-from lentilhaven.peering.messages import MAX_DISTANCE, BreakerState
+from lentilhaven.peering.messages import MAX_DISTANCE, BreakerState, Scope
 from lentilhaven.peering.subject import Incarnation, Subject, SubjectKind
 
 #: Seconds for which an end of an endpoint counts as evidence.
@@ -81,14 +81,18 @@
 #: subjects with the latest ends, of proofs of each kind, of breakers and of ended
 #: endpoints.
 MAX_SENT_STRONGEST = 8
-MAX_SENT_LATEST = 24
+MAX_SENT_LATEST = 64
 MAX_SENT_PROOFS = 16
 MAX_SENT_BREAKERS = 8
 MAX_SENT_ENDED = 16
 
+#: Maximum numbers of ends of a subject in a datagram, the latest ones: of one with the
+#: most ends, and of one with the latest.  What a datagram leaves out others contain.
+MAX_SENT_ENDS, MAX_SENT_LATEST_ENDS = 12, 4
+
 #: Seconds for which an end counts as a late one, which is passed on before others, and
 #: number of subjects with the latest ends that are compared for a datagram.
-LATEST_TIME = 1.0
+LATEST_TIME = 2.0
 MAX_COMPARED = 128
 
 
@@ -142,6 +146,9 @@
         Time at which incarnations of endpoints were seen to have ended.
     announced : set
         Candidates of which `new_candidates` has told.
+    sent_late : dict
+        By scope and kind, time of the latest end of subjects and number of datagrams
+        that have contained it, for late ends.
 
     Examples
     --------
@@ -163,6 +170,9 @@
     breakers: dict[Subject, Breaker] = attrs.field(factory=dict)
     ended: dict[Incarnation, float] = attrs.field(factory=dict)
     announced: set[Subject] = attrs.field(factory=set)
+    sent_late: dict[tuple[Scope, SubjectKind], dict[Subject, tuple[float, int]]] = (
+        attrs.field(factory=dict)
+    )
 
     # Evidence.
 
@@ -479,33 +489,70 @@
     # What other gateways are told, and what they tell.
 
     def sent_ends(
-        self, kind: SubjectKind, now: float
+        self, kind: SubjectKind, now: float, scope: Scope = Scope.OWN
     ) -> dict[Subject, dict[Incarnation, float]]:
         """
         Return the ages of ends to pass on to other gateways, by subject of a kind.
 
         These are the subjects with the most ends, and those with the latest: the ends
         under one subject may be seen by as many gateways.
+
+        Parameters
+        ----------
+        kind : SubjectKind
+            Kind of the subjects.
+        now : float
+            Time of the event loop.
+        scope : Scope
+            Scope of the datagram.
         """
+        newest = itertools.islice(reversed(self.ends), MAX_COMPARED)
+        compared = [
+            it
+            for it in self.suspects.union(newest)
+            if it.kind is kind and now - self.recorded[it] < PASSED_TIME
+        ]
+        compared.sort(key=lambda it: (-len(self.counted_ends(it)), it))
+        strongest = compared[:MAX_SENT_STRONGEST]
+        late = self.late_subjects(kind, now, scope)
+        counts = dict.fromkeys([*strongest, *late], MAX_SENT_LATEST_ENDS)
+        counts |= dict.fromkeys(strongest, MAX_SENT_ENDS)
+        found = {it: self.latest_ages(it, now, counts[it]) for it in counts}
+        return {subject: ages for subject, ages in found.items() if ages}
+
+    def late_subjects(
+        self, kind: SubjectKind, now: float, scope: Scope
+    ) -> list[Subject]:
+        """
+        Return the subjects with late ends for a datagram, and count them as sent.
+
+        Many runs are lost with one endpoint.  Those that the fewest datagrams have
+        contained come first, so that no end is left out of all of them.
+        """
+        before = self.sent_late.get((scope, kind), {})
         found = {}
-        late = itertools.islice(reversed(self.ends), MAX_COMPARED)
-        for subject in self.suspects.union(late):
-            if subject.kind is not kind:
-                continue
-            ages = {
-                name: round(now - at, 3)
-                for name, at in self.counted_ends(subject).items()
-                if now - at < PASSED_TIME
-            }
-            if ages:
-                found[subject] = ages
-        strongest = sorted(found, key=lambda it: (-len(found[it]), it))
-        latest = sorted(
-            (it for it in found if now - self.recorded[it] < LATEST_TIME),
-            key=lambda it: (-self.recorded[it], it),
-        )
-        chosen = [*strongest[:MAX_SENT_STRONGEST], *latest[:MAX_SENT_LATEST]]
-        return {subject: found[subject] for subject in chosen}
+        for subject, at in self.recorded.items():
+            if subject.kind is kind and now - at < LATEST_TIME:
+                sent_at, count = before.get(subject, (at, 0))
+                found[subject] = (at, count if sent_at == at else 0)
+        chosen = sorted(found, key=lambda it: (found[it][1], -found[it][0], it))
+        chosen = chosen[:MAX_SENT_LATEST]
+        for subject in chosen:
+            at, count = found[subject]
+            found[subject] = (at, count + 1)
+        self.sent_late[scope, kind] = found
+        return chosen
+
+    def latest_ages(
+        self, subject: Subject, now: float, count: int
+    ) -> dict[Incarnation, float]:
+        """Return the ages of some ends under a subject to pass on, the latest ones."""
+        ages = {
+            name: round(now - at, 3)
+            for name, at in self.counted_ends(subject).items()
+            if now - at < PASSED_TIME
+        }
+        return dict(sorted(ages.items(), key=itemgetter(1))[:count])
 
     def sent_proofs(
         self, kind: SubjectKind, now: float, distance: int
--- a/lentilhaven/gateway/tests/platform_testbed.py
+++ b/lentilhaven/gateway/tests/platform_testbed.py
@@ -107,12 +107,12 @@
 
 def make_connector() -> VirtualConnector:
     """
-    Return an in-memory connector.
+    Return an in-memory connector without a limit of connections.
 
     The long keep-alive timeout prevents aiohttp's clean-up of idle connections,
     which becomes a busy loop on a clock without rounding errors.
     """
-    return VirtualConnector(keepalive_timeout=86_400.0)
+    return VirtualConnector(keepalive_timeout=86_400.0, limit=0)
 
 
 @attrs.define
@@ -134,10 +134,28 @@
 
 @attrs.define
 class DatagramNetwork:
-    """An in-memory network for datagrams; hosts in `cut` are disconnected."""
+    """
+    An in-memory network for datagrams.
+
+    Attributes
+    ----------
+    protocols : dict
+        Receiver of each address.
+    cut : set of str
+        Hosts that are disconnected.
+    cut_links : set of frozenset of str
+        Pairs of hosts between which all datagrams are lost.
+    lost_share : float
+        Share of all datagrams that are lost.
+    random : Random
+        Chooses them.
+    """
 
     protocols: dict[tuple[str, int], Any] = attrs.field(factory=dict)
     cut: set[str] = attrs.field(factory=set)
+    cut_links: set[frozenset[str]] = attrs.field(factory=set)
+    lost_share: float = 0.0
+    random: Random = attrs.field(factory=lambda: Random(1))
 
     async def open(self, make_protocol: Any, host: str, port: int) -> tuple[Any, Any]:
         """Open a socket."""
@@ -147,6 +165,13 @@
         protocol.connection_made(transport)
         return transport, protocol
 
+    def loses(self, sender: str, receiver: str) -> bool:
+        """Return whether a datagram from one host to another is lost."""
+        hosts = frozenset((sender, receiver))
+        if hosts & self.cut or hosts in self.cut_links:
+            return True
+        return self.random.random() < self.lost_share
+
 
 @attrs.define
 class MemoryTransport:
@@ -156,9 +181,9 @@
     own: tuple[str, int]
 
     def sendto(self, data: bytes, address: tuple[str, int]) -> None:
-        """Deliver a datagram unless the sender or receiver is disconnected."""
+        """Deliver a datagram unless the network loses it."""
         protocol = self.network.protocols.get(address)
-        if protocol is None or {self.own[0], address[0]} & self.network.cut:
+        if protocol is None or self.network.loses(self.own[0], address[0]):
             return
         loop = asyncio.get_running_loop()
         loop.call_later(DATAGRAM_LATENCY, protocol.datagram_received, data, self.own)
