Keep a new connection that its request did not need

A request may be withheld after its connection was made, and the check of an endpoint whose connection has closed makes one. Both give it to the pool, which closed it at the next use: the time since which it was idle was 0, the begin of the clock, until its first exchange ended. The protocol's prices count each new connection. Before: the new test fails (2 connections opened); after: 1.

--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -56,7 +56,8 @@
         Seconds after which the endpoint closes the connection if it is idle; None if
         the endpoint has not stated it.
     idle_since : float
-        Event loop time at which the last exchange ended, in seconds.
+        Event loop time at which the last exchange ended, or at which the connection
+        was made if it has carried none, in seconds.
     request_ids : set of str
         Ids of the requests that the connection has carried.
     on_lost : callable
@@ -130,6 +131,7 @@
         """Store the transport and set the socket options."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.idle_since = asyncio.get_running_loop().time()
         sock = transport.get_extra_info("socket")
         if sock is not None:
             set_liveness_options(sock)
--- a/lentilhaven/upstream/tests/test_connection.py
+++ b/lentilhaven/upstream/tests/test_connection.py
@@ -157,6 +157,20 @@
         )
         self.assertEqual((found, opened), ([(200, b"hello")] * 3, 1))
 
+    def test_reuses_a_new_connection_that_has_carried_no_request(self):
+        """A request may be withheld once its connection has been established."""
+
+        async def use(pool):
+            await asyncio.sleep(10 * MAX_IDLE_TIME)
+            first = await pool.acquire(ENDPOINT, "r1", 1.0)
+            pool.release(ENDPOINT, first)
+            return await pool.acquire(ENDPOINT, "r2", 1.0) is first
+
+        found, opened = self.count_connections(
+            lambda name: make_response(name=name), use
+        )
+        self.assertEqual((found, opened), (True, 1))
+
     def test_does_not_reuse_a_connection_that_the_endpoint_closes(self):
         async def use(pool):
             return [await ask(pool, f"r{number}") for number in range(3)]
