Bound the bodies that a gateway holds all together

What operators would see: a gateway that slow callers with large bodies end for want of memory; the balancer then hands the same callers to the next one.

Cause: a single body is bounded by the manifest, and answers are bounded all together, but bodies were not.

Change: bodies count until their requests have been answered. Above an eighth of the memory of the settings (as for answers) the largest body that is still arriving is given up with 503, so that small ones beside it are served.

--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -14,6 +14,7 @@
 from lentilhaven.crashes.run_log import RunLog
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.fleet_view import FleetView
+from lentilhaven.gateway.body_memory import BodyMemory
 from lentilhaven.gateway.budget import RetryBudgetShare
 from lentilhaven.gateway.endpoint_signals import note_signals
 from lentilhaven.gateway.endpoint_states import EndpointStates
@@ -47,6 +48,8 @@
         Known manifest and endpoints.
     pool : ConnectionPool
         Connections to endpoints.
+    body_memory : BodyMemory
+        Bytes of the bodies of callers' requests.
     endpoint_states : EndpointStates
         Observed state of the endpoints.
     session : aiohttp.ClientSession or None
@@ -106,6 +109,7 @@
     clock: Clock = attrs.field(factory=system_clock)
     view: FleetView = attrs.field()
     pool: ConnectionPool = attrs.field()
+    body_memory: BodyMemory = attrs.field()
     endpoint_states: EndpointStates = attrs.field(factory=EndpointStates)
     session: aiohttp.ClientSession | None = None
     metrics: Metrics | None = None
@@ -152,6 +156,11 @@
         limit = answer_memory_limit(self.settings.memory)
         return ConnectionPool(memory=AnswerMemory(limit))
 
+    @body_memory.default
+    def empty_body_memory(self) -> BodyMemory:
+        """Return a memory without bodies."""
+        return BodyMemory(answer_memory_limit(self.settings.memory))
+
     @peers.default
     def empty_peer_table(self) -> PeerTable:
         """Return a table without other gateways."""
--- a/lentilhaven/gateway/intake.py
+++ b/lentilhaven/gateway/intake.py
@@ -9,6 +9,7 @@
 from lentilhaven.core.step import Step
 from lentilhaven.fleet.manifest import Manifest
 from lentilhaven.fleet.route_rule import RouteRule
+from lentilhaven.gateway.body_memory import BodyGivenUpError, HeldBody
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.platform.request_head import RequestHead, decode_request_head
@@ -22,7 +23,7 @@
 
 
 async def read_call(
-    gateway: Gateway, request: web.BaseRequest
+    gateway: Gateway, request: web.BaseRequest, held: HeldBody
 ) -> Result[Call, Failure]:
     """
     Read a request and look up its route and workspace.
@@ -33,6 +34,8 @@
         Gateway whose manifest is used.
     request : aiohttp.web.BaseRequest
         The request; its body is read here.
+    held : HeldBody
+        Counts the bytes of the body until the request has been answered.
 
     Returns
     -------
@@ -65,10 +68,9 @@
         return Error(Failure(Step.AUTHENTICATE, "", "unknown-key", detail))
     if not head.request_id:
         return Error(Failure(Step.PARSE, "", "bad-request", "the request has no id"))
-    try:
-        body = await request.read()
-    except web.HTTPRequestEntityTooLarge:
-        return Error(Failure(Step.PARSE, "", "too-large", "the body is too large"))
+    read = await read_body(request, held)
+    if read.is_error():
+        return Error(read.error)
     timeout = route.timeout
     if head.timeout is not None:
         timeout = min(timeout, head.timeout)
@@ -78,7 +80,7 @@
             method=request.method,
             target=request.raw_path,
             head=head,
-            body=body,
+            body=read.ok,
             route=route,
             service=choose_service(gateway, route),
             tenant=tenant,
@@ -90,6 +92,17 @@
     )
 
 
+async def read_body(request: web.BaseRequest, held: HeldBody) -> Result[bytes, Failure]:
+    """Read the body of a request, or return why it is refused."""
+    try:
+        return Ok(await held.read(request))
+    except BodyGivenUpError:
+        detail = "the bodies of all requests hold too much"
+        return Error(Failure(Step.ADMIT, "", "bodies-too-large", detail))
+    except web.HTTPRequestEntityTooLarge:
+        return Error(Failure(Step.PARSE, "", "too-large", "the body is too large"))
+
+
 def authenticate(
     manifest: Manifest, route: RouteRule, head: RequestHead
 ) -> tuple[str, int] | None:
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -13,6 +13,7 @@
 from lentilhaven.core.step import Step
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.fleet.route_rule import RouteKind
+from lentilhaven.gateway.body_memory import HeldBody
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.caller_connection import (
     CallerConnection,
@@ -61,7 +62,8 @@
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         gateway.active += 1
         try:
-            response = await handle_request(gateway, request)
+            with gateway.body_memory.holding() as held:
+                response = await handle_request(gateway, request, held)
         finally:
             gateway.active -= 1
             gateway.request_finished.notify()
@@ -71,12 +73,12 @@
 
 
 async def handle_request(
-    gateway: Gateway, request: web.BaseRequest
+    gateway: Gateway, request: web.BaseRequest, held: HeldBody
 ) -> web.StreamResponse:
     """Handle one request and log its result."""
     loop = asyncio.get_running_loop()
     began = loop.time()
-    parsed = await read_call(gateway, request)
+    parsed = await read_call(gateway, request, held)
     if parsed.is_error():
         failure = parsed.error
         head = decode_request_head(request.headers)
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -139,6 +139,7 @@
         return
     gateway.settings = settings
     gateway.pool.memory.limit = answer_memory_limit(settings.memory)
+    gateway.body_memory.limit = answer_memory_limit(settings.memory)
     for budget in gateway.budgets.values():
         budget.window = settings.budget_window
         budget.ratio = settings.budget_ratio
--- a/lentilhaven/gateway/tests/test_harmful_input.py
+++ b/lentilhaven/gateway/tests/test_harmful_input.py
@@ -143,7 +143,8 @@
             bed.store.put("servers", "i-x", entry)
             await asyncio.sleep(READ_TIME)
             return [
-                (await bed.call(f"/look/{it}", gateway=it % 2)).status for it in range(8)
+                (await bed.call(f"/look/{it}", gateway=it % 2)).status
+                for it in range(8)
             ], ["i-x" in it.view.endpoints for it in bed.gateways]
 
         statuses, known = run_on_testbed(scenario, plain_replicas())
