Ignore facts that agents can't use, and keep their tasks running

Cause: a received fact was merged and passed on whatever its value was, and then ended the task that reads it (pulls of facts, publication of loads) at each agent that got it.

Change: the value of each fact is checked where it arrives, and one that can't be used is logged once and neither kept nor passed on. Background tasks of an agent run again after a failure, as those of a gateway do.

--- a/lentilhaven/agent/agent.py
+++ b/lentilhaven/agent/agent.py
@@ -15,7 +15,7 @@
 from lentilhaven.core.ids import EndpointId
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.signal import Signal
-from lentilhaven.core.tasks import running_tasks
+from lentilhaven.core.tasks import keep_running, running_tasks
 from lentilhaven.distribution.joining import Joiner
 from lentilhaven.distribution.state_sync import StateSync
 from lentilhaven.distribution.store_watch import StoreWatch
@@ -277,19 +277,20 @@
         agent = make_agent(settings, client, clock, generator, peers, members, journal)
         watch = StoreWatch(agent.state_sync)
         joiner = Joiner(agent.state_sync, settings.seeds)
-        async with running_tasks(
-            joiner.join(),
-            watch.watch_tables(),
-            watch.poll_vm_list(),
-            agent.state_sync.poll_parent(),
-            agent.state_sync.poll_random_peers(),
-            agent.heartbeats.monitor_subjects(),
-            agent.gossip.pull_facts(),
-            agent.gossip.push_urgent_facts(),
-            agent.poller.poll_endpoints(),
-            agent.poller.publish_loads(),
-            agent.publish_table_changes(),
-            agent.publish_member_changes(),
-            agent.publish_fact_changes(),
-        ):
+        loops = (
+            joiner.join,
+            watch.watch_tables,
+            watch.poll_vm_list,
+            agent.state_sync.poll_parent,
+            agent.state_sync.poll_random_peers,
+            agent.heartbeats.monitor_subjects,
+            agent.gossip.pull_facts,
+            agent.gossip.push_urgent_facts,
+            agent.poller.poll_endpoints,
+            agent.poller.publish_loads,
+            agent.publish_table_changes,
+            agent.publish_member_changes,
+            agent.publish_fact_changes,
+        )
+        async with running_tasks(*map(keep_running, loops)):
             yield agent
--- a/lentilhaven/membership/gossip.py
+++ b/lentilhaven/membership/gossip.py
@@ -13,6 +13,7 @@
 from lentilhaven.core.signal import Signal
 from lentilhaven.membership.fact import Fact
 from lentilhaven.membership.fact_table import SCOPES, FactTable, Scope, Topic
+from lentilhaven.membership.fact_values import is_usable
 from lentilhaven.membership.members import Members
 from lentilhaven.membership.messages import FactAnswer, FactRequest
 from lentilhaven.membership.peer_client import PeerClient
@@ -40,6 +41,9 @@
 #: Seconds after which a VM publishes an urgent fact again.
 REFRESH_AFTER = 10.0
 
+#: Maximum number of facts that are remembered as ignored.
+MAX_IGNORED = 256
+
 log = get_logger("membership")
 
 
@@ -71,6 +75,8 @@
         Notified when there are facts to push.
     push_tasks : set
         Tasks of the pushes in progress.
+    ignored : set of str
+        Keys of facts that could not be used.
     """
 
     members: Members
@@ -83,6 +89,7 @@
     unsent_facts: dict[str, Fact] = attrs.field(factory=dict)
     push_needed: Signal = attrs.field(factory=Signal)
     push_tasks: set[asyncio.Task] = attrs.field(factory=set)
+    ignored: set[str] = attrs.field(factory=set)
 
     def publish(self, topic: Topic, value: Any) -> None:
         """
@@ -113,7 +120,7 @@
 
     def receive(self, facts: list[Fact], transport: float = 0.0) -> None:
         """
-        Merge facts received from another VM.
+        Merge facts received from another VM, except those that can't be used.
 
         Parameters
         ----------
@@ -124,6 +131,9 @@
         """
         newer = []
         for fact in facts:
+            if not is_usable(fact):
+                self.note_ignored(fact)
+                continue
             if fact.writer == self.members.own:
                 self.advance_incarnation(fact)
                 continue
@@ -133,6 +143,15 @@
         if newer:
             self.process_updates(newer)
 
+    def note_ignored(self, fact: Fact) -> None:
+        """Log that the facts of a writer on a topic can't be used, once."""
+        if fact.key in self.ignored:
+            return
+        if len(self.ignored) >= MAX_IGNORED:
+            self.ignored.clear()
+        self.ignored.add(fact.key)
+        log.warning("fact ignored", topic=fact.topic, writer=fact.writer)
+
     def advance_incarnation(self, fact: Fact) -> None:
         """
         Switch to a newer incarnation if an earlier run used this or a newer one.
