--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -264,8 +264,15 @@
         """
         record_run(replica, request)
         faults = replica.faults
-        await asyncio.sleep(0.01 + faults.delay)
-        await wait_while_silent(replica)
+        replica.running += 1
+        try:
+            if 0 < faults.max_running < replica.running:
+                self.begin_crash(replica)
+                return False
+            await asyncio.sleep(0.01 + faults.delay)
+            await wait_while_silent(replica)
+        finally:
+            replica.running -= 1
         crashing = self.find_crashing_request(request)
         if crashing is not None:
             return await self.crash_in_answer(replica, request, writer, crashing)
--- a/lentilhaven/standins/platform/fake_replica.py
+++ b/lentilhaven/standins/platform/fake_replica.py
@@ -52,6 +52,9 @@
     silent_until : float
         Event loop time until which the replica sends nothing and a chain through it
         stands still, in seconds; afterwards it goes on.
+    max_running : int
+        Number of concurrent requests from which on one more crashes a plain service;
+        0 for no limit.
     delay : float
         Time added to each response of a plain service and to each event of a stream,
         in seconds of the event loop.
@@ -72,6 +75,7 @@
     states_length: bool = False
     endless: str = ""
     silent_until: float = 0.0
+    max_running: int = 0
     delay: float = 0.0
 
 
@@ -191,6 +195,8 @@
         Bytes added to the body of each response of a plain service.
     announces_leaving : bool
         Whether all answers say that the replica is leaving.
+    running : int
+        Number of requests that a plain service runs now.
     arrivals : list of float
         Event loop times at which requests arrived, except reports and orders, in
         seconds.
@@ -224,6 +230,7 @@
     pace: float = 1.0
     extra_bytes: int = 0
     announces_leaving: bool = False
+    running: int = 0
     arrivals: list[float] = attrs.field(factory=list)
     last_response: bytes = b""
     writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
