--- a/lentilhaven/gateway/tests/test_endless_answers.py
+++ b/lentilhaven/gateway/tests/test_endless_answers.py
@@ -189,3 +189,4 @@
         ):
             reload_settings(gateway)
         self.assertEqual(gateway.pool.memory.limit, 50_000_000)
+        self.assertEqual(gateway.body_memory.limit, 50_000_000)
