Ask an engine whose connection was reset whether it has ended

A closed connection counted as the end of its engine, and two ends of one request forbid a repeat.

The check that follows a lost connection now asks an engine for its report. The same start as before refutes the end, and the engine gets requests again at once; the decision about a repeat waits for the checks in progress (50 ms and an answer).

The placer's test of the lease failed since: a missing session was taken for a malformed report. Errors of decoding are caught around the decoder only.

--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -264,6 +264,10 @@
         """Remove the ends of an incarnation that the store lists long after them."""
         self.refute(incarnation, -math.inf, at - LISTED_AFTER, at - LISTED_SILENCE)
 
+    def note_alive(self, incarnation: Incarnation, at: float) -> None:
+        """Remove the ends of an incarnation that has said that it is alive."""
+        self.refute(incarnation, -math.inf, at, at)
+
     def refute(
         self, incarnation: Incarnation, since: float, until: float, alive_at: float
     ) -> None:
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -19,6 +19,7 @@
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.subject import Incarnation, Subject, SubjectKind
+from lentilhaven.platform.engine_calls import fetch_report
 from lentilhaven.upstream.exchange import UpstreamError
 
 #: Kind of the failure of a request that is refused, by kind of the subject at fault.
@@ -45,6 +46,9 @@
 #: ended, in which its other connections close, and timeout of the check.
 END_CHECK_DELAY, END_CHECK_TIMEOUT = 0.05, 0.4
 
+#: Maximum number of such checks at the same time.
+MAX_END_CHECKS = 64
+
 #: Largest distance of an observation of data by which an end is refuted; the time of a
 #: more distant one is not accurate enough.
 ALIVE_DISTANCE = 1
@@ -173,6 +177,8 @@
     checks = gateway.end_checks
     if incarnation in checks or incarnation in gateway.crash_ledger.ended:
         return
+    if len(checks) >= MAX_END_CHECKS:
+        return
     task = asyncio.ensure_future(check_end(gateway, endpoint))
     task.add_done_callback(report_task_failure)
     task.add_done_callback(lambda done: checks.pop(incarnation, None))
@@ -183,7 +189,8 @@
     """
     Connect to an endpoint, which has ended if nothing listens on its port.
 
-    One that has closed a single connection accepts another, which is kept for use.
+    One that has closed a single connection accepts another, which is kept for use.  An
+    engine is asked for its report then, by which an incarnation is known to be alive.
     """
     await asyncio.sleep(END_CHECK_DELAY)
     try:
@@ -192,6 +199,32 @@
         note_refused_connection(gateway, endpoint, error)
         return
     gateway.pool.release(endpoint, connection)
+    if not endpoint.card or gateway.session is None:
+        return
+    report = await fetch_report(
+        gateway.session, endpoint, END_CHECK_TIMEOUT, gateway.note_head
+    )
+    if report.is_ok() and report.ok.born == endpoint.born:
+        now = asyncio.get_running_loop().time()
+        gateway.crash_ledger.note_alive(endpoint.incarnation, now)
+        # It got no requests since it had lost one.
+        state = gateway.endpoint_states.of(endpoint)
+        state.refused_until = min(state.refused_until, now)
+
+
+async def forbids_repeat_now(gateway: Gateway, call: Call) -> bool:
+    """
+    Return whether another run of a request is likely to end another endpoint.
+
+    Waits for the checks in progress whether endpoints have ended, since the answer may
+    depend on them.
+    """
+    if not forbids_repeat(gateway, call):
+        return False
+    checks = list(gateway.end_checks.values())
+    if checks:
+        await asyncio.wait(checks, timeout=END_CHECK_DELAY + END_CHECK_TIMEOUT)
+    return forbids_repeat(gateway, call)
 
 
 def add_ends(
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -20,7 +20,7 @@
     log_missing_layers,
     time_to_cover,
 )
-from lentilhaven.gateway.crash_checks import HARMFUL_KINDS, forbids_repeat
+from lentilhaven.gateway.crash_checks import HARMFUL_KINDS, forbids_repeat_now
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.held_response import HeldResponse
@@ -158,7 +158,7 @@
         outcome = await run_with_successors(relay, chain)
         if not isinstance(outcome, Failure):
             return outcome
-        if not may_retry(relay, outcome):
+        if not await may_retry(relay, outcome):
             return outcome
 
 
@@ -223,7 +223,7 @@
         )
 
 
-def may_retry(relay: StreamRelay, failure: Failure) -> bool:
+async def may_retry(relay: StreamRelay, failure: Failure) -> bool:
     """Return whether the request may be sent to another chain after a failure."""
     has_begun = relay.response is not None
     if relay.refusals >= MAX_REFUSALS and not has_begun:
@@ -232,7 +232,7 @@
         return False
     if failure.ran is not Ran.NO and not relay.may_run_again:
         return False
-    if relay.runs > 0 and forbids_repeat(relay.gateway, relay.call):
+    if relay.runs > 0 and await forbids_repeat_now(relay.gateway, relay.call):
         log.info("request not repeated since it ends endpoints", request=relay.call.id)
         return False
     return True
--- a/lentilhaven/platform/engine_calls.py
+++ b/lentilhaven/platform/engine_calls.py
@@ -130,19 +130,18 @@
             if response.status != 200:
                 detail = f"status {response.status}"
                 return Error(Failure(Step.ORDER, endpoint.id, "report", detail))
-            return Ok(decode_report(await read_answer_json(response, MAX_REPORT_BYTES)))
-    except (
-        *REQUEST_ERRORS,
-        TypeError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+            answer = await read_answer_json(response, MAX_REPORT_BYTES)
+    except (*REQUEST_ERRORS, TypeError, RecursionError) as error:
         detail = f"{type(error).__name__}: {error}"
         cause = getattr(error, "os_error", None)
         is_refused = isinstance(cause, ConnectionRefusedError)
         kind = NO_LISTENER if is_refused else "report"
         return Error(Failure(Step.ORDER, endpoint.id, kind, detail))
+    try:
+        return Ok(decode_report(answer))
+    except (TypeError, ValueError, AttributeError, OverflowError) as error:
+        detail = f"{type(error).__name__}: {error}"
+        return Error(Failure(Step.ORDER, endpoint.id, "report", detail))
 
 
 def decode_report(value: dict[str, Any]) -> EngineReport:
