Let the gateways try a refused request one after the other

What callers saw: a request that all gateways are asked for ended a replica at each of them when its refusal lapsed, 4 in a fleet of 4 gateways and 12 in one of 12.

Cause: the trial was announced at once, but every gateway counted the same time and began its own within the time that a datagram takes.

Change: after the end of the refusal each gateway waits for its turn, half a second for each gateway before it in an order by the digest of the subject and the gateway's address, a minute at most; Retry-After contains that time. A trial of another gateway is known by then. A request that comes at one gateway only is tried after its turn, so that it needs no particular gateway.

--- a/lentilhaven/crashes/breaker.py
+++ b/lentilhaven/crashes/breaker.py
@@ -78,9 +78,21 @@
             hold = min(MAX_HOLD, FIRST_HOLD * 2.0**self.trials)
             self.until = max(self.until, at + hold)
 
-    def admits(self, request_id: str, now: float) -> bool:
-        """Return whether a request may run: the trial, or any if none has begun."""
-        return now >= self.until or (bool(self.trial) and request_id == self.trial)
+    def admits(self, request_id: str, now: float, delay: float = 0.0) -> bool:
+        """
+        Return whether a request may run: the trial, or any if none has begun.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the request.
+        now : float
+            Time of the event loop.
+        delay : float
+            Seconds after the time of refusal from which this gateway may begin a trial.
+        """
+        is_trial = bool(self.trial) and request_id == self.trial
+        return is_trial or now >= self.until + delay
 
     def begin_trial(self, request_id: str, now: float) -> None:
         """Let a request run as a trial, and refuse others meanwhile."""
--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -22,7 +22,7 @@
 
 import itertools
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from operator import itemgetter
 
 import attrs
@@ -409,7 +409,11 @@
         return not self.ends and not self.breakers
 
     def find_refusal(
-        self, subjects: Sequence[Subject], now: float, request_id: str = ""
+        self,
+        subjects: Sequence[Subject],
+        now: float,
+        request_id: str = "",
+        trial_delay: Callable[[Subject], float] = lambda subject: 0.0,
     ) -> Refusal | None:
         """
         Return why a request must be refused; None if it may run.
@@ -422,6 +426,9 @@
             Time of the event loop.
         request_id : str
             Id of the request, by which a trial is known.
+        trial_delay : callable
+            Returns the seconds after the time of refusal from which this gateway may
+            begin the trial of a subject.
         """
         for subject in subjects:
             breaker = self.open_breaker(subject)
@@ -432,10 +439,15 @@
                 # Another subject has turned out to explain the ends.
                 del self.breakers[subject]
                 continue
-            if breaker is not None and not breaker.admits(request_id, now):
+            if breaker is None:
+                continue
+            # Most requests come long before the end of the refusal.
+            delay = trial_delay(subject) if now >= breaker.until else 0.0
+            if not breaker.admits(request_id, now, delay):
                 times = self.counted_ends(subject).values()
                 age = now - min(times, default=breaker.ended_at)
-                return Refusal(subject, len(times), age, breaker.until - now)
+                left = breaker.until + delay - now
+                return Refusal(subject, len(times), age, left)
         return None
 
     def begin_trials(
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
+import hashlib
 from collections.abc import Iterable, Iterator, Sequence
 from contextlib import contextmanager
 
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
+from lentilhaven.crashes.ledger import Refusal
 from lentilhaven.crashes.run_log import RunRecord
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.call import Call
@@ -43,6 +45,13 @@
 #: more distant one is not accurate enough.
 ALIVE_DISTANCE = 1
 
+#: Seconds from the time at which one gateway may begin a trial to that of the next:
+#: longer than it takes to tell all gateways of a trial.
+TRIAL_INTERVAL = 0.5
+
+#: Maximum seconds until any gateway may begin a trial, however many there are.
+MAX_TRIAL_DELAY = 60.0
+
 log = get_logger("gateway")
 
 
@@ -73,7 +82,7 @@
     if ledger.is_empty:
         return None
     now = asyncio.get_running_loop().time()
-    refusal = ledger.find_refusal(subjects_of(call), now, call.id)
+    refusal = find_refusal(gateway, call, now)
     if refusal is None:
         return None
     subject = refusal.subject
@@ -94,6 +103,35 @@
     return Failure(Step.ADMIT, "", kind, detail, retry_after=refusal.left)
 
 
+def find_refusal(gateway: Gateway, call: Call, now: float) -> Refusal | None:
+    """Return why a request must be refused; None if it may run."""
+    return gateway.crash_ledger.find_refusal(
+        subjects_of(call), now, call.id, lambda it: trial_delay(gateway, it)
+    )
+
+
+def trial_delay(gateway: Gateway, subject: Subject) -> float:
+    """
+    Return the seconds from the end of a refusal until this gateway may begin a trial.
+
+    The gateways come one after the other, in an order that differs from subject to
+    subject: what all of them are asked for would else be tried by all at once.
+    """
+    peers = gateway.peers
+    own = trial_rank(subject, peers.own.address)
+    addresses = peers.directory.addresses()
+    before = sum(trial_rank(subject, address) < own for address in addresses)
+    return min(before * TRIAL_INTERVAL, MAX_TRIAL_DELAY)
+
+
+def trial_rank(subject: Subject, address: str) -> bytes:
+    """Return a digest by which gateways are ordered for the trial of a subject."""
+    text = f"{subject.service} {subject.name} {address}"
+    return hashlib.blake2b(
+        text.encode("utf-8", "surrogatepass"), digest_size=8
+    ).digest()
+
+
 def begin_trials(gateway: Gateway, call: Call) -> None:
     """Let a request that is sent now be the trial of what was refused until now."""
     ledger = gateway.crash_ledger
@@ -119,12 +157,9 @@
 
 def is_refused(gateway: Gateway, call: Call) -> bool:
     """Return whether a request that runs would be refused now."""
-    ledger = gateway.crash_ledger
     now = asyncio.get_running_loop().time()
-    return (
-        not ledger.is_empty
-        and ledger.find_refusal(subjects_of(call), now, call.id) is not None
-    )
+    is_empty = gateway.crash_ledger.is_empty
+    return not is_empty and find_refusal(gateway, call, now) is not None
 
 
 @contextmanager
