Tell gateways of half-open circuit breakers too

What callers saw: a request that had ended three replicas ended two more, by its second attempt, at a gateway that had started after the refusal lapsed.

Cause: breakers were told to others only while they refused, so that the new gateway took the trial for an ordinary request.

Change: a breaker is passed on until 20 s before it is forgotten. As with evidence, the difference keeps gateways from renewing it for each other.

Breakers are forgotten at all gateways with datagrams of 150 ms (test_breaker_is_forgotten_everywhere...).

--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -27,7 +27,7 @@
 
 import attrs
 
-from lentilhaven.crashes.breaker import Breaker, is_closed
+from lentilhaven.crashes.breaker import IDLE_TIME, Breaker, is_closed
 from lentilhaven.peering.messages import MAX_DISTANCE, BreakerState, Scope
 from lentilhaven.peering.subject import Incarnation, Subject, SubjectKind
 
@@ -66,6 +66,10 @@
 #: than a proof; its age does not contain the time that datagrams are in transit.
 STATED_END_MARGIN = 2.0
 
+#: Seconds after the time of refusal for which a breaker is passed on.  It must be less
+#: than `IDLE_TIME` by more than datagrams are in transit, like `PASSED_TIME`.
+HALF_OPEN_PASSED_TIME = IDLE_TIME - 20.0
+
 #: Seconds for which an ended endpoint is remembered, and for which it is passed on.
 ENDED_TIME, ENDED_PASSED_TIME = 30.0, 3.0
 
@@ -593,7 +597,12 @@
         return {subject: found[subject] for subject in chosen[:MAX_SENT_PROOFS]}
 
     def sent_breakers(self, now: float) -> dict[Subject, BreakerState]:
-        """Return the open breakers to pass on to other gateways, the newest first."""
+        """
+        Return the breakers to pass on to other gateways, the newest first.
+
+        Half-open ones belong to them: a gateway that did not know of one would run and
+        repeat the request instead of beginning a trial.
+        """
         found = {
             subject: BreakerState(
                 round(now - breaker.ended_at, 3),
@@ -602,7 +611,7 @@
             )
             for subject in self.breakers
             if (breaker := self.open_breaker(subject)) is not None
-            and breaker.until > now
+            and breaker.until > now - HALF_OPEN_PASSED_TIME
         }
         chosen = sorted(found, key=lambda it: (-found[it].left, it))
         return {subject: found[subject] for subject in chosen[:MAX_SENT_BREAKERS]}
--- a/lentilhaven/gateway/tests/test_crash_spread.py
+++ b/lentilhaven/gateway/tests/test_crash_spread.py
@@ -8,6 +8,7 @@
 from lentilhaven.crashes import breaker, ledger
 from lentilhaven.crashes.ledger import LATEST_TIME
 from lentilhaven.gateway.peer_exchange import PROBE_INTERVAL
+from lentilhaven.gateway.tests import platform_testbed
 from lentilhaven.gateway.tests.platform_testbed import (
     plain_replicas,
     run_on_testbed,
@@ -305,6 +306,17 @@
             with self.subTest(options=options):
                 self.assertEqual(self.check(options, wait), (503, {503}, 0))
 
+    def test_half_open_breaker(self):
+        """The new gateway makes the trial, and does not repeat it."""
+
+        async def wait(bed):
+            await asyncio.sleep(FIRST_HOLD + MAX_TRIAL_DELAY)
+
+        for options in (SMALL, LARGE):
+            with self.subTest(options=options):
+                found = self.check(options, wait, REPEATABLE_PATH)
+                self.assertEqual(found, (502, {503}, 1))
+
 
 class TrialTests(unittest.TestCase):
     """Guard against trials at every gateway, each of which ends a replica."""
@@ -383,3 +395,18 @@
             return answered, trial, set(await call_all(bed))
 
         self.check_all(use, ({200}, [200], {200}))
+
+    def test_breaker_is_forgotten_everywhere_although_gateways_repeat_it(self):
+        async def use(bed):
+            await self.refuse_until_trial(bed)
+            known = [len(gateway.crash_ledger.breakers) for gateway in bed.gateways]
+            await asyncio.sleep(50.0)
+            left = [len(gateway.crash_ledger.breakers) for gateway in bed.gateways]
+            return set(known), set(left)
+
+        with (
+            mock.patch.object(breaker, "IDLE_TIME", 40.0),
+            mock.patch.object(ledger, "HALF_OPEN_PASSED_TIME", 38.0),
+            mock.patch.object(platform_testbed, "DATAGRAM_LATENCY", 0.15),
+        ):
+            self.check_all(use, ({1}, {0}))
