Bound what a datagram may say about ended endpoints

What could happen: a datagram with an infinite or enormous number raised an error in the gateway that received it, as deeply nested text did; a breaker that stated 1e12 seconds refused its request for ever, one that stated a million trials made the next end raise an error, after which the request was not refused; breakers of other gateways, and names in them, were kept without a bound; ends in the future never lapsed, and old ones counted as news again with each datagram.

Cause: decode_message checked types, not ranges, and did not catch overflows; only breakers of the gateway's own were counted.

Change: ages in the future are now; a stated time of refusal counts up to the longest one; the doubling ends after ten trials; 256 entries of a list are read, without those whose names are long or can't be printed; ends as old as evidence lasts are ignored; adopted breakers are bounded like own ones.

--- a/lentilhaven/crashes/breaker.py
+++ b/lentilhaven/crashes/breaker.py
@@ -16,6 +16,9 @@
 #: Maximum of that time, in seconds; it doubles with each trial.
 MAX_HOLD = 960.0
 
+#: Number of trials after which the time no longer grows.
+MAX_DOUBLINGS = 10
+
 #: Seconds after the begin of a trial for which no other one begins.  A trial that
 #: neither ends an endpoint nor is answered within this time has shown nothing.
 TRIAL_TIME = 30.0
@@ -75,7 +78,8 @@
         """Record an end of an endpoint under the subject."""
         if at > self.ended_at:
             self.ended_at = at
-            hold = min(MAX_HOLD, FIRST_HOLD * 2.0**self.trials)
+            doublings = min(self.trials, MAX_DOUBLINGS)
+            hold = min(MAX_HOLD, FIRST_HOLD * 2.0**doublings)
             self.until = max(self.until, at + hold)
 
     def admits(self, request_id: str, now: float, delay: float = 0.0) -> bool:
--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -27,7 +27,7 @@
 
 import attrs
 
-from lentilhaven.crashes.breaker import IDLE_TIME, Breaker, is_closed
+from lentilhaven.crashes.breaker import IDLE_TIME, MAX_HOLD, Breaker, is_closed
 from lentilhaven.peering.messages import MAX_DISTANCE, BreakerState, Scope
 from lentilhaven.peering.subject import Incarnation, Subject, SubjectKind
 
@@ -483,12 +483,15 @@
     def open_new_breaker(self, subject: Subject) -> Breaker:
         """Open and return the breaker of a subject that is at fault."""
         breaker = Breaker(max(self.counted_ends(subject).values()))
+        self.add_breaker(subject, breaker)
+        return breaker
+
+    def add_breaker(self, subject: Subject, breaker: Breaker) -> None:
+        """Add a breaker, and remove the one that lapses first if there are too many."""
         self.breakers[subject] = breaker
         if len(self.breakers) > MAX_BREAKERS:
-            del self.breakers[
-                min(self.breakers, key=lambda it: self.breakers[it].until)
-            ]
-        return breaker
+            first = min(self.breakers, key=lambda it: self.breakers[it].until)
+            del self.breakers[first]
 
     def forbids_repeat(self, subjects: Sequence[Subject]) -> bool:
         """Return whether a repeated run is likely to end another endpoint."""
@@ -617,15 +620,22 @@
         return {subject: found[subject] for subject in chosen[:MAX_SENT_BREAKERS]}
 
     def adopt_breaker(self, subject: Subject, state: BreakerState, now: float) -> bool:
-        """Adopt the breaker of another gateway, and return whether it was news."""
-        stated = Breaker(now - state.age, now + state.left, state.trials)
+        """
+        Adopt the breaker of another gateway, and return whether it was news.
+
+        No statement is believed beyond the longest time of refusal.
+        """
+        left = min(state.left, MAX_HOLD)
+        stated = Breaker(now - state.age, now + left, max(0, state.trials))
+        if stated.is_forgotten(now):
+            return False
         if stated.ended_at <= self.proven_at(subject) + STATED_END_MARGIN:
             return False
         known = self.open_breaker(subject)
         if known is not None:
             return known.adopt(stated)
-        self.breakers[subject] = stated
-        return True
+        self.add_breaker(subject, stated)
+        return subject in self.breakers
 
     def sent_ended(self, now: float) -> dict[Incarnation, float]:
         """Return the ages of the latest ends of endpoints to pass on."""
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -12,7 +12,7 @@
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
-from lentilhaven.crashes.ledger import Refusal
+from lentilhaven.crashes.ledger import EVIDENCE_TIME, Refusal
 from lentilhaven.crashes.run_log import RunRecord
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.call import Call
@@ -390,6 +390,7 @@
         ledger.note_end(subject, incarnation, now - age)
         for subject, ages in reported.items()
         for incarnation, age in ages.items()
+        if age < EVIDENCE_TIME
     ]
     if any(news):
         log_new_candidates(gateway, reported)
--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -1,10 +1,11 @@
 """The messages that gateways exchange as datagrams, and their encoding."""
 
 import enum
+import itertools
 import json
 import math
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import attrs
@@ -29,6 +30,23 @@
 #: largest fleet sends.
 MAX_DECODED_BYTES = 1 << 20
 
+#: Maximum number of entries that are read of each list about ended endpoints, and of
+#: characters of a name in it.  Both are larger than what any gateway sends.
+MAX_ENTRIES = 256
+MAX_NAME_LENGTH = 256
+
+#: Errors by which a malformed datagram shows.
+MALFORMED = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    IndexError,
+    ArithmeticError,
+    RecursionError,
+    zlib.error,
+)
+
 
 class Scope(enum.Enum):
     """The set of gateways whose load a datagram sums up."""
@@ -313,13 +331,15 @@
             ),
             breakers={
                 Subject(str(service), str(name), SubjectKind(kind)): BreakerState(
-                    decode_finite(age), decode_finite(left), int(trials)
+                    decode_age(age), decode_finite(left), int(trials)
+                )
+                for kind, service, name, age, left, trials in valid_entries(
+                    fields.get("breakers", ()), 1, 2
                 )
-                for kind, service, name, age, left, trials in fields.get("breakers", ())
             },
             ended=decode_ages(fields.get("ended", ())),
         )
-    except (ValueError, KeyError, TypeError, AttributeError, IndexError, zlib.error):
+    except MALFORMED:
         return None
 
 
@@ -329,21 +349,55 @@
     """Decode the ages of ends of endpoints, by subjects of one kind."""
     return {
         Subject(str(service), str(name), kind): decode_ages(ages)
-        for service, name, ages in value
+        for service, name, ages in valid_entries(value, 0, 1)
     }
 
 
 def decode_proofs(kind: SubjectKind, value: Iterable[Any]) -> dict[Subject, float]:
     """Decode the ages of proofs of subjects of one kind."""
     return {
-        Subject(str(service), str(name), kind): decode_finite(age)
-        for service, name, age in value
+        Subject(str(service), str(name), kind): decode_age(age)
+        for service, name, age in valid_entries(value, 0, 1)
     }
 
 
 def decode_ages(value: Iterable[Any]) -> dict[Incarnation, float]:
     """Decode ages by incarnation of an endpoint."""
-    return {(str(name), int(born)): decode_finite(age) for name, born, age in value}
+    return {
+        (str(name), int(born)): decode_age(age)
+        for name, born, age in valid_entries(value, 0)
+    }
+
+
+def valid_entries(value: Iterable[Any], *names: int) -> Iterator[Any]:
+    """
+    Yield the first entries of a list, without those whose names are no valid names.
+
+    Parameters
+    ----------
+    value : iterable
+        The list.
+    *names : int
+        Indices of the names in each entry.
+
+    Examples
+    --------
+    >>> list(valid_entries([["a", 1], ["a" * 1000, 2]], 0))
+    [['a', 1]]
+    """
+    for entry in itertools.islice(value, MAX_ENTRIES):
+        if all(is_name(str(entry[index])) for index in names):
+            yield entry
+
+
+def is_name(text: str) -> bool:
+    """Return whether a text may be kept and logged as a name."""
+    return len(text) <= MAX_NAME_LENGTH and text.isprintable()
+
+
+def decode_age(value: Any) -> float:
+    """Decode the seconds since an event, which is not in the future."""
+    return max(0.0, decode_finite(value))
 
 
 def decode_finite(value: Any) -> float:
