Take another gateway's word for the end of an engine that has left the view

What callers saw: a request that ended the last engine of chains of three reached engines 6 times more from 3 s after the third crash, if the gateway that ran it learned of the ends by another gateway alone and the engines came back under new ids.

Cause: a reported end counted only while the view held that incarnation. Replicas come back under other ids, and the report comes with the same news from the store that removes the old entry. The gateways between two others, such as leaders, did not pass on such ends either.

Change: a reported end counts for the runs on that incarnation whether or not the view still holds it, at the time at which it was seen, and is passed on for as long as before. Of an engine without a state, the runs of the last 0.3 s are counted, as for a plain replica.

--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -12,7 +12,7 @@
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
-from lentilhaven.crashes.ledger import EVIDENCE_TIME, Refusal
+from lentilhaven.crashes.ledger import ENDED_TIME, EVIDENCE_TIME, Refusal
 from lentilhaven.crashes.run_log import RunRecord
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.call import Call
@@ -313,21 +313,65 @@
         How that was seen, for the log.
     """
     now = asyncio.get_running_loop().time()
-    incarnation = endpoint.incarnation
-    if not gateway.crash_ledger.note_ended(incarnation, now):
-        return
     heard_at = now - PLAIN_LOSS_TIME
     if endpoint.card:
         heard_at = gateway.endpoint_states.of(endpoint).heard_at
+    record_ended(gateway, endpoint.incarnation, now, heard_at, how)
+
+
+def note_reported_end(gateway: Gateway, incarnation: Incarnation, at: float) -> None:
+    """
+    Record that another gateway has seen an endpoint end.
+
+    The endpoint may have left the view already: replicas come back under other ids.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        State of the process.
+    incarnation : tuple of (str, int)
+        The endpoint.
+    at : float
+        Event loop time at which it was seen, in seconds.
+    """
+    heard_at = at - PLAIN_LOSS_TIME
+    endpoint = gateway.view.endpoints.get(incarnation[0])
+    state = gateway.endpoint_states.states.get(incarnation)
+    is_plain = endpoint is not None and not endpoint.card
+    if state is not None and not is_plain:
+        heard_at = state.heard_at
+    record_ended(gateway, incarnation, at, heard_at, "another gateway")
+
+
+def record_ended(
+    gateway: Gateway, incarnation: Incarnation, at: float, heard_at: float, how: str
+) -> None:
+    """
+    Record the end of an endpoint, with the runs that it has taken.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        State of the process.
+    incarnation : tuple of (str, int)
+        The endpoint.
+    at, heard_at : float
+        Event loop times at which its end was seen and at which it was last heard of, in
+        seconds.
+    how : str
+        How the end was seen, for the log.
+    """
+    if not gateway.crash_ledger.note_ended(incarnation, at):
+        return
     lost = gateway.run_log.lost_with(incarnation, heard_at)
     log.info(
         "endpoint has ended",
-        endpoint=endpoint.id,
-        born=endpoint.born,
+        endpoint=incarnation[0],
+        born=incarnation[1],
         how=how,
         runs=len(lost),
     )
-    add_ends(gateway, lost, incarnation, now)
+    add_ends(gateway, lost, incarnation, at)
     for record in lost:
         log_lost(gateway, "", "", incarnation, record)
     gateway.urgent_signal.notify()
@@ -398,8 +442,7 @@
         ledger.adopt_breaker(subject, state, now)
         for subject, state in message.breakers.items()
     ]
-    for name, born in message.ended:
-        endpoint = gateway.view.endpoints.get(name)
-        if endpoint is not None and endpoint.born == born:
-            note_ended(gateway, endpoint, "another gateway")
+    for incarnation, age in message.ended.items():
+        if age < ENDED_TIME:
+            note_reported_end(gateway, incarnation, now - age)
     return any(news)
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -92,6 +92,8 @@
         Seconds of the event loop after which a crashed replica is back.
     keeps_layers : bool
         Whether a crashed engine is back with the layers that it held.
+    restarts_anew : bool
+        Whether a crashed replica is back under a new id at the same address.
     servers : dict
         Server of each replica that is up, by replica id.
     crash_tasks : set of asyncio.Future
@@ -114,6 +116,7 @@
     last_words: bytes | None = None
     crash_time: float = 2.0
     keeps_layers: bool = False
+    restarts_anew: bool = False
     servers: dict[str, asyncio.Server] = attrs.field(factory=dict)
     crash_tasks: set[asyncio.Future[None]] = attrs.field(factory=set)
     crashed_parts: set[tuple[str, str]] = attrs.field(factory=set)
@@ -182,9 +185,18 @@
         replica.restart()
         if self.keeps_layers:
             replica.span = span
+        if self.restarts_anew:
+            self.rename(replica)
         await self.start_server(replica)
         self.register(replica)
 
+    def rename(self, replica: FakeReplica) -> None:
+        """Give a replica a new id, and remove the entry of the old one."""
+        del self.replicas[replica.id]
+        self.store.delete("servers", replica.id)
+        replica.id = f"{replica.id}x"
+        self.replicas[replica.id] = replica
+
     def make_connection_handler(self, replica: FakeReplica) -> Any:
         """Return the callback that serves all requests on a connection to a replica."""
 
