--- a/lentilhaven/bench/fuzz_parsers.py
+++ b/lentilhaven/bench/fuzz_parsers.py
@@ -1,6 +1,7 @@
 """The parsers to fuzz, each with valid inputs that are mutated."""
 
 import json
+import zlib
 from collections.abc import Callable
 from typing import Any
 
@@ -14,6 +15,14 @@
 from lentilhaven.core.request_context import bind_request
 from lentilhaven.core.settings import parse_document, structure_document
 from lentilhaven.endpoints.load_report import LoadReport
+from lentilhaven.peering.member import Member
+from lentilhaven.peering.messages import (
+    BreakerState,
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
+from lentilhaven.peering.subject import Subject, SubjectKind
 from lentilhaven.router.authentication import WorkspaceIndex
 from lentilhaven.router.completion_request import parse_completion
 from lentilhaven.router.idempotency_key import (
@@ -104,9 +113,40 @@
             lambda it: parse_document(decode(it), ClientSettings),
             [{"store_url": "http://a", "agent_urls": {"vm": "http://b"}}],
         ),
+        FuzzedParser(
+            "datagram",
+            lambda it: decode_message(zlib.compress(it)),
+            [json.loads(zlib.decompress(encode_message(sample_message())))],
+        ),
     ]
 
 
+def sample_message() -> PeerMessage:
+    """Return a datagram between gateways with evidence about ended endpoints."""
+    part, request = Subject("s", "5c1e"), Subject("s", "af26", SubjectKind.REQUEST)
+    ends = {("a", 7): 1.5, ("b", 8): 0.2}
+    return PeerMessage(
+        "vm-1",
+        "r",
+        "10.0.0.1:7000",
+        1,
+        loads={"a": (2, 8.0)},
+        heard={"a": 0.1},
+        suspects={"b": (0.2, 1.0)},
+        members=(Member("10.0.0.2:7000", "z", 1.0),),
+        era=1,
+        manifest_version=4,
+        paces={"a": (3.0, 0.2)},
+        leaving=(("c", 9),),
+        prompt_ends={part: ends},
+        prompt_proofs={part: 0.4},
+        request_ends={request: ends},
+        request_proofs={request: 0.3},
+        breakers={request: BreakerState(1.5, 118.5, 0)},
+        ended=ends,
+    )
+
+
 def document_parsers(tables: Tables) -> list[FuzzedParser]:
     """
     Return the parsers of messages between processes.
