Refuse a trial that has crashed when its caller repeats it

What callers saw: a request that had ended a replica as a trial ended another one if it came again with the same request id.

Cause: a trial is known by that id, which a caller may keep.

Change: an end under a subject ends the right of its trial.

Before: 2 arrivals (test_trial_that_has_crashed_is_refused_when_it_comes_again). Also a test that ends of third engines are told in a large fleet, which passed before.

--- a/lentilhaven/crashes/breaker.py
+++ b/lentilhaven/crashes/breaker.py
@@ -78,6 +78,8 @@
         """Record an end of an endpoint under the subject."""
         if at > self.ended_at:
             self.ended_at = at
+            # It may have been the trial, whose request may come again.
+            self.trial = ""
             doublings = min(self.trials, MAX_DOUBLINGS)
             hold = min(MAX_HOLD, FIRST_HOLD * 2.0**doublings)
             self.until = max(self.until, at + hold)
--- a/lentilhaven/gateway/tests/test_chain_ends.py
+++ b/lentilhaven/gateway/tests/test_chain_ends.py
@@ -12,6 +12,7 @@
     crash_times,
     engine_pairs,
 )
+from lentilhaven.gateway.tests.test_large_fleet import LARGE
 from lentilhaven.standins.platform.fake_replica import CrashingRequest
 
 #: Path and body of the request that ends an engine.
@@ -114,7 +115,7 @@
 class OtherGatewayTests(unittest.TestCase):
     """Guard against ends of later parts that only another gateway has seen."""
 
-    def check(self, replicas, part, new_id):
+    def check(self, replicas, part, new_id, **options):
         """Send the request through a gateway that sees no ends itself."""
 
         async def use(bed):
@@ -131,7 +132,7 @@
                 return await send_until_refused(bed)
 
         with silence_questions(0):
-            status, late, served = run_on_testbed(use, replicas, gateways=2)
+            status, late, served = run_on_testbed(use, replicas, **options)
         self.assertEqual(status, 503)
         self.assertLessEqual(late, ALLOWED_ARRIVALS)
         self.assertEqual(served, 1.0)
@@ -139,12 +140,17 @@
     def test_second_part(self):
         for new_id in (False, True):
             with self.subTest(new_id=new_id):
-                self.check(engine_pairs(8), 1, new_id)
+                self.check(engine_pairs(8), 1, new_id, gateways=2)
 
     def test_third_part(self):
         for new_id in (False, True):
             with self.subTest(new_id=new_id):
-                self.check(engine_triples(), 2, new_id)
+                self.check(engine_triples(), 2, new_id, gateways=2)
+
+    def test_third_part_in_a_large_fleet(self):
+        for new_id in (False, True):
+            with self.subTest(new_id=new_id):
+                self.check(engine_triples(), 2, new_id, **LARGE)
 
 
 class MovedStreamTests(unittest.TestCase):
--- a/lentilhaven/gateway/tests/test_crash_spread.py
+++ b/lentilhaven/gateway/tests/test_crash_spread.py
@@ -364,6 +364,22 @@
 
         self.check_all(use, (True, True))
 
+    def test_trial_that_has_crashed_is_refused_when_it_comes_again(self):
+        """A caller may keep the id of its request when it repeats it."""
+
+        async def use(bed):
+            before = await self.refuse_until_trial(bed)
+            statuses = []
+            for _ in range(4):
+                reply = await bed.call(
+                    PATH, gateway=1, body=CRASHING_BODY, Request_Id="again"
+                )
+                statuses.append(reply.status)
+                await asyncio.sleep(CRASH_INTERVAL)
+            return statuses, len(bed.fleet.crashing_request_arrivals) - before
+
+        self.check_all(use, ([502, 503, 503, 503], 1))
+
     def test_other_gateways_refuse_while_a_trial_runs(self):
         async def use(bed):
             before = await self.refuse_until_trial(bed)
