--- a/lentilhaven/crashes/breaker.py
+++ b/lentilhaven/crashes/breaker.py
@@ -16,6 +16,9 @@
 #: Maximum of that time, in seconds; it doubles with each trial.
 MAX_HOLD = 960.0
 
+#: Number of trials after which the time no longer grows.
+MAX_DOUBLINGS = 10
+
 #: Seconds after the begin of a trial for which no other one begins.  A trial that
 #: neither ends an endpoint nor is answered within this time has shown nothing.
 TRIAL_TIME = 30.0
@@ -75,12 +78,27 @@
         """Record an end of an endpoint under the subject."""
         if at > self.ended_at:
             self.ended_at = at
-            hold = min(MAX_HOLD, FIRST_HOLD * 2.0**self.trials)
+            # It may have been the trial, whose request may come again.
+            self.trial = ""
+            doublings = min(self.trials, MAX_DOUBLINGS)
+            hold = min(MAX_HOLD, FIRST_HOLD * 2.0**doublings)
             self.until = max(self.until, at + hold)
 
-    def admits(self, request_id: str, now: float) -> bool:
-        """Return whether a request may run: the trial, or any if none has begun."""
-        return now >= self.until or (bool(self.trial) and request_id == self.trial)
+    def admits(self, request_id: str, now: float, delay: float = 0.0) -> bool:
+        """
+        Return whether a request may run: the trial, or any if none has begun.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the request.
+        now : float
+            Time of the event loop.
+        delay : float
+            Seconds after the time of refusal from which this gateway may begin a trial.
+        """
+        is_trial = bool(self.trial) and request_id == self.trial
+        return is_trial or now >= self.until + delay
 
     def begin_trial(self, request_id: str, now: float) -> None:
         """Let a request run as a trial, and refuse others meanwhile."""
--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -22,12 +22,12 @@
 
 import itertools
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from operator import itemgetter
 
 import attrs
 
-from lentilhaven.crashes.breaker import Breaker, is_closed
+from lentilhaven.crashes.breaker import IDLE_TIME, MAX_HOLD, Breaker, is_closed
 from lentilhaven.peering.messages import MAX_DISTANCE, BreakerState, Scope
 from lentilhaven.peering.subject import Incarnation, Subject, SubjectKind
 
@@ -73,6 +73,10 @@
 #: in transit.
 STATED_END_MARGIN = 2.0
 
+#: Seconds after the time of refusal for which a breaker is passed on.  It must be less
+#: than `IDLE_TIME` by more than datagrams are in transit, like `PASSED_TIME`.
+HALF_OPEN_PASSED_TIME = IDLE_TIME - 20.0
+
 #: Seconds for which an ended endpoint is remembered, and for which it is passed on.
 ENDED_TIME, ENDED_PASSED_TIME = EVIDENCE_TIME, 3.0
 
@@ -459,7 +463,11 @@
         return not self.ends and not self.breakers
 
     def find_refusal(
-        self, subjects: Sequence[Subject], now: float, request_id: str = ""
+        self,
+        subjects: Sequence[Subject],
+        now: float,
+        request_id: str = "",
+        trial_delay: Callable[[Subject], float] = lambda subject: 0.0,
     ) -> Refusal | None:
         """
         Return why a request must be refused; None if it may run.
@@ -472,6 +480,9 @@
             Time of the event loop.
         request_id : str
             Id of the request, by which a trial is known.
+        trial_delay : callable
+            Returns the seconds after the time of refusal from which this gateway may
+            begin the trial of a subject.
         """
         for subject in subjects:
             breaker = self.open_breaker(subject)
@@ -482,10 +493,15 @@
                 # Another subject has turned out to explain the ends.
                 del self.breakers[subject]
                 continue
-            if breaker is not None and not breaker.admits(request_id, now):
+            if breaker is None:
+                continue
+            # Most requests come long before the end of the refusal.
+            delay = trial_delay(subject) if now >= breaker.until else 0.0
+            if not breaker.admits(request_id, now, delay):
                 times = self.counted_ends(subject).values()
                 age = now - min(times, default=breaker.ended_at)
-                return Refusal(subject, len(times), age, breaker.until - now)
+                left = breaker.until + delay - now
+                return Refusal(subject, len(times), age, left)
         return None
 
     def begin_trials(
@@ -517,12 +533,15 @@
     def open_new_breaker(self, subject: Subject) -> Breaker:
         """Open and return the breaker of a subject that is at fault."""
         breaker = Breaker(max(self.counted_ends(subject).values()))
+        self.add_breaker(subject, breaker)
+        return breaker
+
+    def add_breaker(self, subject: Subject, breaker: Breaker) -> None:
+        """Add a breaker, and remove the one that lapses first if there are too many."""
         self.breakers[subject] = breaker
         if len(self.breakers) > MAX_BREAKERS:
-            del self.breakers[
-                min(self.breakers, key=lambda it: self.breakers[it].until)
-            ]
-        return breaker
+            first = min(self.breakers, key=lambda it: self.breakers[it].until)
+            del self.breakers[first]
 
     def forbids_repeat(self, subjects: Sequence[Subject]) -> bool:
         """Return whether a repeated run is likely to end another endpoint."""
@@ -625,12 +644,18 @@
             if subject.kind is kind
             and (at := self.proven_at(subject, distance - 1)) > now - EVIDENCE_TIME
         }
+        # The proof of a refused subject ends its refusal at the other gateways.
         count = {subject: len(self.ends.get(subject, ())) for subject in found}
-        chosen = sorted(found, key=lambda it: (-count[it], it))
+        chosen = sorted(found, key=lambda it: (it not in self.breakers, -count[it], it))
         return {subject: found[subject] for subject in chosen[:MAX_SENT_PROOFS]}
 
     def sent_breakers(self, now: float) -> dict[Subject, BreakerState]:
-        """Return the open breakers to pass on to other gateways, the newest first."""
+        """
+        Return the breakers to pass on to other gateways, the newest first.
+
+        Half-open ones belong to them: a gateway that did not know of one would run and
+        repeat the request instead of beginning a trial.
+        """
         found = {
             subject: BreakerState(
                 round(now - breaker.ended_at, 3),
@@ -639,14 +664,21 @@
             )
             for subject in self.breakers
             if (breaker := self.open_breaker(subject)) is not None
-            and breaker.until > now
+            and breaker.until > now - HALF_OPEN_PASSED_TIME
         }
         chosen = sorted(found, key=lambda it: (-found[it].left, it))
         return {subject: found[subject] for subject in chosen[:MAX_SENT_BREAKERS]}
 
     def adopt_breaker(self, subject: Subject, state: BreakerState, now: float) -> bool:
-        """Adopt the breaker of another gateway, and return whether it was news."""
-        stated = Breaker(now - state.age, now + state.left, state.trials)
+        """
+        Adopt the breaker of another gateway, and return whether it was news.
+
+        No statement is believed beyond the longest time of refusal.
+        """
+        left = min(state.left, MAX_HOLD)
+        stated = Breaker(now - state.age, now + left, max(0, state.trials))
+        if stated.is_forgotten(now):
+            return False
         if stated.ended_at <= self.proven_at(subject) + STATED_END_MARGIN:
             return False
         if self.is_withdrawn(subject, stated):
@@ -654,8 +686,8 @@
         known = self.open_breaker(subject)
         if known is not None:
             return known.adopt(stated)
-        self.breakers[subject] = stated
-        return True
+        self.add_breaker(subject, stated)
+        return subject in self.breakers
 
     def sent_ended(self, now: float) -> dict[Incarnation, float]:
         """Return the ages of the latest ends of endpoints to pass on."""
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import hashlib
 from collections.abc import Iterable, Iterator, Sequence
 from contextlib import contextmanager
 
@@ -12,7 +13,13 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
 from lentilhaven.core.tasks import report_task_failure
-from lentilhaven.crashes.ledger import LISTED_AFTER, LISTED_SILENCE
+from lentilhaven.crashes.ledger import (
+    ENDED_TIME,
+    EVIDENCE_TIME,
+    LISTED_AFTER,
+    LISTED_SILENCE,
+    Refusal,
+)
 from lentilhaven.crashes.run_log import RunRecord
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.call import Call
@@ -53,6 +60,13 @@
 #: more distant one is not accurate enough.
 ALIVE_DISTANCE = 1
 
+#: Seconds from the time at which one gateway may begin a trial to that of the next:
+#: longer than it takes to tell all gateways of a trial.
+TRIAL_INTERVAL = 0.5
+
+#: Maximum seconds until any gateway may begin a trial, however many there are.
+MAX_TRIAL_DELAY = 60.0
+
 log = get_logger("gateway")
 
 
@@ -83,7 +97,7 @@
     if ledger.is_empty:
         return None
     now = asyncio.get_running_loop().time()
-    refusal = ledger.find_refusal(subjects_of(call), now, call.id)
+    refusal = find_refusal(gateway, call, now)
     if refusal is None:
         return None
     subject = refusal.subject
@@ -104,6 +118,35 @@
     return Failure(Step.ADMIT, "", kind, detail, retry_after=refusal.left)
 
 
+def find_refusal(gateway: Gateway, call: Call, now: float) -> Refusal | None:
+    """Return why a request must be refused; None if it may run."""
+    return gateway.crash_ledger.find_refusal(
+        subjects_of(call), now, call.id, lambda it: trial_delay(gateway, it)
+    )
+
+
+def trial_delay(gateway: Gateway, subject: Subject) -> float:
+    """
+    Return the seconds from the end of a refusal until this gateway may begin a trial.
+
+    The gateways come one after the other, in an order that differs from subject to
+    subject: what all of them are asked for would else be tried by all at once.
+    """
+    peers = gateway.peers
+    own = trial_rank(subject, peers.own.address)
+    addresses = peers.directory.addresses()
+    before = sum(trial_rank(subject, address) < own for address in addresses)
+    return min(before * TRIAL_INTERVAL, MAX_TRIAL_DELAY)
+
+
+def trial_rank(subject: Subject, address: str) -> bytes:
+    """Return a digest by which gateways are ordered for the trial of a subject."""
+    text = f"{subject.service} {subject.name} {address}"
+    return hashlib.blake2b(
+        text.encode("utf-8", "surrogatepass"), digest_size=8
+    ).digest()
+
+
 def begin_trials(gateway: Gateway, call: Call) -> None:
     """Let a request that is sent now be the trial of what was refused until now."""
     ledger = gateway.crash_ledger
@@ -129,12 +172,9 @@
 
 def is_refused(gateway: Gateway, call: Call) -> bool:
     """Return whether a request that runs would be refused now."""
-    ledger = gateway.crash_ledger
     now = asyncio.get_running_loop().time()
-    return (
-        not ledger.is_empty
-        and ledger.find_refusal(subjects_of(call), now, call.id) is not None
-    )
+    is_empty = gateway.crash_ledger.is_empty
+    return not is_empty and find_refusal(gateway, call, now) is not None
 
 
 @contextmanager
@@ -365,17 +405,61 @@
         How that was seen, for the log.
     """
     now = asyncio.get_running_loop().time()
-    incarnation = endpoint.incarnation
-    if not gateway.crash_ledger.note_ended(incarnation, now):
-        return
     heard_at = now - PLAIN_LOSS_TIME
     if endpoint.card:
         heard_at = gateway.endpoint_states.of(endpoint).heard_at
+    record_ended(gateway, endpoint.incarnation, now, heard_at, how)
+
+
+def note_reported_end(gateway: Gateway, incarnation: Incarnation, at: float) -> None:
+    """
+    Record that another gateway has seen an endpoint end.
+
+    The endpoint may have left the view already: replicas come back under other ids.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        State of the process.
+    incarnation : tuple of (str, int)
+        The endpoint.
+    at : float
+        Event loop time at which it was seen, in seconds.
+    """
+    heard_at = at - PLAIN_LOSS_TIME
+    endpoint = gateway.view.endpoints.get(incarnation[0])
+    state = gateway.endpoint_states.states.get(incarnation)
+    is_plain = endpoint is not None and not endpoint.card
+    if state is not None and not is_plain:
+        heard_at = state.heard_at
+    record_ended(gateway, incarnation, at, heard_at, "another gateway")
+
+
+def record_ended(
+    gateway: Gateway, incarnation: Incarnation, at: float, heard_at: float, how: str
+) -> None:
+    """
+    Record the end of an endpoint, with the runs that it has taken.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        State of the process.
+    incarnation : tuple of (str, int)
+        The endpoint.
+    at, heard_at : float
+        Event loop times at which its end was seen and at which it was last heard of, in
+        seconds.
+    how : str
+        How the end was seen, for the log.
+    """
+    if not gateway.crash_ledger.note_ended(incarnation, at):
+        return
     lost = gateway.run_log.lost_with(incarnation, heard_at)
     log.info(
         "endpoint has ended",
-        endpoint=endpoint.id,
-        born=endpoint.born,
+        endpoint=incarnation[0],
+        born=incarnation[1],
         how=how,
         runs=len(lost),
     )
@@ -442,6 +526,7 @@
         ledger.note_end(subject, incarnation, now - age)
         for subject, ages in reported.items()
         for incarnation, age in ages.items()
+        if age < EVIDENCE_TIME
     ]
     if any(news):
         log_new_candidates(gateway, reported)
@@ -449,8 +534,7 @@
         ledger.adopt_breaker(subject, state, now)
         for subject, state in message.breakers.items()
     ]
-    for name, born in message.ended:
-        endpoint = gateway.view.endpoints.get(name)
-        if endpoint is not None and endpoint.born == born:
-            note_ended(gateway, endpoint, "another gateway")
+    for incarnation, age in message.ended.items():
+        if age < ENDED_TIME:
+            note_reported_end(gateway, incarnation, now - age)
     return any(news)
