Tell two requests apart that end the same endpoints

After ordinary crashes alone (all three endpoints of a service) a new popular request was refused for two minutes.

- Two requests that tie are both refused from the fourth end, or 2 s after the third.
- A request with an end later than all of its rivals' is at fault too.
- A refused request is tried 2 to 3.5 s after its last end; each gateway waits for a time of its own.
Only a second end holds it for 240 s.
Parts of prompts are refused as before.
- Trials of one service don't overlap, and one that was lost beside another suspect is repeated once.
A trial is no longer known by the caller's request id, which a caller may use again.
- From 2 s after its last end another suspect's ends don't free a refused request.

--- a/lentilhaven/crashes/breaker.py
+++ b/lentilhaven/crashes/breaker.py
@@ -8,12 +8,22 @@
 set of them.
 """
 
+import math
+
 import attrs
 
 #: Seconds for which a subject is refused after the last end, before the first trial.
 FIRST_HOLD = 120.0
 
-#: Maximum of that time, in seconds; it doubles with each trial.
+#: The same for a request.  A sound one can't be told from the one at fault while it
+#: has never been answered, since it runs on each endpoint that the other one ends; the
+#: trial tells them apart.
+FIRST_REQUEST_HOLD = 2.0
+
+#: Longest time by which a gateway delays the trial of a request, in seconds.
+MAX_TRIAL_DELAY = 1.5
+
+#: Maximum time of refusal, in seconds; from `FIRST_HOLD` on it doubles with each trial.
 MAX_HOLD = 960.0
 
 #: Seconds after the begin of a trial for which no other one begins.  A trial that
@@ -42,20 +52,25 @@
     ended_at : float
         Time of the last end of an endpoint under the subject.
     until : float
-        Time until which the subject is refused, except the trial.
+        Time until which every gateway refuses the subject, except the trial.
+    first_hold : float
+        Seconds from the last end to the first trial.
+    own_delay : float
+        Seconds for which this gateway waits longer than `until`.  Gateways that wait
+        for different times don't begin the same trial at once.
     trials : int
         Number of trials that have begun, at any gateway.
-    trial : str
-        Id of the request of this gateway that may run as a trial; empty for none.
+    trial_until : float
+        Time until which the latest trial may be in progress.
 
     Examples
     --------
     >>> breaker = Breaker(ended_at=0.0)
     >>> breaker.until
     120.0
-    >>> breaker.begin_trial("r1", 125.0)
-    >>> breaker.until, breaker.admits("r1", 126.0), breaker.admits("r2", 126.0)
-    (155.0, True, False)
+    >>> breaker.begin_trial(125.0)
+    >>> breaker.until, breaker.admits(126.0)
+    (155.0, False)
     >>> breaker.note_end(126.0)
     >>> breaker.until
     366.0
@@ -63,8 +78,10 @@
 
     ended_at: float
     until: float = attrs.field()
+    first_hold: float = FIRST_HOLD
+    own_delay: float = 0.0
     trials: int = 0
-    trial: str = ""
+    trial_until: float = -math.inf
 
     @until.default
     def first_until(self) -> float:
@@ -76,17 +93,28 @@
         if at > self.ended_at:
             self.ended_at = at
             hold = min(MAX_HOLD, FIRST_HOLD * 2.0**self.trials)
+            if self.trials == 0:
+                hold = self.first_hold
             self.until = max(self.until, at + hold)
+            self.trial_until = -math.inf
+
+    def time_left(self, now: float) -> float:
+        """Return the seconds until this gateway may begin a trial."""
+        return self.until + self.own_delay - now
+
+    @property
+    def is_in_trial(self) -> bool:
+        """Return whether the latest trial has ended no endpoint, as far as is known."""
+        return self.trial_until > -math.inf
 
-    def admits(self, request_id: str, now: float) -> bool:
-        """Return whether a request may run: the trial, or any if none has begun."""
-        return now >= self.until or (bool(self.trial) and request_id == self.trial)
+    def admits(self, now: float) -> bool:
+        """Return whether a request may run, as a trial."""
+        return self.time_left(now) <= 0.0
 
-    def begin_trial(self, request_id: str, now: float) -> None:
-        """Let a request run as a trial, and refuse others meanwhile."""
-        self.trial = request_id
+    def begin_trial(self, now: float) -> None:
+        """Refuse all requests while the one that is sent now runs as a trial."""
         self.trials += 1
-        self.until = now + TRIAL_TIME
+        self.until = self.trial_until = now + TRIAL_TIME
 
     def adopt(self, other: "Breaker") -> bool:
         """
@@ -97,11 +125,16 @@
         other : Breaker
             The breaker of the same subject at the other gateway.
         """
-        if other.until <= self.until + ADOPTION_MARGIN:
+        is_later = other.until > self.until + ADOPTION_MARGIN
+        if other.trials < self.trials or (other.trials == self.trials and not is_later):
             return False
+        if other.ended_at > self.ended_at + ADOPTION_MARGIN:
+            self.trial_until = -math.inf
+        elif other.trials > self.trials:
+            self.trial_until = other.until
         self.ended_at = max(self.ended_at, other.ended_at)
         self.until = other.until
-        self.trials = max(self.trials, other.trials)
+        self.trials = other.trials
         return True
 
     def is_forgotten(self, now: float) -> bool:
--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -24,10 +24,16 @@
 import math
 from collections.abc import Iterable, Mapping, Sequence
 from operator import itemgetter
+from random import Random
 
 import attrs
 
-from lentilhaven.crashes.breaker import Breaker, is_closed
+from lentilhaven.crashes.breaker import (
+    FIRST_REQUEST_HOLD,
+    MAX_TRIAL_DELAY,
+    Breaker,
+    is_closed,
+)
 from lentilhaven.peering.messages import MAX_DISTANCE, BreakerState
 from lentilhaven.peering.subject import Incarnation, Subject, SubjectKind
 
@@ -54,6 +60,10 @@
 #: spite of an earlier proof.  Endpoints that fail together end within less time.
 CHANGED_ENDS, CHANGED_TIME = 5, 2.0
 
+#: Seconds after an end until all gateways know what was lost with it, and until which
+#: a further end may tell two requests apart.
+SETTLE_TIME, TIE_TIME = 1.0, 2.0
+
 #: Seconds after an end within which data from the same incarnation shows that it has
 #: not ended.  Data in transit may arrive before that, and a restarted endpoint answers
 #: later.
@@ -142,6 +152,8 @@
         Time at which incarnations of endpoints were seen to have ended.
     announced : set
         Candidates of which `new_candidates` has told.
+    random : random.Random
+        Source of the delays of trials.
 
     Examples
     --------
@@ -163,6 +175,7 @@
     breakers: dict[Subject, Breaker] = attrs.field(factory=dict)
     ended: dict[Incarnation, float] = attrs.field(factory=dict)
     announced: set[Subject] = attrs.field(factory=set)
+    random: Random = attrs.field(factory=Random)
 
     # Evidence.
 
@@ -350,11 +363,16 @@
         ends = self.counted_ends(subject)
         return self.is_unproven(subject, ends.values()), len(ends)
 
-    def unexplained_ends(
-        self, subject: Subject, together: Sequence[Subject]
-    ) -> dict[Incarnation, float]:
+    def rivals(
+        self, subject: Subject, together: Sequence[Subject], is_settled: bool = False
+    ) -> list[dict[Incarnation, float]]:
         """
-        Return the ends under a subject that no other candidate explains as well.
+        Return the ends under each other candidate that explains ends as well.
+
+        Two candidates with the same number of ends explain each other's.  Two requests
+        do so only for the first `MIN_ENDS`, and until these are settled: unlike parts
+        of a prompt they run apart, and one that is on every endpoint that the other
+        one ends may stay there.
 
         Parameters
         ----------
@@ -363,26 +381,53 @@
         together : sequence of Subject
             Subjects of the same request, which are refused with it and explain nothing
             away.
+        is_settled : bool
+            Whether the last end under the subject is older than `TIE_TIME`.
         """
         ends = self.counted_ends(subject)
         rank = self.rank(subject)
+        is_unproven, count = rank
+        is_tie_over = is_unproven and (is_settled or count > MIN_ENDS)
+        found = []
         for other in self.suspects:
-            if (
-                other == subject
-                or other in together
-                or other.service != subject.service
-            ):
+            if other in (subject, *together) or other.service != subject.service:
+                continue
+            if not self.is_candidate(other):
                 continue
-            if self.is_candidate(other) and self.rank(other) >= rank:
+            other_rank = self.rank(other)
+            keeps_tie = not (is_tie_over and subject.is_request and other.is_request)
+            if other_rank > rank or (other_rank == rank and keeps_tie):
                 explained = self.counted_ends(other)
-                ends = {name: at for name, at in ends.items() if name not in explained}
-        return ends
+                if not explained.keys().isdisjoint(ends):
+                    found.append(explained)
+        return found
 
-    def is_at_fault(self, subject: Subject, together: Sequence[Subject]) -> bool:
-        """Return whether a subject is the best explanation of the ends under it."""
+    def unexplained_ends(
+        self, subject: Subject, rivals: Iterable[Mapping[Incarnation, float]]
+    ) -> dict[Incarnation, float]:
+        """Return the ends under a subject that none of its `rivals` explains."""
+        explained = set().union(*rivals)
+        ends = self.counted_ends(subject)
+        return {name: at for name, at in ends.items() if name not in explained}
+
+    def is_at_fault(
+        self, subject: Subject, together: Sequence[Subject], now: float
+    ) -> bool:
+        """
+        Return whether a subject is the best explanation of the ends under it.
+
+        One that goes on ending endpoints when none of its rivals does any more is at
+        fault too.
+        """
         if not self.is_candidate(subject):
             return False
-        return len(self.unexplained_ends(subject, together)) >= MIN_ENDS
+        is_settled = max(self.counted_ends(subject).values()) < now - TIE_TIME
+        rivals = self.rivals(subject, together, is_settled)
+        ends = self.unexplained_ends(subject, rivals)
+        if not ends or len(ends) >= MIN_ENDS:
+            return bool(ends)
+        last = max(at for explained in rivals for at in explained.values())
+        return any(last < at < now - SETTLE_TIME for at in ends.values())
 
     def new_candidates(self, subjects: Iterable[Subject]) -> list[Subject]:
         """Return those of some subjects that have become candidates."""
@@ -398,9 +443,7 @@
         """Return whether there is nothing for which a request could be refused."""
         return not self.ends and not self.breakers
 
-    def find_refusal(
-        self, subjects: Sequence[Subject], now: float, request_id: str = ""
-    ) -> Refusal | None:
+    def find_refusal(self, subjects: Sequence[Subject], now: float) -> Refusal | None:
         """
         Return why a request must be refused; None if it may run.
 
@@ -410,30 +453,91 @@
             The request and the shared parts of its prompt.
         now : float
             Time of the event loop.
-        request_id : str
-            Id of the request, by which a trial is known.
         """
         for subject in subjects:
-            breaker = self.open_breaker(subject)
-            if self.is_at_fault(subject, subjects):
-                if breaker is None:
-                    breaker = self.open_new_breaker(subject)
-            elif breaker is not None and len(self.counted_ends(subject)) >= MIN_ENDS:
-                # Another subject has turned out to explain the ends.
-                del self.breakers[subject]
+            breaker = self.current_breaker(subject, subjects, now)
+            if breaker is None:
                 continue
-            if breaker is not None and not breaker.admits(request_id, now):
+            left = self.time_left(subject, breaker, now)
+            if left <= 0.0:
+                left = self.trial_time_left(subjects, now)
+            if left > 0.0:
                 times = self.counted_ends(subject).values()
                 age = now - min(times, default=breaker.ended_at)
-                return Refusal(subject, len(times), age, breaker.until - now)
+                return Refusal(subject, len(times), age, left)
+        return None
+
+    def current_breaker(
+        self, subject: Subject, together: Sequence[Subject], now: float
+    ) -> Breaker | None:
+        """
+        Return the breaker of a subject, which may be opened or removed by this.
+
+        It is removed if other gateways have told of the ends that explain its own.
+        From `TIE_TIME` after its last end only the trial shows whether it is sound:
+        another one at fault that goes on first must not free it.
+        """
+        breaker = self.open_breaker(subject)
+        if self.is_at_fault(subject, together, now):
+            return breaker or self.open_new_breaker(subject)
+        if breaker is None or len(self.counted_ends(subject)) < MIN_ENDS:
+            return breaker
+        is_settled = subject.is_request and breaker.ended_at < now - TIE_TIME
+        rivals = self.rivals(subject, together)
+        if is_settled or self.unexplained_ends(subject, rivals):
+            return breaker
+        del self.breakers[subject]
         return None
 
-    def begin_trials(
-        self, subjects: Sequence[Subject], request_id: str, now: float
-    ) -> list[Subject]:
+    def time_left(self, subject: Subject, breaker: Breaker, now: float) -> float:
+        """
+        Return the seconds until a subject may be tried.
+
+        If another suspect was on the endpoint that ended in the first trial, that has
+        shown nothing, and the trial is repeated as early.
+        """
+        left = breaker.time_left(now)
+        if left <= 0.0 or breaker.trials != 1 or not subject.is_request:
+            return left
+        ends = self.counted_ends(subject)
+        if breaker.is_in_trial or not ends:
+            return left
+        last = max(ends, key=ends.__getitem__)
+        is_shared = any(
+            other.is_request
+            and other != subject
+            and last in self.counted_ends(other)
+            and self.is_candidate(other)
+            for other in self.suspects
+        )
+        if not is_shared:
+            return left
+        return left - breaker.until + breaker.ended_at + breaker.first_hold
+
+    def trial_time_left(self, together: Sequence[Subject], now: float) -> float:
+        """
+        Return for how long trials of other subjects of a service may be in progress.
+
+        A trial that shares its endpoint with another one would be lost with it.
+        """
+        service = together[0].service
+        return max(
+            (
+                breaker.trial_until - now
+                for subject, breaker in self.breakers.items()
+                if subject.service == service
+                and subject not in together
+                and self.open_breaker(subject) is not None
+            ),
+            default=0.0,
+        )
+
+    def begin_trials(self, subjects: Sequence[Subject], now: float) -> list[Subject]:
         """
         Begin the trials for which it is time with a request that is sent now.
 
+        It is the trial once only: a caller may send others with the same id.
+
         Returns
         -------
         list of Subject
@@ -442,8 +546,8 @@
         begun = []
         for subject in subjects:
             breaker = self.open_breaker(subject)
-            if breaker is not None and breaker.trial != request_id:
-                breaker.begin_trial(request_id, now)
+            if breaker and self.time_left(subject, breaker, now) <= 0.0:
+                breaker.begin_trial(now)
                 begun.append(subject)
         return begun
 
@@ -456,7 +560,8 @@
 
     def open_new_breaker(self, subject: Subject) -> Breaker:
         """Open and return the breaker of a subject that is at fault."""
-        breaker = Breaker(max(self.counted_ends(subject).values()))
+        ended_at = max(self.counted_ends(subject).values())
+        breaker = self.make_breaker(subject, ended_at)
         self.breakers[subject] = breaker
         if len(self.breakers) > MAX_BREAKERS:
             del self.breakers[
@@ -464,17 +569,28 @@
             ]
         return breaker
 
+    def make_breaker(self, subject: Subject, ended_at: float) -> Breaker:
+        """Return a new breaker, by the kind of its subject."""
+        if not subject.is_request:
+            return Breaker(ended_at)
+        until = ended_at + FIRST_REQUEST_HOLD
+        delay = self.random.uniform(0.0, MAX_TRIAL_DELAY)
+        return Breaker(ended_at, until, FIRST_REQUEST_HOLD, delay)
+
     def forbids_repeat(self, subjects: Sequence[Subject]) -> bool:
         """Return whether a repeated run is likely to end another endpoint."""
-        return any(
-            self.open_breaker(subject) is not None
-            or (
-                len(self.counted_ends(subject)) >= REPEAT_ENDS
-                and self.may_be_at_fault(subject)
-                and len(self.unexplained_ends(subject, subjects)) >= REPEAT_ENDS
-            )
-            for subject in subjects
-        )
+        return any(self.may_end_another(subject, subjects) for subject in subjects)
+
+    def may_end_another(self, subject: Subject, together: Sequence[Subject]) -> bool:
+        """Return whether a subject is likely to end another endpoint."""
+        if self.open_breaker(subject) is not None:
+            return True
+        if len(self.counted_ends(subject)) < REPEAT_ENDS:
+            return False
+        if not self.may_be_at_fault(subject):
+            return False
+        ends = self.unexplained_ends(subject, self.rivals(subject, together))
+        return len(ends) >= REPEAT_ENDS
 
     # What other gateways are told, and what they tell.
 
@@ -549,7 +665,8 @@
 
     def adopt_breaker(self, subject: Subject, state: BreakerState, now: float) -> bool:
         """Adopt the breaker of another gateway, and return whether it was news."""
-        stated = Breaker(now - state.age, now + state.left, state.trials)
+        stated = self.make_breaker(subject, now - state.age)
+        stated.until, stated.trials = now + state.left, state.trials
         if stated.ended_at <= self.proven_at(subject) + STATED_END_MARGIN:
             return False
         known = self.open_breaker(subject)
--- a/lentilhaven/crashes/tests/test_ledger.py
+++ b/lentilhaven/crashes/tests/test_ledger.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from lentilhaven.crashes.breaker import FIRST_HOLD
+from lentilhaven.crashes.breaker import (
+    FIRST_HOLD,
+    FIRST_REQUEST_HOLD,
+    MAX_TRIAL_DELAY,
+    TRIAL_TIME,
+)
 from lentilhaven.crashes.ledger import (
     ALIVE_AFTER,
     EVIDENCE_TIME,
@@ -13,12 +18,20 @@
     MAX_SENT_STRONGEST,
     MAX_SUBJECTS_WITH_ENDS,
     PASSED_TIME,
+    TIE_TIME,
     CrashLedger,
 )
 from lentilhaven.peering.subject import Subject, SubjectKind
 
 BAD, GOOD, OTHER = (Subject("gen", name) for name in ("bad", "good", "other"))
 
+CRASHING, HOT = (
+    Subject("gen", name, SubjectKind.REQUEST) for name in ("crashing", "hot")
+)
+
+#: Seconds after the last end by which each gateway tries a request.
+TRIED_AFTER = FIRST_REQUEST_HOLD + MAX_TRIAL_DELAY
+
 
 def note_ends(faults, part, numbers, start=100.0, step=0.1):
     """Record the ends of engines by number, one every `step` seconds."""
@@ -117,6 +130,101 @@
         self.assertFalse(self.faults.forbids_repeat([BAD]))
 
 
+class RequestRivalTests(unittest.TestCase):
+    """Guard against a request that goes on since a sound one ran beside it."""
+
+    def setUp(self):
+        self.faults = CrashLedger()
+
+    def test_tie_of_requests_ends_with_the_fourth_end(self):
+        for request in (CRASHING, HOT):
+            note_ends(self.faults, request, range(3))
+        self.assertFalse(is_refused(self.faults, CRASHING, now=100.5))
+        for request in (CRASHING, HOT):
+            note_ends(self.faults, request, (3,), start=100.5)
+        self.assertTrue(is_refused(self.faults, CRASHING, now=100.6))
+
+    def test_tie_of_requests_ends_after_a_while(self):
+        for request in (CRASHING, HOT):
+            note_ends(self.faults, request, range(3))
+        now = 100.2 + TIE_TIME + 0.1
+        self.faults.find_refusal([CRASHING], now)
+        self.assertIn(CRASHING, self.faults.breakers)
+
+    def test_request_that_goes_on_without_its_rival_is_refused(self):
+        note_ends(self.faults, HOT, range(8))
+        note_ends(self.faults, CRASHING, range(4))
+        self.assertFalse(is_refused(self.faults, CRASHING, now=101.0))
+        note_ends(self.faults, CRASHING, (9,), start=102.0)
+        self.assertTrue(is_refused(self.faults, CRASHING, now=103.5))
+
+    def test_rival_that_goes_on_first_does_not_free_a_request(self):
+        for request in (CRASHING, HOT):
+            note_ends(self.faults, request, range(4))
+            self.assertTrue(is_refused(self.faults, request, now=100.5))
+        note_ends(self.faults, HOT, (5,), start=110.0)
+        self.faults.find_refusal([CRASHING], 110.1)
+        self.assertIn(CRASHING, self.faults.breakers)
+
+
+class TrialTests(unittest.TestCase):
+    """Guard against long refusals of sound requests, and trials that show nothing."""
+
+    def setUp(self):
+        self.faults = CrashLedger()
+        for request in (CRASHING, HOT):
+            note_ends(self.faults, request, range(4), step=0.0)
+            self.assertTrue(is_refused(self.faults, request, now=100.1))
+
+    def test_request_is_tried_soon(self):
+        now = 100.0 + TRIED_AFTER
+        self.assertFalse(is_refused(self.faults, HOT, now=now))
+        self.assertEqual(self.faults.begin_trials([HOT], now), [HOT])
+        self.assertTrue(is_refused(self.faults, HOT, now=now + 0.1))
+        self.faults.note_proof(HOT, now + 0.2)
+        self.assertFalse(is_refused(self.faults, HOT, now=now + 0.3))
+
+    def test_requests_are_tried_one_after_the_other(self):
+        now = 100.0 + TRIED_AFTER
+        self.faults.begin_trials([HOT], now)
+        self.assertTrue(is_refused(self.faults, CRASHING, now=now + 0.1))
+        self.faults.note_proof(HOT, now + 0.2)
+        self.assertFalse(is_refused(self.faults, CRASHING, now=now + 0.3))
+
+    def test_trial_without_a_result_does_not_stop_others_for_long(self):
+        now = 100.0 + TRIED_AFTER
+        self.faults.begin_trials([HOT], now)
+        self.assertFalse(is_refused(self.faults, CRASHING, now=now + TRIAL_TIME))
+
+    def test_second_end_holds_a_request_for_longer(self):
+        now = 100.0 + TRIED_AFTER
+        self.faults.begin_trials([CRASHING], now)
+        self.faults.note_end(CRASHING, ("e9", 1), now + 0.1)
+        later = now + 2 * FIRST_HOLD
+        self.assertTrue(is_refused(self.faults, CRASHING, now=later))
+        self.assertFalse(is_refused(self.faults, CRASHING, now=later + TRIED_AFTER))
+
+    def test_trial_beside_another_suspect_is_repeated_soon(self):
+        now = 100.0 + TRIED_AFTER
+        self.faults.begin_trials([HOT], now)
+        for request in (HOT, CRASHING):
+            self.faults.note_end(request, ("e9", 1), now + 0.1)
+        self.assertTrue(is_refused(self.faults, HOT, now=now + 0.2))
+        self.assertFalse(is_refused(self.faults, HOT, now=now + 0.2 + TRIED_AFTER))
+
+    def test_trial_of_another_gateway_is_known(self):
+        other = CrashLedger()
+        for request in (CRASHING, HOT):
+            note_ends(other, request, range(4), step=0.0)
+        now = 100.0 + TRIED_AFTER
+        self.assertIsNone(other.find_refusal([HOT], now))
+        self.assertEqual(other.begin_trials([HOT], now), [HOT])
+        for subject, state in other.sent_breakers(now).items():
+            self.faults.adopt_breaker(subject, state, now)
+        self.assertTrue(is_refused(self.faults, HOT, now=now + 0.1))
+        self.assertTrue(is_refused(self.faults, CRASHING, now=now + 0.1))
+
+
 class AliveTests(unittest.TestCase):
     """Guard against blocks by lost answers and closed connections of live engines."""
 
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -73,7 +73,7 @@
     if ledger.is_empty:
         return None
     now = asyncio.get_running_loop().time()
-    refusal = ledger.find_refusal(subjects_of(call), now, call.id)
+    refusal = ledger.find_refusal(subjects_of(call), now)
     if refusal is None:
         return None
     subject = refusal.subject
@@ -100,7 +100,7 @@
     if not ledger.breakers:
         return
     now = asyncio.get_running_loop().time()
-    for subject in ledger.begin_trials(subjects_of(call), call.id, now):
+    for subject in ledger.begin_trials(subjects_of(call), now):
         log.info(
             "trial of what has ended endpoints",
             request=call.id,
@@ -122,8 +122,7 @@
     ledger = gateway.crash_ledger
     now = asyncio.get_running_loop().time()
     return (
-        not ledger.is_empty
-        and ledger.find_refusal(subjects_of(call), now, call.id) is not None
+        not ledger.is_empty and ledger.find_refusal(subjects_of(call), now) is not None
     )
 
 
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -120,7 +120,7 @@
     budgets: dict[str, RetryBudgetShare] = attrs.field(factory=dict)
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
-    crash_ledger: CrashLedger = attrs.field(factory=CrashLedger)
+    crash_ledger: CrashLedger = attrs.field()
     run_log: RunLog = attrs.field(factory=RunLog)
     urgent_signal: Signal = attrs.field(factory=Signal)
     pace_questions: dict[tuple[str, int], Endpoint] = attrs.field(factory=dict)
@@ -160,6 +160,11 @@
         own = Member(address, settings.data_centre, settings.capacity)
         return PeerTable(own, settings.vm)
 
+    @crash_ledger.default
+    def empty_crash_ledger(self) -> CrashLedger:
+        """Return a ledger without evidence."""
+        return CrashLedger(random=self.random)
+
     def count_gateways(self, now: float) -> int:
         """
         Return how many gateways share the retry budget.
