Make the exchange of a full ledger cheaper

With 1,024 lost requests a gateway spent 2.6 ms on `sent_ends` and 2.4 ms on `refute_ends`, several times each 0.1 s, on half a core. Subjects keep their hash, ties are sorted by name alone, and only ends that data refute are looked up under every subject.

--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -244,13 +244,11 @@
 
     def note_data(self, incarnation: Incarnation, at: float) -> None:
         """Remove the ends of an incarnation that has sent data shortly after them."""
-        ended_at = self.ended.get(incarnation, math.inf)
-        if ended_at + ALIVE_AFTER <= at <= ended_at + ALIVE_UNTIL:
+        if is_alive_after(self.ended.get(incarnation, math.inf), at):
             del self.ended[incarnation]
             self.alive[incarnation] = at
         for subject, ends in self.ends.items():
-            ended_at = ends.get(incarnation, math.inf)
-            if ended_at + ALIVE_AFTER <= at <= ended_at + ALIVE_UNTIL:
+            if incarnation in ends and is_alive_after(ends[incarnation], at):
                 del ends[incarnation]
                 self.alive[incarnation] = at
                 self.withdraw_breaker(subject)
@@ -288,16 +286,18 @@
             Time of the event loop.
         """
         self.expire(now)
-        recent = {
-            name
-            for ends in self.ends.values()
+        ends_lately = [
+            (name, at)
+            for ends in (*self.ends.values(), self.ended)
             for name, at in ends.items()
             if now - at < ALIVE_CHECK_TIME
+        ]
+        alive = {
+            name
+            for name, at in ends_lately
+            if name in heard_at and is_alive_after(at, heard_at[name])
         }
-        recent |= {
-            name for name, at in self.ended.items() if now - at < ALIVE_CHECK_TIME
-        }
-        for name in recent & heard_at.keys():
+        for name in alive:
             self.note_data(name, heard_at[name])
 
     def expire(self, now: float) -> None:
@@ -615,10 +615,10 @@
             }
             if ages:
                 found[subject] = ages
-        strongest = sorted(found, key=lambda it: (-len(found[it]), it))
+        strongest = sorted(found, key=lambda it: (-len(found[it]), it.name))
         latest = sorted(
             (it for it in found if now - self.recorded[it] < LATEST_TIME),
-            key=lambda it: (-self.recorded[it], it),
+            key=lambda it: (-self.recorded[it], it.name),
         )
         chosen = [*strongest[:MAX_SENT_STRONGEST], *latest[:MAX_SENT_LATEST]]
         return {subject: found[subject] for subject in chosen}
@@ -645,7 +645,7 @@
             and (at := self.proven_at(subject, distance - 1)) > now - EVIDENCE_TIME
         }
         count = {subject: len(self.ends.get(subject, ())) for subject in found}
-        chosen = sorted(found, key=lambda it: (-count[it], it))
+        chosen = sorted(found, key=lambda it: (-count[it], it.name))
         return {subject: found[subject] for subject in chosen[:MAX_SENT_PROOFS]}
 
     def sent_breakers(self, now: float) -> dict[Subject, BreakerState]:
@@ -683,3 +683,8 @@
             if now - at < ENDED_PASSED_TIME
         }
         return dict(sorted(ages.items(), key=itemgetter(1))[:MAX_SENT_ENDED])
+
+
+def is_alive_after(ended_at: float, heard_at: float) -> bool:
+    """Return whether data show that an endpoint has not ended at a time."""
+    return ended_at + ALIVE_AFTER <= heard_at <= ended_at + ALIVE_UNTIL
