Keep what is known of a request when callers send many new ones

A caller whose requests were lost once each could push out the two ends of a crashing request (the ends of a subject without three were dropped by age), and answers to new requests pushed out the proof of a sound one under which endpoints had just ended, so that it was refused. With more than eight refusals a trial, which has the least time left, was never told to other gateways, so that each began its own.

Ends of subjects with a single one are dropped first, proofs of subjects with ends are kept, and half of the refusals in a datagram are those that have changed last.

--- a/lentilhaven/crashes/breaker.py
+++ b/lentilhaven/crashes/breaker.py
@@ -107,6 +107,11 @@
         """Return whether the latest trial has ended no endpoint, as far as is known."""
         return self.trial_until > -math.inf
 
+    @property
+    def changed_at(self) -> float:
+        """Return the time of the last end, or of the begin of the trial after it."""
+        return max(self.ended_at, self.trial_until - TRIAL_TIME)
+
     def admits(self, now: float) -> bool:
         """Return whether a request may run, as a trial."""
         return self.time_left(now) <= 0.0
--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -81,7 +81,7 @@
 
 #: Maximum numbers of subjects with ends, of ends of each subject, of subjects of each
 #: kind with proofs, of breakers, and of ended endpoints.
-MAX_SUBJECTS_WITH_ENDS = 1024
+MAX_SUBJECTS_WITH_ENDS = 1024  # Less than `MAX_PROVEN`; see `drop_proof`.
 MAX_ENDS = 32
 MAX_PROVEN = 2048
 MAX_BREAKERS = 256
@@ -207,9 +207,15 @@
         return incarnation in ends
 
     def least_important(self) -> Subject:
-        """Return the subject whose latest end is the oldest, unless it is a suspect."""
+        """
+        Return the subject whose ends are dropped first: the oldest with a single one.
+
+        What is lost by chance or sent once has no second end, however many callers send
+        such requests; what has one is kept before it.
+        """
+        single = (subject for subject, ends in self.ends.items() if len(ends) == 1)
         others = (subject for subject in self.ends if subject not in self.suspects)
-        return next(others, next(iter(self.ends)))
+        return next(itertools.chain(single, others, self.ends))
 
     def drop_subject(self, subject: Subject) -> None:
         """Forget the ends under a subject."""
@@ -235,7 +241,15 @@
         proofs[distance] = max(proofs[distance], at)
         proven[subject] = proofs
         if len(proven) > MAX_PROVEN:
-            del proven[next(iter(proven))]
+            self.drop_proof(proven)
+
+    def drop_proof(self, proven: dict[Subject, list[float]]) -> None:
+        """Forget the oldest proof of a subject without ends, which needs none."""
+        oldest = next(iter(proven))
+        while oldest in self.ends:
+            proven[oldest] = proven.pop(oldest)
+            oldest = next(iter(proven))
+        del proven[oldest]
 
     def proven_at(self, subject: Subject, distance: int = MAX_DISTANCE) -> float:
         """Return the time of the latest proof of at most a distance, or -inf."""
@@ -649,7 +663,12 @@
         return {subject: found[subject] for subject in chosen[:MAX_SENT_PROOFS]}
 
     def sent_breakers(self, now: float) -> dict[Subject, BreakerState]:
-        """Return the open breakers to pass on to other gateways, the newest first."""
+        """
+        Return the open breakers to pass on to other gateways.
+
+        These are the ones that have changed last, such as by a trial, and those that
+        are open for longest.
+        """
         found = {
             subject: BreakerState(
                 round(now - breaker.ended_at, 3),
@@ -660,8 +679,12 @@
             if (breaker := self.open_breaker(subject)) is not None
             and breaker.until > now
         }
-        chosen = sorted(found, key=lambda it: (-found[it].left, it))
-        return {subject: found[subject] for subject in chosen[:MAX_SENT_BREAKERS]}
+        longest = sorted(found, key=lambda it: (-found[it].left, it.name))
+        latest = sorted(found, key=lambda it: (-self.breakers[it].changed_at, it.name))
+        half = MAX_SENT_BREAKERS // 2
+        chosen = [*latest[:half], *longest[:half], *latest[half:]]
+        chosen = list(dict.fromkeys(chosen))[:MAX_SENT_BREAKERS]
+        return {subject: found[subject] for subject in chosen}
 
     def adopt_breaker(self, subject: Subject, state: BreakerState, now: float) -> bool:
         """Adopt the breaker of another gateway, and return whether it was news."""
--- a/lentilhaven/crashes/tests/test_ledger.py
+++ b/lentilhaven/crashes/tests/test_ledger.py
@@ -289,3 +289,45 @@
         faults.note_proof(GOOD, 99.0, distance=1)
         self.assertEqual(faults.sent_proofs(SubjectKind.PART, 100.0, 1), {})
         self.assertEqual(faults.sent_proofs(SubjectKind.PART, 100.0, 2), {GOOD: 1.0})
+
+
+class FloodTests(unittest.TestCase):
+    """Guard against callers whose new requests push out what is known of others."""
+
+    def setUp(self):
+        self.faults = CrashLedger()
+
+    def lose_others(self):
+        """Let many other requests be lost once."""
+        for number in range(2 * MAX_SUBJECTS_WITH_ENDS):
+            other = Subject("gen", f"other-{number}", SubjectKind.REQUEST)
+            self.faults.note_end(other, ("e50", 1), 101.0)
+
+    def test_second_end_is_kept(self):
+        note_ends(self.faults, CRASHING, range(2))
+        self.lose_others()
+        self.assertEqual(len(self.faults.ends), MAX_SUBJECTS_WITH_ENDS)
+        note_ends(self.faults, CRASHING, (2,), start=102.0)
+        self.assertTrue(is_refused(self.faults, CRASHING, now=103.0))
+
+    def test_proof_of_a_lost_request_is_kept(self):
+        self.faults.note_proof(HOT, 99.0)
+        note_ends(self.faults, HOT, range(3))
+        for number in range(2 * MAX_PROVEN):
+            other = Subject("gen", f"other-{number}", SubjectKind.REQUEST)
+            self.faults.note_proof(other, 101.0)
+        self.assertEqual(len(self.faults.proofs[SubjectKind.REQUEST]), MAX_PROVEN)
+        self.assertFalse(is_refused(self.faults, HOT, now=102.0))
+
+    def test_trial_is_told_before_long_refusals(self):
+        for index in range(20):
+            other = Subject("gen", f"other-{index}", SubjectKind.REQUEST)
+            ends = range(10 * index, 10 * index + 3)
+            note_ends(self.faults, other, ends, start=100.0)
+            self.faults.find_refusal([other], 100.5)
+            self.faults.begin_trials([other], 105.0)
+            self.faults.note_end(other, (f"f{index}", 1), 105.1)
+        note_ends(self.faults, CRASHING, range(300, 303), start=110.0)
+        self.faults.find_refusal([CRASHING], 110.5)
+        self.assertEqual(self.faults.begin_trials([CRASHING], 115.0), [CRASHING])
+        self.assertIn(CRASHING, self.faults.sent_breakers(115.1))
