Count the ends under a request for ten minutes

A request sent once a minute crashed one endpoint a minute for ever: evidence lasted 120 s, so that the first end was forgotten before the third. Ends under requests, and the proofs that speak against them, now last 600 s and are passed on for 570 s. Those of parts of prompts are unchanged, since their refusal lasts as long as the evidence.

--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -45,6 +45,9 @@
 #: each other's evidence for ever.
 PASSED_TIME = 100.0
 
+#: The same two for requests, which may come again once a minute only.
+REQUEST_EVIDENCE_TIME, REQUEST_PASSED_TIME = 600.0, 570.0
+
 #: Number of ended endpoints from which a subject may be at fault.
 MIN_ENDS = 3
 
@@ -316,14 +319,15 @@
 
     def expire(self, now: float) -> None:
         """Remove evidence that is older than `EVIDENCE_TIME`, and idle breakers."""
-        oldest = now - EVIDENCE_TIME
         for subject, ends in list(self.ends.items()):
+            oldest = now - evidence_time(subject)
             for name in [name for name, at in ends.items() if at <= oldest]:
                 del ends[name]
             if not ends:
                 self.drop_subject(subject)
             elif len(ends) < MIN_ENDS:
                 self.suspects.discard(subject)
+        oldest = now - REQUEST_EVIDENCE_TIME
         self.alive = {name: at for name, at in self.alive.items() if at > oldest}
         oldest = now - ENDED_TIME
         self.ended = {name: at for name, at in self.ended.items() if at > oldest}
@@ -333,7 +337,9 @@
         """Remove the breakers that are closed, or that nobody needs any more."""
         for subject, breaker in list(self.breakers.items()):
             proven_at = self.proven_at(subject)
-            is_old = is_closed(breaker, proven_at) and now - proven_at > PASSED_TIME
+            is_old = is_closed(breaker, proven_at) and now - proven_at > passed_time(
+                subject
+            )
             if is_old or breaker.is_forgotten(now):
                 del self.breakers[subject]
 
@@ -625,7 +631,7 @@
             ages = {
                 name: round(now - at, 3)
                 for name, at in self.counted_ends(subject).items()
-                if now - at < PASSED_TIME
+                if now - at < passed_time(subject)
             }
             if ages:
                 found[subject] = ages
@@ -656,7 +662,8 @@
             subject: round(now - at, 3)
             for subject in {**self.ends, **self.breakers}
             if subject.kind is kind
-            and (at := self.proven_at(subject, distance - 1)) > now - EVIDENCE_TIME
+            and (at := self.proven_at(subject, distance - 1))
+            > now - evidence_time(subject)
         }
         count = {subject: len(self.ends.get(subject, ())) for subject in found}
         chosen = sorted(found, key=lambda it: (-count[it], it.name))
@@ -711,3 +718,13 @@
 def is_alive_after(ended_at: float, heard_at: float) -> bool:
     """Return whether data show that an endpoint has not ended at a time."""
     return ended_at + ALIVE_AFTER <= heard_at <= ended_at + ALIVE_UNTIL
+
+
+def evidence_time(subject: Subject) -> float:
+    """Return the seconds for which an end under a subject counts as evidence."""
+    return REQUEST_EVIDENCE_TIME if subject.is_request else EVIDENCE_TIME
+
+
+def passed_time(subject: Subject) -> float:
+    """Return the seconds for which such an end is passed on to other gateways."""
+    return REQUEST_PASSED_TIME if subject.is_request else PASSED_TIME
--- a/lentilhaven/crashes/tests/test_ledger.py
+++ b/lentilhaven/crashes/tests/test_ledger.py
@@ -167,6 +167,25 @@
         self.assertIn(CRASHING, self.faults.breakers)
 
 
+class RareRequestTests(unittest.TestCase):
+    """Guard against a request that comes once a minute, and is forgotten meanwhile."""
+
+    def test_ends_a_minute_apart_are_counted(self):
+        faults = CrashLedger()
+        for number in range(3):
+            at = 100.0 + 60.5 * number
+            faults.note_end(CRASHING, (f"e{number}", 1), at)
+            faults.expire(at + 60.0)
+        self.assertTrue(faults.find_refusal([CRASHING], 222.0))
+
+    def test_proof_is_passed_on_for_as_long_as_the_ends(self):
+        faults = CrashLedger()
+        faults.note_end(HOT, ("e1", 1), 100.0)
+        faults.note_proof(HOT, 101.0)
+        faults.expire(400.0)
+        self.assertIn(HOT, faults.sent_proofs(SubjectKind.REQUEST, 400.0, 1))
+
+
 class TrialTests(unittest.TestCase):
     """Guard against long refusals of sound requests, and trials that show nothing."""
 
