Let one end after a proof open no refusal again

A request or part that was answered in its trial, or at any time in the 100 s before, was refused for up to 16 minutes after the next ordinary crash of an endpoint that ran it: the end was added to the closed breaker, whose last end was then later than the proof.

--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -203,8 +203,9 @@
             del ends[min(ends, key=ends.__getitem__)]
         if len(ends) >= MIN_ENDS:
             self.suspects.add(subject)
-        if subject in self.breakers:
-            self.breakers[subject].note_end(at)
+        breaker = self.open_breaker(subject)
+        if breaker is not None:
+            breaker.note_end(at)
         if len(self.ends) > MAX_SUBJECTS_WITH_ENDS:
             self.drop_subject(self.least_important())
         return incarnation in ends
--- a/lentilhaven/crashes/tests/test_ledger.py
+++ b/lentilhaven/crashes/tests/test_ledger.py
@@ -231,6 +231,14 @@
         self.assertTrue(is_refused(self.faults, HOT, now=now + 0.2))
         self.assertFalse(is_refused(self.faults, HOT, now=now + 0.2 + TRIED_AFTER))
 
+    def test_one_end_after_the_proof_opens_nothing(self):
+        """A sound request was refused again after the next ordinary crash."""
+        now = 100.0 + TRIED_AFTER
+        self.faults.begin_trials([HOT], now)
+        self.faults.note_proof(HOT, now + 1.0)
+        self.faults.note_end(HOT, ("e9", 1), now + 5.0)
+        self.assertFalse(is_refused(self.faults, HOT, now=now + 6.0))
+
     def test_trial_of_another_gateway_is_known(self):
         other = CrashLedger()
         for request in (CRASHING, HOT):
