--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -15,10 +15,10 @@
 from lentilhaven.core.tasks import report_task_failure
 from lentilhaven.crashes.ledger import (
     ENDED_TIME,
-    EVIDENCE_TIME,
     LISTED_AFTER,
     LISTED_SILENCE,
     Refusal,
+    evidence_time,
 )
 from lentilhaven.crashes.run_log import RunRecord
 from lentilhaven.fleet.endpoint import Endpoint
@@ -121,7 +121,7 @@
 def find_refusal(gateway: Gateway, call: Call, now: float) -> Refusal | None:
     """Return why a request must be refused; None if it may run."""
     return gateway.crash_ledger.find_refusal(
-        subjects_of(call), now, call.id, lambda it: trial_delay(gateway, it)
+        subjects_of(call), now, lambda it: trial_delay(gateway, it)
     )
 
 
@@ -153,7 +153,7 @@
     if not ledger.breakers:
         return
     now = asyncio.get_running_loop().time()
-    for subject in ledger.begin_trials(subjects_of(call), call.id, now):
+    for subject in ledger.begin_trials(subjects_of(call), now):
         log.info(
             "trial of what has ended endpoints",
             request=call.id,
@@ -526,7 +526,7 @@
         ledger.note_end(subject, incarnation, now - age)
         for subject, ages in reported.items()
         for incarnation, age in ages.items()
-        if age < EVIDENCE_TIME
+        if age < evidence_time(subject)
     ]
     if any(news):
         log_new_candidates(gateway, reported)
--- a/lentilhaven/placement/load_failures.py
+++ b/lentilhaven/placement/load_failures.py
@@ -6,8 +6,10 @@
 end is recorded under what the order asked for: each of its layers, of which the weights
 may be at fault, and their number on this type of accelerator, for which its memory may
 be too small.  The rule is that of requests (see `lentilhaven.crashes`): orders with
-what has ended three engines, and was not loaded by another one, are withheld, and after
-two minutes a single engine tries.
+what has ended engines at three addresses, and was not loaded by another one, are
+withheld, and after a while a single engine tries.  An engine that goes down again and
+again, whatever it is ordered, has one address, and the time is short: layers that are
+withheld may be missing.
 """
 
 import math
@@ -18,7 +20,7 @@
 from lentilhaven.crashes.ledger import CrashLedger, Refusal
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.layer_span import LayerSpan
-from lentilhaven.peering.subject import Incarnation, Subject
+from lentilhaven.peering.subject import Subject
 
 
 def size_subject(service: str, card: str, size: int) -> Subject:
@@ -39,6 +41,9 @@
 #: Seconds for which the judgement of an order is repeated unless there is news.
 JUDGEMENT_TIME = 0.25
 
+#: Seconds for which orders are withheld before the first trial.
+ORDER_HOLD = 20.0
+
 
 @attrs.define(eq=False)
 class LoadFailures:
@@ -61,30 +66,30 @@
     --------
     >>> failures, layers = LoadFailures(), LayerSpan(0, 2)
     >>> for number in range(3):
-    ...     ended = Endpoint(f"e{number}", "gen", "", "a", card="k")
-    ...     failures.note_end(ended.incarnation, subjects_of_order(ended, layers), 1.0)
+    ...     ended = Endpoint(f"e{number}", "gen", f"a{number}:1", "a", card="k")
+    ...     failures.note_end(ended.address, subjects_of_order(ended, layers), 1.0)
     >>> another = Endpoint("e3", "gen", "", "a", card="k")
     >>> failures.find_refusal(subjects_of_order(another, layers), 2.0).left
-    119.0
+    19.0
     >>> failures.find_refusal(subjects_of_order(another, LayerSpan(2, 5)), 2.0)
     """
 
-    ledger: CrashLedger = attrs.field(factory=CrashLedger)
+    ledger: CrashLedger = attrs.field(factory=lambda: CrashLedger(base_hold=ORDER_HOLD))
     judged: dict[tuple[Subject, ...], tuple[float, Refusal | None]] = attrs.field(
         factory=dict
     )
     announced: dict[Subject, int] = attrs.field(factory=dict)
 
     def note_end(
-        self, incarnation: Incarnation, subjects: Sequence[Subject], sent_at: float
+        self, address: str, subjects: Sequence[Subject], sent_at: float
     ) -> None:
         """
         Record that an engine has ended before an order took effect.
 
         Parameters
         ----------
-        incarnation : tuple of (str, int)
-            The engine.
+        address : str
+            Address of the engine, as ``IP:PORT``.
         subjects : sequence of Subject
             What the order asked for.
         sent_at : float
@@ -92,7 +97,9 @@
             success of another engine with the same order would be.
         """
         for subject in subjects:
-            self.ledger.note_end(subject, incarnation, sent_at)
+            # The latest end at an address counts.
+            self.ledger.ends.get(subject, {}).pop((address, 0), None)
+            self.ledger.note_end(subject, (address, 0), sent_at)
         self.judged.clear()
 
     def note_loaded(self, subjects: Sequence[Subject], now: float) -> None:
@@ -129,7 +136,7 @@
             # too old to count.
             for subject in subjects:
                 is_open = ledger.open_breaker(subject) is not None
-                if not is_open and ledger.is_at_fault(subject, subjects):
+                if not is_open and ledger.is_at_fault(subject, subjects, now):
                     ledger.open_new_breaker(subject)
         return refusal
 
@@ -144,13 +151,10 @@
         self.announced[refusal.subject] = refusal.ends
         return refusal.ends != known
 
-    def begin_trial(
-        self, subjects: Sequence[Subject], now: float, incarnation: Incarnation
-    ) -> bool:
+    def begin_trial(self, subjects: Sequence[Subject], now: float) -> bool:
         """Let an order that is sent now be a trial; return whether it is one."""
         self.judged.clear()
-        name = f"{incarnation[0]} {incarnation[1]}"
-        return bool(self.ledger.begin_trials(subjects, name, now))
+        return bool(self.ledger.begin_trials(subjects, now))
 
     def expire(self, now: float) -> None:
         """Forget what is too old to count."""
--- a/lentilhaven/placement/placer.py
+++ b/lentilhaven/placement/placer.py
@@ -73,6 +73,8 @@
         Range that the engine is to hold.
     sent_at : float
         Monotonic time at which the order was sent, in seconds.
+    address : str
+        Address of the engine, as ``IP:PORT``.
     subjects : tuple of Subject
         What may be at fault if the engine ends before the order takes effect.
     era : int
@@ -82,6 +84,7 @@
     incarnation: Incarnation
     layers: LayerSpan
     sent_at: float
+    address: str = ""
     subjects: tuple[Subject, ...] = ()
     era: int = 0
 
@@ -315,7 +318,7 @@
             return
         if order.era != self.view.era.current:
             return
-        self.load_failures.note_end(order.incarnation, order.subjects, order.sent_at)
+        self.load_failures.note_end(order.address, order.subjects, order.sent_at)
         log.warning(
             "engine ended under an order",
             endpoint=name,
@@ -360,10 +363,15 @@
             return
         now = self.monotonic()
         subjects = subjects_of_order(engine, layers)
-        if self.load_failures.begin_trial(subjects, now, engine.incarnation):
+        if self.load_failures.begin_trial(subjects, now):
             log.info("trial of an order that has ended engines", endpoint=engine.id)
         self.pending[engine.id] = PendingOrder(
-            engine.incarnation, layers, now, subjects, self.view.era.current
+            engine.incarnation,
+            layers,
+            now,
+            engine.address,
+            subjects,
+            self.view.era.current,
         )
         self.ordered_at[engine.incarnation] = now
         outcome = await order_layers(
--- a/lentilhaven/router/crash_checks.py
+++ b/lentilhaven/router/crash_checks.py
@@ -112,9 +112,9 @@
         ledger = self.ledger
         if ledger.is_empty:
             return None
-        refusal = ledger.find_refusal([subject], now, request)
+        refusal = ledger.find_refusal([subject], now)
         if refusal is None:
-            ledger.begin_trials([subject], request, now)
+            ledger.begin_trials([subject], now)
             return None
         log.info(
             "request refused since it ends endpoints",
