Let a crashed stand-in look like a process that has ended

Its connections are reset, and a proxy in front of it no longer accepts new ones until it is back; before, the proxy accepted and closed them, so that gateways never saw a refused connection. A first part of a chain that refuses a request for the crash of a later one promises that it has not run, and no longer counts a run.

Tests of the stand-in of requests that crash replicas, in memory and over sockets: each time of the crash, a later part, a moved stream, an engine that has started again.

--- a/lentilhaven/bench/soak/loopback_proxy.py
+++ b/lentilhaven/bench/soak/loopback_proxy.py
@@ -44,6 +44,8 @@
 
     Attributes
     ----------
+    listen_host, listen_port : str and int
+        Address on which the proxy listens.
     host, port : str and int
         Address of the server.
     fault : LinkFault
@@ -54,14 +56,31 @@
         Writers to both ends of the open connections.
     fault_changed : Signal
         Notifies connections whose bytes are held.
+    listener : asyncio.Server or None
+        Listener for new connections; None while they are refused.
     """
 
+    listen_host: str
+    listen_port: int
     host: str
     port: int
     fault: LinkFault = LinkFault.NONE
     delay: float = 0.2
     writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
     fault_changed: Signal = attrs.field(factory=Signal)
+    listener: asyncio.Server | None = None
+
+    async def listen(self) -> None:
+        """Accept connections."""
+        self.listener = await asyncio.start_server(
+            self.serve, self.listen_host, self.listen_port
+        )
+
+    def refuse(self) -> None:
+        """Refuse new connections, as if no process listened."""
+        if self.listener is not None:
+            self.listener.close()
+        self.listener = None
 
     def set_fault(self, fault: LinkFault) -> None:
         """Change the injected fault."""
@@ -84,7 +103,7 @@
                 self.host, self.port
             )
         except OSError:
-            writer.transport.abort()
+            reset_connection(writer)
             return
         writers = {writer, server_writer}
         self.writers |= writers
@@ -134,10 +153,10 @@
     host, port : str and int
         Address of the server.
     """
-    proxy = LoopbackProxy(host, port)
-    server = await asyncio.start_server(proxy.serve, listen_host, listen_port)
+    proxy = LoopbackProxy(listen_host, listen_port, host, port)
+    await proxy.listen()
     try:
         yield proxy
     finally:
-        server.close()
+        proxy.refuse()
         proxy.reset()
--- a/lentilhaven/bench/soak/soak_environment.py
+++ b/lentilhaven/bench/soak/soak_environment.py
@@ -144,9 +144,11 @@
     for number, replica in enumerate(replicas):
         listen_host = loopback_address(block, 2, number)
         replica.listen_host = listen_host
-        environment.replica_proxies[replica.id] = await stack.enter_async_context(
+        proxy = await stack.enter_async_context(
             open_proxy(replica.host, replica.port, listen_host, replica.port)
         )
+        environment.replica_proxies[replica.id] = proxy
+        environment.fleet.fronts[replica.id] = proxy
     await stack.enter_async_context(environment.fleet.open(*replicas))
 
 
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, Protocol
 
 import attrs
 
@@ -52,6 +52,16 @@
 ENDLESS_INTERVAL = 0.001
 
 
+class Front(Protocol):
+    """Forwards the connections to a replica that listens elsewhere."""
+
+    async def listen(self) -> None:
+        """Accept connections."""
+
+    def refuse(self) -> None:
+        """Accept no more connections."""
+
+
 @attrs.define(eq=False)
 class FakeFleet:
     """
@@ -94,6 +104,9 @@
         Whether a crashed engine is back with the layers that it held.
     servers : dict
         Server of each replica that is up, by replica id.
+    fronts : dict
+        What forwards the connections to a replica, by replica id; it listens only while
+        the replica does.
     crash_tasks : set of asyncio.Future
         Crashes whose replica is not back yet.
     crashed_parts : set of (str, str)
@@ -115,6 +128,7 @@
     crash_time: float = 2.0
     keeps_layers: bool = False
     servers: dict[str, asyncio.Server] = attrs.field(factory=dict)
+    fronts: dict[str, Front] = attrs.field(factory=dict)
     crash_tasks: set[asyncio.Future[None]] = attrs.field(factory=set)
     crashed_parts: set[tuple[str, str]] = attrs.field(factory=set)
 
@@ -170,19 +184,24 @@
             task.result()
 
     async def crash(self, replica: FakeReplica) -> None:
-        """Close all connections of a replica, and start it again after a while."""
+        """Reset all connections of a replica, and start it again after a while."""
         if replica.id not in self.servers:
             return
         replica.crashes.append(asyncio.get_running_loop().time())
         self.servers.pop(replica.id).close()
+        front = self.fronts.get(replica.id)
+        if front is not None:
+            front.refuse()
         for writer in list(replica.writers):
-            writer.close()
+            reset_connection(writer)
         await asyncio.sleep(self.crash_time)
         span = replica.span
         replica.restart()
         if self.keeps_layers:
             replica.span = span
         await self.start_server(replica)
+        if front is not None:
+            await front.listen()
         self.register(replica)
 
     def make_connection_handler(self, replica: FakeReplica) -> Any:
@@ -509,6 +528,8 @@
                 crashed, until = part, loop.time() + STALL_TIMEOUT
             await asyncio.sleep(PART_CHECK_INTERVAL)
         address = crashed.address if crashed is not None else ""
+        # The refusal promises that the request has not run.
+        replica.runs = [it for it in replica.runs if it.request_id != request_id]
         return await send_response(replica, writer, request, 503, b"", True, address)
 
     def crash_part(
--- a/lentilhaven/standins/platform/tests/test_fake_fleet.py
+++ b/lentilhaven/standins/platform/tests/test_fake_fleet.py
@@ -2,13 +2,20 @@
 import socket
 import unittest
 from contextlib import asynccontextmanager
+from unittest import mock
 
-from lentilhaven.standins.platform import FakeFleet, FakeReplica, FakeStore
+from lentilhaven.standins.platform import FakeFleet, FakeReplica, FakeStore, fake_fleet
+from lentilhaven.standins.platform.fake_fleet import PIECE_BYTES
+from lentilhaven.standins.platform.fake_replica import CrashingRequest
 from lentilhaven.standins.virtual import run_virtual
 
 #: Seconds for which a replica is silent, and after which a crashed one is back.
 SILENCE = CRASH_TIME = 1.0
 
+#: Shorter times after which a crashed replica is back, and after which a silent stream
+#: is given up.
+SHORT_TIME, STALL_TIME = 0.2, 0.8
+
 #: Part of prompts that crashes engines.
 PART = "bad1"
 
@@ -70,8 +77,8 @@
         writer.close()
 
 
-class FaultTests(unittest.TestCase):
-    """Guard against a fault that a test or the soak asks for and nobody plays."""
+class FaultTestCase(unittest.TestCase):
+    """Runs scenarios with a fleet of their own."""
 
     def check(self, scenario, runners=RUNNERS):
         """Run a scenario on each kind of connection, each with a fleet of its own."""
@@ -84,6 +91,16 @@
             with self.subTest(runner=runner.__name__):
                 runner(main(runner))
 
+    async def read_head(self, streams):
+        reader, writer = streams
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        return head
+
+
+class FaultTests(FaultTestCase):
+    """Guard against a fault that a test or the soak asks for and nobody plays."""
+
     def test_crash_on_a_part_of_the_prompt_and_return(self):
         async def scenario(fleet, runner):
             loop = asyncio.get_running_loop()
@@ -124,12 +141,6 @@
 
         run_virtual(main())
 
-    async def read_head(self, streams):
-        reader, writer = streams
-        head = await reader.readuntil(b"\r\n\r\n")
-        writer.close()
-        return head
-
     def check_silence(self, silent_id, called_id, delay, last):
         """Check that an answer waits for a silence that begins during it."""
 
@@ -246,3 +257,147 @@
                 return
             await asyncio.sleep(0.01)
         self.fail("the replica still serves a caller that is gone")
+
+
+def crash_on(fleet, pieces=None, part=0, tenant=""):
+    """Let the request of `send` crash the replicas that run it."""
+    rule = CrashingRequest(tenant, "GET", "/a/1", b"", pieces, part)
+    fleet.crashing_requests.append(rule)
+    fleet.keeps_layers, fleet.crash_time = True, SHORT_TIME
+
+
+class CrashingRequestTests(FaultTestCase):
+    """
+    Guard against a request that should crash its replicas and does not.
+
+    A check that such requests are refused would pass without any.
+    """
+
+    def setUp(self):
+        self.enterContext(mock.patch.object(fake_fleet, "STALL_TIMEOUT", STALL_TIME))
+
+    def check_crash(self, replica_id, pieces, expected):
+        """Check what arrives of an answer before the crash of its replica."""
+
+        async def scenario(fleet, runner):
+            crash_on(fleet, pieces)
+            replica = fleet.replicas[replica_id]
+            data, _ = await read_all(*await send(fleet, replica_id))
+            head, _, body = data.partition(b"\r\n\r\n")
+            self.assertEqual(b" 200 " in head, pieces is not None)
+            self.assertEqual((body.count(b"id: "), body.count(b"x")), expected)
+            # Nothing listens until the replica is back.
+            with self.assertRaises(OSError):
+                await send(fleet, replica_id)
+            await asyncio.gather(*fleet.crash_tasks)
+            self.assertEqual((len(replica.crashes), len(replica.runs)), (1, 1))
+            self.assertEqual(fleet.crashing_request_arrivals, replica.arrivals)
+            fleet.crashing_requests.clear()
+            self.assertIn(b" 200 ", await self.read_head(await send(fleet, replica_id)))
+
+        self.check(scenario)
+
+    def test_plain_replica_before_the_head(self):
+        self.check_crash("i-0", None, (0, 0))
+
+    def test_plain_replica_after_the_head(self):
+        self.check_crash("i-0", 0, (0, 0))
+
+    def test_plain_replica_within_the_answer(self):
+        self.check_crash("i-0", 3, (0, 3 * PIECE_BYTES))
+
+    def test_engine_before_the_head(self):
+        self.check_crash("i-1", None, (0, 0))
+
+    def test_engine_after_the_head(self):
+        self.check_crash("i-1", 0, (0, 0))
+
+    def test_engine_after_three_events(self):
+        self.check_crash("i-1", 3, (3, 0))
+
+    def test_request_of_another_caller_is_served(self):
+        async def scenario(fleet, runner):
+            crash_on(fleet, tenant="depot")
+            self.assertIn(b" 200 ", await self.read_head(await send(fleet, "i-0")))
+            self.assertEqual(fleet.crashing_request_arrivals, [])
+
+        self.check(scenario)
+
+    def test_later_part_before_the_head(self):
+        # The first part refuses the request and names the other.
+        async def scenario(fleet, runner):
+            crash_on(fleet, part=1)
+            began = asyncio.get_running_loop().time()
+            head = await self.read_head(await send(fleet, "i-1"))
+            taken = asyncio.get_running_loop().time() - began
+            self.assertGreaterEqual(taken, STALL_TIME)
+            first, last = fleet.replicas["i-1"], fleet.replicas["i-2"]
+            self.assertEqual((len(first.crashes), len(last.crashes)), (0, 1))
+            self.assertIn(b" 503 ", head)
+            self.assertIn(f"At-Server: {last.address}\r\n".encode(), head)
+            # The refusal promises that the request has not run.
+            self.assertIn(b"Not-Executed: 1\r\n", head)
+            self.assertEqual(first.runs, [])
+
+        self.check(scenario)
+
+    def test_later_part_after_three_events(self):
+        async def scenario(fleet, runner):
+            crash_on(fleet, pieces=3, part=1)
+            data, was_reset = await read_all(*await send(fleet, "i-1"))
+            first, last = fleet.replicas["i-1"], fleet.replicas["i-2"]
+            self.assertEqual((len(first.crashes), len(last.crashes)), (0, 1))
+            self.assertEqual((data.count(b"id: "), b"id: 3" in data), (3, True))
+            self.assertEqual(was_reset, runner is asyncio.run)
+
+        self.check(scenario)
+
+    def check_moved_stream(self, is_crashing, events, crashes):
+        """Check a stream whose last engine ends and that is moved to another one."""
+
+        async def scenario(fleet, runner):
+            (port,) = free_ports(1)
+            other = FakeReplica("i-3", "gen", "127.0.0.1", port, card="small")
+            other.span = (4, 8)
+            first, last = fleet.replicas["i-1"], fleet.replicas["i-2"]
+            async with fleet.open(other):
+                if is_crashing:
+                    crash_on(fleet, pieces=1, part=1)
+                reader, writer = await send(fleet, "i-1")
+                data = await reader.readuntil(b"id: 1\ndata: word-1\n\n")
+                if not is_crashing:
+                    fleet.begin_crash(last)
+                await asyncio.sleep(0.2)
+                fleet.replaced_paths["r1"] = [
+                    (first.address, 0, 4),
+                    (other.address, 4, 8),
+                ]
+                if is_crashing:
+                    data += (await read_all(reader, writer))[0]
+                else:
+                    data += await reader.readuntil(b"\r\n0\r\n\r\n")
+                    writer.close()
+                self.assertEqual(data.count(b"id: "), events)
+                found = [len(it.crashes) for it in (first, last, other)]
+                self.assertEqual(found, crashes)
+
+        self.check(scenario)
+
+    def test_moved_request_crashes_the_next_engine_too(self):
+        self.check_moved_stream(True, 1, [0, 1, 1])
+
+    def test_sound_stream_that_is_moved_goes_on(self):
+        self.check_moved_stream(False, 4, [0, 1, 0])
+
+    def test_engine_that_has_started_again_does_not_go_on_with_old_streams(self):
+        async def scenario(fleet, runner):
+            # The engine is back before the stream is given up.
+            fleet.keeps_layers, fleet.crash_time = True, SHORT_TIME
+            reader, writer = await send(fleet, "i-1")
+            await reader.readuntil(b"id: 1\ndata: word-1\n\n")
+            fleet.begin_crash(fleet.replicas["i-2"])
+            data, _ = await read_all(reader, writer)
+            self.assertNotIn(b"id: 4", data)
+            self.assertIsNotNone(fleet.replicas["i-2"].span)
+
+        self.check(scenario)
