Let the soak repeat requests that crash their replicas

Beside the other faults, and at the end of each round with a check of its own: plain and streaming, safe and unsafe; a crash before the head, after it, or three events or pieces in; at the first or a later part of a chain; half of the times just after an ordinary crash. A fifth of the requests is hot, with the same target and body each time. From 3 s after the third crash at most three arrivals and three callers that are not told 503, and requests of the route, of the same path and caller, and of the same path and body served at least half as often as before.

A replica must receive the method and body that its attempt has sent, for GET requests as well. Callers heed Retry-After for at most a second, so that one that is refused for minutes comes again; before, it was silent for the rest of the round.

--- a/lentilhaven/bench/soak/soak.py
+++ b/lentilhaven/bench/soak/soak.py
@@ -1,4 +1,4 @@
-"""Rounds of a soak: faults, recovery, planned operations, then crashes by a prompt."""
+"""Rounds of a soak: faults, recovery, planned operations, then harmful requests."""
 
 import asyncio
 import tempfile
@@ -14,8 +14,10 @@
     Findings,
     check_attempts,
     check_fault_free,
+    check_hot_requests,
 )
-from lentilhaven.bench.soak.soak_crashes import crash_on_part
+from lentilhaven.bench.soak.soak_crashes import COUNTED_TIME, crash_on_part
+from lentilhaven.bench.soak.soak_crashing_requests import crash_on_request
 from lentilhaven.bench.soak.soak_environment import SoakEnvironment, open_environment
 from lentilhaven.bench.soak.soak_faults import inject_faults
 from lentilhaven.bench.soak.soak_lost import check_lost
@@ -34,6 +36,10 @@
 #: which store entries, a lost lease and suspicions settle and requests in flight end.
 FAULT_TIME, RECOVERY_TIME = 6.0, 8.0
 
+#: Seconds between the crashes by a part of prompts and those by a request, in which the
+#: engines load their layers again.
+RELOAD_TIME = 5.0
+
 #: Minimum fraction of the requests after the recovery that must be served.
 MIN_SERVED_FRACTION = 0.9
 
@@ -66,7 +72,7 @@
     """Run rounds; return what was measured, and add violations to `findings`."""
     deadline = time.monotonic() + 60.0 * options.minutes
     max_rounds = options.size or (10**6 if options.minutes else DEFAULT_ROUNDS)
-    rounds = served = sent = 0
+    rounds = served = sent = crashing = 0
     async with open_environment(options.seed, GATEWAY_COUNT, folder) as environment:
         callers = environment.callers
         calls = [
@@ -82,6 +88,7 @@
                     environment, callers, findings
                 )
                 served, sent = served + round_served, sent + round_sent
+                crashing += await play_crashes(environment, findings)
                 rounds += 1
         check_attempts(environment, callers.attempts, findings)
         check_lost(environment, callers.attempts, findings)
@@ -95,6 +102,7 @@
                 served / max(1, sent), MIN_SERVED_FRACTION, "ratio"
             ),
             "rounds": observed(rounds, "rounds"),
+            "rounds with a crashing request": observed(crashing, "rounds"),
             "requests": observed(len(callers.attempts), "requests"),
             "ended without a response": observed(
                 sum(it.closed for it in callers.attempts), "requests"
@@ -119,10 +127,20 @@
     await asyncio.sleep(CALLER_TIMEOUT)
     fault_free = [it for it in callers.attempts[start:stop] if it.reached]
     check_fault_free(environment, fault_free, findings)
-    await crash_on_part(environment, findings)
+    check_hot_requests(fault_free, findings)
     return sum(it.served for it in fault_free), len(fault_free)
 
 
+async def play_crashes(environment: SoakEnvironment, findings: Findings) -> bool:
+    """Let a part of prompts, then a request, crash replicas; see `crash_on_request`."""
+    now = asyncio.get_running_loop().time()
+    # The last of the counted requests have ended.
+    before = (now - COUNTED_TIME - 1.0, now - 1.0)
+    await crash_on_part(environment, before, findings)
+    await asyncio.sleep(RELOAD_TIME)
+    return await crash_on_request(environment, before, findings)
+
+
 async def change_manifest(
     environment: SoakEnvironment, callers: SoakCallers, findings: Findings
 ) -> None:
--- a/lentilhaven/bench/soak/soak_callers.py
+++ b/lentilhaven/bench/soak/soak_callers.py
@@ -28,6 +28,10 @@
 #: Mean seconds between the requests of one caller; each caller draws one.
 MEAN_PAUSES = (0.1, 0.15, 0.6)
 
+#: Maximum seconds for which a caller heeds ``Retry-After``: one that is refused for
+#: minutes goes on with other requests, or with the same one.
+MAX_PAUSE = 1.0
+
 #: Seconds for which a caller keeps an idle connection.
 MAX_IDLE = 0.8 * MIN_IDLE_TIMEOUT
 
@@ -37,6 +41,10 @@
 #: Fraction of the prompts of some callers that have the part that crashes engines.
 FAULTY_FRACTION = 0.5
 
+#: Fraction of the requests that are hot, and their target by kind and body: the same
+#: each time.
+HOT_FRACTION, HOT_TARGET, HOT_BODY = 0.2, "/{}/hot", b"hot body"
+
 #: Statuses that guarantee that a request has not run and will not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -61,6 +69,9 @@
         Workspace whose API key is sent.
     gateway : int
         Index of the gateway to which the request is sent.
+    sent_body : bytes
+        Body of the request; by default one that no other request has, or none if the
+        kind needs none.
     began, ended : float
         Times of the event loop, in seconds; `ended` is 0 until the request has ended.
     status : int
@@ -89,6 +100,7 @@
     workspace: str
     gateway: int
     began: float
+    sent_body: bytes = attrs.field()
     ended: float = 0.0
     status: int = 0
     signature: str = ""
@@ -100,16 +112,27 @@
     reused: bool = False
     closed: bool = False
 
+    @sent_body.default
+    def _default_body(self) -> bytes:
+        if self.kind in ("look", "probe"):
+            return b""
+        return f"body of {self.id}".encode()
+
     @property
     def method(self) -> str:
         """Return the method of the request."""
-        return "GET" if self.kind in ("look", "probe") else "POST"
+        return "POST" if self.sent_body else "GET"
 
     @property
     def served(self) -> bool:
         """Return whether the caller received a complete successful response."""
         return self.status == 200 and self.complete
 
+    def set_prompt(self, middle: str = "") -> None:
+        """Give a stream a prompt: a shared part, perhaps a middle one, and its own."""
+        own = f"{zlib.crc32(self.id.encode()):08x}"
+        self.prompt = f"{SHARED_PART}:40,{middle}{own}:{30 if middle else 60}"
+
     def record(self, response: ResponseReader) -> None:
         """Record what was received of a response."""
         self.status = response.status
@@ -164,19 +187,21 @@
                     attempt = self.draw_attempt(gateway, has_faulty_prompts)
                     retry_after = await self.send_request(connection, attempt)
                     pause = self.random.expovariate(1 / mean_pause)
-                    await asyncio.sleep(max(pause, retry_after))
+                    await asyncio.sleep(max(pause, min(retry_after, MAX_PAUSE)))
             gateway = (gateway + 1) % len(self.addresses)
 
     def draw_attempt(self, gateway: int, has_faulty_prompts: bool) -> Attempt:
         """Return a new attempt of a random kind."""
         kind = self.random.choices([*KIND_WEIGHTS], [*KIND_WEIGHTS.values()])[0]
         attempt = self.make_attempt(kind, gateway)
+        if self.random.random() < HOT_FRACTION:
+            attempt.target = HOT_TARGET.format(kind)
+            attempt.sent_body = attempt.sent_body and HOT_BODY
         is_faulty = has_faulty_prompts and self.random.random() < FAULTY_FRACTION
         if attempt.events:
             middle = f"{self.crashing_part}:30," if is_faulty else ""
             middle = middle if self.crashing_part else ""
-            own = f"{zlib.crc32(attempt.id.encode()):08x}"
-            attempt.prompt = f"{SHARED_PART}:40,{middle}{own}:{30 if middle else 60}"
+            attempt.set_prompt(middle)
         return attempt
 
     def make_attempt(self, kind: str, gateway: int, path: str = "") -> Attempt:
@@ -206,8 +231,9 @@
         )
         if attempt.prompt:
             headers[PROMPT_HEADER] = attempt.prompt
-        body = f"body of {attempt.id}".encode() if attempt.method == "POST" else b""
-        request = encode_request(attempt.method, attempt.target, headers, body)
+        request = encode_request(
+            attempt.method, attempt.target, headers, attempt.sent_body
+        )
         response = ResponseReader()
         try:
             await connection.ensure_open()
--- a/lentilhaven/bench/soak/soak_checks.py
+++ b/lentilhaven/bench/soak/soak_checks.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lentilhaven.bench.soak.soak_callers import NOT_RUN_STATUSES, Attempt
+from lentilhaven.bench.soak.soak_callers import HOT_TARGET, NOT_RUN_STATUSES, Attempt
 from lentilhaven.bench.soak.soak_environment import SoakEnvironment
 from lentilhaven.standins.platform.fake_replica import Run
 
@@ -14,6 +14,10 @@
 #: Maximum number of runs of a request by kind, as the routes in the manifest allow.
 MAX_RUNS = {"post": 1, "once": 1, "look": 2, "probe": 2, "draft": 2}
 
+#: Minimum number of hot requests of a caller that are checked, and minimum fraction of
+#: them that must be served after faults.
+MIN_HOT_COUNT, MIN_HOT_SERVED = 4, 0.5
+
 
 @attrs.define
 class Findings:
@@ -97,7 +101,7 @@
         findings.add("prompt", f"{attempt.id} ran with {run.fields}")
     if run.target != attempt.target:
         findings.add("target", f"{attempt.id} ran as {run.target}")
-    if attempt.method == "POST" and run.body != f"body of {attempt.id}".encode():
+    if (run.method, run.body) != (attempt.method, attempt.sent_body):
         findings.add("body", f"{attempt.id} ran with {run.body[:40]!r}")
 
 
@@ -150,3 +154,16 @@
             )
         if attempt.ended and attempt.status in (401, 404):
             findings.add("denied", f"{attempt.id} got status {attempt.status}")
+
+
+def check_hot_requests(attempts: list[Attempt], findings: Findings) -> None:
+    """Check that no hot request is refused for long after replicas crashed under it."""
+    groups: dict[tuple[str, str], list[Attempt]] = defaultdict(list)
+    for attempt in attempts:
+        if attempt.target == HOT_TARGET.format(attempt.kind):
+            groups[attempt.workspace, attempt.target].append(attempt)
+    for (workspace, target), group in sorted(groups.items()):
+        served = sum(it.served for it in group)
+        if len(group) >= MIN_HOT_COUNT and served < MIN_HOT_SERVED * len(group):
+            detail = f"{served} of {len(group)} {target} of {workspace} were served"
+            findings.add("hot request", detail)
--- a/lentilhaven/bench/soak/soak_crashes.py
+++ b/lentilhaven/bench/soak/soak_crashes.py
@@ -1,6 +1,7 @@
 """Phase of a round in which a part of the prompt crashes engines, and its check."""
 
 import asyncio
+from collections.abc import Callable
 
 from lentilhaven.bench.soak.soak_callers import Attempt
 from lentilhaven.bench.soak.soak_checks import Findings
@@ -26,16 +27,27 @@
 MIN_SERVED_RATIO = 0.5
 
 
-async def crash_on_part(environment: SoakEnvironment, findings: Findings) -> None:
-    """Let engines crash on a part of the prompt; check that gateways contain it."""
+async def crash_on_part(
+    environment: SoakEnvironment, before: tuple[float, float], findings: Findings
+) -> None:
+    """
+    Let engines crash on a part of the prompt; check that gateways contain it.
+
+    Parameters
+    ----------
+    environment : SoakEnvironment
+        Environment with the callers and engines.
+    before : tuple of (float, float)
+        Begin and end of a period without faults; times of the event loop, in seconds.
+    findings : Findings
+        Receives the violations.
+    """
     loop = asyncio.get_running_loop()
     fleet = environment.fleet
     fleet.crashing_arrivals.clear()
     began = loop.time()
-    # The last of the counted requests have ended.
-    before = (began - COUNTED_TIME - 1.0, began - 1.0)
     with crashing_part(environment):
-        await wait_for_crashes(environment, began)
+        await wait_for_crashes(environment, began, CRASHES)
         since = loop.time() + REACTION_TIME
         await asyncio.sleep(REACTION_TIME + COUNTED_TIME)
         until = loop.time()
@@ -70,28 +82,45 @@
             f"{late_count} of {len(arrivals)} requests with it reached engines late"
         )
         findings.add("crashing part", detail)
-    served = served_fraction(environment, *after)
-    earlier = served_fraction(environment, *before)
+    served = served_fraction(environment, *after, is_sound_stream)
+    earlier = served_fraction(environment, *before, is_sound_stream)
     if served < MIN_SERVED_RATIO * earlier:
         detail = f"{served:.2f} of them were served, {earlier:.2f} before"
         findings.add("sound requests beside a crashing part", detail)
 
 
-async def wait_for_crashes(environment: SoakEnvironment, began: float) -> None:
-    """Wait for `CRASHES` crashes since a time, or for `MAX_CRASH_TIME`."""
+async def wait_for_crashes(
+    environment: SoakEnvironment, began: float, count: int
+) -> list[float]:
+    """
+    Wait for some crashes since a time, or for `MAX_CRASH_TIME`.
+
+    Returns
+    -------
+    list of float
+        Times of the crashes, in ascending order.
+    """
     replicas = environment.fleet.replicas.values()
+    times: list[float] = []
     for _ in range(int(MAX_CRASH_TIME / 0.05)):
-        if sum(time >= began for it in replicas for time in it.crashes) >= CRASHES:
-            return
+        times = [time for it in replicas for time in it.crashes if time >= began]
+        if len(times) >= count:
+            break
         await asyncio.sleep(0.05)
+    return sorted(times)
 
 
-def served_fraction(environment: SoakEnvironment, begin: float, end: float) -> float:
-    """Return the served fraction of the streams between two times, except faulty."""
+def served_fraction(
+    environment: SoakEnvironment,
+    begin: float,
+    end: float,
+    is_counted: Callable[[Attempt], bool],
+) -> float:
+    """Return the served fraction of some of the attempts between two times."""
     counted = [
         it
         for it in environment.callers.attempts
-        if begin <= it.began < end and is_sound_stream(it)
+        if begin <= it.began < end and it.reached and is_counted(it)
     ]
     return sum(it.served for it in counted) / max(1, len(counted))
 
@@ -99,4 +128,4 @@
 def is_sound_stream(attempt: Attempt) -> bool:
     """Return whether an attempt is a stream without the part that crashes engines."""
     # Faulty prompts have a further part between the shared one and their own.
-    return bool(attempt.events) and attempt.reached and attempt.prompt.count(",") == 1
+    return bool(attempt.events) and attempt.prompt.count(",") == 1
--- a/lentilhaven/bench/soak/soak_faults.py
+++ b/lentilhaven/bench/soak/soak_faults.py
@@ -7,10 +7,12 @@
 from typing import Any
 
 from lentilhaven.bench.soak.loopback_proxy import LinkFault
+from lentilhaven.bench.soak.soak_crashing_requests import repeat_crashing_request
 from lentilhaven.bench.soak.soak_environment import SoakEnvironment
 from lentilhaven.bench.soak.soak_replica_faults import (
     announce_leaving,
     crash_engines,
+    crash_replica,
     harm_replica,
     harm_replica_link,
     reset_replica_link,
@@ -173,7 +175,10 @@
     announce_leaving,
     silence_replicas,
     silence_replicas,
+    crash_replica,
+    crash_replica,
     crash_engines,
+    repeat_crashing_request,
     restore_store,
     edit_manifest,
     edit_manifest,
--- a/lentilhaven/bench/soak/soak_replica_faults.py
+++ b/lentilhaven/bench/soak/soak_replica_faults.py
@@ -14,8 +14,8 @@
 #: Maximum number of replicas that are silent at the same time.
 MAX_SILENT = 3
 
-#: Seconds after which an engine that crashed on a prompt is back.
-CRASH_TIME = 1.0
+#: Seconds after which a crashed replica is back.
+CRASH_TIME = 2.0
 
 #: Faults of a replica of a plain service, with their weights.  A lost response has the
 #: largest weight because it tests the handling of retries most.
@@ -99,6 +99,11 @@
         environment.fleet.register(replica)
 
 
+async def crash_replica(environment: SoakEnvironment, seconds: float) -> None:
+    """Crash a replica as if its process ended: nothing listens until it is back."""
+    environment.fleet.begin_crash(pick_replica(environment))
+
+
 async def announce_leaving(environment: SoakEnvironment, seconds: float) -> None:
     """Let a replica say in its answers that it leaves, and restart it later."""
     replica = pick_replica(environment)
--- a/lentilhaven/bench/soak/tests/test_soak_checks.py
+++ b/lentilhaven/bench/soak/tests/test_soak_checks.py
@@ -1,18 +1,22 @@
 import unittest
 from random import Random
 
+import attrs
+
 from lentilhaven.bench.soak.soak_callers import Attempt
 from lentilhaven.bench.soak.soak_checks import (
     Findings,
     check_attempts,
     check_fault_free,
+    check_hot_requests,
 )
 from lentilhaven.bench.soak.soak_crashes import check_crashing_part
+from lentilhaven.bench.soak.soak_crashing_requests import check_crashing_request
 from lentilhaven.bench.soak.soak_environment import SoakEnvironment
 from lentilhaven.bench.soak.soak_lost import check_lost
 from lentilhaven.bench.soak.soak_memory import check_memory
 from lentilhaven.standins.platform import FakeFleet, FakeReplica, FakeStore
-from lentilhaven.standins.platform.fake_replica import Run
+from lentilhaven.standins.platform.fake_replica import CrashingRequest, Run
 
 
 class CheckTestCase(unittest.TestCase):
@@ -24,10 +28,10 @@
         fleet = FakeFleet(store, {"i-1": self.replica})
         self.environment = SoakEnvironment(Random(1), store, fleet, session=None)
 
-    def add_run(self, request_id, target, **fields):
+    def add_run(self, request_id, target, method="POST", body=None, **fields):
         fields = {"tenant": "depot"} | fields
-        body = f"body of {request_id}".encode()
-        self.replica.runs.append(Run(request_id, "POST", target, fields, body, 1.0))
+        body = f"body of {request_id}".encode() if body is None else body
+        self.replica.runs.append(Run(request_id, method, target, fields, body, 1.0))
 
     def make_attempt(self, kind="post", **fields):
         values = {
@@ -96,6 +100,33 @@
             self.find_violations(self.make_attempt(prompt="a:2")), ["prompt"]
         )
 
+    def test_changed_body(self):
+        # Of each request a replica must receive the body, be it its own or a fixed one.
+        for sent, received, expected in (
+            ({}, b"body of r2", ["body"]),
+            ({}, b"", ["body"]),
+            ({"sent_body": b"hot body"}, b"hot body", []),
+            ({"sent_body": b"hot body"}, b"body of r1", ["body"]),
+        ):
+            with self.subTest(sent=sent, received=received):
+                self.replica.runs.clear()
+                self.add_run("r1", "/post/1", body=received)
+                found = self.find_violations(self.make_attempt(**sent))
+                self.assertEqual(found, expected)
+
+    def test_body_or_method_of_a_request_without_a_body(self):
+        body = b"i-1 GET /post/1" * 3
+        for method, received, expected in (
+            ("GET", b"", []),
+            ("GET", b"x", ["body"]),
+            ("POST", b"", ["body"]),
+        ):
+            with self.subTest(method=method, received=received):
+                self.replica.runs.clear()
+                self.add_run("r1", "/post/1", method, received)
+                found = self.find_violations(self.make_attempt("look", body=body))
+                self.assertEqual(found, expected)
+
     def test_stream_that_skips_an_event(self):
         self.add_run("r1", "/post/1")
         body = b"id: 1\ndata: word-1\n\nid: 3\ndata: word-3\n\n"
@@ -114,6 +145,17 @@
         check_fault_free(self.environment, [cut], findings)
         self.assertEqual(len(findings.texts), 1)
 
+    def test_hot_request_that_is_refused(self):
+        for served, expected in ((2, []), (1, ["hot request"])):
+            attempts = [
+                attrs.evolve(self.make_attempt(), target="/post/hot", status=status)
+                for status in [200] * served + [503] * (4 - served)
+            ]
+            findings = Findings()
+            check_hot_requests(attempts, findings)
+            found = [text.partition(":")[0] for text in findings.texts]
+            self.assertEqual(found, expected)
+
 
 class GatewayStub:
     """A gateway's record of its signals, and its settings."""
@@ -222,3 +264,76 @@
 
     def test_sound_requests_that_are_no_longer_served(self):
         self.assertEqual(self.find([], 4), ["sound requests beside a crashing part"])
+
+
+class CrashingRequestTests(CheckTestCase):
+    """A request that goes on crashing replicas, or others' loss, must be found."""
+
+    RULE = CrashingRequest("depot", "POST", "/post/1", b"crash")
+
+    #: Other requests: of the route, with another body, and of another caller.
+    SOUND = {"target": "/post/2"}
+    OTHER_BODY = {}
+    OTHER_CALLER = {"sent_body": b"crash", "workspace": "yard"}
+
+    def add(self, count, began, status, **fields):
+        """Add attempts with a status."""
+        for _ in range(count):
+            attempt = self.make_attempt(status=status, began=began)
+            for name, value in fields.items():
+                setattr(attempt, name, value)
+            self.environment.callers.attempts.append(attempt)
+
+    def find(self, late=3, refused=7, sound=10, same_caller=10, same_body=10):
+        """
+        Return the violations after ten requests of each kind after the crashes.
+
+        Parameters
+        ----------
+        late, refused : int
+            Late arrivals, and refusals, of the crashing request.
+        sound, same_caller, same_body : int
+            Number of other requests of the route, and of the path with the same caller
+            or body, that are served.
+        """
+        self.add(10, 1.0, 200, **self.SOUND)
+        for status, count in ((503, refused), (502, 10 - refused)):
+            self.add(count, 11.0, status, sent_body=b"crash")
+        for kind, count in (
+            (self.SOUND, sound),
+            (self.OTHER_BODY, same_caller),
+            (self.OTHER_CALLER, same_body),
+        ):
+            self.add(count, 11.0, 200, **kind)
+            self.add(10 - count, 11.0, 503, **kind)
+        self.environment.fleet.crashing_request_arrivals = [9.0] * 9 + [11.0] * late
+        findings = Findings()
+        check_crashing_request(
+            self.environment, self.RULE, (0.0, 5.0), (10.0, 15.0), findings
+        )
+        return [text.partition(":")[0] for text in findings.texts]
+
+    def test_contained_request(self):
+        self.assertEqual(self.find(sound=5, same_caller=5, same_body=5), [])
+
+    def test_request_that_still_reaches_replicas(self):
+        self.assertEqual(self.find(late=4), ["crashing request"])
+
+    def test_caller_that_is_not_told(self):
+        self.assertEqual(self.find(refused=6), ["refusal of a crashing request"])
+
+    def test_sound_requests_that_are_no_longer_served(self):
+        expected = ["sound requests beside a crashing request"]
+        self.assertEqual(self.find(sound=4), expected)
+
+    def test_requests_with_the_same_path_that_are_refused_too(self):
+        expected = ["same path and caller beside a crashing request"]
+        self.assertEqual(self.find(same_caller=4), expected)
+        self.environment.callers.attempts.clear()
+        expected = ["same path and body beside a crashing request"]
+        self.assertEqual(self.find(same_body=4), expected)
+
+    def test_requests_of_other_times_are_not_counted(self):
+        self.add(10, 9.0, 502, sent_body=b"crash")
+        self.add(30, 9.0, 503, **self.SOUND)
+        self.assertEqual(self.find(), [])
