Check the neighbours of a crashing request after fewer crashes, too

Now the served fractions are always checked, and the refusal from 3 s after the third crash, whenever that came.

--- a/lentilhaven/bench/soak/soak_crashes.py
+++ b/lentilhaven/bench/soak/soak_crashes.py
@@ -89,25 +89,20 @@
         findings.add("sound requests beside a crashing part", detail)
 
 
+def crash_times(environment: SoakEnvironment, began: float) -> list[float]:
+    """Return the times of the crashes since a time, in ascending order."""
+    replicas = environment.fleet.replicas.values()
+    return sorted(time for it in replicas for time in it.crashes if time >= began)
+
+
 async def wait_for_crashes(
     environment: SoakEnvironment, began: float, count: int
-) -> list[float]:
-    """
-    Wait for some crashes since a time, or for `MAX_CRASH_TIME`.
-
-    Returns
-    -------
-    list of float
-        Times of the crashes, in ascending order.
-    """
-    replicas = environment.fleet.replicas.values()
-    times: list[float] = []
+) -> None:
+    """Wait for some crashes since a time, or for `MAX_CRASH_TIME`."""
     for _ in range(int(MAX_CRASH_TIME / 0.05)):
-        times = [time for it in replicas for time in it.crashes if time >= began]
-        if len(times) >= count:
-            break
+        if len(crash_times(environment, began)) >= count:
+            return
         await asyncio.sleep(0.05)
-    return sorted(times)
 
 
 def served_fraction(
--- a/lentilhaven/bench/soak/soak_crashing_requests.py
+++ b/lentilhaven/bench/soak/soak_crashing_requests.py
@@ -14,13 +14,13 @@
     MAX_ARRIVALS,
     MIN_SERVED_RATIO,
     REACTION_TIME,
+    crash_times,
     served_fraction,
     wait_for_crashes,
 )
 from lentilhaven.bench.soak.soak_environment import SoakEnvironment
 from lentilhaven.bench.soak.soak_replica_faults import CRASH_TIME
 from lentilhaven.bench.soak.soak_tables import API_KEYS
-from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
 from lentilhaven.standins.platform.fake_replica import CrashingRequest
 
@@ -40,8 +40,6 @@
 #: Seconds between an ordinary crash and the first request that crashes replicas.
 ORDINARY_CRASH_TIME = 0.1
 
-log = get_logger("soak")
-
 
 def draw_rule(environment: SoakEnvironment) -> CrashingRequest:
     """Return a new request that crashes the replicas that run it."""
@@ -69,7 +67,6 @@
     """Let callers at all gateways repeat a request that crashes replicas."""
     fleet = environment.fleet
     rule = draw_rule(environment)
-    log.info("a request crashes replicas", rule=repr(rule))
     fleet.crash_time = CRASH_TIME
     fleet.keeps_layers = environment.random.random() < 0.5
     fleet.crashing_requests.append(rule)
@@ -135,7 +132,7 @@
     Returns
     -------
     bool
-        Whether the request has crashed so many replicas that something was checked.
+        Whether the request has crashed so many replicas that its refusal was checked.
     """
     loop = asyncio.get_running_loop()
     fleet = environment.fleet
@@ -146,20 +143,45 @@
         await asyncio.sleep(ORDINARY_CRASH_TIME)
     began = loop.time()
     async with crashing_request(environment) as rule:
-        crashes = await wait_for_crashes(environment, began, CRASHES)
-        if len(crashes) < CRASHES:
-            log.warning("too few replicas crashed", crashes=len(crashes))
-            return False
-        since = crashes[CRASHES - 1] + REACTION_TIME
-        await asyncio.sleep(since + COUNTED_TIME - loop.time())
+        await wait_for_crashes(environment, began, CRASHES)
+        since = loop.time() + REACTION_TIME
+        await asyncio.sleep(REACTION_TIME + COUNTED_TIME)
         until = loop.time()
         # Time for the last of the counted requests to end.
         await asyncio.sleep(1.0)
-    check_crashing_request(environment, rule, before, (since, until), findings)
+    check_others(environment, rule, before, (since, until), findings)
+    crashes = crash_times(environment, began)
+    if len(crashes) < CRASHES:
+        return False
+    after = (crashes[CRASHES - 1] + REACTION_TIME, until)
+    check_refusal(environment, rule, after, findings)
     return True
 
 
-def check_crashing_request(
+def check_refusal(
+    environment: SoakEnvironment,
+    rule: CrashingRequest,
+    after: tuple[float, float],
+    findings: Findings,
+) -> None:
+    """Check that a crashing request reaches few replicas, and its callers are told."""
+    arrivals = environment.fleet.crashing_request_arrivals
+    late_count = sum(it >= after[0] for it in arrivals)
+    if late_count > MAX_ARRIVALS:
+        detail = f"{late_count} of {len(arrivals)} arrivals of {rule} came late"
+        findings.add("crashing request", detail)
+    statuses = [
+        it.status
+        for it in environment.callers.attempts
+        if after[0] <= it.began < after[1] and it.reached and is_same(rule, it)
+    ]
+    others = [it for it in statuses if it != 503]
+    if len(others) > MAX_ARRIVALS:
+        detail = f"{len(others)} of {len(statuses)} callers of {rule} got {others[:9]}"
+        findings.add("refusal of a crashing request", detail)
+
+
+def check_others(
     environment: SoakEnvironment,
     rule: CrashingRequest,
     before: tuple[float, float],
@@ -167,7 +189,7 @@
     findings: Findings,
 ) -> None:
     """
-    Check that a crashing request is refused, and others of its route are served.
+    Check that requests of the same route as a crashing one are served.
 
     Parameters
     ----------
@@ -181,20 +203,6 @@
     findings : Findings
         Receives the violations.
     """
-    arrivals = environment.fleet.crashing_request_arrivals
-    late_count = sum(it >= after[0] for it in arrivals)
-    if late_count > MAX_ARRIVALS:
-        detail = f"{late_count} of {len(arrivals)} arrivals of {rule} came late"
-        findings.add("crashing request", detail)
-    statuses = [
-        it.status
-        for it in environment.callers.attempts
-        if after[0] <= it.began < after[1] and it.reached and is_same(rule, it)
-    ]
-    others = [it for it in statuses if it != 503]
-    if len(others) > MAX_ARRIVALS:
-        detail = f"{len(others)} of {len(statuses)} callers of {rule} got {others[:9]}"
-        findings.add("refusal of a crashing request", detail)
     kind = kind_of(rule)
     earlier = served_fraction(environment, *before, lambda it: it.kind == kind)
     for name, is_counted in (
--- a/lentilhaven/bench/soak/tests/test_soak_checks.py
+++ b/lentilhaven/bench/soak/tests/test_soak_checks.py
@@ -11,7 +11,7 @@
     check_hot_requests,
 )
 from lentilhaven.bench.soak.soak_crashes import check_crashing_part
-from lentilhaven.bench.soak.soak_crashing_requests import check_crashing_request
+from lentilhaven.bench.soak.soak_crashing_requests import check_others, check_refusal
 from lentilhaven.bench.soak.soak_environment import SoakEnvironment
 from lentilhaven.bench.soak.soak_lost import check_lost
 from lentilhaven.bench.soak.soak_memory import check_memory
@@ -308,9 +308,9 @@
             self.add(10 - count, 11.0, 503, **kind)
         self.environment.fleet.crashing_request_arrivals = [9.0] * 9 + [11.0] * late
         findings = Findings()
-        check_crashing_request(
-            self.environment, self.RULE, (0.0, 5.0), (10.0, 15.0), findings
-        )
+        after = (10.0, 15.0)
+        check_refusal(self.environment, self.RULE, after, findings)
+        check_others(self.environment, self.RULE, (0.0, 5.0), after, findings)
         return [text.partition(":")[0] for text in findings.texts]
 
     def test_contained_request(self):
