Name what makes a report malformed instead of catching AttributeError

A stalled request that is no object is a TypeError of the decoder now; test_harmful_input passes as before.

--- a/lentilhaven/platform/engine_calls.py
+++ b/lentilhaven/platform/engine_calls.py
@@ -131,13 +131,7 @@
                 detail = f"status {response.status}"
                 return Error(Failure(Step.ORDER, endpoint.id, "report", detail))
             return Ok(decode_report(await read_answer_json(response, MAX_REPORT_BYTES)))
-    except (
-        *REQUEST_ERRORS,
-        TypeError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+    except (*REQUEST_ERRORS, TypeError, OverflowError, RecursionError) as error:
         detail = f"{type(error).__name__}: {error}"
         cause = getattr(error, "os_error", None)
         is_refused = isinstance(cause, ConnectionRefusedError)
@@ -151,7 +145,7 @@
 
     Raises
     ------
-    TypeError, ValueError
+    TypeError, ValueError, OverflowError
         If the value is not a valid report.
     """
     if not isinstance(value, dict):
@@ -167,12 +161,25 @@
         kv_used=float(value.get("kv_used") or 0.0),
         kv_capacity=float(value.get("kv_total") or 0.0),
         stalled_requests=tuple(
-            (str(item.get("id")), str(item.get("address")))
-            for item in value.get("stalled") or ()
+            decode_stalled(item) for item in value.get("stalled") or ()
         ),
     )
 
 
+def decode_stalled(value: Any) -> tuple[str, str]:
+    """
+    Decode the id of a stalled request, and the address that it waits for.
+
+    Raises
+    ------
+    TypeError
+        If the value is no object.
+    """
+    if not isinstance(value, dict):
+        raise TypeError(f"a stalled request is an object, not {type(value).__name__}")
+    return str(value.get("id")), str(value.get("address"))
+
+
 async def order_layers(
     session: aiohttp.ClientSession,
     endpoint: Endpoint,
