Order what datagrams say about ended endpoints in a fifth of the time

Composing the evidence of a datagram took 26 ms with 1,024 subjects of 5 ends each, which a leader does three times a round: subjects were compared through attrs' generated methods, which build tuples, and hashed anew each time.

--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -531,7 +531,7 @@
             for it in self.suspects.union(newest)
             if it.kind is kind and now - self.recorded[it] < PASSED_TIME
         ]
-        compared.sort(key=lambda it: (-len(self.counted_ends(it)), it))
+        compared.sort(key=lambda it: (-len(self.counted_ends(it)), it.service, it.name))
         strongest = compared[:MAX_SENT_STRONGEST]
         late = self.late_subjects(kind, now, scope)
         counts = dict.fromkeys([*strongest, *late], MAX_SENT_LATEST_ENDS)
@@ -554,7 +554,9 @@
             if subject.kind is kind and now - at < LATEST_TIME:
                 sent_at, count = before.get(subject, (at, 0))
                 found[subject] = (at, count if sent_at == at else 0)
-        chosen = sorted(found, key=lambda it: (found[it][1], -found[it][0], it))
+        chosen = sorted(
+            found, key=lambda it: (found[it][1], -found[it][0], it.service, it.name)
+        )
         chosen = chosen[:MAX_SENT_LATEST]
         for subject in chosen:
             at, count = found[subject]
@@ -596,7 +598,10 @@
         }
         # The proof of a refused subject ends its refusal at the other gateways.
         count = {subject: len(self.ends.get(subject, ())) for subject in found}
-        chosen = sorted(found, key=lambda it: (it not in self.breakers, -count[it], it))
+        chosen = sorted(
+            found,
+            key=lambda it: (it not in self.breakers, -count[it], it.service, it.name),
+        )
         return {subject: found[subject] for subject in chosen[:MAX_SENT_PROOFS]}
 
     def sent_breakers(self, now: float) -> dict[Subject, BreakerState]:
--- a/lentilhaven/peering/subject.py
+++ b/lentilhaven/peering/subject.py
@@ -17,7 +17,7 @@
     REQUEST = "request"
 
 
-@attrs.frozen(order=True)
+@attrs.frozen(order=True, cache_hash=True)
 class Subject:
     """
     What endpoints were running when they ended.
