End the tie of a part of prompts with a request, too

A crashing part went on for 13 crashes beside a hot new request that was on each endpoint that it ended: the two excused each other without limit, since only ties of two requests were over with the fourth end. They run apart as well; only two parts of prompts may always come together.

--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -390,9 +390,9 @@
         """
         Return the ends under each other candidate that explains ends as well.
 
-        Two candidates with the same number of ends explain each other's.  Two requests
-        do so only for the first `MIN_ENDS`, and until these are settled: unlike parts
-        of a prompt they run apart, and one that is on every endpoint that the other
+        Two candidates with the same number of ends explain each other's.  Unless both
+        are parts of prompts they do so only for the first `MIN_ENDS`, and until these
+        are settled: they run apart, and one that is on every endpoint that the other
         one ends may stay there.
 
         Parameters
@@ -416,7 +416,8 @@
             if not self.is_candidate(other):
                 continue
             other_rank = self.rank(other)
-            keeps_tie = not (is_tie_over and subject.is_request and other.is_request)
+            are_parts = not (subject.is_request or other.is_request)
+            keeps_tie = are_parts or not is_tie_over
             if other_rank > rank or (other_rank == rank and keeps_tie):
                 explained = self.counted_ends(other)
                 if not explained.keys().isdisjoint(ends):
@@ -525,8 +526,8 @@
             return left
         last = max(ends, key=ends.__getitem__)
         is_shared = any(
-            other.is_request
-            and other != subject
+            other != subject
+            and other.service == subject.service
             and last in self.counted_ends(other)
             and self.is_candidate(other)
             for other in self.suspects
--- a/lentilhaven/crashes/tests/test_ledger.py
+++ b/lentilhaven/crashes/tests/test_ledger.py
@@ -144,6 +144,12 @@
             note_ends(self.faults, request, (3,), start=100.5)
         self.assertTrue(is_refused(self.faults, CRASHING, now=100.6))
 
+    def test_tie_of_a_part_and_a_request_ends_with_the_fourth_end(self):
+        for subject in (BAD, HOT):
+            note_ends(self.faults, subject, range(4))
+        for subject in (BAD, HOT):
+            self.assertTrue(is_refused(self.faults, subject, now=100.5))
+
     def test_tie_of_requests_ends_after_a_while(self):
         for request in (CRASHING, HOT):
             note_ends(self.faults, request, range(3))
