Wait for one's turn with a trial from when the request comes back

What callers saw: a request that nobody had sent for some seconds when its refusal lapsed, and that then came at all gateways at once, ended a replica at each of them.

Cause: the turns of the gateways were counted from the end of the refusal, so that all of them were over.

Change: a gateway counts its turn from the first request after the end of the refusal, and again if it has not used it for a minute. The refusal until then states the time that is left.

--- a/lentilhaven/crashes/breaker.py
+++ b/lentilhaven/crashes/breaker.py
@@ -8,6 +8,8 @@
 set of them.
 """
 
+import math
+
 import attrs
 
 #: Seconds for which a subject is refused after the last end, before the first trial.
@@ -23,6 +25,9 @@
 #: neither ends an endpoint nor is answered within this time has shown nothing.
 TRIAL_TIME = 30.0
 
+#: Seconds for which a gateway may begin a trial once it is its turn.
+TURN_TIME = 60.0
+
 #: Seconds after the time of refusal for which a breaker is kept if nobody sends its
 #: subject.
 IDLE_TIME = 600.0
@@ -50,6 +55,9 @@
         Number of trials that have begun, at any gateway.
     trial : str
         Id of the request of this gateway that may run as a trial; empty for none.
+    asked_at : float
+        Time at which this gateway was first asked for the subject after `until`, or
+        again after it has not used its turn.
 
     Examples
     --------
@@ -57,8 +65,8 @@
     >>> breaker.until
     120.0
     >>> breaker.begin_trial("r1", 125.0)
-    >>> breaker.until, breaker.admits("r1", 126.0), breaker.admits("r2", 126.0)
-    (155.0, True, False)
+    >>> breaker.until, breaker.time_left("r1", 126.0), breaker.time_left("r2", 126.0)
+    (155.0, 0.0, 29.0)
     >>> breaker.note_end(126.0)
     >>> breaker.until
     366.0
@@ -68,6 +76,7 @@
     until: float = attrs.field()
     trials: int = 0
     trial: str = ""
+    asked_at: float = -math.inf
 
     @until.default
     def first_until(self) -> float:
@@ -84,9 +93,9 @@
             hold = min(MAX_HOLD, FIRST_HOLD * 2.0**doublings)
             self.until = max(self.until, at + hold)
 
-    def admits(self, request_id: str, now: float, delay: float = 0.0) -> bool:
+    def time_left(self, request_id: str, now: float, delay: float = 0.0) -> float:
         """
-        Return whether a request may run: the trial, or any if none has begun.
+        Return the seconds until a request may run; 0 if it may now, as the trial.
 
         Parameters
         ----------
@@ -95,10 +104,16 @@
         now : float
             Time of the event loop.
         delay : float
-            Seconds after the time of refusal from which this gateway may begin a trial.
+            Seconds for which this gateway waits after it was first asked, so that not
+            all begin the trial at once.
         """
-        is_trial = bool(self.trial) and request_id == self.trial
-        return is_trial or now >= self.until + delay
+        if self.trial and request_id == self.trial:
+            return 0.0
+        if now < self.until:
+            return self.until - now
+        if not self.until <= self.asked_at >= now - delay - TURN_TIME:
+            self.asked_at = now
+        return max(0.0, self.asked_at + delay - now)
 
     def begin_trial(self, request_id: str, now: float) -> None:
         """Let a request run as a trial, and refuse others meanwhile."""
--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -431,8 +431,8 @@
         request_id : str
             Id of the request, by which a trial is known.
         trial_delay : callable
-            Returns the seconds after the time of refusal from which this gateway may
-            begin the trial of a subject.
+            Returns the seconds for which this gateway waits, after it was first asked,
+            with the trial of a subject.
         """
         for subject in subjects:
             breaker = self.open_breaker(subject)
@@ -447,10 +447,10 @@
                 continue
             # Most requests come long before the end of the refusal.
             delay = trial_delay(subject) if now >= breaker.until else 0.0
-            if not breaker.admits(request_id, now, delay):
+            left = breaker.time_left(request_id, now, delay)
+            if left > 0.0:
                 times = self.counted_ends(subject).values()
                 age = now - min(times, default=breaker.ended_at)
-                left = breaker.until + delay - now
                 return Refusal(subject, len(times), age, left)
         return None
 
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -112,7 +112,7 @@
 
 def trial_delay(gateway: Gateway, subject: Subject) -> float:
     """
-    Return the seconds from the end of a refusal until this gateway may begin a trial.
+    Return the seconds for which this gateway waits with a trial once it is asked.
 
     The gateways come one after the other, in an order that differs from subject to
     subject: what all of them are asked for would else be tried by all at once.
