--- a/lentilhaven/crashes/breaker.py
+++ b/lentilhaven/crashes/breaker.py
@@ -15,13 +15,6 @@
 #: Seconds for which a subject is refused after the last end, before the first trial.
 FIRST_HOLD = 120.0
 
-#: The same for a request.  A sound one can't be told from the one at fault while it
-#: has never been answered, since it runs on each endpoint that the other one ends; the
-#: trial tells them apart.
-FIRST_REQUEST_HOLD = 2.0
-
-#: Longest time by which a gateway delays the trial of a request, in seconds.
-MAX_TRIAL_DELAY = 1.5
 
 #: Maximum time of refusal, in seconds; from `FIRST_HOLD` on it doubles with each trial.
 MAX_HOLD = 960.0
@@ -33,6 +26,9 @@
 #: neither ends an endpoint nor is answered within this time has shown nothing.
 TRIAL_TIME = 30.0
 
+#: Seconds for which a gateway may begin a trial once it is its turn.
+TURN_TIME = 60.0
+
 #: Seconds after the time of refusal for which a breaker is kept if nobody sends its
 #: subject.
 IDLE_TIME = 600.0
@@ -56,17 +52,15 @@
         Time of the last end of an endpoint under the subject.
     until : float
         Time until which every gateway refuses the subject, except the trial.
-    first_hold : float
-        Seconds from the last end to the first trial.
-    own_delay : float
-        Seconds for which this gateway waits longer than `until`.  Gateways that wait
-        for different times don't begin the same trial at once.
     trials : int
         Number of trials that have begun, at any gateway.
     trial_until : float
         Time until which the latest trial may be in progress.
     base_hold : float
         Seconds of refusal that double with each trial.
+    asked_at : float
+        Time at which this gateway was first asked for the subject after `until`, or
+        again after it has not used its turn.
 
     Examples
     --------
@@ -74,8 +68,8 @@
     >>> breaker.until
     120.0
     >>> breaker.begin_trial(125.0)
-    >>> breaker.until, breaker.admits(126.0)
-    (155.0, False)
+    >>> breaker.until, breaker.time_left(126.0)
+    (155.0, 29.0)
     >>> breaker.note_end(126.0)
     >>> breaker.until
     366.0
@@ -83,11 +77,10 @@
 
     ended_at: float
     until: float = attrs.field()
-    first_hold: float = FIRST_HOLD
-    own_delay: float = 0.0
     trials: int = 0
     trial_until: float = -math.inf
     base_hold: float = FIRST_HOLD
+    asked_at: float = -math.inf
 
     @until.default
     def first_until(self) -> float:
@@ -100,14 +93,26 @@
             self.ended_at = at
             doublings = min(self.trials, MAX_DOUBLINGS)
             hold = min(MAX_HOLD, self.base_hold * 2.0**doublings)
-            if self.trials == 0:
-                hold = self.first_hold
             self.until = max(self.until, at + hold)
             self.trial_until = -math.inf
 
-    def time_left(self, now: float) -> float:
-        """Return the seconds until this gateway may begin a trial."""
-        return self.until + self.own_delay - now
+    def time_left(self, now: float, delay: float = 0.0) -> float:
+        """
+        Return the seconds until a request may run as a trial; 0 if it may now.
+
+        Parameters
+        ----------
+        now : float
+            Time of the event loop.
+        delay : float
+            Seconds for which this gateway waits after it was first asked, so that not
+            all begin the trial at once.
+        """
+        if now < self.until:
+            return self.until - now
+        if not self.until <= self.asked_at >= now - delay - TURN_TIME:
+            self.asked_at = now
+        return max(0.0, self.asked_at + delay - now)
 
     @property
     def is_in_trial(self) -> bool:
@@ -119,10 +124,6 @@
         """Return the time of the last end, or of the begin of the trial after it."""
         return max(self.ended_at, self.trial_until - TRIAL_TIME)
 
-    def admits(self, now: float) -> bool:
-        """Return whether a request may run, as a trial."""
-        return self.time_left(now) <= 0.0
-
     def begin_trial(self, now: float) -> None:
         """Refuse all requests while the one that is sent now runs as a trial."""
         self.trials += 1
--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -24,16 +24,13 @@
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from operator import itemgetter
-from random import Random
 
 import attrs
 
 from lentilhaven.crashes.breaker import (
     FIRST_HOLD,
-    FIRST_REQUEST_HOLD,
     IDLE_TIME,
     MAX_HOLD,
-    MAX_TRIAL_DELAY,
     Breaker,
     is_closed,
 )
@@ -178,10 +175,8 @@
     sent_late : dict
         By scope and kind, time of the latest end of subjects and number of datagrams
         that have contained it, for late ends.
-    random : random.Random
-        Source of the delays of trials.
-    base_hold : float
-        Seconds of refusal that double with each trial.
+    base_hold : float or None
+        Seconds of refusal that double with each trial; None for `FIRST_HOLD`.
 
     Examples
     --------
@@ -207,8 +202,7 @@
     sent_late: dict[tuple[Scope, SubjectKind], dict[Subject, tuple[float, int]]] = (
         attrs.field(factory=dict)
     )
-    random: Random = attrs.field(factory=Random)
-    base_hold: float = FIRST_HOLD
+    base_hold: float | None = None
 
     # Evidence.
 
@@ -555,17 +549,16 @@
         now : float
             Time of the event loop.
         trial_delay : callable
-            Returns the seconds after the time of refusal from which this gateway may
-            begin the trial of a subject.
+            Returns the seconds for which this gateway waits, after it was first asked,
+            with the trial of a subject.
         """
         for subject in subjects:
             breaker = self.current_breaker(subject, subjects, now)
             if breaker is None:
                 continue
-            left = self.time_left(subject, breaker, now)
-            if left <= 0.0:
-                # Most requests come long before the end of the refusal.
-                left += trial_delay(subject)
+            # Most requests come long before the end of the refusal.
+            delay = trial_delay(subject) if now >= breaker.until else 0.0
+            left = self.time_left(subject, breaker, now, delay)
             if left <= 0.0:
                 left = self.trial_time_left(subjects, now)
             if left > 0.0:
@@ -596,14 +589,16 @@
         del self.breakers[subject]
         return None
 
-    def time_left(self, subject: Subject, breaker: Breaker, now: float) -> float:
+    def time_left(
+        self, subject: Subject, breaker: Breaker, now: float, delay: float = 0.0
+    ) -> float:
         """
         Return the seconds until a subject may be tried.
 
         If another suspect was on the endpoint that ended in the first trial, that has
         shown nothing, and the trial is repeated as early.
         """
-        left = breaker.time_left(now)
+        left = breaker.time_left(now, delay)
         if left <= 0.0 or breaker.trials != 1 or not subject.is_request:
             return left
         ends = self.counted_ends(subject)
@@ -619,7 +614,7 @@
         )
         if not is_shared:
             return left
-        return left - breaker.until + breaker.ended_at + breaker.first_hold
+        return left - breaker.until + breaker.ended_at + breaker.base_hold
 
     def trial_time_left(self, together: Sequence[Subject], now: float) -> float:
         """
@@ -668,7 +663,7 @@
     def open_new_breaker(self, subject: Subject) -> Breaker:
         """Open and return the breaker of a subject that is at fault."""
         ended_at = max(self.counted_ends(subject).values())
-        breaker = self.make_breaker(subject, ended_at)
+        breaker = self.make_breaker(ended_at)
         self.add_breaker(subject, breaker)
         return breaker
 
@@ -679,14 +674,10 @@
             first = min(self.breakers, key=lambda it: self.breakers[it].until)
             del self.breakers[first]
 
-    def make_breaker(self, subject: Subject, ended_at: float) -> Breaker:
-        """Return a new breaker, by the kind of its subject."""
-        first_hold, delay = self.base_hold, 0.0
-        if subject.is_request:
-            first_hold = min(first_hold, FIRST_REQUEST_HOLD)
-            delay = self.random.uniform(0.0, MAX_TRIAL_DELAY)
-        until = ended_at + first_hold
-        return Breaker(ended_at, until, first_hold, delay, base_hold=self.base_hold)
+    def make_breaker(self, ended_at: float) -> Breaker:
+        """Return a new breaker of a subject, from the last end under it."""
+        hold = FIRST_HOLD if self.base_hold is None else self.base_hold
+        return Breaker(ended_at, ended_at + hold, base_hold=hold)
 
     def forbids_repeat(self, subjects: Sequence[Subject]) -> bool:
         """Return whether a repeated run is likely to end another endpoint."""
@@ -831,7 +822,7 @@
 
         No statement is believed beyond the longest time of refusal.
         """
-        stated = self.make_breaker(subject, now - state.age)
+        stated = self.make_breaker(now - state.age)
         stated.until = now + min(state.left, MAX_HOLD)
         stated.trials = max(0, state.trials)
         if stated.is_forgotten(now):
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -176,7 +176,7 @@
     @crash_ledger.default
     def empty_crash_ledger(self) -> CrashLedger:
         """Return a ledger without evidence."""
-        return CrashLedger(random=self.random)
+        return CrashLedger()
 
     def count_gateways(self, now: float) -> int:
         """
