--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -662,8 +662,8 @@
         """
         found = {
             subject: round(now - at, 3)
-            for subject in {**self.ends, **self.breakers}
-            if subject.kind is kind
+            for subject in (*self.ends, *self.breakers)
+            if subject in self.proofs[kind]
             and (at := self.proven_at(subject, distance - 1))
             > now - evidence_time(subject)
         }
