Count runs on engines that have left the view, and runs whose first part went on

A later part whose end only another gateway has seen, by the store, under new ids: the state of the engine was gone by then, so that only runs of the last 0.3 s counted, and a run whose first part broke off after the stall counted as lost with that one, which had not ended. Runs of the last 3 s count for an engine that has left the view, and a run counts again once the engine on which it was blamed has said that it is alive.

--- a/lentilhaven/crashes/run_log.py
+++ b/lentilhaven/crashes/run_log.py
@@ -55,8 +55,8 @@
         Whether its answer was whole.
     is_doubtful : bool
         Whether the answer looks whole, but has no framing.
-    is_blamed : bool
-        Whether the end of one of its endpoints has been recorded under its subjects.
+    blamed_on : tuple of (str, int) or None
+        Endpoint whose end has been recorded under its subjects; None for none.
     """
 
     subjects: tuple[Subject, ...]
@@ -66,11 +66,11 @@
     ended_at: float | None = None
     is_whole: bool = False
     is_doubtful: bool = False
-    is_blamed: bool = False
+    blamed_on: Incarnation | None = None
 
     def was_lost(self, heard_at: float) -> bool:
         """Return whether the run was in progress when its endpoint ended."""
-        if self.is_whole or self.is_blamed:
+        if self.is_whole or self.blamed_on is not None:
             return False
         return self.ended_at is None or self.is_doubtful or self.ended_at > heard_at
 
@@ -141,7 +141,7 @@
 
         These may end under it too.
         """
-        record.is_blamed = False
+        record.blamed_on = None
         for incarnation in set(incarnations) - record.incarnations:
             record.incarnations.add(incarnation)
             self.running.setdefault(incarnation, []).append(record)
@@ -168,6 +168,12 @@
         count = sum(it.began <= heard_at + HEARD_SLACK for it in lost)
         return lost[: max(1, count)]
 
+    def forget_end(self, incarnation: Incarnation) -> None:
+        """Let the runs that were lost with an endpoint, which is alive, count again."""
+        for record in [*self.running.get(incarnation, ()), *self.ended]:
+            if record.blamed_on == incarnation:
+                record.blamed_on = None
+
     def settle(self, now: float) -> list[RunRecord]:
         """
         Forget old runs, and return those that no longer are doubtful.
--- a/lentilhaven/crashes/tests/ledger_model.py
+++ b/lentilhaven/crashes/tests/ledger_model.py
@@ -452,9 +452,7 @@
     In a large one every fifth is the leader of its data centre, which exchanges sums
     with the other leaders.
     """
-    gateways = [
-        ModelGateway(number, CrashLedger(random=source)) for number in range(count)
-    ]
+    gateways = [ModelGateway(number, CrashLedger()) for number in range(count)]
     if count <= SMALL_FLEET:
         for gateway in gateways:
             gateway.receivers = [(it, 1) for it in gateways if it is not gateway]
--- a/lentilhaven/crashes/tests/test_breaker.py
+++ b/lentilhaven/crashes/tests/test_breaker.py
@@ -5,21 +5,15 @@
 from lentilhaven.crashes.breaker import (
     ADOPTION_MARGIN,
     FIRST_HOLD,
-    FIRST_REQUEST_HOLD,
     IDLE_TIME,
     MAX_HOLD,
     TRIAL_TIME,
+    TURN_TIME,
     Breaker,
     is_closed,
 )
 
 
-def request_breaker(ended_at=100.0, own_delay=1.0):
-    """Return the breaker of a request."""
-    until = ended_at + FIRST_REQUEST_HOLD
-    return Breaker(ended_at, until, FIRST_REQUEST_HOLD, own_delay)
-
-
 class HoldTests(unittest.TestCase):
     """Guard against trials that cost an endpoint each few seconds."""
 
@@ -29,13 +23,8 @@
         breaker.note_end(101.0)
         self.assertEqual(breaker.until, 103.0 + FIRST_HOLD)
 
-    def test_first_hold_of_a_request_is_not_extended_to_that_of_a_part(self):
-        breaker = request_breaker()
-        breaker.note_end(103.0)
-        self.assertEqual(breaker.until, 103.0 + FIRST_REQUEST_HOLD)
-
     def test_hold_doubles_with_each_trial_up_to_a_maximum(self):
-        breaker, holds = request_breaker(), []
+        breaker, holds = Breaker(100.0), []
         now = 200.0
         for _ in range(5):
             breaker.begin_trial(now)
@@ -45,10 +34,18 @@
         expected = [2 * FIRST_HOLD, 4 * FIRST_HOLD, MAX_HOLD, MAX_HOLD, MAX_HOLD]
         self.assertEqual(holds, expected)
 
-    def test_gateway_waits_for_its_own_delay(self):
-        breaker = request_breaker()
-        self.assertFalse(breaker.admits(breaker.until + 0.9))
-        self.assertTrue(breaker.admits(breaker.until + 1.0))
+    def test_gateway_waits_for_its_turn_from_the_first_request_on(self):
+        breaker = Breaker(100.0)
+        asked_at = breaker.until + 5.0
+        self.assertEqual(breaker.time_left(asked_at, 1.0), 1.0)
+        self.assertAlmostEqual(breaker.time_left(asked_at + 0.9, 1.0), 0.1)
+        self.assertEqual(breaker.time_left(asked_at + 1.0, 1.0), 0.0)
+
+    def test_turn_that_was_not_used_begins_anew(self):
+        breaker = Breaker(100.0)
+        asked_at = breaker.until + 5.0
+        breaker.time_left(asked_at, 1.0)
+        self.assertEqual(breaker.time_left(asked_at + 1.1 + TURN_TIME, 1.0), 1.0)
 
     def test_idle_breaker_is_forgotten(self):
         breaker = Breaker(100.0)
@@ -60,24 +57,24 @@
     """Guard against several trials at once, and against none ever again."""
 
     def test_only_one_request_is_the_trial(self):
-        breaker = request_breaker(own_delay=0.0)
+        breaker = Breaker(100.0)
         breaker.begin_trial(110.0)
-        self.assertFalse(breaker.admits(110.0))
+        self.assertEqual(breaker.time_left(110.0), TRIAL_TIME)
         self.assertTrue(breaker.is_in_trial)
 
     def test_trial_without_a_result_is_followed_by_another(self):
-        breaker = request_breaker(own_delay=0.0)
+        breaker = Breaker(100.0)
         breaker.begin_trial(110.0)
-        self.assertTrue(breaker.admits(110.0 + TRIAL_TIME))
+        self.assertEqual(breaker.time_left(110.0 + TRIAL_TIME), 0.0)
 
     def test_end_concludes_the_trial(self):
-        breaker = request_breaker()
+        breaker = Breaker(100.0)
         breaker.begin_trial(110.0)
         breaker.note_end(111.0)
         self.assertFalse(breaker.is_in_trial)
 
     def test_only_a_later_proof_closes_a_breaker(self):
-        breaker = request_breaker()
+        breaker = Breaker(100.0)
         self.assertFalse(is_closed(breaker, 100.0))
         self.assertTrue(is_closed(breaker, 100.1))
 
@@ -99,15 +96,15 @@
         self.assertEqual(first.until, 100.0 + FIRST_HOLD)
 
     def test_trial_is_adopted(self):
-        breaker, other = request_breaker(), request_breaker()
+        breaker, other = Breaker(100.0), Breaker(100.0)
         other.begin_trial(110.0)
         self.assertTrue(breaker.adopt(other))
         self.assertTrue(breaker.is_in_trial)
-        self.assertFalse(breaker.admits(111.0))
+        self.assertGreater(breaker.time_left(111.0), 0.0)
         self.assertFalse(breaker.adopt(other))
 
     def test_end_in_a_trial_is_adopted(self):
-        breaker, other = request_breaker(), request_breaker()
+        breaker, other = Breaker(100.0), Breaker(100.0)
         other.begin_trial(110.0)
         breaker.adopt(other)
         other.note_end(111.0)
@@ -116,7 +113,7 @@
         self.assertFalse(breaker.is_in_trial)
 
     def test_repeated_trial_is_adopted_before_the_long_hold_has_passed(self):
-        breaker, other = request_breaker(), request_breaker()
+        breaker, other = Breaker(100.0), Breaker(100.0)
         for it in (breaker, other):
             it.begin_trial(110.0)
             it.note_end(111.0)
@@ -125,7 +122,7 @@
         self.assertEqual(breaker.until, 115.0 + TRIAL_TIME)
 
     def test_statement_before_a_trial_changes_nothing(self):
-        breaker, other = request_breaker(), Breaker(100.0)
+        breaker, other = Breaker(100.0), Breaker(100.0)
         breaker.begin_trial(110.0)
         self.assertFalse(breaker.adopt(other))
         self.assertEqual(breaker.until, 110.0 + TRIAL_TIME)
--- a/lentilhaven/crashes/tests/test_ledger.py
+++ b/lentilhaven/crashes/tests/test_ledger.py
@@ -4,8 +4,6 @@
 
 from lentilhaven.crashes.breaker import (
     FIRST_HOLD,
-    FIRST_REQUEST_HOLD,
-    MAX_TRIAL_DELAY,
     TRIAL_TIME,
 )
 from lentilhaven.crashes.ledger import (
@@ -30,7 +28,7 @@
 )
 
 #: Seconds after the last end by which each gateway tries a request.
-TRIED_AFTER = FIRST_REQUEST_HOLD + MAX_TRIAL_DELAY
+TRIED_AFTER = FIRST_HOLD
 
 
 def note_ends(faults, part, numbers, start=100.0, step=0.1):
@@ -201,7 +199,7 @@
             note_ends(self.faults, request, range(4), step=0.0)
             self.assertTrue(is_refused(self.faults, request, now=100.1))
 
-    def test_request_is_tried_soon(self):
+    def test_request_is_tried_once_its_time_of_refusal_has_passed(self):
         now = 100.0 + TRIED_AFTER
         self.assertFalse(is_refused(self.faults, HOT, now=now))
         self.assertEqual(self.faults.begin_trials([HOT], now), [HOT])
@@ -358,9 +356,11 @@
             ends = range(10 * index, 10 * index + 3)
             note_ends(self.faults, other, ends, start=100.0)
             self.faults.find_refusal([other], 100.5)
-            self.faults.begin_trials([other], 105.0)
-            self.faults.note_end(other, (f"f{index}", 1), 105.1)
+            tried_at = 105.0 + FIRST_HOLD
+            self.faults.begin_trials([other], tried_at)
+            self.faults.note_end(other, (f"f{index}", 1), tried_at + 0.1)
         note_ends(self.faults, CRASHING, range(300, 303), start=110.0)
         self.faults.find_refusal([CRASHING], 110.5)
-        self.assertEqual(self.faults.begin_trials([CRASHING], 115.0), [CRASHING])
-        self.assertIn(CRASHING, self.faults.sent_breakers(115.1))
+        now = 115.0 + FIRST_HOLD
+        self.assertEqual(self.faults.begin_trials([CRASHING], now), [CRASHING])
+        self.assertIn(CRASHING, self.faults.sent_breakers(now + 0.1))
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -56,6 +56,10 @@
 #: Maximum number of such checks at the same time.
 MAX_END_CHECKS = 64
 
+#: The same for an endpoint that has left the view: the time that the store takes to
+#: remove the entry of one that is silent.
+UNKNOWN_LOSS_TIME = 3.0
+
 #: Largest distance of an observation of data by which an end is refuted; the time of a
 #: more distant one is not accurate enough.
 ALIVE_DISTANCE = 1
@@ -195,7 +199,7 @@
             yield record
         except UpstreamError as error:
             is_end = error.sent and error.kind in END_KINDS
-            if is_end and not record.is_blamed:
+            if is_end and record.blamed_on is None:
                 note_lost(gateway, call, endpoints[0], record)
             raise
 
@@ -247,6 +251,7 @@
     if report.is_ok() and report.ok.born == endpoint.born:
         now = asyncio.get_running_loop().time()
         gateway.crash_ledger.note_alive(endpoint.incarnation, now)
+        gateway.run_log.forget_end(endpoint.incarnation)
         # It got no requests since it had lost one.
         state = gateway.endpoint_states.of(endpoint)
         state.refused_until = min(state.refused_until, now)
@@ -271,7 +276,7 @@
     gateway: Gateway, record: RunRecord, incarnation: Incarnation, at: float
 ) -> None:
     """Record the end of an endpoint under what a run on it was running."""
-    record.is_blamed = True
+    record.blamed_on = incarnation
     for subject in record.subjects:
         gateway.crash_ledger.note_end(subject, incarnation, at)
     log_new_candidates(gateway, record.subjects)
@@ -426,11 +431,12 @@
     at : float
         Event loop time at which it was seen, in seconds.
     """
-    heard_at = at - PLAIN_LOSS_TIME
     endpoint = gateway.view.endpoints.get(incarnation[0])
     state = gateway.endpoint_states.states.get(incarnation)
-    is_plain = endpoint is not None and not endpoint.card
-    if state is not None and not is_plain:
+    heard_at = at - UNKNOWN_LOSS_TIME
+    if endpoint is not None and not endpoint.card:
+        heard_at = at - PLAIN_LOSS_TIME
+    elif state is not None:
         heard_at = state.heard_at
     record_ended(gateway, incarnation, at, heard_at, "another gateway")
 
