--- a/lentilhaven/crashes/breaker.py
+++ b/lentilhaven/crashes/breaker.py
@@ -8,18 +8,27 @@
 set of them.
 """
 
+import math
+
 import attrs
 
 #: Seconds for which a subject is refused after the last end, before the first trial.
 FIRST_HOLD = 120.0
 
-#: Maximum of that time, in seconds; it doubles with each trial.
+
+#: Maximum time of refusal, in seconds; from `FIRST_HOLD` on it doubles with each trial.
 MAX_HOLD = 960.0
 
+#: Number of trials after which the time no longer grows.
+MAX_DOUBLINGS = 10
+
 #: Seconds after the begin of a trial for which no other one begins.  A trial that
 #: neither ends an endpoint nor is answered within this time has shown nothing.
 TRIAL_TIME = 30.0
 
+#: Seconds for which a gateway may begin a trial once it is its turn.
+TURN_TIME = 60.0
+
 #: Seconds after the time of refusal for which a breaker is kept if nobody sends its
 #: subject.
 IDLE_TIME = 600.0
@@ -42,20 +51,25 @@
     ended_at : float
         Time of the last end of an endpoint under the subject.
     until : float
-        Time until which the subject is refused, except the trial.
+        Time until which every gateway refuses the subject, except the trial.
     trials : int
         Number of trials that have begun, at any gateway.
-    trial : str
-        Id of the request of this gateway that may run as a trial; empty for none.
+    trial_until : float
+        Time until which the latest trial may be in progress.
+    base_hold : float
+        Seconds of refusal that double with each trial.
+    asked_at : float
+        Time at which this gateway was first asked for the subject after `until`, or
+        again after it has not used its turn.
 
     Examples
     --------
     >>> breaker = Breaker(ended_at=0.0)
     >>> breaker.until
     120.0
-    >>> breaker.begin_trial("r1", 125.0)
-    >>> breaker.until, breaker.admits("r1", 126.0), breaker.admits("r2", 126.0)
-    (155.0, True, False)
+    >>> breaker.begin_trial(125.0)
+    >>> breaker.until, breaker.time_left(126.0)
+    (155.0, 29.0)
     >>> breaker.note_end(126.0)
     >>> breaker.until
     366.0
@@ -64,7 +78,9 @@
     ended_at: float
     until: float = attrs.field()
     trials: int = 0
-    trial: str = ""
+    trial_until: float = -math.inf
+    base_hold: float = FIRST_HOLD
+    asked_at: float = -math.inf
 
     @until.default
     def first_until(self) -> float:
@@ -75,18 +91,43 @@
         """Record an end of an endpoint under the subject."""
         if at > self.ended_at:
             self.ended_at = at
-            hold = min(MAX_HOLD, FIRST_HOLD * 2.0**self.trials)
+            doublings = min(self.trials, MAX_DOUBLINGS)
+            hold = min(MAX_HOLD, self.base_hold * 2.0**doublings)
             self.until = max(self.until, at + hold)
+            self.trial_until = -math.inf
 
-    def admits(self, request_id: str, now: float) -> bool:
-        """Return whether a request may run: the trial, or any if none has begun."""
-        return now >= self.until or (bool(self.trial) and request_id == self.trial)
+    def time_left(self, now: float, delay: float = 0.0) -> float:
+        """
+        Return the seconds until a request may run as a trial; 0 if it may now.
 
-    def begin_trial(self, request_id: str, now: float) -> None:
-        """Let a request run as a trial, and refuse others meanwhile."""
-        self.trial = request_id
+        Parameters
+        ----------
+        now : float
+            Time of the event loop.
+        delay : float
+            Seconds for which this gateway waits after it was first asked, so that not
+            all begin the trial at once.
+        """
+        if now < self.until:
+            return self.until - now
+        if not self.until <= self.asked_at >= now - delay - TURN_TIME:
+            self.asked_at = now
+        return max(0.0, self.asked_at + delay - now)
+
+    @property
+    def is_in_trial(self) -> bool:
+        """Return whether the latest trial has ended no endpoint, as far as is known."""
+        return self.trial_until > -math.inf
+
+    @property
+    def changed_at(self) -> float:
+        """Return the time of the last end, or of the begin of the trial after it."""
+        return max(self.ended_at, self.trial_until - TRIAL_TIME)
+
+    def begin_trial(self, now: float) -> None:
+        """Refuse all requests while the one that is sent now runs as a trial."""
         self.trials += 1
-        self.until = now + TRIAL_TIME
+        self.until = self.trial_until = now + TRIAL_TIME
 
     def adopt(self, other: "Breaker") -> bool:
         """
@@ -97,11 +138,16 @@
         other : Breaker
             The breaker of the same subject at the other gateway.
         """
-        if other.until <= self.until + ADOPTION_MARGIN:
+        is_later = other.until > self.until + ADOPTION_MARGIN
+        if other.trials < self.trials or (other.trials == self.trials and not is_later):
             return False
+        if other.ended_at > self.ended_at + ADOPTION_MARGIN:
+            self.trial_until = -math.inf
+        elif other.trials > self.trials:
+            self.trial_until = other.until
         self.ended_at = max(self.ended_at, other.ended_at)
         self.until = other.until
-        self.trials = max(self.trials, other.trials)
+        self.trials = other.trials
         return True
 
     def is_forgotten(self, now: float) -> bool:
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -5,18 +5,28 @@
 """
 
 import asyncio
+import hashlib
 from collections.abc import Iterable, Iterator, Sequence
 from contextlib import contextmanager
 
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
+from lentilhaven.core.tasks import report_task_failure
+from lentilhaven.crashes.ledger import (
+    ENDED_TIME,
+    LISTED_AFTER,
+    LISTED_SILENCE,
+    Refusal,
+    evidence_time,
+)
 from lentilhaven.crashes.run_log import RunRecord
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.subject import Incarnation, Subject, SubjectKind
+from lentilhaven.platform.engine_calls import fetch_report
 from lentilhaven.upstream.exchange import UpstreamError
 
 #: Kind of the failure of a request that is refused, by kind of the subject at fault.
@@ -39,10 +49,28 @@
 #: the gateway learns of the end by the connection of each of them.
 PLAIN_LOSS_TIME = 0.3
 
+#: Seconds after the close of a connection until it is checked whether the endpoint has
+#: ended, in which its other connections close, and timeout of the check.
+END_CHECK_DELAY, END_CHECK_TIMEOUT = 0.05, 0.4
+
+#: Maximum number of such checks at the same time.
+MAX_END_CHECKS = 64
+
+#: The same for an endpoint that has left the view: the time that the store takes to
+#: remove the entry of one that is silent.
+UNKNOWN_LOSS_TIME = 3.0
+
 #: Largest distance of an observation of data by which an end is refuted; the time of a
 #: more distant one is not accurate enough.
 ALIVE_DISTANCE = 1
 
+#: Seconds from the time at which one gateway may begin a trial to that of the next:
+#: longer than it takes to tell all gateways of a trial.
+TRIAL_INTERVAL = 0.5
+
+#: Maximum seconds until any gateway may begin a trial, however many there are.
+MAX_TRIAL_DELAY = 60.0
+
 log = get_logger("gateway")
 
 
@@ -73,7 +101,7 @@
     if ledger.is_empty:
         return None
     now = asyncio.get_running_loop().time()
-    refusal = ledger.find_refusal(subjects_of(call), now, call.id)
+    refusal = find_refusal(gateway, call, now)
     if refusal is None:
         return None
     subject = refusal.subject
@@ -94,13 +122,42 @@
     return Failure(Step.ADMIT, "", kind, detail, retry_after=refusal.left)
 
 
+def find_refusal(gateway: Gateway, call: Call, now: float) -> Refusal | None:
+    """Return why a request must be refused; None if it may run."""
+    return gateway.crash_ledger.find_refusal(
+        subjects_of(call), now, lambda it: trial_delay(gateway, it)
+    )
+
+
+def trial_delay(gateway: Gateway, subject: Subject) -> float:
+    """
+    Return the seconds for which this gateway waits with a trial once it is asked.
+
+    The gateways come one after the other, in an order that differs from subject to
+    subject: what all of them are asked for would else be tried by all at once.
+    """
+    peers = gateway.peers
+    own = trial_rank(subject, peers.own.address)
+    addresses = peers.directory.addresses()
+    before = sum(trial_rank(subject, address) < own for address in addresses)
+    return min(before * TRIAL_INTERVAL, MAX_TRIAL_DELAY)
+
+
+def trial_rank(subject: Subject, address: str) -> bytes:
+    """Return a digest by which gateways are ordered for the trial of a subject."""
+    text = f"{subject.service} {subject.name} {address}"
+    return hashlib.blake2b(
+        text.encode("utf-8", "surrogatepass"), digest_size=8
+    ).digest()
+
+
 def begin_trials(gateway: Gateway, call: Call) -> None:
     """Let a request that is sent now be the trial of what was refused until now."""
     ledger = gateway.crash_ledger
     if not ledger.breakers:
         return
     now = asyncio.get_running_loop().time()
-    for subject in ledger.begin_trials(subjects_of(call), call.id, now):
+    for subject in ledger.begin_trials(subjects_of(call), now):
         log.info(
             "trial of what has ended endpoints",
             request=call.id,
@@ -119,12 +176,9 @@
 
 def is_refused(gateway: Gateway, call: Call) -> bool:
     """Return whether a request that runs would be refused now."""
-    ledger = gateway.crash_ledger
     now = asyncio.get_running_loop().time()
-    return (
-        not ledger.is_empty
-        and ledger.find_refusal(subjects_of(call), now, call.id) is not None
-    )
+    is_empty = gateway.crash_ledger.is_empty
+    return not is_empty and find_refusal(gateway, call, now) is not None
 
 
 @contextmanager
@@ -145,26 +199,84 @@
             yield record
         except UpstreamError as error:
             is_end = error.sent and error.kind in END_KINDS
-            if is_end and not record.is_blamed:
-                note_lost(gateway, call, incarnations[0], record)
+            if is_end and record.blamed_on is None:
+                note_lost(gateway, call, endpoints[0], record)
             raise
 
 
 def note_lost(
-    gateway: Gateway, call: Call, incarnation: Incarnation, record: RunRecord
+    gateway: Gateway, call: Call, endpoint: Endpoint, record: RunRecord
 ) -> None:
     """Record that an endpoint has ended before a run on it was answered."""
     now = asyncio.get_running_loop().time()
-    add_ends(gateway, record, incarnation, now)
-    log_lost(gateway, call.id, call.tenant, incarnation, record)
+    add_ends(gateway, record, endpoint.incarnation, now)
+    log_lost(gateway, call.id, call.tenant, endpoint.incarnation, record)
     gateway.urgent_signal.notify()
+    begin_end_check(gateway, endpoint)
+
+
+def begin_end_check(gateway: Gateway, endpoint: Endpoint) -> None:
+    """Begin to check whether an endpoint whose connection has closed has ended."""
+    incarnation = endpoint.incarnation
+    checks = gateway.end_checks
+    if incarnation in checks or incarnation in gateway.crash_ledger.ended:
+        return
+    if len(checks) >= MAX_END_CHECKS:
+        return
+    task = asyncio.ensure_future(check_end(gateway, endpoint))
+    task.add_done_callback(report_task_failure)
+    task.add_done_callback(lambda done: checks.pop(incarnation, None))
+    checks[incarnation] = task
+
+
+async def check_end(gateway: Gateway, endpoint: Endpoint) -> None:
+    """
+    Connect to an endpoint, which has ended if nothing listens on its port.
+
+    One that has closed a single connection accepts another, which is kept for use.  An
+    engine is asked for its report then, by which an incarnation is known to be alive.
+    """
+    await asyncio.sleep(END_CHECK_DELAY)
+    try:
+        connection = await gateway.pool.acquire(endpoint, "", END_CHECK_TIMEOUT)
+    except UpstreamError as error:
+        note_refused_connection(gateway, endpoint, error)
+        return
+    gateway.pool.release(endpoint, connection)
+    if not endpoint.card or gateway.session is None:
+        return
+    report = await fetch_report(
+        gateway.session, endpoint, END_CHECK_TIMEOUT, gateway.note_head
+    )
+    if report.is_ok() and report.ok.born == endpoint.born:
+        now = asyncio.get_running_loop().time()
+        gateway.crash_ledger.note_alive(endpoint.incarnation, now)
+        gateway.run_log.forget_end(endpoint.incarnation)
+        # It got no requests since it had lost one.
+        state = gateway.endpoint_states.of(endpoint)
+        state.refused_until = min(state.refused_until, now)
+
+
+async def forbids_repeat_now(gateway: Gateway, call: Call) -> bool:
+    """
+    Return whether another run of a request is likely to end another endpoint.
+
+    Waits for the checks in progress whether endpoints have ended, since the answer may
+    depend on them.
+    """
+    if not forbids_repeat(gateway, call):
+        return False
+    checks = list(gateway.end_checks.values())
+    if checks:
+        await asyncio.wait(checks, timeout=END_CHECK_DELAY + END_CHECK_TIMEOUT)
+    return forbids_repeat(gateway, call)
 
 
 def add_ends(
     gateway: Gateway, record: RunRecord, incarnation: Incarnation, at: float
 ) -> None:
     """Record the end of an endpoint under what a run on it was running."""
-    record.is_blamed = True
+    record.blamed_on = incarnation
     for subject in record.subjects:
         gateway.crash_ledger.note_end(subject, incarnation, at)
     log_new_candidates(gateway, record.subjects)
@@ -244,6 +356,28 @@
     )
 
 
+def refute_listed(gateway: Gateway) -> None:
+    """
+    Remove the ends of endpoints that the store still lists long after them.
+
+    A sound endpoint resets connections beyond its limit and closes idle ones; a faulty
+    one cuts answers short.  Nothing follows from the list if the end was seen in
+    another way too, nor while calls to the store fail, and for a while after that:
+    entries of silent endpoints may stay in it.
+    """
+    ledger, view = gateway.crash_ledger, gateway.view
+    if view.monotonic() < view.removals_doubtful_until + LISTED_SILENCE:
+        return
+    read_at = max(gateway.store_read_at, gateway.peers_store_read_at)
+    listed = ledger.ended_before(read_at - LISTED_AFTER) - ledger.ended.keys()
+    for incarnation in listed:
+        name, born = incarnation
+        endpoint = view.endpoints.get(name)
+        is_listed = name not in view.restored.unconfirmed
+        if endpoint is not None and endpoint.born == born and is_listed:
+            ledger.note_listed(incarnation, read_at)
+
+
 def settle_runs(gateway: Gateway, now: float) -> None:
     """Count answers without framing as proofs unless their endpoints have ended."""
     ledger = gateway.crash_ledger
@@ -276,17 +410,62 @@
         How that was seen, for the log.
     """
     now = asyncio.get_running_loop().time()
-    incarnation = endpoint.incarnation
-    if not gateway.crash_ledger.note_ended(incarnation, now):
-        return
     heard_at = now - PLAIN_LOSS_TIME
     if endpoint.card:
         heard_at = gateway.endpoint_states.of(endpoint).heard_at
+    record_ended(gateway, endpoint.incarnation, now, heard_at, how)
+
+
+def note_reported_end(gateway: Gateway, incarnation: Incarnation, at: float) -> None:
+    """
+    Record that another gateway has seen an endpoint end.
+
+    The endpoint may have left the view already: replicas come back under other ids.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        State of the process.
+    incarnation : tuple of (str, int)
+        The endpoint.
+    at : float
+        Event loop time at which it was seen, in seconds.
+    """
+    endpoint = gateway.view.endpoints.get(incarnation[0])
+    state = gateway.endpoint_states.states.get(incarnation)
+    heard_at = at - UNKNOWN_LOSS_TIME
+    if endpoint is not None and not endpoint.card:
+        heard_at = at - PLAIN_LOSS_TIME
+    elif state is not None:
+        heard_at = state.heard_at
+    record_ended(gateway, incarnation, at, heard_at, "another gateway")
+
+
+def record_ended(
+    gateway: Gateway, incarnation: Incarnation, at: float, heard_at: float, how: str
+) -> None:
+    """
+    Record the end of an endpoint, with the runs that it has taken.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        State of the process.
+    incarnation : tuple of (str, int)
+        The endpoint.
+    at, heard_at : float
+        Event loop times at which its end was seen and at which it was last heard of, in
+        seconds.
+    how : str
+        How the end was seen, for the log.
+    """
+    if not gateway.crash_ledger.note_ended(incarnation, at):
+        return
     lost = gateway.run_log.lost_with(incarnation, heard_at)
     log.info(
         "endpoint has ended",
-        endpoint=endpoint.id,
-        born=endpoint.born,
+        endpoint=incarnation[0],
+        born=incarnation[1],
         how=how,
         runs=len(lost),
     )
@@ -353,6 +532,7 @@
         ledger.note_end(subject, incarnation, now - age)
         for subject, ages in reported.items()
         for incarnation, age in ages.items()
+        if age < evidence_time(subject)
     ]
     if any(news):
         log_new_candidates(gateway, reported)
@@ -360,8 +540,7 @@
         ledger.adopt_breaker(subject, state, now)
         for subject, state in message.breakers.items()
     ]
-    for name, born in message.ended:
-        endpoint = gateway.view.endpoints.get(name)
-        if endpoint is not None and endpoint.born == born:
-            note_ended(gateway, endpoint, "another gateway")
+    for incarnation, age in message.ended.items():
+        if age < ENDED_TIME:
+            note_reported_end(gateway, incarnation, now - age)
     return any(news)
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -14,6 +14,7 @@
 from lentilhaven.crashes.run_log import RunLog
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.fleet_view import FleetView
+from lentilhaven.gateway.body_memory import BodyMemory
 from lentilhaven.gateway.budget import RetryBudgetShare
 from lentilhaven.gateway.endpoint_signals import note_signals
 from lentilhaven.gateway.endpoint_states import EndpointStates
@@ -21,6 +22,7 @@
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.peer_table import PeerTable
+from lentilhaven.peering.subject import Incarnation
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.serving.metrics import Metrics
@@ -47,6 +49,8 @@
         Known manifest and endpoints.
     pool : ConnectionPool
         Connections to endpoints.
+    body_memory : BodyMemory
+        Bytes of the bodies of callers' requests.
     endpoint_states : EndpointStates
         Observed state of the endpoints.
     session : aiohttp.ClientSession or None
@@ -83,6 +87,8 @@
         Requests and parts of prompts under which endpoints have ended.
     run_log : RunLog
         The runs of this gateway's requests, by endpoint.
+    end_checks : dict
+        Checks in progress whether endpoints have ended, by incarnation.
     urgent_signal : Signal
         Wakes the task that sends messages to the other gateways.
     pace_questions : dict
@@ -106,6 +112,7 @@
     clock: Clock = attrs.field(factory=system_clock)
     view: FleetView = attrs.field()
     pool: ConnectionPool = attrs.field()
+    body_memory: BodyMemory = attrs.field()
     endpoint_states: EndpointStates = attrs.field(factory=EndpointStates)
     session: aiohttp.ClientSession | None = None
     metrics: Metrics | None = None
@@ -120,8 +127,9 @@
     budgets: dict[str, RetryBudgetShare] = attrs.field(factory=dict)
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
-    crash_ledger: CrashLedger = attrs.field(factory=CrashLedger)
+    crash_ledger: CrashLedger = attrs.field()
     run_log: RunLog = attrs.field(factory=RunLog)
+    end_checks: dict[Incarnation, asyncio.Future[None]] = attrs.field(factory=dict)
     urgent_signal: Signal = attrs.field(factory=Signal)
     pace_questions: dict[tuple[str, int], Endpoint] = attrs.field(factory=dict)
     pace_signal: Signal = attrs.field(factory=Signal)
@@ -152,6 +160,11 @@
         limit = answer_memory_limit(self.settings.memory)
         return ConnectionPool(memory=AnswerMemory(limit))
 
+    @body_memory.default
+    def empty_body_memory(self) -> BodyMemory:
+        """Return a memory without bodies."""
+        return BodyMemory(answer_memory_limit(self.settings.memory))
+
     @peers.default
     def empty_peer_table(self) -> PeerTable:
         """Return a table without other gateways."""
@@ -160,6 +173,11 @@
         own = Member(address, settings.data_centre, settings.capacity)
         return PeerTable(own, settings.vm)
 
+    @crash_ledger.default
+    def empty_crash_ledger(self) -> CrashLedger:
+        """Return a ledger without evidence."""
+        return CrashLedger()
+
     def count_gateways(self, now: float) -> int:
         """
         Return how many gateways share the retry budget.
--- a/lentilhaven/standins/platform/fake_fleet.py
+++ b/lentilhaven/standins/platform/fake_fleet.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, Protocol
 
 import attrs
 
@@ -52,6 +52,16 @@
 ENDLESS_INTERVAL = 0.001
 
 
+class Front(Protocol):
+    """Forwards the connections to a replica that listens elsewhere."""
+
+    async def listen(self) -> None:
+        """Accept connections."""
+
+    def refuse(self) -> None:
+        """Accept no more connections."""
+
+
 @attrs.define(eq=False)
 class FakeFleet:
     """
@@ -92,8 +102,15 @@
         Seconds of the event loop after which a crashed replica is back.
     keeps_layers : bool
         Whether a crashed engine is back with the layers that it held.
+    crashing_layer : int or None
+        Layer whose loading crashes an engine; None for none.
+    restarts_anew : bool
+        Whether a crashed replica is back under a new id at the same address.
     servers : dict
         Server of each replica that is up, by replica id.
+    fronts : dict
+        What forwards the connections to a replica, by replica id; it listens only while
+        the replica does.
     crash_tasks : set of asyncio.Future
         Crashes whose replica is not back yet.
     crashed_parts : set of (str, str)
@@ -114,7 +131,10 @@
     last_words: bytes | None = None
     crash_time: float = 2.0
     keeps_layers: bool = False
+    crashing_layer: int | None = None
+    restarts_anew: bool = False
     servers: dict[str, asyncio.Server] = attrs.field(factory=dict)
+    fronts: dict[str, Front] = attrs.field(factory=dict)
     crash_tasks: set[asyncio.Future[None]] = attrs.field(factory=set)
     crashed_parts: set[tuple[str, str]] = attrs.field(factory=set)
 
@@ -170,21 +190,35 @@
             task.result()
 
     async def crash(self, replica: FakeReplica) -> None:
-        """Close all connections of a replica, and start it again after a while."""
+        """Reset all connections of a replica, and start it again after a while."""
         if replica.id not in self.servers:
             return
         replica.crashes.append(asyncio.get_running_loop().time())
         self.servers.pop(replica.id).close()
+        front = self.fronts.get(replica.id)
+        if front is not None:
+            front.refuse()
         for writer in list(replica.writers):
-            writer.close()
+            reset_connection(writer)
         await asyncio.sleep(self.crash_time)
         span = replica.span
         replica.restart()
         if self.keeps_layers:
             replica.span = span
+        if self.restarts_anew:
+            self.rename(replica)
         await self.start_server(replica)
+        if front is not None:
+            await front.listen()
         self.register(replica)
 
+    def rename(self, replica: FakeReplica) -> None:
+        """Give a replica a new id, and remove the entry of the old one."""
+        del self.replicas[replica.id]
+        self.store.delete("servers", replica.id)
+        replica.id = f"{replica.id}x"
+        self.replicas[replica.id] = replica
+
     def make_connection_handler(self, replica: FakeReplica) -> Any:
         """Return the callback that serves all requests on a connection to a replica."""
 
@@ -261,8 +295,15 @@
         """
         record_run(replica, request)
         faults = replica.faults
-        await asyncio.sleep(0.01 + faults.delay)
-        await wait_while_silent(replica)
+        replica.running += 1
+        try:
+            if 0 < faults.max_running < replica.running:
+                self.begin_crash(replica)
+                return False
+            await asyncio.sleep(0.01 + faults.delay)
+            await wait_while_silent(replica)
+        finally:
+            replica.running -= 1
         crashing = self.find_crashing_request(request)
         if crashing is not None:
             return await self.crash_in_answer(replica, request, writer, crashing)
@@ -509,6 +550,8 @@
                 crashed, until = part, loop.time() + STALL_TIMEOUT
             await asyncio.sleep(PART_CHECK_INTERVAL)
         address = crashed.address if crashed is not None else ""
+        # The refusal promises that the request has not run.
+        replica.runs = [it for it in replica.runs if it.request_id != request_id]
         return await send_response(replica, writer, request, 503, b"", True, address)
 
     def crash_part(
@@ -627,7 +670,15 @@
 
     async def execute_order(self, replica: FakeReplica, order: dict[str, Any]) -> None:
         """Load the ordered layers, then write the new entry of the replica."""
-        await replica.load_layers(order["from"], order["target"])
+        layers = range(order["from"], order["target"])
+        is_too_large = replica.max_layers is not None and (
+            len(layers) > replica.max_layers
+        )
+        if is_too_large or self.crashing_layer in layers:
+            await asyncio.sleep(replica.load_time / 2)
+            await self.crash(replica)
+            return
+        await replica.load_layers(layers.start, layers.stop)
         self.register(replica)
 
 
