Put a constant beside the one that its comment refers to

Found when reading the change as a newcomer; the docstring of the ledger also names what happens to two requests that tie. No behaviour changes.

--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -13,7 +13,8 @@
   that a stronger suspect explains is too little.
 - Subjects that explain the same ends can't be told apart until one of them runs alone.
   Where they are parts of one request, all of which must be refused anyway, there is no
-  need to.
+  need to.  Of two requests both are refused after a while, since each may stay on
+  whatever the other one ends.
 
 The proof of a part of prompts is the begin of an answer, since a harmful one ends its
 endpoint before that.  A request may do so at any time, so that its proof is a whole
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -49,6 +49,10 @@
 #: the gateway learns of the end by the connection of each of them.
 PLAIN_LOSS_TIME = 0.3
 
+#: The same for an endpoint that has left the view: the time that the store takes to
+#: remove the entry of one that is silent.
+UNKNOWN_LOSS_TIME = 3.0
+
 #: Seconds after the close of a connection until it is checked whether the endpoint has
 #: ended, in which its other connections close, and timeout of the check.
 END_CHECK_DELAY, END_CHECK_TIMEOUT = 0.05, 0.4
@@ -56,10 +60,6 @@
 #: Maximum number of such checks at the same time.
 MAX_END_CHECKS = 64
 
-#: The same for an endpoint that has left the view: the time that the store takes to
-#: remove the entry of one that is silent.
-UNKNOWN_LOSS_TIME = 3.0
-
 #: Largest distance of an observation of data by which an end is refuted; the time of a
 #: more distant one is not accurate enough.
 ALIVE_DISTANCE = 1
