Log the request rates that endpoints name as their limits

What an engine says of its limit was in no log, so that nobody could tell limits that are not read from limits that each gateway keeps by itself. The head of an answer now has it (the smallest of several, none if it is no number), and a gateway logs each change by endpoint. No decision uses it yet.

--- a/lentilhaven/gateway/endpoint_signals.py
+++ b/lentilhaven/gateway/endpoint_signals.py
@@ -43,6 +43,23 @@
         urgent_signal.notify()
     if head.refusal_pause > 0:
         pause_endpoint(states, endpoint, head.refusal_pause)
+    log_limit(states, endpoint, head)
+
+
+def log_limit(states: EndpointStates, endpoint: Endpoint, head: ResponseHead) -> None:
+    """Log the request rate that an endpoint names as its limit, if it has changed."""
+    state = states.of(endpoint)
+    if head.rate_limit == state.named_limit:
+        return
+    state.named_limit = head.rate_limit
+    log.info(
+        "endpoint names a limit",
+        endpoint=endpoint.id,
+        address=endpoint.address,
+        limit=head.rate_limit,
+        status=head.status,
+        request=head.request_id,
+    )
 
 
 def pause_endpoint(states: EndpointStates, endpoint: Endpoint, seconds: float) -> None:
--- a/lentilhaven/gateway/endpoint_states.py
+++ b/lentilhaven/gateway/endpoint_states.py
@@ -79,6 +79,9 @@
         Time until which the endpoint gets no requests because it has refused one.
     paused_until : float
         Time until which the endpoint has asked this gateway for no requests at all.
+    named_limit : float or None
+        Requests per second that the endpoint takes from all gateways, by its last
+        answer to this one; None if that named no limit.
     """
 
     requests: int = 0
@@ -100,6 +103,7 @@
     )
     refused_until: float = 0.0
     paused_until: float = 0.0
+    named_limit: float | None = None
 
     def record(self, seconds: float, failed: bool) -> None:
         """Update the averages with an attempt and the seconds that it took."""
--- a/lentilhaven/platform/headers.py
+++ b/lentilhaven/platform/headers.py
@@ -38,6 +38,8 @@
 RETRY_AFTER = "Retry-After"
 #: Present, with a value other than 0, if the endpoint is leaving the fleet.
 SERVER_LEAVING = "Server-Leaving"
+#: Requests a second that the endpoint takes from all VMs together, a decimal number.
+SERVER_LIMIT = "Server-Limit"
 #: Number that rises whenever the store is restored from a copy.
 STORE_ERA = "Store-Era"
 
--- a/lentilhaven/platform/response_head.py
+++ b/lentilhaven/platform/response_head.py
@@ -58,6 +58,9 @@
         Whether the endpoint is leaving the fleet.
     refusal_pause : float
         Seconds for which the endpoint wants no further requests; 0 without a refusal.
+    rate_limit : float or None
+        Requests per second that the endpoint takes from all gateways together; None if
+        it names no limit.
     forwarded_headers : tuple of (str, str)
         Headers that are forwarded unchanged to the caller.
     """
@@ -72,6 +75,7 @@
     closes_connection: bool = False
     leaving: bool = False
     refusal_pause: float = 0.0
+    rate_limit: float | None = None
     forwarded_headers: tuple[tuple[str, str], ...] = ()
 
 
@@ -101,6 +105,7 @@
         closes_connection="close" in named.get("connection", "").lower(),
         leaving=decode_leaving(named),
         refusal_pause=decode_refusal_pause(status, named),
+        rate_limit=decode_rate_limit(fields),
         forwarded_headers=tuple(end_to_end_headers(fields)),
     )
 
@@ -166,6 +171,48 @@
     return min(max(seconds, 0.0), MAX_REFUSAL_PAUSE)
 
 
+def decode_rate_limit(fields: Sequence[tuple[str, str]]) -> float | None:
+    """
+    Return the requests per second that an endpoint takes from all gateways together.
+
+    Parameters
+    ----------
+    fields : sequence of (str, str)
+        Headers of its answer.
+
+    Returns
+    -------
+    float or None
+        None if no valid limit is named; of several, the smallest counts.
+
+    Examples
+    --------
+    >>> decode_rate_limit([("Server-Limit", "6.25")])
+    6.25
+    >>> decode_rate_limit([("server-limit", "9, 4"), ("Server-Limit", "5")])
+    4.0
+    >>> [decode_rate_limit([("Server-Limit", it)]) for it in ("-1", "nan", "", "all")]
+    [None, None, None, None]
+    """
+    limits = [
+        limit
+        for name, value in fields
+        if name.lower() == headers.SERVER_LIMIT.lower()
+        for text in value.split(",")
+        if (limit := parse_rate(text)) is not None
+    ]
+    return min(limits, default=None)
+
+
+def parse_rate(text: str) -> float | None:
+    """Return a finite number that is not negative; None for any other text."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if 0.0 <= rate < math.inf else None
+
+
 def end_to_end_headers(
     fields: Sequence[tuple[str, str]],
 ) -> Iterable[tuple[str, str]]:
