--- a/lentilhaven/standins/platform/fake_replica.py
+++ b/lentilhaven/standins/platform/fake_replica.py
@@ -195,6 +195,9 @@
         Bytes added to the body of each response of a plain service.
     announces_leaving : bool
         Whether all answers say that the replica is leaving.
+    named_limits : tuple of str
+        Values of the headers ``Server-Limit`` in all answers: requests per second that
+        the replica takes from all gateways together.
     running : int
         Number of requests that a plain service runs now.
     arrivals : list of float
@@ -230,6 +233,7 @@
     pace: float = 1.0
     extra_bytes: int = 0
     announces_leaving: bool = False
+    named_limits: tuple[str, ...] = ()
     running: int = 0
     arrivals: list[float] = attrs.field(factory=list)
     last_response: bytes = b""
@@ -296,6 +300,7 @@
         self.span = None if self.card else self.span
         self.orders = self.fence = 0
         self.announces_leaving = False
+        self.named_limits = ()
         self.faults = ReplicaFaults()
 
     async def load_layers(self, start: int, end: int) -> None:
--- a/lentilhaven/standins/platform/replica_wire.py
+++ b/lentilhaven/standins/platform/replica_wire.py
@@ -134,15 +134,16 @@
         f"Request-Id: {request.fields.get('request-id', '')}",
         f"Replica-Signature: {replica.id}.{request.fields.get('request-id', '')}",
         "Weight-Versions: 1",
-        *leaving_lines(replica),
+        *state_lines(replica),
         *lines,
     ]
     return ("\r\n".join(head) + "\r\n\r\n").encode()
 
 
-def leaving_lines(replica: FakeReplica) -> list[str]:
-    """Return the header with which a replica says that it is leaving, if it is."""
-    return ["Server-Leaving: 1"] if replica.announces_leaving else []
+def state_lines(replica: FakeReplica) -> list[str]:
+    """Return the headers in which a replica says that it leaves, or names a limit."""
+    lines = [f"Server-Limit: {limit}" for limit in replica.named_limits]
+    return ["Server-Leaving: 1", *lines] if replica.announces_leaving else lines
 
 
 def encode_response(
@@ -198,7 +199,7 @@
         f"Request-Id: {request.fields.get('request-id', '')}",
         f"Content-Length: {len(body)}",
         "Content-Type: application/json",
-        *leaving_lines(replica),
+        *state_lines(replica),
     ]
     if status == 503 and replica.faults.pause:
         lines.append(f"Retry-After: {replica.faults.pause}")
