--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -391,7 +391,20 @@
 def note_refused_connection(
     gateway: Gateway, endpoint: Endpoint, error: BaseException
 ) -> None:
-    """Record that an endpoint has ended if nothing listens on its port any more."""
+    """
+    Record that an endpoint has ended if nothing listens on its port any more.
+
+    What this gateway and the others have heard of the endpoint is logged.
+    """
+    now = asyncio.get_running_loop().time()
+    state = gateway.endpoint_states.of(endpoint)
+    log.info(
+        "endpoint not connected",
+        endpoint=endpoint.id,
+        detail=str(error),
+        heard_here=round(now - state.heard_within[0], 3),
+        heard=round(now - state.heard_at, 3),
+    )
     if isinstance(error.__cause__, ConnectionRefusedError):
         note_ended(gateway, endpoint, "refused connection")
 
