--- a/lentilhaven/gateway/connection_factories.py
+++ b/lentilhaven/gateway/connection_factories.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lentilhaven.platform.store_client import make_store_connector
+from lentilhaven.upstream.connect import Connect, connect_tcp
 
 #: Opens a datagram socket, given a protocol factory, a host and a port.
 OpenDatagrams = Callable[
@@ -50,8 +51,11 @@
         Returns the connector for other calls.
     open_datagrams : callable
         Opens the socket for datagrams between gateways.
+    connect : callable
+        Opens connections to endpoints, and to other gateways on the way to them.
     """
 
     store_connector: Callable[[], aiohttp.BaseConnector] = make_store_connector
     connector: Callable[[], aiohttp.BaseConnector] = aiohttp.TCPConnector
     open_datagrams: OpenDatagrams = open_udp
+    connect: Connect = connect_tcp
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -186,6 +186,7 @@
             aiohttp.ClientSession(connector=factories.connector())
         )
         gateway.session = session
+        gateway.pool.connect = factories.connect
         lease = await stack.enter_async_context(open_lease(make_lease(gateway, client)))
         gateway.holds_placement_lease = lambda: lease.fencing_number() is not None
         placer = Placer(
--- a/lentilhaven/gateway/tests/platform_testbed.py
+++ b/lentilhaven/gateway/tests/platform_testbed.py
@@ -15,6 +15,7 @@
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.listeners import open_caller_listener, open_ready_listener
 from lentilhaven.gateway.program import running_background_tasks
+from lentilhaven.gateway.tests.link_testbed import GatewayLinks, LinkedConnector
 from lentilhaven.peering.directory import FULL_MESH_LIMIT
 from lentilhaven.platform.settings import PlatformSettings, decode_settings
 from lentilhaven.standins.platform import FakeFleet, FakeReplica, FakeStore, store_app
@@ -203,6 +204,7 @@
     datagram_network: DatagramNetwork
     session: aiohttp.ClientSession
     requests: int = 0
+    links: list[GatewayLinks] = attrs.field(factory=list)
 
     async def call(
         self,
@@ -280,8 +282,13 @@
     bed.gateways.append(gateway)
     app = store_app(bed.store, settings.vm)
     await stack.enter_async_context(serve_app(app, host="10.9.0.1", port=9000 + number))
+    links = GatewayLinks()
+    bed.links.append(links)
     factories = ConnectionFactories(
-        make_connector, make_connector, bed.datagram_network.open
+        make_connector,
+        lambda: LinkedConnector(links, keepalive_timeout=86_400.0, limit=0),
+        bed.datagram_network.open,
+        links.connect,
     )
     await stack.enter_async_context(open_ready_listener(gateway))
     await stack.enter_async_context(open_caller_listener(gateway))
--- a/lentilhaven/upstream/connection_pool.py
+++ b/lentilhaven/upstream/connection_pool.py
@@ -10,6 +10,7 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.upstream.answer_memory import AnswerMemory
+from lentilhaven.upstream.connect import Connect, connect_tcp
 from lentilhaven.upstream.connection import UpstreamConnection
 from lentilhaven.upstream.exchange import Exchange, UpstreamError
 
@@ -47,12 +48,15 @@
         answer belongs to no request in progress.
     memory : AnswerMemory
         Memory that the answers on all connections share.
+    connect : callable
+        Opens TCP connections.
     """
 
     idle: dict[tuple[str, int], list[UpstreamConnection]] = attrs.field(factory=dict)
     opened: int = 0
     on_head: Callable[[Endpoint, ResponseHead], None] = lambda endpoint, head: None
     memory: AnswerMemory = attrs.field(factory=AnswerMemory)
+    connect: Connect = connect_tcp
 
     async def acquire(
         self,
@@ -85,19 +89,27 @@
         idle_connection = self.take_idle(endpoint, request_id, max_idle_time)
         if idle_connection is not None:
             return idle_connection
-        host, _, port = endpoint.address.rpartition(":")
-        loop = asyncio.get_running_loop()
         self.opened += 1
         try:
             async with asyncio.timeout(min(timeout, CONNECT_TIMEOUT)):
-                _, connection = await loop.create_connection(
-                    partial(self.make_connection, endpoint),
-                    host,
-                    int(port),
-                )
+                return await self.connect_directly(endpoint)
         except (OSError, TimeoutError) as error:
             detail = f"{type(error).__name__}: {error}"
             raise UpstreamError("connect", detail, sent=False) from error
+
+    async def connect_directly(self, endpoint: Endpoint) -> UpstreamConnection:
+        """
+        Return a new connection to an endpoint.
+
+        Raises
+        ------
+        OSError
+            If the connection can't be made.
+        """
+        host, _, port = endpoint.address.rpartition(":")
+        _, connection = await self.connect(
+            partial(self.make_connection, endpoint), host, int(port)
+        )
         return connection
 
     def make_connection(self, endpoint: Endpoint) -> UpstreamConnection:
