Reach endpoints through other gateways when the own links are gone

Cause: a gateway had no way to an endpoint but its own, and took the loss of that for the endpoint's fault. At each of 943 failed connections another gateway had data from the same engine at most 81 ms before.

A connection is now made by whatever way is there first, the own link or another gateway that copies bytes; requests are decided on only where they are. Ends of endpoints and suspicions need another gateway's word; the placement is left to a gateway that reaches more engines.

Ruled out: passing requests on whole, refusing at once, readiness.

--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -243,18 +243,27 @@
         note_refused_connection(gateway, endpoint, error)
         return
     gateway.pool.release(endpoint, connection)
+    if gateway.endpoint_states.of(endpoint).unreached_since is not None:
+        # The link has ended its connections, and another gateway reaches it.
+        note_survived(gateway, endpoint)
+        return
     if not endpoint.card or gateway.session is None:
         return
     report = await fetch_report(
         gateway.session, endpoint, END_CHECK_TIMEOUT, gateway.note_head
     )
     if report.is_ok() and report.ok.born == endpoint.born:
-        now = asyncio.get_running_loop().time()
-        gateway.crash_ledger.note_alive(endpoint.incarnation, now)
-        gateway.run_log.forget_end(endpoint.incarnation)
-        # It got no requests since it had lost one.
-        state = gateway.endpoint_states.of(endpoint)
-        state.refused_until = min(state.refused_until, now)
+        note_survived(gateway, endpoint)
+
+
+def note_survived(gateway: Gateway, endpoint: Endpoint) -> None:
+    """Record that an endpoint has not ended though its connection was lost."""
+    now = asyncio.get_running_loop().time()
+    gateway.crash_ledger.note_alive(endpoint.incarnation, now)
+    gateway.run_log.forget_end(endpoint.incarnation)
+    # It got no requests since it had lost one.
+    state = gateway.endpoint_states.of(endpoint)
+    state.refused_until = min(state.refused_until, now)
 
 
 async def forbids_repeat_now(gateway: Gateway, call: Call) -> bool:
--- a/lentilhaven/gateway/endpoint_states.py
+++ b/lentilhaven/gateway/endpoint_states.py
@@ -87,6 +87,11 @@
     named_limit : NamedLimit or None
         Request rate that the endpoint has named as its limit, to any gateway; None if
         it has named none.
+    unreached_since : float or None
+        Time since which this gateway's own link to the endpoint is gone, while other
+        gateways reach it; None while the link is there.
+    link_checked_at : float
+        Time at which the link was last checked.
     sent_at : deque of float
         Times at which this gateway sent it requests, in the last `SENT_WINDOW`.
     """
@@ -111,6 +116,8 @@
     refused_until: float = 0.0
     paused_until: float = 0.0
     named_limit: NamedLimit | None = None
+    unreached_since: float | None = None
+    link_checked_at: float = -math.inf
     sent_at: deque[float] = attrs.field(factory=deque)
 
     def record(self, seconds: float, failed: bool) -> None:
@@ -191,6 +198,11 @@
         self.suspected_since, self.suspected_until = self.suspicion_within(MAX_DISTANCE)
         return fresh
 
+    def end_own_suspicion(self) -> None:
+        """End the suspicion that arose at this gateway."""
+        self.suspicions[0] = NO_SUSPICION
+        self.suspected_since, self.suspected_until = self.suspicion_within(MAX_DISTANCE)
+
     def suspicion_within(self, distance: int) -> tuple[float, float]:
         """Return the suspicion of at most a distance that ends last."""
         return max(self.suspicions[: distance + 1], key=lambda found: found[1])
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from random import Random
 
 import aiohttp
@@ -92,6 +92,10 @@
         The runs of this gateway's requests, by endpoint.
     end_checks : dict
         Checks in progress whether endpoints have ended, by incarnation.
+    link_checks : set of asyncio.Future
+        Checks of links to endpoints that are in progress.
+    tunnels : set
+        Connections of other gateways to endpoints through this one.
     urgent_signal : Signal
         Wakes the task that sends messages to the other gateways.
     pace_questions : dict
@@ -134,6 +138,8 @@
     crash_ledger: CrashLedger = attrs.field()
     run_log: RunLog = attrs.field(factory=RunLog)
     end_checks: dict[Incarnation, asyncio.Future[None]] = attrs.field(factory=dict)
+    link_checks: set[asyncio.Future[None]] = attrs.field(factory=set)
+    tunnels: Collection[object] = ()
     urgent_signal: Signal = attrs.field(factory=Signal)
     pace_questions: dict[tuple[str, int], Endpoint] = attrs.field(factory=dict)
     pace_signal: Signal = attrs.field(factory=Signal)
--- a/lentilhaven/gateway/message_composer.py
+++ b/lentilhaven/gateway/message_composer.py
@@ -9,7 +9,12 @@
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.peering.load_sums import LoadSums
 from lentilhaven.peering.member import Member
-from lentilhaven.peering.messages import LimitState, PeerMessage, Scope
+from lentilhaven.peering.messages import (
+    MAX_ENTRIES,
+    LimitState,
+    PeerMessage,
+    Scope,
+)
 from lentilhaven.peering.subject import Incarnation, SubjectKind
 
 #: Number of randomly chosen gateways listed in a datagram, so that new gateways learn
@@ -95,6 +100,7 @@
             era=view.endpoints_position.era,
             manifest_version=view.manifest.version if view.manifest else 0,
             paces=stated_paces(states, now, scope.distance),
+            unreached=self.unreached(states),
             attempts=known_attempts(sums),
             sent=dict(sums.sent),
             limits=self.named_limits(states, now, scope.distance),
@@ -195,6 +201,16 @@
             and state.current_limit(now) < math.inf
         }
 
+    def unreached(self, states: dict[str, EndpointState]) -> tuple[Incarnation, ...]:
+        """Return endpoints to which this gateway's own links are gone."""
+        endpoints = self.gateway.view.endpoints
+        found = [
+            endpoints[name].incarnation
+            for name, state in states.items()
+            if state.unreached_since is not None
+        ]
+        return tuple(found[:MAX_ENTRIES])
+
     def heard_ages(
         self, scope: Scope, states: dict[str, EndpointState], now: float
     ) -> dict[str, float]:
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -16,6 +16,11 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.connection_factories import ConnectionFactories
 from lentilhaven.gateway.crash_checks import note_gone
+from lentilhaven.gateway.endpoint_links import (
+    leaves_placement,
+    probe_links,
+    serving_other_gateways,
+)
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.gateway_metrics import open_metrics_listener
 from lentilhaven.gateway.listeners import (
@@ -186,7 +191,6 @@
             aiohttp.ClientSession(connector=factories.connector())
         )
         gateway.session = session
-        gateway.pool.connect = factories.connect
         lease = await stack.enter_async_context(open_lease(make_lease(gateway, client)))
         gateway.holds_placement_lease = lambda: lease.fencing_number() is not None
         placer = Placer(
@@ -205,6 +209,9 @@
         replica_watch = watch_replicas(gateway, client)
         read_manifest = partial(read_all, manifest_watch)
         await stack.enter_async_context(open_relay(gateway))
+        await stack.enter_async_context(
+            serving_other_gateways(gateway, factories.connect)
+        )
         await stack.enter_async_context(
             running_tasks(
                 *map(
@@ -219,6 +226,7 @@
                         placer.run,
                         lambda: check_paces(gateway),
                         lambda: check_suspects(gateway),
+                        lambda: probe_links(gateway),
                         lambda: sweep_endpoints(gateway),
                     ),
                 )
@@ -236,11 +244,18 @@
         f"{gateway.random.getrandbits(64):016x}",
         gateway.clock,
         PLACEMENT_LEASE,
-        should_acquire=gateway.wants_placement_lease,
+        should_acquire=partial(wants_placement_lease, gateway),
+        should_hold=lambda: not leaves_placement(gateway, gateway.clock.monotonic()),
         current_era=lambda: gateway.view.era.current,
     )
 
 
+def wants_placement_lease(gateway: Gateway) -> bool:
+    """Return whether this gateway should try to take the placement lease."""
+    now = asyncio.get_running_loop().time()
+    return gateway.wants_placement_lease() and not leaves_placement(gateway, now)
+
+
 def note_store_era(gateway: Gateway, era: int) -> None:
     """Take note of the era that an answer of the store names."""
     if gateway.view.era.learn(era, "store"):
@@ -284,5 +299,5 @@
     listener.stop()
     await listener.close_connections(end)
     await gateway.request_finished.wait_until(
-        lambda: not gateway.active, end - loop.time()
+        lambda: not gateway.active and not gateway.tunnels, end - loop.time()
     )
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -22,6 +22,7 @@
     recording_run,
     refuse_harmful,
 )
+from lentilhaven.gateway.endpoint_links import SLOW_ANSWER_TIME, begin_link_check
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
@@ -339,6 +340,7 @@
     state = gateway.endpoint_states.of(endpoint)
     began = loop.time()
     state.requests += 1
+    check = loop.call_later(SLOW_ANSWER_TIME, begin_link_check, gateway, endpoint)
     try:
         outcome = await exchange_once(gateway, call, endpoint, call.deadline)
     except asyncio.CancelledError:
@@ -346,6 +348,7 @@
         log_attempt(call, endpoint, began, state.failures, "cancelled")
         raise
     finally:
+        check.cancel()
         state.requests -= 1
     now = loop.time()
     failed = not isinstance(outcome, UpstreamResponse) or outcome.failed
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -140,7 +140,12 @@
             relay.runs += 1
             relay.attempt = None
             run = StreamRun(
-                chain, exchange, record, loop.time(), predecessor=predecessor
+                chain,
+                exchange,
+                record,
+                loop.time(),
+                predecessor=predecessor,
+                connection=connection,
             )
             if predecessor is None:
                 relay.leader = run
--- a/lentilhaven/gateway/stream_state.py
+++ b/lentilhaven/gateway/stream_state.py
@@ -19,6 +19,7 @@
     held_back,
 )
 from lentilhaven.gateway.service_relay import UpstreamResponse
+from lentilhaven.upstream.connection import UpstreamConnection
 from lentilhaven.upstream.exchange import Exchange, UpstreamError
 
 #: Outcome of a run: None if the stream was relayed completely, or an answer that is no
@@ -148,6 +149,8 @@
         Run beside which this one has begun; None if it has begun alone.
     ended : bool
         Whether the run has ended.
+    connection : UpstreamConnection or None
+        Connection to the first engine; None for a run of a test without one.
     """
 
     chain: Chain
@@ -158,6 +161,7 @@
     moves: int = 0
     predecessor: "StreamRun | None" = None
     ended: bool = False
+    connection: UpstreamConnection | None = None
 
     def leads(self, relay: StreamRelay) -> bool:
         """Return whether this is the leader, or has to replace one that has ended."""
--- a/lentilhaven/gateway/stream_waiting.py
+++ b/lentilhaven/gateway/stream_waiting.py
@@ -9,6 +9,7 @@
 from lentilhaven.gateway.chain_choice import choose_chain
 from lentilhaven.gateway.chain_move import MAX_MOVES, move_chain
 from lentilhaven.gateway.crash_checks import forbids_repeat, is_refused
+from lentilhaven.gateway.endpoint_links import begin_link_check
 from lentilhaven.gateway.silence import suspect_silent_parts
 from lentilhaven.gateway.stream_state import StreamRelay, StreamRun
 
@@ -70,13 +71,17 @@
         now = asyncio.get_running_loop().time()
         if received is not None or now >= relay.call.deadline:
             return received
-        suspects = suspect_silent_parts(
-            relay.gateway, run.chain, relay.call.id, run.silent_since, now
-        )
+        lost_link = has_lost_link(relay, run)
+        suspects: list[str] = []
+        if not lost_link:
+            begin_link_check(relay.gateway, run.chain.first)
+            suspects = suspect_silent_parts(
+                relay.gateway, run.chain, relay.call.id, run.silent_since, now
+            )
         if relay.has_successor or not run.leads(relay):
             until = now + RECHECK_INTERVAL
         elif relay.may_run_again:
-            begin_second_run(relay, run, suspects, now)
+            begin_second_run(relay, run, suspects, now, lost_link)
             until = now + RECHECK_INTERVAL
         elif run.moves < MAX_MOVES and not is_refused(relay.gateway, relay.call):
             moved = await move_run(relay, run, suspects, now)
@@ -85,18 +90,37 @@
             until = relay.call.deadline
 
 
+def has_lost_link(relay: StreamRelay, run: StreamRun) -> bool:
+    """
+    Return whether a run is silent since the link to its first engine is gone.
+
+    A connection that has outlived the link may be silent for other reasons.
+    """
+    state = relay.gateway.endpoint_states.of(run.chain.first)
+    since, connection = state.unreached_since, run.connection
+    if since is None or connection is None or connection.relayed:
+        return False
+    return connection.activity.at <= since
+
+
 def begin_second_run(
-    relay: StreamRelay, run: StreamRun, suspects: list[str], now: float
+    relay: StreamRelay,
+    run: StreamRun,
+    suspects: list[str],
+    now: float,
+    lost_link: bool = False,
 ) -> None:
     """
     Begin a second run beside a silent one, if a chain and a retry are available.
 
     The suspects are excluded from it, or the first engine if there are none.  A run
-    whose endpoints are all active for other requests is slow and has not failed.
+    whose endpoints are all active for other requests is slow and has not failed.  If
+    the link to the first engine is gone, no engine is at fault.
     """
-    if not suspects and now - run.silent_since < SLOW_RUN_LIMIT:
+    is_slow_only = not suspects and not lost_link
+    if is_slow_only and now - run.silent_since < SLOW_RUN_LIMIT:
         return
-    replaced = set(suspects or [run.chain.first.id])
+    replaced = set() if lost_link else set(suspects or [run.chain.first.id])
     gateway, call = relay.gateway, relay.call
     continues = relay.response is not None
     avoided = relay.avoided(now) | replaced
--- a/lentilhaven/gateway/suspect_check.py
+++ b/lentilhaven/gateway/suspect_check.py
@@ -11,7 +11,7 @@
 
 from lentilhaven.core.logs import get_logger
 from lentilhaven.fleet.endpoint import Endpoint
-from lentilhaven.gateway.crash_checks import note_ended
+from lentilhaven.gateway.crash_checks import begin_end_check
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.pace_check import question_limit, take_affordable
 from lentilhaven.objects.token_bucket import TokenBucket
@@ -67,6 +67,7 @@
         and (state := states.get(endpoint.incarnation)) is not None
         and now < state.suspected_until
         and now < state.suspicions[0][1]
+        and state.unreached_since is None
         and gateway.accepts_new_work(endpoint)
     ]
 
@@ -80,7 +81,7 @@
     )
     if report.is_error():
         if report.error.kind == NO_LISTENER:
-            note_ended(gateway, endpoint, "refused question")
+            begin_end_check(gateway, endpoint)
         log.info(
             "suspected engine is silent",
             endpoint=endpoint.id,
--- a/lentilhaven/gateway/tests/test_cut_links.py
+++ b/lentilhaven/gateway/tests/test_cut_links.py
@@ -302,6 +302,30 @@
         self.assertEqual(orders, 1)
         self.assertIsNotNone(span)
 
+    def test_requests_lost_with_links_are_not_refused(self):
+        """A hot request is lost with each of the links, but ends no replica."""
+
+        async def use(bed):
+            await send_all_kinds(bed, 1.0, [1.0] * 3)
+            for replica in bed.fleet.replicas.values():
+                replica.faults.delay = 0.1
+            for _ in range(4):
+                calls = [
+                    asyncio.ensure_future(bed.call("/post/hot", "POST"))
+                    for _ in range(12)
+                ]
+                await asyncio.sleep(0.05)
+                cut_off(bed, [0], Cut.RESET)
+                await asyncio.gather(*calls)
+                await asyncio.sleep(0.5)
+                end_cuts(bed)
+                await asyncio.sleep(1.5)
+            replies = [await bed.call("/post/hot", "POST") for _ in range(10)]
+            return [it.status for it in replies]
+
+        statuses = run_on_testbed(use, replicas(), gateways=3)
+        self.assertEqual(statuses, [200] * 10)
+
     def test_silent_second_is_no_cut(self):
         async def use(bed):
             await send_all_kinds(bed, 2.0, [1.0, 1.0])
--- a/lentilhaven/leases/lease.py
+++ b/lentilhaven/leases/lease.py
@@ -60,6 +60,8 @@
         Duration and intervals of the lease.
     should_acquire : callable
         Returns whether this VM should try to acquire the lease.
+    should_hold : callable
+        Returns whether this VM should keep the lease; if not, it releases the lease.
     state : str
         ``"held"`` or ``"outside"``.
     record : LeaseRecord or None
@@ -87,6 +89,7 @@
     clock: Clock
     settings: LeaseSettings = attrs.field(factory=LeaseSettings)
     should_acquire: Callable[[], bool] = lambda: True
+    should_hold: Callable[[], bool] = lambda: True
     state: str = "outside"
     record: LeaseRecord | None = None
     valid_until: float = 0.0
@@ -145,6 +148,10 @@
                 current_era=self.current_era(),
             )
             self.fire_trigger("lapse")
+        if self.state == "held" and not self.should_hold():
+            log.info("lease is left to another VM", lease=self.name)
+            await self.release()
+            return self.settings.poll_interval
         if self.state == "held":
             return await self.renew()
         if not self.should_acquire():
--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -148,6 +148,9 @@
     paces : dict
         Slowdown that an endpoint has stated, and seconds since then, by endpoint, for
         slow endpoints.
+    unreached : tuple of (str, int) or None
+        Incarnations of endpoints to which the sender's own links are gone; None from a
+        release that connects no other gateway to endpoints.
     attempts : dict or None
         Requests per second that the gateways in the sum try to send, by service; None
         from a release that does not tell.
@@ -222,6 +225,7 @@
     era: int | None = None
     manifest_version: int | None = None
     paces: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    unreached: tuple[Incarnation, ...] | None = None
     attempts: dict[str, float] | None = None
     sent: dict[str, int] = attrs.field(factory=dict)
     limits: dict[Incarnation, LimitState] = attrs.field(factory=dict)
@@ -262,6 +266,8 @@
     ]
     fields["changes"] = encode_changes(message.changes)
     fields["leaving"] = [list(incarnation) for incarnation in message.leaving]
+    if message.unreached is not None:
+        fields["unreached"] = [list(incarnation) for incarnation in message.unreached]
     for name in ("prompt_ends", "request_ends"):
         fields[name] = encode_ends(fields[name])
     for name in ("prompt_proofs", "request_proofs"):
@@ -351,6 +357,7 @@
                 str(name): (float(pace[0]), float(pace[1]))
                 for name, pace in fields.get("paces", {}).items()
             },
+            unreached=decode_unreached(fields.get("unreached")),
             attempts=decode_attempts(fields.get("attempts")),
             sent={
                 str(name): max(0, int(count))
@@ -410,6 +417,13 @@
     }
 
 
+def decode_unreached(value: Iterable[Any] | None) -> tuple[Incarnation, ...] | None:
+    """Decode incarnations of endpoints; None stays None."""
+    if value is None:
+        return None
+    return tuple((str(name), int(born)) for name, born in valid_entries(value, 0))
+
+
 def decode_attempts(value: dict[str, Any] | None) -> dict[str, float] | None:
     """Decode the requests per second by service; None stays None."""
     if value is None:
--- a/lentilhaven/peering/peer_table.py
+++ b/lentilhaven/peering/peer_table.py
@@ -248,6 +248,10 @@
             total.sent[endpoint] = max(0, total.sent.get(endpoint, 0) - count)
         return total
 
+    def reports(self, now: float) -> list[PeerMessage]:
+        """Return the fresh datagrams of gateways that report their own state here."""
+        return [peer.message for peer in self.peers.values() if peer.is_fresh(now)]
+
     def demand_of_others(self, service: str, own: float, now: float) -> float:
         """
         Return how often the other gateways try to send requests for a service.
--- a/lentilhaven/peering/tests/test_previous_release.py
+++ b/lentilhaven/peering/tests/test_previous_release.py
@@ -39,6 +39,7 @@
     "attempts",
     "sent",
     "limits",
+    "unreached",
 )
 
 #: Fields of a datagram that the release before reads.
@@ -107,6 +108,7 @@
         breakers={Subject("gen", "af26", REQUEST): BreakerState(1.5, 118.5, 0)},
         ended={("a", 7): 1.5},
         attempts={"gen": 12.0},
+        unreached=(("b", 8),),
         sent={"a": 4},
         limits={("a", 7): LimitState(6.4, 0.2)},
     )
@@ -133,6 +135,7 @@
         self.assertEqual((message.breakers, message.ended), ({}, {}))
         self.assertEqual((message.sent, message.limits), ({}, {}))
         self.assertIsNone(message.attempts)
+        self.assertIsNone(message.unreached)
         self.assertEqual(message.changes.until, StorePosition(0, 5))
 
     def test_new_fields_stand_beside_those_that_the_release_before_reads(self):
--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+import attrs
 import httptools
 
 from lentilhaven.core.logs import get_logger
@@ -40,6 +41,20 @@
 log = get_logger("upstream")
 
 
+@attrs.define
+class Activity:
+    """
+    The latest data on any of an endpoint's connections.
+
+    Attributes
+    ----------
+    at : float
+        Event loop time of their arrival, in seconds.
+    """
+
+    at: float = 0.0
+
+
 class UpstreamConnection(asyncio.Protocol):
     """
     One connection, which carries one exchange at a time.
@@ -68,6 +83,10 @@
         Memory that the responses of all connections share.
     on_given_up : callable
         Called with an exchange whose response was too large.
+    activity : Activity
+        Latest data on this connection and others like it.
+    relayed : bool
+        Whether the connection passes through another gateway.
     parser : httptools.HttpResponseParser
         Parser of the responses.
     fields : list of (str, str)
@@ -101,6 +120,8 @@
         on_head: Callable[[ResponseHead], None] = lambda head: None,
         memory: AnswerMemory | None = None,
         on_given_up: Callable[[Exchange], None] = lambda exchange: None,
+        activity: Activity | None = None,
+        relayed: bool = False,
     ) -> None:
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
@@ -112,6 +133,8 @@
         self.on_head = on_head
         self.memory = AnswerMemory() if memory is None else memory
         self.on_given_up = on_given_up
+        self.activity = Activity() if activity is None else activity
+        self.relayed = relayed
         self.parser = httptools.HttpResponseParser(self)
         self.fields: list[tuple[str, str]] = []
         self.field_bytes = 0
@@ -141,6 +164,7 @@
         if self.exchange is None:
             self.reject_unsolicited_data()
             return
+        self.activity.at = asyncio.get_running_loop().time()
         self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
--- a/lentilhaven/upstream/connection_pool.py
+++ b/lentilhaven/upstream/connection_pool.py
@@ -1,7 +1,7 @@
 """Pool of idle connections to endpoints."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 import attrs
@@ -11,7 +11,7 @@
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.upstream.answer_memory import AnswerMemory
 from lentilhaven.upstream.connect import Connect, connect_tcp
-from lentilhaven.upstream.connection import UpstreamConnection
+from lentilhaven.upstream.connection import Activity, UpstreamConnection
 from lentilhaven.upstream.exchange import Exchange, UpstreamError
 
 #: Timeout of establishing a connection, in seconds: several round trips between data
@@ -50,6 +50,12 @@
         Memory that the answers on all connections share.
     connect : callable
         Opens TCP connections.
+    establish : callable
+        Returns a new connection to an endpoint; `connect_directly` by default.
+    may_reuse : callable
+        Returns whether an idle connection to an endpoint may be used now.
+    activities : dict
+        Latest data on the direct connections to each endpoint, by incarnation.
     """
 
     idle: dict[tuple[str, int], list[UpstreamConnection]] = attrs.field(factory=dict)
@@ -57,6 +63,16 @@
     on_head: Callable[[Endpoint, ResponseHead], None] = lambda endpoint, head: None
     memory: AnswerMemory = attrs.field(factory=AnswerMemory)
     connect: Connect = connect_tcp
+    establish: Callable[[Endpoint], Awaitable[UpstreamConnection]] = attrs.field()
+    may_reuse: Callable[[Endpoint, UpstreamConnection], bool] = (
+        lambda endpoint, connection: True
+    )
+    activities: dict[tuple[str, int], Activity] = attrs.field(factory=dict)
+
+    @establish.default
+    def direct_way(self) -> Callable[[Endpoint], Awaitable[UpstreamConnection]]:
+        """Return `connect_directly`."""
+        return self.connect_directly
 
     async def acquire(
         self,
@@ -92,7 +108,7 @@
         self.opened += 1
         try:
             async with asyncio.timeout(min(timeout, CONNECT_TIMEOUT)):
-                return await self.connect_directly(endpoint)
+                return await self.establish(endpoint)
         except (OSError, TimeoutError) as error:
             detail = f"{type(error).__name__}: {error}"
             raise UpstreamError("connect", detail, sent=False) from error
@@ -112,13 +128,29 @@
         )
         return connection
 
-    def make_connection(self, endpoint: Endpoint) -> UpstreamConnection:
-        """Return the protocol of a new connection to an endpoint."""
+    def make_connection(
+        self, endpoint: Endpoint, relayed: bool = False
+    ) -> UpstreamConnection:
+        """
+        Return the protocol of a new connection to an endpoint.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint.
+        relayed : bool
+            Whether the connection passes through another gateway.
+        """
+        activity = None
+        if not relayed:
+            activity = self.activities.setdefault(endpoint.incarnation, Activity())
         return UpstreamConnection(
             self.remove_lost,
             partial(self.on_head, endpoint),
             self.memory,
             partial(self.note_given_up, endpoint),
+            activity,
+            relayed,
         )
 
     def note_given_up(self, endpoint: Endpoint, exchange: Exchange) -> None:
@@ -144,16 +176,22 @@
         """
         connections = self.idle.get(endpoint.incarnation, [])
         now = asyncio.get_running_loop().time()
-        while connections:
+        skipped = [it for it in connections if not self.may_reuse(endpoint, it)]
+        for connection in skipped:
+            connections.remove(connection)
+        found = None
+        while connections and found is None:
             connection = connections.pop()
             limit = max_idle_time
             if connection.keep_alive is not None:
                 limit = min(limit, connection.keep_alive - KEEP_ALIVE_MARGIN)
             is_fresh = connection.usable and now - connection.idle_since < limit
             if is_fresh and request_id not in connection.request_ids:
-                return connection
-            connection.abort()
-        return None
+                found = connection
+            else:
+                connection.abort()
+        connections[:0] = skipped
+        return found
 
     def release(self, endpoint: Endpoint, connection: UpstreamConnection) -> None:
         """Return a connection to the pool if it can be reused, or close it."""
@@ -188,6 +226,8 @@
                     connection.abort()
             if not connections:
                 del self.idle[incarnation]
+        for incarnation in self.activities.keys() - live:
+            del self.activities[incarnation]
 
     def remove_lost(self, connection: UpstreamConnection) -> None:
         """Remove a lost connection from the pool."""
