Play gateways cut off from replicas, and named limits, in the soak

The soak could end, silence and reset replicas, but cut no single gateway off from replicas that others reach, and no stand-in named a limit. Its gateways now open their own connections through links that a file cuts (hang, reset, refuse, or only new ones refused), up to three of five at a time, beside restarts, crashes and edits; replicas name limits of 0.5 to 10 a second, and the soak checks what they get. Frames, handshake, races and both ends of a connection through another gateway have tests of their own.

--- a/lentilhaven/bench/soak/soak.py
+++ b/lentilhaven/bench/soak/soak.py
@@ -20,6 +20,7 @@
 from lentilhaven.bench.soak.soak_crashing_requests import crash_on_request
 from lentilhaven.bench.soak.soak_environment import SoakEnvironment, open_environment
 from lentilhaven.bench.soak.soak_faults import inject_faults
+from lentilhaven.bench.soak.soak_limits import check_limits
 from lentilhaven.bench.soak.soak_lost import check_lost
 from lentilhaven.bench.soak.soak_memory import MEGABYTE, check_memory, watch_memory
 from lentilhaven.bench.soak.soak_tables import CONFIG_APPLY, DRAIN_TIMEOUT
@@ -92,6 +93,7 @@
                 rounds += 1
         check_attempts(environment, callers.attempts, findings)
         check_lost(environment, callers.attempts, findings)
+        check_limits(environment, findings)
         check_memory(environment, findings)
         for gateway in environment.gateways:
             for code in gateway.failed_exits:
--- a/lentilhaven/bench/soak/soak_environment.py
+++ b/lentilhaven/bench/soak/soak_environment.py
@@ -6,6 +6,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import aiohttp
 import attrs
@@ -27,6 +28,9 @@
 #: uses.
 STORE_PORT, PROXY_PORT = 9000, 9001
 
+#: Seconds from the end of a gateway, asked for by SIGTERM, to the end of its start.
+RESTART_TIME = 10.0
+
 #: Number of layers of the model.
 LAYER_COUNT = 8
 
@@ -60,6 +64,10 @@
         Times at which replicas were harmed.
     callers : SoakCallers
         Callers of the gateways.
+    limit_spans : list of LimitSpan
+        Times during which replicas have named limits.
+    disturbances : list of (float, float)
+        Times of the event loop at which a gateway was suspended, in seconds.
     peak_memory : dict
         Largest resident memory of each gateway, in bytes, by name of its VM.
     """
@@ -75,8 +83,18 @@
     last_fault_end: float = 0.0
     soundness: Soundness = attrs.field(factory=Soundness)
     callers: SoakCallers = attrs.field(factory=lambda: SoakCallers(Random(0), []))
+    limit_spans: list[Any] = attrs.field(factory=list)
+    disturbances: list[tuple[float, float]] = attrs.field(factory=list)
     peak_memory: dict[str, int] = attrs.field(factory=dict)
 
+    def is_disturbed(self, begin: float, end: float) -> bool:
+        """Return whether a gateway was harmed, stopped or cut off between two times."""
+        spans = list(self.disturbances)
+        for gateway in self.gateways:
+            spans += [*gateway.kill_spans, *gateway.cut_spans]
+            spans += [(at, at + RESTART_TIME) for at in gateway.stop_times]
+        return any(since <= end and until >= begin for since, until in spans)
+
     def edit_manifest(self) -> None:
         """Write the next manifest, which adds a route for its version."""
         self.version += 1
--- a/lentilhaven/bench/soak/soak_faults.py
+++ b/lentilhaven/bench/soak/soak_faults.py
@@ -9,6 +9,7 @@
 from lentilhaven.bench.soak.loopback_proxy import LinkFault
 from lentilhaven.bench.soak.soak_crashing_requests import repeat_crashing_request
 from lentilhaven.bench.soak.soak_environment import SoakEnvironment
+from lentilhaven.bench.soak.soak_limits import name_limit
 from lentilhaven.bench.soak.soak_replica_faults import (
     announce_leaving,
     crash_engines,
@@ -19,6 +20,7 @@
     restart_replica,
     silence_replicas,
 )
+from lentilhaven.standins.platform.cut_links import Cut
 from lentilhaven.standins.platform.fake_store import StoreState
 from lentilhaven.standins.platform.sample_files import set_retry_slack
 
@@ -27,6 +29,12 @@
 #: Minimum and maximum duration of a fault, in seconds.
 MIN_DURATION, MAX_DURATION = 0.2, 3.0
 
+#: Maximum number of gateways that are cut off from replicas at the same time, of five.
+MAX_CUT_OFF = 3
+
+#: Seconds after a cut until the gateways use their own links again.
+CUT_SLACK = 5.0
+
 #: Maximum time for which the store is away before it is restored, in seconds.
 MAX_RESTORE_TIME = 0.5
 
@@ -38,8 +46,10 @@
     """Suspend a gateway by SIGSTOP and resume it later."""
     gateway = environment.random.choice(environment.gateways)
     gateway.send_signal(signal.SIGSTOP)
+    began = asyncio.get_running_loop().time()
     await asyncio.sleep(seconds)
     gateway.send_signal(signal.SIGCONT)
+    environment.disturbances.append((began, asyncio.get_running_loop().time()))
 
 
 async def kill_gateway(environment: SoakEnvironment, seconds: float) -> None:
@@ -90,6 +100,24 @@
     environment.random.choice(environment.store_proxies).reset()
 
 
+async def cut_gateways_off(environment: SoakEnvironment, seconds: float) -> None:
+    """Cut some gateways off from all replicas, or from those of one service."""
+    random = environment.random
+    replicas = list(environment.fleet.replicas.values())
+    service = random.choice(["", *sorted({it.service for it in replicas})])
+    hosts = [it.host for it in replicas if service in ("", it.service)]
+    cut = random.choice(list(Cut))
+    gateways = random.sample(environment.gateways, random.randint(1, MAX_CUT_OFF))
+    began = asyncio.get_running_loop().time()
+    for gateway in gateways:
+        gateway.write_cut(cut, hosts)
+    await asyncio.sleep(seconds)
+    for gateway in gateways:
+        gateway.write_cut(None, [])
+        ended = asyncio.get_running_loop().time()
+        gateway.cut_spans.append((began, ended + CUT_SLACK))
+
+
 async def harm_store(environment: SoakEnvironment, seconds: float) -> None:
     """Make the store busy or silent, or make it refuse one gateway."""
     state = environment.random.choice([*StoreState])
@@ -166,6 +194,9 @@
     reset_store_link,
     reset_replica_link,
     harm_store,
+    cut_gateways_off,
+    cut_gateways_off,
+    name_limit,
     confuse_store,
     harm_replica,
     harm_replica,
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -85,7 +85,9 @@
 log = get_logger("gateway")
 
 
-async def serve(settings: PlatformSettings) -> None:
+async def serve(
+    settings: PlatformSettings, factories: ConnectionFactories | None = None
+) -> None:
     """
     Run a gateway until SIGTERM or SIGINT.
 
@@ -93,6 +95,8 @@
     ----------
     settings : PlatformSettings
         Settings of the process.
+    factories : ConnectionFactories or None
+        Factories of connections; None for those of the operating system.
     """
     structlog.contextvars.bind_contextvars(vm=settings.vm)
     gateway = Gateway(settings)
@@ -106,7 +110,7 @@
         await stack.enter_async_context(open_metrics_listener(gateway))
         # The callers' listener is opened last so that it closes first: the shutdown
         # of the background tasks must not keep a caller waiting.
-        await stack.enter_async_context(running_background_tasks(gateway))
+        await stack.enter_async_context(running_background_tasks(gateway, factories))
         await stack.enter_async_context(
             running_tasks(keep_running(lambda: poll_settings(gateway)))
         )
--- a/lentilhaven/gateway/tests/platform_testbed.py
+++ b/lentilhaven/gateway/tests/platform_testbed.py
@@ -15,10 +15,10 @@
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.listeners import open_caller_listener, open_ready_listener
 from lentilhaven.gateway.program import running_background_tasks
-from lentilhaven.gateway.tests.link_testbed import GatewayLinks, LinkedConnector
 from lentilhaven.peering.directory import FULL_MESH_LIMIT
 from lentilhaven.platform.settings import PlatformSettings, decode_settings
 from lentilhaven.standins.platform import FakeFleet, FakeReplica, FakeStore, store_app
+from lentilhaven.standins.platform.cut_links import GatewayLinks, LinkedConnector
 from lentilhaven.standins.platform.sample_files import (
     engine_entry,
     request_headers,
--- a/lentilhaven/gateway/tests/test_cut_links.py
+++ b/lentilhaven/gateway/tests/test_cut_links.py
@@ -4,7 +4,6 @@
 import unittest
 from collections import Counter
 
-from lentilhaven.gateway.tests.link_testbed import Cut
 from lentilhaven.gateway.tests.platform_testbed import (
     engine,
     plain_replicas,
@@ -16,6 +15,7 @@
     send_steadily,
     served_share,
 )
+from lentilhaven.standins.platform.cut_links import Cut
 
 #: Seconds from the start of a cut until callers of a cut gateway must be served.
 STABLE = 3.0
--- a/lentilhaven/gateway/tests/link_testbed.py
+++ b/lentilhaven/standins/platform/cut_links.py
@@ -1,4 +1,9 @@
-"""The connections that one gateway of a test opens, some of which can be cut."""
+"""
+The connections that one gateway opens, some of which can be cut.
+
+Behind a partition between a gateway and some hosts, its connections hang, are reset, or
+live on while new ones are refused.  Connections that others open are not affected.
+"""
 
 import asyncio
 import enum
@@ -102,6 +107,7 @@
         self.links = links
 
     async def _wrap_create_connection(self, *args: Any, **kwargs: Any) -> Any:
+        """Connect, if the host is not cut off."""
         await self.links.wait_if_cut(kwargs["addr_infos"][0][4][0])
         return await super()._wrap_create_connection(*args, **kwargs)
 
@@ -117,26 +123,32 @@
         self.is_broken = False
 
     def connection_made(self, transport: Any) -> None:
+        """Pass on the start of the connection."""
         self.transport = LinkedTransport(transport, self)
         self.links.connections.append(self)
         self.inner.connection_made(self.transport)
 
     def data_received(self, data: bytes) -> None:
+        """Pass on data unless they are lost."""
         if not self.loses_bytes():
             self.inner.data_received(data)
 
     def eof_received(self) -> Any:
+        """Pass on the end of the data unless it is lost."""
         return None if self.loses_bytes() else self.inner.eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
+        """Pass on the end of the connection unless it is lost."""
         if not self.loses_bytes():
             self.lose(exc)
 
     def pause_writing(self) -> None:
+        """Pass on that the buffer is full."""
         if hasattr(self.inner, "pause_writing"):
             self.inner.pause_writing()
 
     def resume_writing(self) -> None:
+        """Pass on that the buffer has room."""
         if hasattr(self.inner, "resume_writing"):
             self.inner.resume_writing()
 
@@ -175,39 +187,50 @@
         self.raw, self.protocol = raw, protocol
 
     def write(self, data: Any) -> None:
+        """Send data unless they are lost."""
         if not self.protocol.loses_bytes():
             self.raw.write(data)
 
     def abort(self) -> None:
+        """Close the connection at once."""
         if self.protocol.is_broken:
             asyncio.get_running_loop().call_soon(self.protocol.lose, None)
         self.raw.abort()
 
     def close(self) -> None:
+        """Close the connection."""
         if self.protocol.is_broken:
             asyncio.get_running_loop().call_soon(self.protocol.lose, None)
         self.raw.close()
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Return information about the connection."""
         return self.raw.get_extra_info(name, default)
 
     def is_closing(self) -> bool:
+        """Return whether the connection closes."""
         return self.raw.is_closing()
 
     def pause_reading(self) -> None:
+        """Read no more."""
         self.raw.pause_reading()
 
     def resume_reading(self) -> None:
+        """Read again."""
         self.raw.resume_reading()
 
     def get_write_buffer_size(self) -> int:
+        """Return the bytes that wait to be sent."""
         return 0 if self.protocol.is_broken else self.raw.get_write_buffer_size()
 
     def set_write_buffer_limits(self, *args: Any, **kwargs: Any) -> None:
+        """Bound the bytes that wait to be sent."""
         self.raw.set_write_buffer_limits(*args, **kwargs)
 
     def write_eof(self) -> None:
+        """End the data."""
         self.raw.write_eof()
 
     def can_write_eof(self) -> bool:
+        """Return whether the data can be ended."""
         return self.raw.can_write_eof()
