Let a quarter of the engines hold the first layer

When these named limits, or a request crashed them, callers were refused although the others had room. Cause: the plan counts copies of layers, and an engine with room for many requests counts twice; but slots, named limits and crashes on arrival bind the engine on which a chain begins, whatever its copies.

--- a/lentilhaven/placement/coverage.py
+++ b/lentilhaven/placement/coverage.py
@@ -28,6 +28,15 @@
 #: Number of copies below which a layer counts as missing.
 MIN_COPIES = 0.01
 
+#: Share of the engines that should hold the first layer.  Slots, named limits and
+#: crashes on arrival bind the engine on which a chain begins, however many copies of
+#: the other layers there are.
+START_SHARE = 0.25
+
+#: Value added for the first layer if no engine holds it; it falls to none as
+#: `START_SHARE` is reached.
+START_WEIGHT = 2.0
+
 #: Relative value added to a second copy in a data centre if the only holder there has
 #: all layers; if it has fewer, the addition is smaller in proportion.  The more layers
 #: depend on a single engine, the more layers its loss takes away.
@@ -53,12 +62,15 @@
     holder_sizes : dict
         For each layer, the total number of layers of the engines that hold it, by
         data centre.
+    engines : int
+        Number of engines, also those without layers.
     total_copies : list of float
         Copies of each layer over all data centres.
     """
 
     layers: int
     data_centres: int
+    engines: int = 0
     local_copies: dict[str, list[float]] = attrs.field(factory=dict)
     holders: dict[str, list[int]] = attrs.field(factory=dict)
     holder_sizes: dict[str, list[int]] = attrs.field(factory=dict)
@@ -132,7 +144,7 @@
         holders = self.holders_in(data_centre)
         sizes = self.holder_sizes.setdefault(data_centre, [0] * self.layers)
         mean = sum(self.total_copies) / max(1, self.layers)
-        return [
+        gains = [
             self.base_gain(
                 copies_here[layer],
                 holders[layer],
@@ -142,6 +154,25 @@
             + (shortage_gain(mean, self.total_copies[layer]) if filled else 0.0)
             for layer in range(self.layers)
         ]
+        gains[0] += self.start_gain()
+        return gains
+
+    def start_gain(self) -> float:
+        """
+        Return the value added for one more engine that holds the first layer.
+
+        Examples
+        --------
+        >>> coverage = Coverage(3, 1, engines=8)
+        >>> coverage.start_gain()
+        2.0
+        >>> coverage.add("a", LayerSpan(0, 2))
+        >>> coverage.start_gain()
+        1.0
+        """
+        wanted = START_SHARE * self.engines
+        starts = sum(holders[0] for holders in self.holders.values())
+        return START_WEIGHT * max(0.0, 1.0 - starts / wanted) if wanted else 0.0
 
     def base_gain(
         self, copies: float, holders: int, holder_size: int, total: float
--- a/lentilhaven/placement/plan.py
+++ b/lentilhaven/placement/plan.py
@@ -51,7 +51,7 @@
     """
     engine_list = list(engines)
     data_centres = {engine.data_centre for engine in engine_list}
-    coverage = Coverage(spec.layers, len(data_centres))
+    coverage = Coverage(spec.layers, len(data_centres), len(engine_list))
     plan: dict[str, LayerSpan] = {}
     empty = []
     for engine in engine_list:
@@ -115,7 +115,8 @@
         New range by engine id.
     """
     planned = [engine for engine in engines if engine.id in plan]
-    coverage = Coverage(spec.layers, len({engine.data_centre for engine in planned}))
+    data_centres = {engine.data_centre for engine in planned}
+    coverage = Coverage(spec.layers, len(data_centres), len(planned))
     for engine in planned:
         span = plan[engine.id]
         coverage.add(engine.data_centre, span, copies_of(spec, engine, span))
--- a/lentilhaven/placement/tests/test_plan.py
+++ b/lentilhaven/placement/tests/test_plan.py
@@ -1,5 +1,7 @@
 import unittest
 
+import attrs
+
 from lentilhaven.chains.chain_search import Candidate, find_chain
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.engine_spec import AcceleratorType, EngineSpec
@@ -174,3 +176,50 @@
         plan = plan_layers(SPEC, engines, {})
         for name in "abc":
             self.assertTrue(has_local_chain(engines, plan, name), name)
+
+
+class StartTests(unittest.TestCase):
+    """
+    Guards against chains that all begin on the same few engines.
+
+    Crashes on arrival, slots and the limits that engines name bind the engine on which
+    a chain begins.
+    """
+
+    #: Number of engines that a request which crashes them may end.
+    MAX_CRASHES = 3
+
+    def starts(self, engines, plan):
+        """Return the engines on which chains can begin."""
+        return [it for it in engines if it.id in plan and plan[it.id].start == 0]
+
+    def test_chains_begin_in_every_data_centre_after_three_crashes(self):
+        engines = MONTERREY
+        starts = self.starts(engines, plan_layers(SPEC, engines, {}))
+        self.assertGreaterEqual(len(starts), self.MAX_CRASHES + 2)
+        self.assertEqual({it.data_centre for it in starts}, {"a", "b", "c"})
+
+    def test_number_grows_with_the_fleet(self):
+        engines = fleet(a=(3, 14, 16), b=(2, 24, 9), c=(4, 10, 11))
+        starts = self.starts(engines, plan_layers(SPEC, engines, {}))
+        self.assertGreaterEqual(len(starts), 12)
+
+    def test_other_layers_have_no_fewer_copies(self):
+        plan = plan_layers(SPEC, MONTERREY, {})
+        holders = [
+            sum(span.start <= layer < span.end for span in plan.values())
+            for layer in range(SPEC.layers)
+        ]
+        self.assertGreaterEqual(min(holders), 3)
+
+    def test_engines_that_come_back_begin_chains_again(self):
+        plan = plan_layers(SPEC, MONTERREY, {})
+        lost = {it.id for it in self.starts(MONTERREY, plan)[: self.MAX_CRASHES]}
+        engines = [
+            it if it.id in lost else attrs.evolve(it, layers=plan[it.id])
+            for it in MONTERREY
+        ]
+        again = plan_layers(SPEC, engines, {})
+        self.assertGreaterEqual(
+            len(self.starts(engines, again)), len(self.starts(MONTERREY, plan))
+        )
