Explain ends by the causes that no explanation can do without

Two requests at fault ended three endpoints each; a hot sound one was lost with two of each. Cause: each rival was weighed alone. A candidate all of whose ends are explained by others that each have an end of their own is superfluous now: it is not refused and excuses nobody. One at fault that two unlucky ones explain in this way is refused with its next end.

--- a/lentilhaven/crashes/ledger.py
+++ b/lentilhaven/crashes/ledger.py
@@ -482,7 +482,7 @@
         for other in self.suspects:
             if other in (subject, *together) or other.service != subject.service:
                 continue
-            if not self.is_candidate(other):
+            if not self.is_candidate(other) or self.is_superfluous(other):
                 continue
             other_rank = self.rank(other)
             are_parts = not (subject.is_request or other.is_request)
@@ -493,6 +493,27 @@
                     found.append(explained)
         return found
 
+    def is_superfluous(self, subject: Subject) -> bool:
+        """
+        Return whether other candidates explain all ends under a subject without it.
+
+        They must be candidates that no explanation can do without: each has an end that
+        no other candidate has.  So two requests at fault explain the ends under a sound
+        one that was lost with endpoints of both, though it has more ends than either.
+        """
+        ends = self.counted_ends(subject).keys()
+        candidates = [
+            self.counted_ends(it).keys()
+            for it in self.suspects
+            if it.service == subject.service and it != subject and self.is_candidate(it)
+        ]
+        explained: set[Incarnation] = set()
+        for index, own in enumerate(candidates):
+            others = [it for at, it in enumerate(candidates) if at != index]
+            if own - ends - set().union(*others):
+                explained |= own
+        return ends <= explained
+
     def unexplained_ends(
         self, subject: Subject, rivals: Iterable[Mapping[Incarnation, float]]
     ) -> dict[Incarnation, float]:
@@ -510,7 +531,7 @@
         One that goes on ending endpoints when none of its rivals does any more is at
         fault too.
         """
-        if not self.is_candidate(subject):
+        if not self.is_candidate(subject) or self.is_superfluous(subject):
             return False
         is_settled = max(self.counted_ends(subject).values()) < now - TIE_TIME
         rivals = self.rivals(subject, together, is_settled)
