Let the review's scripts end their processes when they are ended

Cause: a script that is ended from outside left its gateways running. Change: common.py ends the case on SIGTERM, SIGINT and SIGHUP with status 2; case 2 freezes the gateway from 2.2 to 3.6 s, so that it depends less on the machine.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -40,7 +40,7 @@
 SLOW = 12
 
 #: The gateway is frozen from FREEZE_AT seconds after the request on, for FREEZE.
-FREEZE_AT, FREEZE = 2.25, 1.0
+FREEZE_AT, FREEZE = 2.2, 1.4
 
 MANIFEST = {
     "version": 1,
--- a/review/common.py
+++ b/review/common.py
@@ -428,9 +428,14 @@
     record = Record(Path(folder) / "record.txt")
     work = tempfile.mkdtemp(prefix="review-")
     gateways, servers = [], []
+    running = asyncio.ensure_future(case(record, work, gateways, servers))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, running.cancel)
     try:
-        status = await asyncio.wait_for(case(record, work, gateways, servers), 115)
-    except Exception as error:  # The case could not run.
+        status = await asyncio.wait_for(running, 115)
+    except (Exception, asyncio.CancelledError) as error:
+        # The case could not run, or was ended from outside.
         record.add(f"case could not run: {type(error).__name__}: {error}")
         status = 2
     finally:
