Log what a closed listener and a closed connection leave unread

Cause: no log told whether a caller without an answer had waited to be accepted, had been accepted late, or had sent bytes that were not read. Change: `listener closed` with the connections in the kernel's queue (TCP_INFO), `callers are served` with the connections that are still open, and `connection closed with unread bytes`.

--- a/lentilhaven/gateway/caller_connection.py
+++ b/lentilhaven/gateway/caller_connection.py
@@ -10,6 +10,7 @@
 from lentilhaven.fleet.manifest import RequestLimits
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.serving.problems import problem_bytes
+from lentilhaven.sockets import has_unread_bytes
 
 #: Seconds for which a connection is kept open beyond the idle timeout, so that a
 #: request sent just before the timeout still arrives.
@@ -183,6 +184,8 @@
         if self.has_late_head(now, LAST_IDLE_TIME):
             self.refuse_late_head()
         elif self.is_idle() and now - self.used_at > LAST_IDLE_TIME:
+            if self.transport is not None and has_unread_bytes(self.transport):
+                log.info("connection closed with unread bytes")
             self.force_close()
 
 
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -29,6 +29,7 @@
 from lentilhaven.gateway.service_relay import relay_call
 from lentilhaven.gateway.stream_relay import relay_stream
 from lentilhaven.platform.request_head import decode_request_head
+from lentilhaven.sockets import count_waiting
 
 #: Maximum number of connections waiting to be accepted; enough for a burst of callers
 #: that connect to one VM.
@@ -157,7 +158,10 @@
 
     def stop(self) -> None:
         """Stop accepting connections."""
+        waiting = count_waiting(self.tcp_server)
         self.tcp_server.close()
+        connections = len(self.http_server.connections)
+        log.info("listener closed", waiting=waiting, connections=connections)
 
     async def close_connections(self, until: float) -> None:
         """
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -119,6 +119,11 @@
         await stop.wait()
         log.info("gateway stopping", active=gateway.active)
         await drain(gateway, listener)
+        log.info(
+            "callers are served",
+            active=gateway.active,
+            connections=len(listener.http_server.connections),
+        )
     log.info("gateway stopped", active=gateway.active)
 
 
