Serve the connections that wait when a stopping gateway closes its listener

Cause: `Server.close()` closes the listening socket at once. The kernel then resets each connection that waits in its queue, and asyncio drops those that it has accepted in the iteration before (their transports can't be attached to a closed server). The callers of both have a connection and may have sent a whole request. On an idle core the queue is empty within a fraction of a millisecond; under load the event loop accepts late. What callers saw: a reset on a new connection beside a stop, no answer, no refusal, and no line in any log. The new tests connect and send before the event loop runs again, and failed before: 5 of 5 callers that wait, and after 1 and 2 iterations, "the connection ended without an answer". Change: `close_listener` first stops accepting, lets asyncio finish what it has accepted, then takes the rest of the queue through a duplicate of the socket, whose queue lasts until the last descriptor is closed. What was taken is served: refused as not run, with Retry-After. What arrives between the last acceptance and the close of the descriptor is still reset; no line of Python runs between the two but the return.

--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -29,7 +29,7 @@
 from lentilhaven.gateway.service_relay import relay_call
 from lentilhaven.gateway.stream_relay import relay_stream
 from lentilhaven.platform.request_head import decode_request_head
-from lentilhaven.sockets import count_waiting
+from lentilhaven.sockets import close_listener
 
 #: Maximum number of connections waiting to be accepted; enough for a burst of callers
 #: that connect to one VM.
@@ -151,17 +151,25 @@
         Accepts connections.
     http_server : aiohttp.web.Server
         Keeps track of the open connections.
+    make_connection : callable
+        Returns the protocol of a new connection.
     """
 
     tcp_server: asyncio.Server
     http_server: web.Server
+    make_connection: Callable[[], CallerConnection]
 
-    def stop(self) -> None:
-        """Stop accepting connections."""
-        waiting = count_waiting(self.tcp_server)
-        self.tcp_server.close()
-        connections = len(self.http_server.connections)
-        log.info("listener closed", waiting=waiting, connections=connections)
+    async def stop(self) -> None:
+        """Stop accepting connections; those that wait to be accepted are served."""
+        loop = asyncio.get_running_loop()
+        waiting = await close_listener(self.tcp_server)
+        log.info(
+            "listener closed",
+            waiting=len(waiting),
+            connections=len(self.http_server.connections),
+        )
+        for connection in waiting:
+            await loop.connect_accepted_socket(self.make_connection, connection)
 
     async def close_connections(self, until: float) -> None:
         """
@@ -204,13 +212,14 @@
     )
     host, _, port = gateway.settings.callers.rpartition(":")
     loop = asyncio.get_running_loop()
+
+    def make_connection() -> CallerConnection:
+        return CallerConnection(server, current_limits(gateway).idle_timeout)
+
     listener = await loop.create_server(
-        lambda: CallerConnection(server, current_limits(gateway).idle_timeout),
-        host,
-        int(port),
-        backlog=BACKLOG,
+        make_connection, host, int(port), backlog=BACKLOG
     )
-    opened = CallerListener(listener, server)
+    opened = CallerListener(listener, server, make_connection)
     try:
         async with running_tasks(opened.run_idle_check(gateway)):
             yield opened
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -305,7 +305,7 @@
     end = began + gateway.settings.grace - GRACE_MARGIN
     await asyncio.sleep(min(ACCEPT_TIME, end - began))
     gateway.refuses_requests = True
-    listener.stop()
+    await listener.stop()
     await listener.close_connections(end)
     await gateway.request_finished.wait_until(
         lambda: not gateway.active and not gateway.tunnels, end - loop.time()
--- /dev/null
+++ b/lentilhaven/gateway/tests/test_connections_at_a_stop.py
@@ -0,0 +1,102 @@
+import asyncio
+import socket
+import unittest
+from contextlib import asynccontextmanager
+
+import attrs
+
+from lentilhaven.core.store_position import StorePosition
+from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.listeners import CallerListener, open_caller_listener
+from lentilhaven.gateway.store_watch import adopt_manifest
+from lentilhaven.gateway.tests.platform_testbed import sample_manifest, sample_settings
+from lentilhaven.gateway.tests.raw_caller import RawAnswer, RawCaller, raw_request
+from lentilhaven.platform.settings import decode_settings
+
+#: Number of callers that connect at the same time.
+CALLERS = 5
+
+
+@attrs.define
+class Wire:
+    """A gateway that listens on the loopback interface."""
+
+    gateway: Gateway
+    listener: CallerListener
+
+    @property
+    def port(self) -> int:
+        """Return the port for callers."""
+        return self.listener.tcp_server.sockets[0].getsockname()[1]
+
+    def send_at_once(self, number: int) -> socket.socket:
+        """Connect and send a whole request before the event loop runs again."""
+        caller = socket.create_connection(("127.0.0.1", self.port))
+        caller.sendall(raw_request(f"/look/{number}", f"x{number}"))
+        return caller
+
+    async def stop(self) -> None:
+        """Stop as the gateway does when it no longer accepts requests."""
+        self.gateway.leaving = self.gateway.refuses_requests = True
+        await self.listener.stop()
+        until = asyncio.get_running_loop().time() + 2.0
+        await self.listener.close_connections(until)
+
+
+@asynccontextmanager
+async def open_wire():
+    """Open a gateway without endpoints, which refuses every request."""
+    settings = sample_settings(0)
+    settings["listen_addrs"]["front"] = "127.0.0.1:0"
+    gateway = Gateway(decode_settings(settings))
+    position = StorePosition(0, 1)
+    adopt_manifest(gateway, sample_manifest(), position, "test")
+    gateway.view.replace_endpoints([], position, "test")
+    async with open_caller_listener(gateway) as listener:
+        yield Wire(gateway, listener)
+
+
+async def read_answer(caller: socket.socket) -> RawAnswer | None:
+    """Return the answer that a caller gets, or None if there is none."""
+    caller.setblocking(False)
+    reader, writer = await asyncio.open_connection(sock=caller)
+    try:
+        return await RawCaller(reader, writer).read_answer()
+    finally:
+        writer.close()
+
+
+class StopTests(unittest.TestCase):
+    """Whole requests got neither an answer nor a refusal beside a stop (issue 37)."""
+
+    def check_refused(self, answers):
+        """Check that each request was refused as not run."""
+        for answer in answers:
+            self.assertIsNotNone(answer, "the connection ended without an answer")
+            self.assertTrue(answer.complete)
+            self.assertEqual((answer.status, answer.idle_time), (503, 0.0))
+            self.assertIn("retry-after", answer.headers)
+
+    # Guards against the reset of connections that wait when the listener is closed.
+    def test_connections_that_wait_to_be_accepted_are_answered(self):
+        async def scenario():
+            async with open_wire() as wire:
+                callers = [wire.send_at_once(number) for number in range(CALLERS)]
+                await wire.stop()
+            return [await read_answer(caller) for caller in callers]
+
+        self.check_refused(asyncio.run(scenario()))
+
+    # Guards against an end of the process before an accepted connection is served.
+    def test_connections_that_were_just_accepted_are_answered(self):
+        async def scenario(steps):
+            async with open_wire() as wire:
+                callers = [wire.send_at_once(number) for number in range(CALLERS)]
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+                await wire.stop()
+            return [await read_answer(caller) for caller in callers]
+
+        for steps in range(1, 6):
+            with self.subTest(steps=steps):
+                self.check_refused(asyncio.run(scenario(steps)))
--- a/lentilhaven/gateway/tests/test_kept_connections.py
+++ b/lentilhaven/gateway/tests/test_kept_connections.py
@@ -353,7 +353,7 @@
             connection.data_received(raw_request("/look/2", "x2"))
             await pass_steps(steps)
             gateway.refuses_requests = True
-            listener.stop()
+            await listener.stop()
             return await caller.read_answer()
 
         for steps in range(STEPS):
@@ -421,14 +421,16 @@
         async def scenario(bed):
             server = web.Server(answer_at_length)
             loop = asyncio.get_running_loop()
-            tcp_server = await loop.create_server(
-                lambda: CallerConnection(server), "10.0.0.1", PORT
-            )
-            listener = CallerListener(tcp_server, server)
+
+            def make_connection():
+                return CallerConnection(server)
+
+            tcp_server = await loop.create_server(make_connection, "10.0.0.1", PORT)
+            listener = CallerListener(tcp_server, server, make_connection)
             caller = await RawCaller.connect(PORT, unread_bytes=1000)
             caller.writer.write(raw_request())
             await asyncio.sleep(0.1)
-            listener.stop()
+            await listener.stop()
             closing = asyncio.ensure_future(
                 listener.close_connections(loop.time() + 5.0)
             )
@@ -448,7 +450,7 @@
             caller.writer.write(b"".join(requests))
             await asyncio.sleep(0.005)
             gateway.refuses_requests = True
-            listener.stop()
+            await listener.stop()
             return [await caller.read_answer() for _ in requests]
 
         answers = run_with_listener(scenario)
--- a/lentilhaven/sockets/listen_queue.py
+++ b/lentilhaven/sockets/listen_queue.py
@@ -1,35 +1,62 @@
 """Connections that wait to be accepted."""
 
 import asyncio
+import contextlib
 import socket
-import struct
+from collections.abc import Iterator
 
-#: Offset of ``tcpi_unacked`` in ``struct tcp_info``, in bytes, and its size.  For a
-#: listening socket it is the number of connections that wait to be accepted.
-WAITING_OFFSET, WAITING_SIZE = 24, 4
+#: Seconds after its last acceptance in which an event loop makes the transports of the
+#: connections that it has accepted.
+SETTLING_TIME = 0.01
 
 
-def count_waiting(server: asyncio.Server) -> int | None:
+async def close_listener(server: asyncio.Server) -> list[socket.socket]:
     """
-    Return the number of connections that wait to be accepted by a server.
+    Close the listening sockets of a server without a loss of connections.
 
-    Returns
-    -------
-    int or None
-        None if the system does not tell.
+    The kernel resets connections that still wait to be accepted when their listening
+    socket closes, and asyncio drops those that it has accepted shortly before, although
+    their callers may have sent requests.
 
-    References
+    Parameters
     ----------
-    Linux, ``include/uapi/linux/tcp.h``, ``struct tcp_info``.
+    server : asyncio.Server
+        Server that accepts connections.
+
+    Returns
+    -------
+    list of socket.socket
+        Connections that were waiting, for the caller to serve or to close.
     """
-    size = WAITING_OFFSET + WAITING_SIZE
-    try:
-        infos = [
-            it.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
-            for it in server.sockets
+    loop = asyncio.get_running_loop()
+    for listening in server.sockets:
+        loop.remove_reader(listening.fileno())
+    await asyncio.sleep(SETTLING_TIME)
+    with contextlib.ExitStack() as stack:
+        # The queue of a socket lasts until its last descriptor is closed.
+        duplicates = [
+            stack.enter_context(listening.dup())
+            for listening in server.sockets
+            if has_descriptor(listening)
         ]
-    except (AttributeError, OSError):
-        return None
-    if any(len(info) < size for info in infos):
-        return None
-    return sum(struct.unpack_from("=I", info, WAITING_OFFSET)[0] for info in infos)
+        server.close()
+        return [it for listening in duplicates for it in accept_waiting(listening)]
+
+
+def has_descriptor(sock: socket.socket) -> bool:
+    """Return whether a socket is one of the kernel, and not one in memory."""
+    return isinstance(sock.fileno(), int)
+
+
+def accept_waiting(listening: socket.socket) -> Iterator[socket.socket]:
+    """Accept the connections that wait, without blocking."""
+    while True:
+        try:
+            connection, _ = listening.accept()
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            # No connection waits, or no descriptor is left for it.
+            return
+        connection.setblocking(False)
+        yield connection
--- a/lentilhaven/sockets/tests/test_sockets.py
+++ b/lentilhaven/sockets/tests/test_sockets.py
@@ -2,7 +2,14 @@
 import socket
 import unittest
 
-from lentilhaven.sockets import count_waiting, has_unread_bytes
+from lentilhaven.sockets import close_listener, has_unread_bytes
+
+
+class Greeting(asyncio.Protocol):
+    """Sends a byte on each connection that asyncio has accepted."""
+
+    def connection_made(self, transport):
+        transport.write(b"a")
 
 
 async def open_server(protocol=asyncio.Protocol):
@@ -11,20 +18,39 @@
 
 
 class ListenQueueTests(unittest.TestCase):
-    def test_connections_count_until_they_are_accepted(self):
+    """Connections were reset when a listener closed (issue 37)."""
+
+    def close_after(self, steps):
+        """Return the waiting connections, and the bytes that their callers get."""
+
         async def scenario():
-            server = await open_server()
+            server = await open_server(Greeting)
             address = server.sockets[0].getsockname()
             callers = [socket.create_connection(address) for _ in range(3)]
-            before = count_waiting(server)
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            waiting = await close_listener(server)
+            for connection in waiting:
+                connection.sendall(b"w")
+                connection.close()
             await asyncio.sleep(0.05)
-            after = count_waiting(server)
-            server.close()
+            received = [caller.recv(10) for caller in callers]
             for caller in callers:
                 caller.close()
-            return before, after
+            with self.assertRaises(ConnectionRefusedError):
+                socket.create_connection(address)
+            return len(waiting), received
+
+        return asyncio.run(scenario())
+
+    def test_connections_that_wait_are_returned(self):
+        self.assertEqual(self.close_after(0), (3, [b"w"] * 3))
 
-        self.assertEqual(asyncio.run(scenario()), (3, 0))
+    def test_connections_that_were_just_accepted_are_served(self):
+        for steps in range(1, 6):
+            with self.subTest(steps=steps):
+                waiting, received = self.close_after(steps)
+                self.assertEqual(received, [b"w" if waiting else b"a"] * 3)
 
 
 class ReceiveBufferTests(unittest.TestCase):
