Close no connection on which unread bytes have arrived

Cause: a gateway that ends closes connections that were unused for 0.5 s, and each gateway closes those that outlast the idle time. Both look at what the process has read; a request in the socket's buffer, which the event loop reads in its next iteration, was dropped and its connection reset. Under load an iteration lasts long. What callers saw: a reset and no answer on a kept connection, beside a stop. Evidence: the new test sends a request on an unused connection before the event loop runs again; it failed before: "the connection ended without an answer". Change: the kernel is asked (poll) before such a connection is closed.

--- a/lentilhaven/gateway/caller_connection.py
+++ b/lentilhaven/gateway/caller_connection.py
@@ -116,6 +116,10 @@
         """Return whether a part of a response has not been handed to the kernel."""
         return bool(self.transport and self.transport.get_write_buffer_size())
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not read."""
+        return self.transport is not None and has_unread_bytes(self.transport)
+
     def is_idle(self) -> bool:
         """Return whether nothing of a request or of a response is under way."""
         is_waiting = self.waits_for_request() and self.head_began is None
@@ -135,9 +139,8 @@
         if self.is_writing():
             self.used_at = now
         idle_time = now - self.used_at
-        return (
-            self.is_idle() and idle_time > max(limit, self.promised_time) + IDLE_SLACK
-        )
+        has_expired = idle_time > max(limit, self.promised_time) + IDLE_SLACK
+        return has_expired and self.is_idle() and not self.has_unread_bytes()
 
     async def finish_response(
         self,
@@ -184,9 +187,9 @@
         if self.has_late_head(now, LAST_IDLE_TIME):
             self.refuse_late_head()
         elif self.is_idle() and now - self.used_at > LAST_IDLE_TIME:
-            if self.transport is not None and has_unread_bytes(self.transport):
-                log.info("connection closed with unread bytes")
-            self.force_close()
+            # The event loop reads in its next iteration what has arrived.
+            if not self.has_unread_bytes():
+                self.force_close()
 
 
 def current_limits(gateway: Gateway) -> RequestLimits:
--- a/lentilhaven/gateway/tests/test_connections_at_a_stop.py
+++ b/lentilhaven/gateway/tests/test_connections_at_a_stop.py
@@ -6,6 +6,7 @@
 import attrs
 
 from lentilhaven.core.store_position import StorePosition
+from lentilhaven.gateway.caller_connection import LAST_IDLE_TIME
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.listeners import CallerListener, open_caller_listener
 from lentilhaven.gateway.store_watch import adopt_manifest
@@ -100,3 +101,20 @@
         for steps in range(1, 6):
             with self.subTest(steps=steps):
                 self.check_refused(asyncio.run(scenario(steps)))
+
+    # Guards against the close of a used connection with an unread request.
+    def test_a_request_that_has_arrived_on_an_idle_connection_is_answered(self):
+        async def scenario():
+            async with open_wire() as wire:
+                caller = wire.send_at_once(1)
+                stream = await asyncio.open_connection(sock=caller)
+                await RawCaller(*stream).read_answer()
+                await asyncio.sleep(LAST_IDLE_TIME + 0.1)
+                wire.gateway.leaving = wire.gateway.refuses_requests = True
+                caller.send(raw_request("/look/2", "x2"))
+                now = asyncio.get_running_loop().time()
+                for connection in wire.listener.http_server.connections:
+                    connection.end(now)
+                return [await RawCaller(*stream).read_answer()]
+
+        self.check_refused(asyncio.run(scenario()))
