Add a scenario of stops of a gateway that gets little processor time

The soak's callers open a connection when theirs has ended, the bench's balancer has sent nothing for a second by then, and in virtual time the queue is always empty. Change: the scenario `stops` suspends a gateway process for 20 of each 25 ms, and callers send requests of all kinds on new connections until one is refused. Every established connection must get a whole answer.

--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -28,6 +28,7 @@
 from lentilhaven.bench.shutdown import run_shutdown
 from lentilhaven.bench.smoke import run_smoke
 from lentilhaven.bench.soak import run_soak
+from lentilhaven.bench.stops import run_stops
 from lentilhaven.bench.tables_cost import run_tables_cost
 from lentilhaven.bench.throughput import run_throughput
 from lentilhaven.bench.view_cost import run_view_cost
@@ -59,6 +60,7 @@
     "fuzz": run_fuzz,
     "smoke": run_smoke,
     "soak": run_soak,
+    "stops": run_stops,
     "tables-cost": run_tables_cost,
     "throughput": run_throughput,
     "view-cost": run_view_cost,
