Log responses that do not name the request in progress

The lines of a gateway told neither whether a response had the request's id nor what the connection had carried before, by which the hypotheses in docs/incidents/repeated-refusals.md differ. Nothing else changes.

--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -83,6 +83,9 @@
         Memory that the responses of all connections share.
     on_given_up : callable
         Called with an exchange whose response was too large.
+    on_unidentified : callable
+        Called with this connection and the head of each response that does not name
+        the request in progress.
     activity : Activity
         Latest data on this connection and others like it.
     relayed : bool
@@ -122,6 +125,9 @@
         on_given_up: Callable[[Exchange], None] = lambda exchange: None,
         activity: Activity | None = None,
         relayed: bool = False,
+        on_unidentified: Callable[["UpstreamConnection", ResponseHead], None] = (
+            lambda connection, head: None
+        ),
     ) -> None:
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
@@ -135,6 +141,7 @@
         self.on_given_up = on_given_up
         self.activity = Activity() if activity is None else activity
         self.relayed = relayed
+        self.on_unidentified = on_unidentified
         self.parser = httptools.HttpResponseParser(self)
         self.fields: list[tuple[str, str]] = []
         self.field_bytes = 0
@@ -225,6 +232,8 @@
         # Only a response with a status of 300 or more may lack the request's id.
         anonymous = not head.request_id and status >= 300
         self.matches_request = anonymous or head.request_id == self.exchange.request_id
+        if head.request_id != self.exchange.request_id:
+            self.on_unidentified(self, head)
         if not self.matches_request:
             # A late response to an earlier request; the expected one may follow.
             self.usable = False
--- a/lentilhaven/upstream/connection_pool.py
+++ b/lentilhaven/upstream/connection_pool.py
@@ -151,6 +151,7 @@
             partial(self.note_given_up, endpoint),
             activity,
             relayed,
+            partial(self.note_unidentified, endpoint),
         )
 
     def note_given_up(self, endpoint: Endpoint, exchange: Exchange) -> None:
@@ -165,6 +166,22 @@
             limit=self.memory.limit,
         )
 
+    def note_unidentified(
+        self, endpoint: Endpoint, connection: UpstreamConnection, head: ResponseHead
+    ) -> None:
+        """Log a response that does not name the request in progress."""
+        assert connection.exchange is not None
+        log.info(
+            "response does not name the request",
+            request=connection.exchange.request_id,
+            named=head.request_id,
+            endpoint=endpoint.id,
+            status=head.status,
+            not_executed=head.not_executed,
+            carried=len(connection.request_ids),
+            accepted=connection.matches_request,
+        )
+
     def take_idle(
         self, endpoint: Endpoint, request_id: str, max_idle_time: float
     ) -> UpstreamConnection | None:
