Take a response without an id for the answer only if it can be no other

Cause: UpstreamConnection took any response of status 300 or more without Request-Id for the answer to the request in progress, whatever the connection had carried before. It was attributed by its position, not by its identity.

What callers saw: a replica wrote an earlier refusal once more, without the id, where the next answer was due. The gateway took it for a refusal of the next request, which the replica had begun to run, and sent it to a second replica, or told the caller that it had not run.

Evidence: four replicas on the loopback interface, of which two write their refusals again; four callers send 40 unsafe requests.

Copies with the id, and those that follow their original at once, did no harm.

Change: a response with an id belongs to the request that it names. One without an id belongs to the request in progress only if the connection has carried no other request and no response to another one; otherwise it is skipped like a late response, and the expected one awaited until the deadline. So that sound refusals without an id stay useful, each connection to an endpoint that has sent a response without an id carries one request only from then on: the connection tells then what the id does not, and a copy meets no other request.

--- a/lentilhaven/gateway/tests/wire_testbed.py
+++ b/lentilhaven/gateway/tests/wire_testbed.py
@@ -1,6 +1,7 @@
 """Testbed: one gateway whose callers and endpoints use the loopback interface."""
 
 import asyncio
+from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from typing import Any
 
@@ -38,8 +39,13 @@
 
     async def call(self, path: str, method: str = "POST") -> bytes:
         """Return all bytes of an answer, also if it is broken off."""
+        return (await self.call_named(path, method))[1]
+
+    async def call_named(self, path: str, method: str = "POST") -> tuple[str, bytes]:
+        """Return the id of a request, and all bytes of its answer."""
         self.requests += 1
-        fields = request_headers(f"r{self.requests}", KEY, PATIENCE, 40)
+        name = f"r{self.requests}"
+        fields = request_headers(name, KEY, PATIENCE, 40)
         fields["Content-Length"] = "0"
         fields["Connection"] = "close"
         lines = [f"{method} {path} HTTP/1.1"]
@@ -54,7 +60,7 @@
             pass
         finally:
             writer.close()
-        return received
+        return name, received
 
 
 def run_on_wire(script: Any, use: Any) -> Any:
@@ -77,12 +83,7 @@
 
     async def main() -> Any:
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        settings = sample_settings(0)
-        settings["listen_addrs"]["front"] = "127.0.0.1:0"
-        gateway = Gateway(decode_settings(settings))
-        position = StorePosition(0, 1)
-        adopt_manifest(gateway, sample_manifest(), position, "test")
+        address = address_of(server)
         engine = Endpoint(
             "e",
             "gen",
@@ -94,12 +95,50 @@
             model="lentil-70",
         )
         plain = Endpoint("p", "stock", address, "dc-a", SLOTS)
-        gateway.view.replace_endpoints([engine, plain], position, "test")
-        async with AsyncExitStack() as stack:
-            listener = await stack.enter_async_context(open_caller_listener(gateway))
-            port = listener.tcp_server.sockets[0].getsockname()[1]
-            found = await use(WireGateway(gateway, port))
+        found = await use_gateway([engine, plain], use)
         server.close()
         return found
 
     return asyncio.run(main())
+
+
+def run_on_wire_with(replicas: Sequence[Any], use: Any) -> Any:
+    """
+    Return the result of `use(wire)` with several replicas of the plain service.
+
+    Each replica serves a connection by its method ``serve(reader, writer)``.
+    """
+
+    async def main() -> Any:
+        servers = [
+            await asyncio.start_server(it.serve, "127.0.0.1", 0) for it in replicas
+        ]
+        endpoints = [
+            Endpoint(f"p{number}", "stock", address_of(server), "dc-a", SLOTS)
+            for number, server in enumerate(servers)
+        ]
+        found = await use_gateway(endpoints, use)
+        for server in servers:
+            server.close()
+        return found
+
+    return asyncio.run(main())
+
+
+def address_of(server: asyncio.Server) -> str:
+    """Return the address of a server on the loopback interface."""
+    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+async def use_gateway(endpoints: Sequence[Endpoint], use: Any) -> Any:
+    """Return the result of `use(wire)` with a gateway that knows the endpoints."""
+    settings = sample_settings(0)
+    settings["listen_addrs"]["front"] = "127.0.0.1:0"
+    gateway = Gateway(decode_settings(settings))
+    position = StorePosition(0, 1)
+    adopt_manifest(gateway, sample_manifest(), position, "test")
+    gateway.view.replace_endpoints(endpoints, position, "test")
+    async with AsyncExitStack() as stack:
+        listener = await stack.enter_async_context(open_caller_listener(gateway))
+        port = listener.tcp_server.sockets[0].getsockname()[1]
+        return await use(WireGateway(gateway, port))
--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -75,6 +75,9 @@
         was made if it has carried none, in seconds.
     request_ids : set of str
         Ids of the requests that the connection has carried.
+    may_be_late : bool
+        Whether a response may belong to an earlier request: the connection has carried
+        one, or a response to another one.
     on_lost : callable
         Called with this connection when it is lost.
     on_head : callable
@@ -135,6 +138,7 @@
         self.keep_alive: float | None = None
         self.idle_since = 0.0
         self.request_ids: set[str] = set()
+        self.may_be_late = False
         self.on_lost = on_lost
         self.on_head = on_head
         self.memory = AnswerMemory() if memory is None else memory
@@ -229,14 +233,14 @@
         self.on_head(head)
         self.head = head
         self.ends_at_eof = not self.is_self_delimited()
-        # Only a response with a status of 300 or more may lack the request's id.
-        anonymous = not head.request_id and status >= 300
-        self.matches_request = anonymous or head.request_id == self.exchange.request_id
+        self.matches_request = self.answers(head, self.exchange.request_id)
         if head.request_id != self.exchange.request_id:
             self.on_unidentified(self, head)
         if not self.matches_request:
-            # A late response to an earlier request; the expected one may follow.
+            # A late response to an earlier request, perhaps; the expected one may
+            # follow.
             self.usable = False
+            self.may_be_late = True
             return
         if head.closes_connection or self.ends_at_eof:
             self.usable = False
@@ -302,6 +306,7 @@
         )
         self.framing_bytes = self.skipped_bytes = 0
         self.head_only = head.startswith(b"HEAD ")
+        self.may_be_late = self.may_be_late or bool(self.request_ids)
         self.request_ids.add(request_id)
         self.transport.write(head + body if body else head)
         return self.exchange
@@ -321,6 +326,24 @@
         finally:
             exchange.close()
 
+    def answers(self, head: ResponseHead, request_id: str) -> bool:
+        """
+        Return whether a response certainly belongs to the request in progress.
+
+        Its place among the responses proves this only as long as the connection has
+        carried nothing else.  A success must have the id in any case.
+
+        Parameters
+        ----------
+        head : ResponseHead
+            Head of the response.
+        request_id : str
+            Id of the request.
+        """
+        if head.request_id:
+            return head.request_id == request_id
+        return head.status >= 300 and not self.may_be_late
+
     def check_framing(self) -> None:
         """Account for a head of which a part has arrived, and bound its size."""
         if self.exchange is None:
--- a/lentilhaven/upstream/connection_pool.py
+++ b/lentilhaven/upstream/connection_pool.py
@@ -56,6 +56,10 @@
         Returns whether an idle connection to an endpoint may be used now.
     activities : dict
         Latest data on the direct connections to each endpoint, by incarnation.
+    unnamed : set
+        Incarnations of the endpoints that have sent a response without a request id.
+        Each of their connections carries one request only, so that the connection tells
+        which request a response belongs to.
     """
 
     idle: dict[tuple[str, int], list[UpstreamConnection]] = attrs.field(factory=dict)
@@ -68,6 +72,7 @@
         lambda endpoint, connection: True
     )
     activities: dict[tuple[str, int], Activity] = attrs.field(factory=dict)
+    unnamed: set[tuple[str, int]] = attrs.field(factory=set)
 
     @establish.default
     def direct_way(self) -> Callable[[Endpoint], Awaitable[UpstreamConnection]]:
@@ -89,8 +94,8 @@
         endpoint : Endpoint
             Endpoint to connect to.
         request_id : str
-            Id of the request to send.  A connection that has carried it before is not
-            used: a late copy of the earlier answer could not be told from the new one.
+            Id of the request to send.  A connection is not used if a late copy of an
+            earlier answer could not be told from the new one.
         timeout : float
             Maximum time to wait for a new connection, in seconds.
         max_idle_time : float
@@ -169,7 +174,7 @@
     def note_unidentified(
         self, endpoint: Endpoint, connection: UpstreamConnection, head: ResponseHead
     ) -> None:
-        """Log a response that does not name the request in progress."""
+        """Log a response that does not name the request, and note one without an id."""
         assert connection.exchange is not None
         log.info(
             "response does not name the request",
@@ -181,6 +186,22 @@
             carried=len(connection.request_ids),
             accepted=connection.matches_request,
         )
+        if not head.request_id and endpoint.incarnation not in self.unnamed:
+            self.unnamed.add(endpoint.incarnation)
+            log.warning("endpoint omits request ids", endpoint=endpoint.id)
+
+    def may_carry(
+        self, endpoint: Endpoint, connection: UpstreamConnection, request_id: str
+    ) -> bool:
+        """Return whether the answer to a request can be told on a connection."""
+        return (
+            not self.is_spent(endpoint, connection)
+            and request_id not in connection.request_ids
+        )
+
+    def is_spent(self, endpoint: Endpoint, connection: UpstreamConnection) -> bool:
+        """Return whether no other request may follow on a connection."""
+        return endpoint.incarnation in self.unnamed and bool(connection.request_ids)
 
     def take_idle(
         self, endpoint: Endpoint, request_id: str, max_idle_time: float
@@ -203,7 +224,7 @@
             if connection.keep_alive is not None:
                 limit = min(limit, connection.keep_alive - KEEP_ALIVE_MARGIN)
             is_fresh = connection.usable and now - connection.idle_since < limit
-            if is_fresh and request_id not in connection.request_ids:
+            if is_fresh and self.may_carry(endpoint, connection, request_id):
                 found = connection
             else:
                 connection.abort()
@@ -212,7 +233,8 @@
 
     def release(self, endpoint: Endpoint, connection: UpstreamConnection) -> None:
         """Return a connection to the pool if it can be reused, or close it."""
-        if not connection.usable or connection.exchange is not None:
+        is_busy = connection.exchange is not None
+        if not connection.usable or is_busy or self.is_spent(endpoint, connection):
             connection.abort()
             return
         connections = self.idle.setdefault(endpoint.incarnation, [])
@@ -245,6 +267,7 @@
                 del self.idle[incarnation]
         for incarnation in self.activities.keys() - live:
             del self.activities[incarnation]
+        self.unnamed &= live
 
     def remove_lost(self, connection: UpstreamConnection) -> None:
         """Remove a lost connection from the pool."""
