Heed what late responses say about an endpoint only if it is leaving

The head of each response was applied to the endpoint's state, also if the response belonged to no request in progress.

What callers saw: a late copy of a refusal with Retry-After kept a replica unused for that time once more, up to an hour, and a late copy of an answer without a limit ended one that the replica named meanwhile.

Evidence: a replica that writes such a refusal again before the next answer; without the change SignalTests failed, with and without an id in the copy:

AssertionError: Lists differ: [(False, 2.0), (False, 2.0), (False, 0.0)] != [(False, 2.0), (False, 0.0)]

Change: pauses and limits are taken only from the answer to the request in progress. That an endpoint is leaving stays true, however late it is heard.

--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -81,7 +81,9 @@
     on_lost : callable
         Called with this connection when it is lost.
     on_head : callable
-        Called with the head of each response.
+        Called with the head of each response to a request in progress, and of any other
+        by which the endpoint says that it is leaving: what else a late one says may
+        hold no longer.
     memory : AnswerMemory
         Memory that the responses of all connections share.
     on_given_up : callable
@@ -230,10 +232,11 @@
         if status < 200 or self.exchange is None:
             return
         head = decode_response_head(status, self.fields)
-        self.on_head(head)
         self.head = head
         self.ends_at_eof = not self.is_self_delimited()
         self.matches_request = self.answers(head, self.exchange.request_id)
+        if self.matches_request or head.leaving:
+            self.on_head(head)
         if head.request_id != self.exchange.request_id:
             self.on_unidentified(self, head)
         if not self.matches_request:
--- a/lentilhaven/upstream/connection_pool.py
+++ b/lentilhaven/upstream/connection_pool.py
@@ -44,8 +44,8 @@
     opened : int
         Number of connections opened since the start, including failed attempts.
     on_head : callable
-        Called with an endpoint and the head of each answer that it sends, even if the
-        answer belongs to no request in progress.
+        Called with an endpoint and the head of an answer, as `UpstreamConnection`
+        states.
     memory : AnswerMemory
         Memory that the answers on all connections share.
     connect : callable
--- a/lentilhaven/upstream/tests/test_late_responses.py
+++ b/lentilhaven/upstream/tests/test_late_responses.py
@@ -136,6 +136,30 @@
         self.assertEqual(statuses_of(*answers), ([503] * 5, 1))
 
 
+class SignalTests(unittest.TestCase):
+    """Guard against a pause or a limit that an endpoint named in an earlier answer."""
+
+    def signals_of(self, *answers):
+        """Return whether each head that is heeded says "leaving", and its pause."""
+        pool, heads = ConnectionPool(), []
+        pool.on_head = lambda endpoint, head: heads.append(head)
+        statuses_of(*answers, pool=pool)
+        return [(it.leaving, it.refusal_pause) for it in heads]
+
+    def test_copy_of_a_refusal_names_no_pause(self):
+        first = encode(503, "r0", "Not-Executed: 1", "Retry-After: 2")
+        for name in ("", "r0"):
+            with self.subTest(name):
+                copy = encode(503, name, "Not-Executed: 1", "Retry-After: 2")
+                found = self.signals_of(first, copy + encode(200, "r1"))
+                self.assertEqual(found, [(False, 2.0), (False, 0.0)])
+
+    def test_endpoint_that_is_leaving_does_not_return(self):
+        late = encode(200, "r0", "Server-Leaving: 1")
+        found = self.signals_of(encode(200, "r0"), late + encode(200, "r1"))
+        self.assertEqual(found, [(False, 0.0), (True, 0.0), (False, 0.0)])
+
+
 class IncarnationTests(unittest.TestCase):
     def test_only_the_incarnation_that_omits_ids_loses_its_connections(self):
         pool = ConnectionPool()
