--- a/lentilhaven/gateway/tests/test_repeated_refusals.py
+++ b/lentilhaven/gateway/tests/test_repeated_refusals.py
@@ -6,7 +6,7 @@
 
 from lentilhaven.gateway import service_relay
 from lentilhaven.gateway.tests.repeating_replica import RepeatingReplica
-from lentilhaven.gateway.tests.wire_testbed import run_on_wire_with
+from lentilhaven.gateway.tests.wire_testbed import run_on_wire, run_on_wire_with
 
 #: Statuses that promise that a request has not run and never will.
 PROMISES = (408, 421, 429, 503)
@@ -90,6 +90,41 @@
             self.assertLessEqual(len(lost), 2 * CALLERS)
             self.assertLessEqual(set(lost), {504})
 
+    def test_promise_if_all_replicas_write_refusals_again(self):
+        for names_refused in (True, False):
+            with self.subTest(names_refused=names_refused):
+                options = {"names_refused": names_refused, "names_copies": False}
+                replicas = [
+                    RepeatingReplica(2, copies="later", **options) for _ in range(3)
+                ]
+                statuses, _ = send_requests(replicas)
+                self.check_runs(replicas, statuses)
+
+
+class StreamTests(unittest.TestCase):
+    """Guard against a stream that is refused, though it runs, on a kept connection."""
+
+    def test_copy_of_a_refusal_does_not_end_a_stream(self):
+        due = [b"", b"HTTP/1.1 503 -\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"]
+        runs = []
+
+        async def script(request_id, reader, writer):
+            for copy in due:
+                runs.append(request_id)
+                fields = b"Request-Id: %b\r\nTransfer-Encoding: chunked" % request_id
+                writer.write(b"%bHTTP/1.1 200 OK\r\n%b\r\n\r\n" % (copy, fields))
+                writer.write(b"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n")
+                head = await reader.readuntil(b"\r\n\r\n")
+                request_id = head.lower().split(b"request-id: ")[1].split(b"\r\n")[0]
+
+        async def use(wire):
+            return [await wire.call("/once/1") for _ in due]
+
+        for answer in run_on_wire(script, use):
+            self.assertEqual(status_of(answer), 200)
+            self.assertIn(b"data: a", answer)
+        self.assertEqual(runs, [b"r1", b"r2"])
+
 
 class SoundRefusalTests(unittest.TestCase):
     """Guard against requests that are lost since a sound replica refuses them."""
