Use a connection for one call to an engine

Answers to GET /report and POST /order have no request ids, and aiohttp gives what comes on a kept connection to the next call, even a copy that arrives while the connection is idle.

What it does: an order that an engine refused with 409 counted as one that holds, after a report that was written twice; a report was answered by the one before.

Evidence: without the change test_repeated_reports fails, for copies at once and later:

AssertionError: Lists differ: [1, 1, <OrderOutcome.HOLDS: 'holds'>] != [1, 2, <OrderOutcome.MISFIT: 'misfit'>]

Change: the connector for calls to engines and other gateways closes each connection after its call, so that a copy meets no other call. The test bed's gateways do the same.

--- a/lentilhaven/gateway/connection_factories.py
+++ b/lentilhaven/gateway/connection_factories.py
@@ -38,6 +38,16 @@
     return transport, protocol
 
 
+def make_single_use_connector() -> aiohttp.BaseConnector:
+    """
+    Return a connector that uses each connection for one call only.
+
+    Answers to calls have no request ids.  On a connection that has carried another
+    call, a late copy of an earlier answer could not be told from the expected one.
+    """
+    return aiohttp.TCPConnector(force_close=True)
+
+
 @attrs.frozen
 class ConnectionFactories:
     """
@@ -56,6 +66,6 @@
     """
 
     store_connector: Callable[[], aiohttp.BaseConnector] = make_store_connector
-    connector: Callable[[], aiohttp.BaseConnector] = aiohttp.TCPConnector
+    connector: Callable[[], aiohttp.BaseConnector] = make_single_use_connector
     open_datagrams: OpenDatagrams = open_udp
     connect: Connect = connect_tcp
--- a/lentilhaven/gateway/tests/platform_testbed.py
+++ b/lentilhaven/gateway/tests/platform_testbed.py
@@ -286,7 +286,7 @@
     bed.links.append(links)
     factories = ConnectionFactories(
         make_connector,
-        lambda: LinkedConnector(links, keepalive_timeout=86_400.0, limit=0),
+        lambda: LinkedConnector(links, force_close=True, limit=0),
         bed.datagram_network.open,
         links.connect,
     )
