Log which run of a stream leads

No line told whose events a caller gets: `second run begins` names the start of a run and `chain tried` its end. Three lines, one for each decision: `later run sent` with the event after which it begins, `run takes over` with the stream's last event, `run superseded`.

--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -85,6 +85,18 @@
     return f"{outcome.kind} at {outcome.peer}, ran {outcome.ran.value}"
 
 
+def log_later_run(relay: StreamRelay, run: StreamRun) -> None:
+    """Log that a run has been sent, unless it is the stream's first."""
+    if relay.runs + relay.refusals > 1:
+        log.info(
+            "later run sent",
+            request=relay.call.id,
+            endpoint=run.chain.first.id,
+            after=run.after,
+            events=relay.events,
+        )
+
+
 async def exchange_on_chain(
     relay: StreamRelay, chain: Chain, predecessor: StreamRun | None
 ) -> RunOutcome:
@@ -144,11 +156,13 @@
                 exchange,
                 record,
                 loop.time(),
+                after=relay.last_event_id,
                 predecessor=predecessor,
                 connection=connection,
             )
             if predecessor is None:
                 relay.leader = run
+            log_later_run(relay, run)
             try:
                 return await relay_answer(relay, run)
             finally:
--- a/lentilhaven/gateway/stream_state.py
+++ b/lentilhaven/gateway/stream_state.py
@@ -8,6 +8,7 @@
 
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
+from lentilhaven.core.logs import get_logger
 from lentilhaven.crashes.run_log import RunRecord
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
@@ -29,6 +30,8 @@
 #: Runs a request on a chain, beside another run if that is given.
 RunOnChain = Callable[["StreamRelay", Chain, "StreamRun | None"], Awaitable[RunOutcome]]
 
+log = get_logger("gateway")
+
 
 @attrs.define(eq=False)
 class StreamRelay:
@@ -141,6 +144,8 @@
         Start of the current silence: event loop time of the last event, or of the
         request.  An attempt to move the run sets it to `MOVE_ALLOWANCE` seconds in the
         future.
+    after : str
+        Id of the event after which the run was asked to begin; empty for all events.
     events : int
         Number of events that the run has delivered.
     moves : int
@@ -157,6 +162,7 @@
     exchange: Exchange
     record: RunRecord
     silent_since: float
+    after: str = ""
     events: int = 0
     moves: int = 0
     predecessor: "StreamRun | None" = None
@@ -182,7 +188,21 @@
         """
         if relay.leader is not self:
             if self.predecessor is None:
+                log.info(
+                    "run superseded",
+                    request=relay.call.id,
+                    endpoint=self.chain.first.id,
+                    run_events=self.events,
+                )
                 raise SupersededError()
+            log.info(
+                "run takes over",
+                request=relay.call.id,
+                endpoint=self.chain.first.id,
+                after=self.after,
+                last_event_id=relay.last_event_id,
+                events=relay.events,
+            )
             self.predecessor.exchange.fail(SupersededError())
             self.predecessor = None
             relay.leader = self
