Decide at one place which run of a stream delivers events

Cause: each run held a link to the run beside which it had begun, and took the lead if that link was set. A second run that went on alone, since the first had been refused, still held its link when a third run took over from it; its own chunk had arrived in the same iteration of the event loop, so that it took the lead back and ended the run whose events the caller had.

Change: StreamLead holds the leader and its contender. A run that has lost the lead, or was passed over, is neither and can never deliver again; a contender replaces a leader that has ended. A run may deliver only if the stream's last event is the one after which it goes on, so that a run begun at event N never follows events up to M > N. The response is stored before its head is sent, so that no other run can send a second head meanwhile.

Test before, in virtual time (gateway/tests/test_lead_of_streams.py):

FAIL: test_caller_gets_the_events_of_one_run (reverse=True) AssertionError: Lists differ: [1, 2[58 chars] 19, 1, 2, 3, ... 19] != [1, ... 19, 20] Ran 1 test in 0.211s FAILED (failures=1)

--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -16,7 +16,8 @@
     note_heard,
 )
 from lentilhaven.gateway.stream_failures import interpret_error_answer, silence_failure
-from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay, StreamRun
+from lentilhaven.gateway.stream_lead import StreamRun
+from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
 from lentilhaven.gateway.stream_waiting import wait_or_move
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.upstream.answer_memory import MAX_EVENT_BYTES
@@ -71,8 +72,8 @@
         events = splitter.feed(chunk)
         run.exchange.keep(len(splitter.remainder), MAX_EVENT_BYTES)
         if events.data:
-            run.take_over(relay)
-            await write_events(relay, head, events)
+            relay.take_lead(run)
+            await write_events(relay, run, head, events)
             note_events(relay, run, events)
             pauses.record(now - run.silent_since)
             event_count += 1
@@ -93,11 +94,13 @@
         note_begun(relay.gateway, relay.call, run.record)
 
 
-async def write_events(relay: StreamRelay, head: ResponseHead, events: Events) -> None:
+async def write_events(
+    relay: StreamRelay, run: StreamRun, head: ResponseHead, events: Events
+) -> None:
     """Send complete events to the caller, and record how far the stream has come."""
     response = await ensure_response(relay, head)
     if events.ids:
-        relay.last_event_id = events.ids[-1]
+        relay.last_event_id = run.last_event_id = events.ids[-1]
     relay.events += len(events.ids)
     await response.write(events.data)
 
@@ -131,7 +134,7 @@
         # An engine that breaks off may still end the framing of its answer.
         detail = "the stream ended within an event, or before the first"
         raise UpstreamError("truncated", detail, sent=True)
-    run.take_over(relay)
+    relay.take_lead(run)
     response = await ensure_response(relay, head)
     await response.write_eof(remainder)
     if run.events:
@@ -143,21 +146,21 @@
     """Return the answer to the caller; its first run sends its head."""
     if relay.response is None:
         relay.weights = relay.weights or head.weights_version
-        relay.response = await start_response(relay, head)
+        relay.response = make_response(relay, head)
+        await relay.response.prepare(relay.request)
         now = asyncio.get_running_loop().time()
         record_first_event(relay.gateway, relay.call, now - relay.call.arrived)
     return relay.response
 
 
-async def start_response(relay: StreamRelay, head: ResponseHead) -> web.StreamResponse:
-    """Send the head of the answer to the caller."""
+def make_response(relay: StreamRelay, head: ResponseHead) -> web.StreamResponse:
+    """Return the answer to the caller, which is not sent yet."""
     response = web.StreamResponse(
         status=head.status, headers=list(head.forwarded_headers)
     )
     response.enable_chunked_encoding()
     if relay.gateway.leaving:
         response.force_close()
-    await response.prepare(relay.request)
     return response
 
 
--- a/lentilhaven/gateway/stream_failures.py
+++ b/lentilhaven/gateway/stream_failures.py
@@ -9,7 +9,8 @@
 from lentilhaven.core.step import Step
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
 from lentilhaven.gateway.service_relay import REFUSAL_STATUSES, UpstreamResponse
-from lentilhaven.gateway.stream_state import StreamRelay, StreamRun
+from lentilhaven.gateway.stream_lead import StreamRun
+from lentilhaven.gateway.stream_state import StreamRelay
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.upstream.exchange import Exchange
 
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -15,21 +15,15 @@
 from lentilhaven.gateway.pipe_meter import count_crossings
 from lentilhaven.gateway.service_relay import UpstreamResponse, check_before_send
 from lentilhaven.gateway.stream_events import relay_answer
-from lentilhaven.gateway.stream_state import (
-    RunOutcome,
-    StreamRelay,
-    StreamRun,
-    SupersededError,
-)
+from lentilhaven.gateway.stream_lead import StreamRun, SupersededError
+from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
 from lentilhaven.platform.request_head import encode_request, gateway_headers
 from lentilhaven.upstream.exchange import UpstreamError
 
 log = get_logger("gateway")
 
 
-async def run_on_chain(
-    relay: StreamRelay, chain: Chain, predecessor: StreamRun | None = None
-) -> RunOutcome:
+async def run_on_chain(relay: StreamRelay, chain: Chain) -> RunOutcome:
     """
     Run a request on one chain, and add its load to the endpoints while it runs.
 
@@ -39,8 +33,6 @@
         The stream.
     chain : Chain
         The chain.
-    predecessor : StreamRun or None
-        Silent run that goes on beside this one until this one takes over.
 
     Returns
     -------
@@ -58,7 +50,7 @@
     gateway.link_traffic.record(count_crossings(chain.parts), tokens, began)
     ended = "cancelled"
     try:
-        outcome = await exchange_on_chain(relay, chain, predecessor)
+        outcome = await exchange_on_chain(relay, chain)
         ended = "done" if outcome is None else describe_outcome(outcome)
         return outcome
     finally:
@@ -92,14 +84,12 @@
             "later run sent",
             request=relay.call.id,
             endpoint=run.chain.first.id,
-            after=run.after,
+            last_event_id=run.last_event_id,
             events=relay.events,
         )
 
 
-async def exchange_on_chain(
-    relay: StreamRelay, chain: Chain, predecessor: StreamRun | None
-) -> RunOutcome:
+async def exchange_on_chain(relay: StreamRelay, chain: Chain) -> RunOutcome:
     """
     Send a request to the first engine of a chain and relay the response.
 
@@ -156,18 +146,17 @@
                 exchange,
                 record,
                 loop.time(),
-                after=relay.last_event_id,
-                predecessor=predecessor,
+                last_event_id=relay.last_event_id,
                 connection=connection,
             )
-            if predecessor is None:
-                relay.leader = run
+            relay.lead.begin(run)
             log_later_run(relay, run)
             try:
                 return await relay_answer(relay, run)
             finally:
-                run.ended = True
+                relay.lead.end(run)
     except SupersededError as error:
+        log.info("run superseded", request=call.id, endpoint=first.id)
         return Failure(Step.STREAM, first.id, error.kind, error.detail, Ran.UNKNOWN)
     except UpstreamError as error:
         if error.sent:
--- a/lentilhaven/gateway/stream_state.py
+++ b/lentilhaven/gateway/stream_state.py
@@ -1,4 +1,4 @@
-"""The state of a stream and of its runs."""
+"""The state of a stream."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -9,7 +9,6 @@
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
-from lentilhaven.crashes.run_log import RunRecord
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.chain_choice import possible_starts
@@ -20,15 +19,14 @@
     held_back,
 )
 from lentilhaven.gateway.service_relay import UpstreamResponse
-from lentilhaven.upstream.connection import UpstreamConnection
-from lentilhaven.upstream.exchange import Exchange, UpstreamError
+from lentilhaven.gateway.stream_lead import StreamLead, StreamRun
 
 #: Outcome of a run: None if the stream was relayed completely, or an answer that is no
 #: stream.
 RunOutcome = UpstreamResponse | Failure | None
 
-#: Runs a request on a chain, beside another run if that is given.
-RunOnChain = Callable[["StreamRelay", Chain, "StreamRun | None"], Awaitable[RunOutcome]]
+#: Runs a request on a chain.
+RunOnChain = Callable[["StreamRelay", Chain], Awaitable[RunOutcome]]
 
 log = get_logger("gateway")
 
@@ -71,8 +69,8 @@
         not asked again, in seconds, by id.
     events : int
         Number of events that were relayed.
-    leader : StreamRun or None
-        The run whose events are relayed; None before the first run.
+    lead : StreamLead
+        Decides whose events are relayed.
     successor : asyncio.Task or None
         Second run, which has begun while the leader is silent and replaces it if its
         first event is earlier; its result is an outcome of `run_on_chain`.  None if
@@ -93,7 +91,7 @@
     excluded: set[str] = attrs.field(factory=set)
     refusing: dict[str, float] = attrs.field(factory=dict)
     events: int = 0
-    leader: "StreamRun | None" = None
+    lead: StreamLead = attrs.field(factory=StreamLead)
     successor: asyncio.Task[RunOutcome] | None = None
 
     @property
@@ -120,98 +118,28 @@
         """Return whether a second run is trying to begin its answer."""
         return self.successor is not None and not self.successor.done()
 
-    def drop_successor(self) -> None:
-        """End the second run, if there is one, since the leader has gone on."""
-        if self.successor is not None:
-            self.successor.cancel()
-            self.successor = None
-
-
-@attrs.define(eq=False)
-class StreamRun:
-    """
-    One run of a stream.
-
-    Attributes
-    ----------
-    chain : Chain
-        The chain on which the request runs now.
-    exchange : Exchange
-        The exchange with the first engine of the chain.
-    record : RunRecord
-        The record of the run, by which it is found if one of its engines ends.
-    silent_since : float
-        Start of the current silence: event loop time of the last event, or of the
-        request.  An attempt to move the run sets it to `MOVE_ALLOWANCE` seconds in the
-        future.
-    after : str
-        Id of the event after which the run was asked to begin; empty for all events.
-    events : int
-        Number of events that the run has delivered.
-    moves : int
-        Number of attempts to move the run to other endpoints.
-    predecessor : StreamRun or None
-        Run beside which this one has begun; None if it has begun alone.
-    ended : bool
-        Whether the run has ended.
-    connection : UpstreamConnection or None
-        Connection to the first engine; None for a run of a test without one.
-    """
-
-    chain: Chain
-    exchange: Exchange
-    record: RunRecord
-    silent_since: float
-    after: str = ""
-    events: int = 0
-    moves: int = 0
-    predecessor: "StreamRun | None" = None
-    ended: bool = False
-    connection: UpstreamConnection | None = None
-
-    def leads(self, relay: StreamRelay) -> bool:
-        """Return whether this is the leader, or has to replace one that has ended."""
-        is_alone = self.predecessor is not None and self.predecessor.ended
-        return relay.leader is self or is_alone
-
-    def take_over(self, relay: StreamRelay) -> None:
+    def take_lead(self, run: StreamRun) -> None:
         """
-        Make this run the leader before it sends events to the caller.
-
-        The run that loses the lead fails, and so does the run that begins beside this
-        one.
+        Let a run deliver events, and end the run that has begun beside it.
 
         Raises
         ------
         SupersededError
-            If this run has lost the lead.
+            If another run delivers them.
         """
-        if relay.leader is not self:
-            if self.predecessor is None:
-                log.info(
-                    "run superseded",
-                    request=relay.call.id,
-                    endpoint=self.chain.first.id,
-                    run_events=self.events,
-                )
-                raise SupersededError()
+        if self.lead.claim(run, self.last_event_id):
             log.info(
                 "run takes over",
-                request=relay.call.id,
-                endpoint=self.chain.first.id,
-                after=self.after,
-                last_event_id=relay.last_event_id,
-                events=relay.events,
+                request=self.call.id,
+                endpoint=run.chain.first.id,
+                last_event_id=self.last_event_id,
+                events=self.events,
             )
-            self.predecessor.exchange.fail(SupersededError())
-            self.predecessor = None
-            relay.leader = self
-        if relay.successor is not asyncio.current_task():
-            relay.drop_successor()
-
+        if self.successor is not asyncio.current_task():
+            self.drop_successor()
 
-class SupersededError(UpstreamError):
-    """Error of a run whose successor has begun to answer before it went on."""
-
-    def __init__(self) -> None:
-        super().__init__("superseded", "another run has begun to answer", sent=True)
+    def drop_successor(self) -> None:
+        """End the second run, if there is one, since the leader has gone on."""
+        if self.successor is not None:
+            self.successor.cancel()
+            self.successor = None
--- a/lentilhaven/gateway/stream_waiting.py
+++ b/lentilhaven/gateway/stream_waiting.py
@@ -11,7 +11,8 @@
 from lentilhaven.gateway.crash_checks import forbids_repeat, is_refused
 from lentilhaven.gateway.endpoint_links import begin_link_check
 from lentilhaven.gateway.silence import suspect_silent_parts
-from lentilhaven.gateway.stream_state import StreamRelay, StreamRun
+from lentilhaven.gateway.stream_lead import StreamRun
+from lentilhaven.gateway.stream_state import StreamRelay
 
 #: Seconds after which a second run begins beside a silent one although all of its
 #: endpoints are active.  Until then, the run is assumed to wait behind other work, as
@@ -78,7 +79,7 @@
             suspects = suspect_silent_parts(
                 relay.gateway, run.chain, relay.call.id, run.silent_since, now
             )
-        if relay.has_successor or not run.leads(relay):
+        if relay.has_successor or run is not relay.lead.leader:
             until = now + RECHECK_INTERVAL
         elif relay.may_run_again:
             begin_second_run(relay, run, suspects, now, lost_link)
@@ -140,7 +141,7 @@
         suspects=suspects,
         first=chain.first.id,
     )
-    task = asyncio.ensure_future(relay.run_on_chain(relay, chain, run))
+    task = asyncio.ensure_future(relay.run_on_chain(relay, chain))
     task.add_done_callback(report_task_failure)
     relay.successor = task
 
--- /dev/null
+++ b/lentilhaven/gateway/tests/test_lead_of_streams.py
@@ -0,0 +1,68 @@
+import asyncio
+import unittest
+import unittest.mock
+from contextlib import contextmanager
+
+from lentilhaven.gateway.tests.platform_testbed import engine, run_on_testbed
+from lentilhaven.upstream.connection import UpstreamConnection
+
+#: Seconds from the request to the refusal of its first run, and to the answers of the
+#: second and the third run.
+REFUSAL_AT, ANSWERS_AT = 0.4, 2.0
+
+#: Seconds from the request to the freeze of the gateway, and to its end.
+FREEZE_AT, WAKE_AT = 1.9, 2.4
+
+#: Output tokens of the stream, and the number of events that carry them.
+OUTPUT, EVENTS = 80, 20
+
+
+@contextmanager
+def holding_data():
+    """Hold what connections to endpoints receive; yield it by connection."""
+    held = {}
+
+    def hold(connection, data):
+        held.setdefault(connection, []).append(data)
+
+    with unittest.mock.patch.object(UpstreamConnection, "data_received", hold):
+        yield held
+
+
+class FrozenGatewayTests(unittest.TestCase):
+    """
+    Guard against a stream with the events of two runs after a freeze of its gateway.
+
+    A run that had lost the lead before it had ever led took it back.
+    """
+
+    def run_stream(self, reverse):
+        """Return the reply to a stream of which two runs answer during a freeze."""
+
+        async def scenario(bed):
+            now = asyncio.get_running_loop().time()
+            replicas = bed.fleet.replicas
+            replicas["i-a0"].faults.silent_until = now + REFUSAL_AT
+            replicas["i-a0"].faults.shed = True
+            for name in ("i-b0", "i-c0"):
+                replicas[name].faults.silent_until = now + ANSWERS_AT
+            request = asyncio.ensure_future(bed.call("/draft/1", output=OUTPUT))
+            await asyncio.sleep(FREEZE_AT)
+            with holding_data() as held:
+                await asyncio.sleep(WAKE_AT - FREEZE_AT)
+            self.assertEqual(len(held), 2)
+            for connection in sorted(held, key=list(held).index, reverse=reverse):
+                for data in held[connection]:
+                    connection.data_received(data)
+            return await request
+
+        engines = [engine("a0", 0, 4, card="large"), engine("a4", 4, 8, card="large")]
+        engines += [engine(f"{it}{at}", at, at + 4) for it in "bc" for at in (0, 4)]
+        return run_on_testbed(scenario, engines)
+
+    def test_caller_gets_the_events_of_one_run(self):
+        for reverse in (False, True):
+            with self.subTest(reverse=reverse):
+                reply = self.run_stream(reverse)
+                self.assertEqual(reply.event_ids, list(range(1, EVENTS + 1)))
+                self.assertTrue(reply.complete)
