Relay an answer as a stream only if its media type is that of a stream

Errors of any other status, refusals, bytes that are no HTTP, and broken heads never reached a stream.

Cause: only the status told an error from a stream; a page with an empty line looked like an event.

Change: an answer of status 200 whose Content-Type is stated and is not text/event-stream is handled like one of another status. In a begun stream it is a failure; before, it is the engine's answer, which the caller gets unchanged, with its length. Logged as `answer is no event stream`. Answers that state no type stay streams.

--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -6,6 +6,7 @@
 
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
+from lentilhaven.core.logs import get_logger
 from lentilhaven.gateway.crash_checks import PROOF_EVENTS, note_answered, note_begun
 from lentilhaven.gateway.event_splitter import Events, EventSplitter
 from lentilhaven.gateway.gateway_metrics import record_first_event
@@ -23,6 +24,13 @@
 from lentilhaven.upstream.answer_memory import MAX_EVENT_BYTES
 from lentilhaven.upstream.exchange import UpstreamError
 
+CONTENT_TYPE = "content-type"
+
+#: Media type of a stream.
+EVENT_STREAM = "text/event-stream"
+
+log = get_logger("gateway")
+
 
 async def relay_answer(relay: StreamRelay, run: StreamRun) -> RunOutcome:
     """
@@ -41,7 +49,7 @@
     head = await wait_or_move(relay, run, exchange.wait_for_head, limit)
     if head is None:
         return silence_failure(relay, run)
-    if head.status != 200:
+    if head.status != 200 or not is_event_stream(relay, run, head):
         return await interpret_error_answer(relay, run.chain, exchange, head)
     first_chunk = await wait_or_move(relay, run, exchange.next_chunk, limit)
     if first_chunk is None:
@@ -49,6 +57,24 @@
     return await relay_events(relay, run, head, first_chunk)
 
 
+def is_event_stream(relay: StreamRelay, run: StreamRun, head: ResponseHead) -> bool:
+    """Return whether an answer's media type is that of a stream, or is not stated."""
+    values = [
+        value for name, value in head.forwarded_headers if name.lower() == CONTENT_TYPE
+    ]
+    media_type = values[-1].partition(";")[0].strip().lower() if values else ""
+    if media_type in ("", EVENT_STREAM):
+        return True
+    log.warning(
+        "answer is no event stream",
+        request=relay.call.id,
+        endpoint=run.chain.first.id,
+        media_type=media_type,
+        events=relay.events,
+    )
+    return False
+
+
 async def relay_events(
     relay: StreamRelay, run: StreamRun, head: ResponseHead, chunk: bytes | None
 ) -> Failure | None:
