End a begun stream as whole only after an event of its last run

Cause: an answer without an event counted as broken off only without framing, and only if the stream had no event at all. In a begun stream a connection that closed after its head, or an empty body, was taken for the rest of the stream.

Change: a run without an event never ends a begun stream, and an answer without framing never ends an empty one. If the first engine broke off between its last event and the end of its answer, the caller is broken off too; when it resumes, an engine's empty answer with framing is its own answer and is whole.

--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -152,11 +152,12 @@
     Raises
     ------
     UpstreamError
-        If the run has ended within an event, or before the first event of an answer
-        without framing.
+        If the run has ended within an event, or without an event in a begun stream or
+        in an answer without framing.
     """
-    is_empty = run.events == 0 and not relay.last_event_id
-    if remainder.strip() or (is_empty and run.exchange.ends_at_eof):
+    has_begun = relay.response is not None
+    proves_nothing = run.events == 0 and (has_begun or run.exchange.ends_at_eof)
+    if remainder.strip() or proves_nothing:
         # An engine that breaks off may still end the framing of its answer.
         detail = "the stream ended within an event, or before the first"
         raise UpstreamError("truncated", detail, sent=True)
--- a/lentilhaven/gateway/tests/stream_wire.py
+++ b/lentilhaven/gateway/tests/stream_wire.py
@@ -105,7 +105,8 @@
 
 def rest(request: EngineRequest) -> bytes:
     """Return the events that the caller lacks, in chunks, and the end."""
-    return chunk(events(request.last_event + 1, EVENTS)) + LAST_CHUNK
+    missing = events(request.last_event + 1, EVENTS)
+    return (chunk(missing) if missing else b"") + LAST_CHUNK
 
 
 SOUND = Answer(rest)
@@ -162,7 +163,7 @@
         return ""
 
 
-async def receive(answers: list[Answer], path: str = "/draft/1") -> Received:
+async def receive(answers: list[Answer], path: str, **headers: str) -> Received:
     """
     Return what a caller receives for a stream.
 
@@ -173,6 +174,8 @@
         one is repeated.
     path : str
         Target of the request.
+    **headers
+        Its other headers.
     """
     left = list(answers)
 
@@ -185,10 +188,12 @@
             await stack.enter_async_context(serving(script)) for _ in range(ENGINES)
         ]
         wire = await stack.enter_async_context(open_wire(addresses, [], RETRIES))
-        return Received(await wire.call(path, patience=PATIENCE))
+        return Received(await wire.call(path, patience=PATIENCE, **headers))
 
 
-def receive_all(cases: dict[Any, list[Answer]], path: str) -> dict[Any, Received]:
+def receive_all(
+    cases: dict[Any, list[Answer]], path: str, **headers: str
+) -> dict[Any, Received]:
     """Return what callers receive in some cases, each with a gateway of its own."""
 
     async def main() -> dict[Any, Received]:
@@ -196,7 +201,7 @@
 
         async def receive_one(answers: list[Answer]) -> Received:
             async with slots:
-                return await receive(answers, path)
+                return await receive(answers, path, **headers)
 
         found = await asyncio.gather(*(receive_one(it) for it in cases.values()))
         return dict(zip(cases, found, strict=True))
--- a/lentilhaven/gateway/tests/test_errors_within_streams.py
+++ b/lentilhaven/gateway/tests/test_errors_within_streams.py
@@ -125,6 +125,19 @@
     ),
 }
 
+#: Answers that end without an event.
+EMPTY_STREAMS = {
+    "head without framing": Answer(constant(b""), EVENT_STREAM + UNFRAMED),
+    "head without framing, reset": Answer(
+        constant(b""), EVENT_STREAM + UNFRAMED, end=reset
+    ),
+    "empty line without framing": Answer(constant(b"\n"), EVENT_STREAM + UNFRAMED),
+    "empty stream in chunks": Answer(constant(LAST_CHUNK)),
+    "empty stream with a length": Answer(
+        constant(b""), EVENT_STREAM + b"Content-Length: 0\r\n"
+    ),
+}
+
 #: Runs that end as they should.
 SOUND_RUNS = {
     "sound": SOUND,
@@ -200,6 +213,32 @@
         self.check_failures(PAGES)
 
 
+class EmptyContinuationTests(StreamCase):
+    """
+    Guard against a stream that ends as whole although events are missing.
+
+    A run without an event counted as the rest of the stream.
+    """
+
+    def test_begun_stream_is_broken_off(self):
+        cases = {
+            (name, end): [first, answer]
+            for name, first in BREAKS.items()
+            for end, answer in EMPTY_STREAMS.items()
+        }
+        self.receive(cases, whole=False)
+
+    def test_answer_without_framing_proves_no_end(self):
+        answer = EMPTY_STREAMS["head without framing"]
+        found = receive_all({"": [answer]}, "/draft/1", Last_Event_Id="4")
+        self.assertEqual(found[""].status, 502)
+
+    def test_caller_who_has_all_events_gets_the_end(self):
+        found = receive_all({"": [SOUND]}, "/draft/1", Last_Event_Id=str(EVENTS))
+        self.assertEqual((found[""].status, found[""].ids), (200, []))
+        self.assertTrue(found[""].is_whole)
+
+
 class SoundRunTests(StreamCase):
     """Guard against streams that sound runs do not complete."""
 
--- a/lentilhaven/gateway/tests/wire_testbed.py
+++ b/lentilhaven/gateway/tests/wire_testbed.py
@@ -39,11 +39,16 @@
     requests: int = 0
 
     async def call(
-        self, path: str, method: str = "POST", patience: float = PATIENCE
+        self,
+        path: str,
+        method: str = "POST",
+        patience: float = PATIENCE,
+        **headers: str,
     ) -> bytes:
         """Return all bytes of an answer, also if it is broken off."""
         self.requests += 1
         fields = request_headers(f"r{self.requests}", KEY, patience, 40)
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
         fields["Content-Length"] = "0"
         fields["Connection"] = "close"
         lines = [f"{method} {path} HTTP/1.1"]
