Join two runs of a stream only where the second goes on after the first

A stream of events without ids that broke off was repeated from its start.

Cause: the ids of events were recorded, but not compared with those before, and an event without an id was relayed as if a later run could go on after it.

Change: EventOrder knows the last event and whether ids have risen by one so far. The first event of a run that goes on after another one, or after the caller's Last-Event-Id, must have a greater id, and the next one if ids have risen by one. In a stream of events with ids, one without an id is none. Such a run fails before it takes the lead, with the log line `events do not follow`, and the stream goes on elsewhere if its route allows. No run follows events without ids.

Tests at the wire (ContinuityTests), on the logic before:

FAIL: test_run_that_does_not_go_on_is_not_joined (case=('between events, closed', 'events from the first on')): AssertionError: 'events [1, 2, 3, 4, 1, 2, 3, 4, 5, 6, 7, 8]' != '' FAIL: test_page_after_events_is_not_relayed: 'not exactly one head' != '' FAIL: test_events_that_the_caller_has_are_not_sent_again: Lists differ: [1, 2, 3, 4, 5, 6, 7, 8] != [5, 6, 7, 8] FAIL: test_stream_without_ids_is_not_continued Ran 4 tests in 1.054s FAILED (failures=108)

All hold now, with the other tests of streams (62 tests).

--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -98,6 +98,8 @@
         events = splitter.feed(chunk)
         run.exchange.keep(len(splitter.remainder), MAX_EVENT_BYTES)
         if events.data:
+            relay.lead.check(run, relay.last_event_id)
+            check_order(relay, run, events)
             relay.take_lead(run)
             await write_events(relay, run, head, events)
             note_events(relay, run, events)
@@ -112,6 +114,28 @@
     return await finish_stream(relay, run, head, splitter.remainder)
 
 
+def check_order(relay: StreamRelay, run: StreamRun, events: Events) -> None:
+    """
+    Check that the events of a run follow those that the caller has.
+
+    Raises
+    ------
+    UpstreamError
+        If they do not.
+    """
+    goes_on = relay.call.route.repeatable and relay.last_event_id != ""
+    fault = relay.order.find_fault(events, goes_on and not run.has_ids)
+    if fault:
+        log.warning(
+            "events do not follow",
+            request=relay.call.id,
+            endpoint=run.chain.first.id,
+            last_event_id=relay.last_event_id,
+            fault=fault,
+        )
+        raise UpstreamError("discontinuous", fault, sent=True)
+
+
 def note_events(relay: StreamRelay, run: StreamRun, events: Events) -> None:
     """Count the events of a run, and record the proof once there are enough."""
     is_proven = run.events >= PROOF_EVENTS
@@ -125,8 +149,9 @@
 ) -> None:
     """Send complete events to the caller, and record how far the stream has come."""
     response = await ensure_response(relay, head)
-    if events.ids:
-        relay.last_event_id = run.last_event_id = events.ids[-1]
+    relay.order.note(events)
+    run.last_event_id = relay.last_event_id
+    run.has_ids |= len(events.ids) > 0
     relay.events += len(events.ids)
     await response.write(events.data)
 
--- a/lentilhaven/gateway/stream_lead.py
+++ b/lentilhaven/gateway/stream_lead.py
@@ -28,6 +28,8 @@
     last_event_id : str
         Id of the last event that the run has delivered; before the first one, of the
         event after which it was asked to begin, empty for all events.
+    has_ids : bool
+        Whether it has delivered an event with an id.
     events : int
         Number of events that the run has delivered.
     moves : int
@@ -41,6 +43,7 @@
     record: RunRecord
     silent_since: float
     last_event_id: str = ""
+    has_ids: bool = False
     events: int = 0
     moves: int = 0
     connection: UpstreamConnection | None = None
@@ -80,11 +83,9 @@
         elif run is self.contender:
             self.contender = None
 
-    def claim(self, run: StreamRun, last_event_id: str) -> bool:
+    def check(self, run: StreamRun, last_event_id: str) -> None:
         """
-        Decide whether a run that has events may deliver them.
-
-        The other run fails, or is no contender any more.
+        Decide whether a run may deliver events.
 
         Parameters
         ----------
@@ -93,11 +94,6 @@
         last_event_id : str
             Id of the last event that the caller got.
 
-        Returns
-        -------
-        bool
-            Whether the run has taken the lead from another one.
-
         Raises
         ------
         SupersededError
@@ -107,6 +103,19 @@
             raise SupersededError()
         if run.last_event_id != last_event_id:
             raise SupersededError()
+
+    def claim(self, run: StreamRun, last_event_id: str) -> bool:
+        """
+        Let a run deliver events; the other one fails, or is no contender any more.
+
+        Parameters and errors are those of `check`.
+
+        Returns
+        -------
+        bool
+            Whether the run has taken the lead from another one.
+        """
+        self.check(run, last_event_id)
         loser = self.leader if run is self.contender else None
         if loser is not None:
             loser.exchange.fail(SupersededError())
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -23,6 +23,7 @@
 )
 from lentilhaven.gateway.crash_checks import HARMFUL_KINDS, forbids_repeat_now
 from lentilhaven.gateway.error_responses import make_error_response
+from lentilhaven.gateway.event_order import EventOrder
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.held_response import HeldResponse
 from lentilhaven.gateway.limit_checks import limit_wait
@@ -75,7 +76,7 @@
         call,
         spec,
         run_on_chain,
-        last_event_id=call.head.last_event_id,
+        order=EventOrder(call.head.last_event_id),
     )
     gateway.budget_of(call.service).record_request(asyncio.get_running_loop().time())
     try:
--- a/lentilhaven/gateway/stream_state.py
+++ b/lentilhaven/gateway/stream_state.py
@@ -12,6 +12,7 @@
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.chain_choice import possible_starts
+from lentilhaven.gateway.event_order import EventOrder
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.limit_checks import (
     SendAttempt,
@@ -50,9 +51,8 @@
         Runs the request on a chain.
     response : aiohttp.web.StreamResponse or None
         The answer to the caller; None until its head is sent.
-    last_event_id : str
-        Id of the last event that was relayed; before the first one, the id that the
-        caller sent.
+    order : EventOrder
+        How far the stream has come.
     weights : str
         Version of the model weights of the first run, which later runs must use too;
         empty until it is known.
@@ -83,7 +83,7 @@
     spec: EngineSpec
     run_on_chain: RunOnChain
     response: web.StreamResponse | None = None
-    last_event_id: str = ""
+    order: EventOrder = attrs.field(factory=EventOrder)
     weights: str = ""
     runs: int = 0
     refusals: int = 0
@@ -94,10 +94,16 @@
     lead: StreamLead = attrs.field(factory=StreamLead)
     successor: asyncio.Task[RunOutcome] | None = None
 
+    @property
+    def last_event_id(self) -> str:
+        """Return the id of the event after which the stream goes on."""
+        return self.order.last_event_id
+
     @property
     def may_run_again(self) -> bool:
         """Return whether another run is allowed beside or after the current one."""
-        return self.call.route.repeatable and self.runs < self.call.route.attempts
+        can_go_on = self.call.route.repeatable and not self.order.has_unnamed
+        return can_go_on and self.runs < self.call.route.attempts
 
     def avoided(self, now: float) -> set[str]:
         """Return the ids of endpoints that a run which begins now must not use."""
--- a/lentilhaven/gateway/tests/test_errors_within_streams.py
+++ b/lentilhaven/gateway/tests/test_errors_within_streams.py
@@ -20,6 +20,7 @@
 SENT = 4
 
 PAGE = b"<html>\n\n<title>Internal Server Error</title>\n\nid: 99\n\n</html>\n\n"
+UNNAMED = b"data: piece\n\ndata: piece\n\n"
 JSON = b'{"error": "out of memory"}'
 UNFRAMED = b"Connection: close\r\n"
 REFUSAL = b"Not-Executed: 1\r\n"
@@ -138,6 +139,26 @@
     ),
 }
 
+#: Streams that don't go on where the one before broke off.
+OTHER_EVENTS = {
+    "events from the first on": Answer(constant(chunk(events(1, EVENTS)) + LAST_CHUNK)),
+    "events from the last on": Answer(
+        lambda request: chunk(events(request.last_event, EVENTS)) + LAST_CHUNK
+    ),
+    "events that skip one": Answer(
+        lambda request: chunk(events(request.last_event + 2, EVENTS)) + LAST_CHUNK
+    ),
+    "events without ids": Answer(constant(chunk(UNNAMED) + LAST_CHUNK)),
+    "page as events": Answer(constant(chunk(PAGE) + LAST_CHUNK)),
+    "page without a media type": Answer(constant(PAGE), UNFRAMED),
+    "page with its head as events": Answer(
+        constant(b"HTTP/1.1 500 Failed\r\n\r\n" + PAGE), EVENT_STREAM + UNFRAMED
+    ),
+    "comment, then events from the first on": Answer(
+        constant(chunk(b": wait\n\n") + chunk(events(1, EVENTS)) + LAST_CHUNK)
+    ),
+}
+
 #: Runs that end as they should.
 SOUND_RUNS = {
     "sound": SOUND,
@@ -239,6 +260,43 @@
         self.assertTrue(found[""].is_whole)
 
 
+class ContinuityTests(StreamCase):
+    """
+    Guard against streams in which events are missing or come twice.
+
+    The ids of a run's events were not compared with those before.
+    """
+
+    def test_run_that_does_not_go_on_is_not_joined(self):
+        cases = {
+            (name, other): [first, answer]
+            for name, first in BREAKS.items()
+            for other, answer in OTHER_EVENTS.items()
+        }
+        self.receive(cases, whole=False)
+
+    def test_page_after_events_is_not_relayed(self):
+        page = b"HTTP/1.1 500 Failed\r\nContent-Type: text/html\r\n\r\n" + PAGE
+        first = Answer(constant(events(1, SENT) + page), EVENT_STREAM + UNFRAMED)
+        self.receive({"page": [first, SOUND]}, whole=True)
+        self.receive({"page": [first, SOUND]}, "/once/1", whole=False)
+
+    def test_events_that_the_caller_has_are_not_sent_again(self):
+        answer = OTHER_EVENTS["events from the first on"]
+        found = receive_all({"": [answer, SOUND]}, "/draft/1", Last_Event_Id="4")
+        self.assertEqual(found[""].ids, [5, 6, 7, 8])
+        self.assertTrue(found[""].is_whole)
+
+    def test_stream_without_ids_is_not_continued(self):
+        whole = Answer(constant(chunk(UNNAMED) + LAST_CHUNK))
+        broken = Answer(constant(chunk(UNNAMED)))
+        cases = {"whole": [whole], "broken": [broken, whole]}
+        found = receive_all(cases, "/draft/1")
+        self.assertTrue(found["whole"].is_whole)
+        self.assertEqual(b"".join(found["broken"].chunks), UNNAMED)
+        self.assertFalse(found["broken"].is_whole)
+
+
 class SoundRunTests(StreamCase):
     """Guard against streams that sound runs do not complete."""
 
