--- a/lentilhaven/gateway/tests/test_errors_within_streams.py
+++ b/lentilhaven/gateway/tests/test_errors_within_streams.py
@@ -195,9 +195,9 @@
     its last event.
     """
 
-    def receive(self, cases, path="/draft/1", whole=None):
+    def receive(self, cases, path="/draft/1", whole=None, **headers):
         """Return what callers receive in some cases, and check it."""
-        found = receive_all(cases, path)
+        found = receive_all(cases, path, **headers)
         for case, received in found.items():
             with self.subTest(case=case):
                 self.assertEqual(received.find_fault(), "")
@@ -233,6 +233,15 @@
     def test_answers_of_another_media_type(self):
         self.check_failures(PAGES)
 
+    def test_connection_that_the_caller_would_keep_is_closed(self):
+        failures = [ERRORS["page with a length"], EMPTY_STREAMS["head without framing"]]
+        cases = {
+            (name, number): [first, answer]
+            for name, first in BREAKS.items()
+            for number, answer in enumerate(failures)
+        }
+        self.receive(cases, whole=False, Connection="keep-alive")
+
 
 class EmptyContinuationTests(StreamCase):
     """
--- a/lentilhaven/gateway/tests/wire_testbed.py
+++ b/lentilhaven/gateway/tests/wire_testbed.py
@@ -48,9 +48,8 @@
         """Return all bytes of an answer, also if it is broken off."""
         self.requests += 1
         fields = request_headers(f"r{self.requests}", KEY, patience, 40)
+        fields |= {"Content-Length": "0", "Connection": "close"}
         fields |= {name.replace("_", "-"): value for name, value in headers.items()}
-        fields["Content-Length"] = "0"
-        fields["Connection"] = "close"
         lines = [f"{method} {path} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
