--- a/lentilhaven/gateway/tests/stream_wire.py
+++ b/lentilhaven/gateway/tests/stream_wire.py
@@ -2,16 +2,28 @@
 
 import asyncio
 import re
-from contextlib import AsyncExitStack
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
 
 import attrs
 
-from lentilhaven.gateway.tests.wire_testbed import (
-    EngineRequest,
-    open_wire,
-    serving,
+from lentilhaven.core.store_position import StorePosition
+from lentilhaven.fleet.endpoint import Endpoint
+from lentilhaven.fleet.layer_span import LayerSpan
+from lentilhaven.gateway.budget import ASSUMED_GATEWAYS
+from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.listeners import open_caller_listener
+from lentilhaven.gateway.store_watch import adopt_manifest
+from lentilhaven.gateway.tests.platform_testbed import (
+    KEY,
+    LAYERS,
+    sample_manifest,
+    sample_settings,
 )
+from lentilhaven.gateway.tests.wire_testbed import SLOTS
+from lentilhaven.platform.settings import decode_settings
+from lentilhaven.standins.platform.sample_files import request_headers
 from lentilhaven.upstream.tests.wire import SETTLE_TIME, close_in_order
 
 #: Engines that can run a stream.
@@ -20,7 +32,7 @@
 #: Events of a whole stream.
 EVENTS = 8
 
-#: Retries that a gateway may send.
+#: Retries that a gateway may send which knows no other one.
 RETRIES = 10
 
 #: Cases that run at the same time.
@@ -55,6 +67,24 @@
 EVENT_STREAM = b"Content-Type: text/event-stream\r\n"
 
 
+@attrs.frozen
+class EngineRequest:
+    """Id of a request that an engine has got, and the event after which it begins."""
+
+    id: bytes
+    last_event: int
+
+
+async def read_request(reader: asyncio.StreamReader) -> EngineRequest:
+    """Return a request whose head is read."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    lines = (line.partition(": ") for line in head.split("\r\n"))
+    fields = {name.lower(): value for name, _, value in lines}
+    return EngineRequest(
+        fields["request-id"].encode(), int(fields.get("last-event-id") or 0)
+    )
+
+
 @attrs.frozen
 class Answer:
     """
@@ -163,6 +193,75 @@
         return ""
 
 
+@asynccontextmanager
+async def serving(script: Any) -> AsyncIterator[str]:
+    """
+    Serve requests on a port, one a connection, and yield the address.
+
+    ``script(request, reader, writer)`` answers; then the connection is closed.
+    """
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await script(await read_request(reader), reader, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    finally:
+        server.close()
+
+
+@asynccontextmanager
+async def serving_callers(addresses: list[str]) -> AsyncIterator[int]:
+    """Open a gateway before engines that hold all layers, and yield its port."""
+    settings = sample_settings(0)
+    settings["listen_addrs"]["front"] = "127.0.0.1:0"
+    settings["bounds"]["retry_budget_slack"] = RETRIES * ASSUMED_GATEWAYS
+    gateway = Gateway(decode_settings(settings))
+    position = StorePosition(0, 1)
+    adopt_manifest(gateway, sample_manifest(), position, "test")
+    engines = [
+        Endpoint(
+            f"e{number}",
+            "gen",
+            address,
+            "dc-a",
+            SLOTS,
+            card="large",
+            layers=LayerSpan(0, LAYERS),
+            model="lentil-70",
+        )
+        for number, address in enumerate(addresses)
+    ]
+    gateway.view.replace_endpoints(engines, position, "test")
+    async with open_caller_listener(gateway) as listener:
+        yield listener.tcp_server.sockets[0].getsockname()[1]
+
+
+async def call(port: int, path: str, **headers: str) -> bytes:
+    """Return all bytes that a caller gets on its connection until it is closed."""
+    fields = request_headers("r1", KEY, PATIENCE, 40)
+    fields |= {"Content-Length": "0", "Connection": "close"}
+    fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+    lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"POST {path} HTTP/1.1\r\n{''.join(lines)}\r\n".encode())
+    received = b""
+    try:
+        while data := await reader.read(65_536):
+            received += data
+    except OSError:
+        pass
+    finally:
+        writer.close()
+    return received
+
+
 async def receive(answers: list[Answer], path: str, **headers: str) -> Received:
     """
     Return what a caller receives for a stream.
@@ -187,8 +286,8 @@
         addresses = [
             await stack.enter_async_context(serving(script)) for _ in range(ENGINES)
         ]
-        wire = await stack.enter_async_context(open_wire(addresses, [], RETRIES))
-        return Received(await wire.call(path, patience=PATIENCE, **headers))
+        port = await stack.enter_async_context(serving_callers(addresses))
+        return Received(await call(port, path, **headers))
 
 
 def receive_all(
