Read an error that nobody gets for a moment only

A begun stream whose continuation was answered with an error page without an end stood still until its deadline, and so did any stream whose engine refused it that way, although another engine was free.

Cause: interpret_error_answer read the whole body first, also of a refusal and of an error within a stream, neither of which is relayed.

Change: such a body is read for 0.1 s, enough for one that has arrived, so that its connection can carry another request; then the connection is closed. An error answer that the caller will get is read as before.

Tests at the wire (EndlessErrorTests), on the logic before:

All hold now.

--- a/lentilhaven/gateway/stream_failures.py
+++ b/lentilhaven/gateway/stream_failures.py
@@ -17,6 +17,10 @@
 #: Seconds for which a stream does not ask an endpoint again that has refused it.
 REFUSED_RUN_BACKOFF = 1.0
 
+#: Seconds for which an answer that nobody gets is read to its end, so that its
+#: connection can carry another request.
+UNUSED_BODY_TIME = 0.1
+
 log = get_logger("gateway")
 
 
@@ -35,8 +39,12 @@
         deadline, or if the caller's stream has already started.
     """
     loop = asyncio.get_running_loop()
-    body = await exchange.read_body(relay.call.deadline)
-    if head.not_executed and head.status in REFUSAL_STATUSES:
+    is_refusal = head.not_executed and head.status in REFUSAL_STATUSES
+    deadline = relay.call.deadline
+    if is_refusal or relay.response is not None:
+        deadline = min(deadline, loop.time() + UNUSED_BODY_TIME)
+    body = await exchange.read_body(deadline)
+    if is_refusal:
         record_refusal(relay, chain, head, loop.time())
         relay.runs -= 1
         relay.refusals += 1
--- a/lentilhaven/gateway/tests/stream_wire.py
+++ b/lentilhaven/gateway/tests/stream_wire.py
@@ -144,9 +144,10 @@
 
 @attrs.frozen
 class Received:
-    """The bytes that a caller has received for a stream."""
+    """The bytes that a caller has received for a stream, and for how long it waited."""
 
     data: bytes
+    seconds: float
 
     @property
     def chunks(self) -> list[bytes]:
@@ -287,7 +288,10 @@
             await stack.enter_async_context(serving(script)) for _ in range(ENGINES)
         ]
         port = await stack.enter_async_context(serving_callers(addresses))
-        return Received(await call(port, path, **headers))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        data = await call(port, path, **headers)
+        return Received(data, loop.time() - began)
 
 
 def receive_all(
--- a/lentilhaven/gateway/tests/test_errors_within_streams.py
+++ b/lentilhaven/gateway/tests/test_errors_within_streams.py
@@ -7,6 +7,7 @@
     EVENT_STREAM,
     EVENTS,
     LAST_CHUNK,
+    PATIENCE,
     SOUND,
     Answer,
     chunk,
@@ -243,6 +244,25 @@
         self.receive(cases, whole=False, Connection="keep-alive")
 
 
+class EndlessErrorTests(StreamCase):
+    """Guard against streams that wait for the end of an error that nobody gets."""
+
+    def test_refusal_without_an_end(self):
+        refusal = Answer(constant(b"full"), REFUSAL + UNFRAMED, b"503 Busy", end=None)
+        cases = {
+            (name,): [first, refusal, SOUND]
+            for name, first in (BREAKS | EARLY_BREAKS).items()
+        }
+        self.receive(cases | {"alone": [refusal, SOUND]}, whole=True)
+
+    def test_error_page_without_an_end(self):
+        page = ERRORS["page without an end"]
+        cases = {(name,): [first, page] for name, first in BREAKS.items()}
+        for case, received in self.receive(cases, whole=False).items():
+            with self.subTest(case=case):
+                self.assertLess(received.seconds, PATIENCE / 2)
+
+
 class EmptyContinuationTests(StreamCase):
     """
     Guard against a stream that ends as whole although events are missing.
