--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -6,6 +6,7 @@
 
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
+from lentilhaven.core.logs import get_logger
 from lentilhaven.gateway.crash_checks import PROOF_EVENTS, note_answered, note_begun
 from lentilhaven.gateway.event_splitter import Events, EventSplitter
 from lentilhaven.gateway.gateway_metrics import record_first_event
@@ -16,12 +17,20 @@
     note_heard,
 )
 from lentilhaven.gateway.stream_failures import interpret_error_answer, silence_failure
-from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay, StreamRun
+from lentilhaven.gateway.stream_lead import StreamRun
+from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
 from lentilhaven.gateway.stream_waiting import wait_or_move
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.upstream.answer_memory import MAX_EVENT_BYTES
 from lentilhaven.upstream.exchange import UpstreamError
 
+CONTENT_TYPE = "content-type"
+
+#: Media type of a stream.
+EVENT_STREAM = "text/event-stream"
+
+log = get_logger("gateway")
+
 
 async def relay_answer(relay: StreamRelay, run: StreamRun) -> RunOutcome:
     """
@@ -40,7 +49,7 @@
     head = await wait_or_move(relay, run, exchange.wait_for_head, limit)
     if head is None:
         return silence_failure(relay, run)
-    if head.status != 200:
+    if head.status != 200 or not is_event_stream(relay, run, head):
         return await interpret_error_answer(relay, run.chain, exchange, head)
     first_chunk = await wait_or_move(relay, run, exchange.next_chunk, limit)
     if first_chunk is None:
@@ -48,6 +57,24 @@
     return await relay_events(relay, run, head, first_chunk)
 
 
+def is_event_stream(relay: StreamRelay, run: StreamRun, head: ResponseHead) -> bool:
+    """Return whether an answer's media type is that of a stream, or is not stated."""
+    values = [
+        value for name, value in head.forwarded_headers if name.lower() == CONTENT_TYPE
+    ]
+    media_type = values[-1].partition(";")[0].strip().lower() if values else ""
+    if media_type in ("", EVENT_STREAM):
+        return True
+    log.warning(
+        "answer is no event stream",
+        request=relay.call.id,
+        endpoint=run.chain.first.id,
+        media_type=media_type,
+        events=relay.events,
+    )
+    return False
+
+
 async def relay_events(
     relay: StreamRelay, run: StreamRun, head: ResponseHead, chunk: bytes | None
 ) -> Failure | None:
@@ -71,8 +98,10 @@
         events = splitter.feed(chunk)
         run.exchange.keep(len(splitter.remainder), MAX_EVENT_BYTES)
         if events.data:
-            run.take_over(relay)
-            await write_events(relay, head, events)
+            relay.lead.check(run, relay.last_event_id)
+            check_order(relay, run, events)
+            relay.take_lead(run)
+            await write_events(relay, run, head, events)
             note_events(relay, run, events)
             pauses.record(now - run.silent_since)
             event_count += 1
@@ -85,6 +114,28 @@
     return await finish_stream(relay, run, head, splitter.remainder)
 
 
+def check_order(relay: StreamRelay, run: StreamRun, events: Events) -> None:
+    """
+    Check that the events of a run follow those that the caller has.
+
+    Raises
+    ------
+    UpstreamError
+        If they do not.
+    """
+    goes_on = relay.call.route.repeatable and relay.last_event_id != ""
+    fault = relay.order.find_fault(events, goes_on and not run.has_ids)
+    if fault:
+        log.warning(
+            "events do not follow",
+            request=relay.call.id,
+            endpoint=run.chain.first.id,
+            last_event_id=relay.last_event_id,
+            fault=fault,
+        )
+        raise UpstreamError("discontinuous", fault, sent=True)
+
+
 def note_events(relay: StreamRelay, run: StreamRun, events: Events) -> None:
     """Count the events of a run, and record the proof once there are enough."""
     is_proven = run.events >= PROOF_EVENTS
@@ -93,11 +144,14 @@
         note_begun(relay.gateway, relay.call, run.record)
 
 
-async def write_events(relay: StreamRelay, head: ResponseHead, events: Events) -> None:
+async def write_events(
+    relay: StreamRelay, run: StreamRun, head: ResponseHead, events: Events
+) -> None:
     """Send complete events to the caller, and record how far the stream has come."""
     response = await ensure_response(relay, head)
-    if events.ids:
-        relay.last_event_id = events.ids[-1]
+    relay.order.note(events)
+    run.last_event_id = relay.last_event_id
+    run.has_ids |= len(events.ids) > 0
     relay.events += len(events.ids)
     await response.write(events.data)
 
@@ -123,15 +177,16 @@
     Raises
     ------
     UpstreamError
-        If the run has ended within an event, or before the first event of an answer
-        without framing.
+        If the run has ended within an event, or without an event in a begun stream or
+        in an answer without framing.
     """
-    is_empty = run.events == 0 and not relay.last_event_id
-    if remainder.strip() or (is_empty and run.exchange.ends_at_eof):
+    has_begun = relay.response is not None
+    proves_nothing = run.events == 0 and (has_begun or run.exchange.ends_at_eof)
+    if remainder.strip() or proves_nothing:
         # An engine that breaks off may still end the framing of its answer.
         detail = "the stream ended within an event, or before the first"
         raise UpstreamError("truncated", detail, sent=True)
-    run.take_over(relay)
+    relay.take_lead(run)
     response = await ensure_response(relay, head)
     await response.write_eof(remainder)
     if run.events:
@@ -143,21 +198,21 @@
     """Return the answer to the caller; its first run sends its head."""
     if relay.response is None:
         relay.weights = relay.weights or head.weights_version
-        relay.response = await start_response(relay, head)
+        relay.response = make_response(relay, head)
+        await relay.response.prepare(relay.request)
         now = asyncio.get_running_loop().time()
         record_first_event(relay.gateway, relay.call, now - relay.call.arrived)
     return relay.response
 
 
-async def start_response(relay: StreamRelay, head: ResponseHead) -> web.StreamResponse:
-    """Send the head of the answer to the caller."""
+def make_response(relay: StreamRelay, head: ResponseHead) -> web.StreamResponse:
+    """Return the answer to the caller, which is not sent yet."""
     response = web.StreamResponse(
         status=head.status, headers=list(head.forwarded_headers)
     )
     response.enable_chunked_encoding()
     if relay.gateway.leaving:
         response.force_close()
-    await response.prepare(relay.request)
     return response
 
 
