Reject names and numbers of replicas that can't be passed on

Cause: `decode_replica` bounded only the address. A range of layers that ends at 2^70 passed, and the length of the range raised `OverflowError`, which nothing catches: the watch and the check of the store failed again and again, as if the list were unreadable. Slots of 10^400, a zone of a thousand characters and lone surrogates were taken over too, and with them calculations of load, datagrams and headers.

What callers saw: removed replicas still in use, and after a restart no gateway ready, for as long as the entry is there.

Change: names have at most 256 printable characters, counts are at most 2^53 - 1, and numbers of layers at most 100,000. `find_fault` names the field that is wrong, for the log. The check of addresses moves to core, where peering can use it.

--- a/lentilhaven/platform/replica_format.py
+++ b/lentilhaven/platform/replica_format.py
@@ -2,14 +2,22 @@
 
 from typing import Any
 
+from lentilhaven.core.ip_address import is_address
+from lentilhaven.core.json_numbers import is_count
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.layer_span import LayerSpan
 
 #: Valid states of a replica's entry.
 READY, DRAINING = "ready", "draining"
 
-#: Largest port, and largest number in an IP address.
-MAX_PORT, MAX_OCTET = 65_535, 255
+#: Fields of an entry that hold a name.
+NAMES = ("service", "zone")
+
+#: Largest number of characters of a name.
+MAX_NAME_LENGTH = 256
+
+#: Largest number of a layer.
+MAX_LAYER = 100_000
 
 
 def decode_replica(name: str, value: Any) -> Endpoint | None:
@@ -36,32 +44,68 @@
     6
     >>> decode_replica("i-1", {"service": "s"})
     """
-    if not isinstance(value, dict):
-        return None
-    fields: dict[str, Any] = value
-    texts = [fields.get(field) for field in ("service", "address", "zone", "state")]
-    if not all(isinstance(text, str) and text for text in texts):
-        return None
-    service, address, data_centre, state = map(str, texts)
-    slots = fields.get("slots")
-    if state not in (READY, DRAINING) or not is_non_negative_int(slots):
-        return None
-    if not is_address(address):
+    if find_fault(name, value):
         return None
     model, layers = decode_layers(value)
-    born, sequence = value.get("born", 0), value.get("sequence", 0)
+    card = value.get("kind")
     return Endpoint(
         id=name,
-        service=service,
-        address=address,
-        data_centre=data_centre,
-        slots=int(slots or 0),
-        draining=state == DRAINING,
-        born=born if is_non_negative_int(born) else 0,
-        card=value["kind"] if isinstance(value.get("kind"), str) else "",
+        service=value["service"],
+        address=value["address"],
+        data_centre=value["zone"],
+        slots=value["slots"],
+        draining=value["state"] == DRAINING,
+        born=read_count(value, "born"),
+        card=card if is_name(card) else "",
         layers=layers,
         model=model,
-        sequence=sequence if is_non_negative_int(sequence) else 0,
+        sequence=read_count(value, "sequence"),
+    )
+
+
+def find_fault(name: str, value: Any) -> str:
+    """
+    Return why an entry does not describe a replica, or an empty text if it does.
+
+    Examples
+    --------
+    >>> find_fault("i-1", {"service": "s", "zone": "z", "address": "10.0.0.1:99999"})
+    'address'
+    """
+    if not isinstance(value, dict):
+        return "no object"
+    if not is_name(name):
+        return "name"
+    for field in NAMES:
+        if not is_name(value.get(field)):
+            return field
+    address, state = value.get("address"), value.get("state")
+    if not isinstance(address, str) or not is_address(address):
+        return "address"
+    if not isinstance(state, str) or state not in (READY, DRAINING):
+        return "state"
+    return "" if is_count(value.get("slots")) else "slots"
+
+
+def read_count(value: dict[str, Any], field: str) -> int:
+    """Return a field that holds a count; 0 if it holds none."""
+    number = value.get(field)
+    return number if isinstance(number, int) and is_count(number) else 0
+
+
+def is_name(value: Any) -> bool:
+    r"""
+    Return whether a value is a text that can be logged, and sent in a header.
+
+    Examples
+    --------
+    >>> is_name("i-1"), is_name("i\r\n"), is_name(""), is_name("i" * 1000)
+    (True, False, False, False)
+    """
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_NAME_LENGTH
+        and value.isprintable()
     )
 
 
@@ -75,45 +119,17 @@
     """
     models = value.get("models")
     first = models[0] if isinstance(models, list) and models else {}
-    model = first.get("name", "") if isinstance(first, dict) else ""
+    name = first.get("name") if isinstance(first, dict) else None
+    model = name if isinstance(name, str) and is_name(name) else ""
     span = value.get("layers")
     if not isinstance(span, dict) and isinstance(first, dict):
         span = first.get("layers")
     if isinstance(span, list) and span:
         span = span[0]
     if not isinstance(span, dict):
-        return str(model), None
+        return model, None
     start, end = span.get("from"), span.get("target")
-    if not is_non_negative_int(start) or not is_non_negative_int(end):
-        return str(model), None
+    if not is_count(start, MAX_LAYER) or not is_count(end, MAX_LAYER):
+        return model, None
     held = LayerSpan(int(start or 0), int(end or 0))
-    return str(model), held if len(held) else None
-
-
-def is_non_negative_int(value: Any) -> bool:
-    """Return whether a value is a non-negative integer."""
-    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
-
-
-def is_address(text: str) -> bool:
-    """
-    Return whether a text has the form ``IP:PORT``, and can be connected to.
-
-    Examples
-    --------
-    >>> is_address("10.0.0.1:80"), is_address("10.0.0.1"), is_address("x:y")
-    (True, False, False)
-    >>> is_address("10.0.0.1:99999"), is_address("10.0.0.300:80")
-    (False, False)
-    """
-    host, _, port = text.rpartition(":")
-    numbers = host.split(".")
-    return len(numbers) == 4 and all(
-        is_number_up_to(number, limit)
-        for number, limit in [(port, MAX_PORT), *((it, MAX_OCTET) for it in numbers)]
-    )
-
-
-def is_number_up_to(text: str, limit: int) -> bool:
-    """Return whether a text is a decimal number of at most a limit."""
-    return text.isascii() and text.isdigit() and len(text) < 6 and int(text) <= limit
+    return model, held if len(held) else None
--- a/lentilhaven/platform/tests/test_formats.py
+++ b/lentilhaven/platform/tests/test_formats.py
@@ -1,4 +1,5 @@
 import json
+import math
 import tempfile
 import unittest
 from pathlib import Path
@@ -53,6 +54,32 @@
         for value in (None, 3, "text", [ENTRY]):
             self.assertIsNone(decode_replica("i-1", value))
 
+    def test_rejects_an_entry_with_a_name_that_can_not_be_passed_on(self):
+        """Guard against headers, datagrams and log lines that an entry breaks."""
+        for text in ("\ud800", "a\r\nb", "a" * 1000):
+            for field in ("service", "zone"):
+                with self.subTest(field=field, text=text[:9]):
+                    self.assertIsNone(decode_replica("i-1", ENTRY | {field: text}))
+            self.assertIsNone(decode_replica(text, ENTRY))
+            found = decode_replica("i-1", ENTRY | {"kind": text})
+            self.assertEqual(found.card, "")
+            found = decode_replica("i-1", ENTRY | {"models": [{"name": text}]})
+            self.assertEqual(found.model, "")
+
+    def test_rejects_numbers_beyond_those_of_json(self):
+        """Guard against calculations that an entry of another writer ends."""
+        for number in (2**53, 2**70, 10**400, math.inf, math.nan, -1):
+            with self.subTest(number=number):
+                self.assertIsNone(decode_replica("i-1", ENTRY | {"slots": number}))
+                layers = {"from": 0, "target": number}
+                found = decode_replica(
+                    "i-1",
+                    ENTRY | {"born": number, "sequence": number, "layers": layers},
+                )
+                self.assertEqual(
+                    (found.born, found.sequence, found.layers), (0, 0, None)
+                )
+
     def test_ignores_invalid_layers(self):
         for layers in (
             None,
