Read the store's objects one by one where a page can't be read as a whole

Cause: `read_answer_json` decodes a page, or all changes of a watch, in one call of `json.loads`. One value that it rejects (bytes that are no UTF-8, an integer of more than 4,300 digits, nesting beyond the recursion limit) made the page an error: `no-answer`, as if the store were silent, or a `RecursionError` that ended the task.

The logs said `store lost`, `no-answer`, and named no entry.

Change: `load_partial` decodes as before; only if that fails, it divides lists and objects down to the members of an object's metadata, and puts `Unreadable` in place of what can't be decoded. The brackets of a value are counted without recursion to find its end. The content of an object is read as a whole or not at all, so that an entry names no replica and a manifest is never adopted in part. Changes of objects whose names can't be read, and changes that are larger than an answer may be, are followed by a listing, as they would be asked for again and again. A page continues after its last readable name, and a page without one ends the listing instead of repeating it. Revisions are checked; metadata that is no object ends no task. `object ignored` logs each revision of such an object once, with the reason and without its content.

Why it works: the others in a page no longer depend on what one writer has written, and the position of the watch moves on.

--- a/lentilhaven/core/answer_body.py
+++ b/lentilhaven/core/answer_body.py
@@ -58,12 +58,15 @@
     Raises
     ------
     ValueError
-        If the body is no JSON, or larger than `limit` bytes.
+        If the body is no JSON, nested too deeply, or larger than `limit` bytes.
     aiohttp.ClientPayloadError
         As in `read_answer_body`.
     """
     body = (await read_answer_body(response, limit)).strip()
-    return json.loads(body) if body else None
+    try:
+        return json.loads(body) if body else None
+    except RecursionError as error:
+        raise ValueError("the answer is nested too deeply") from error
 
 
 def closing_of_unframed(
--- a/lentilhaven/core/tests/test_answer_body.py
+++ b/lentilhaven/core/tests/test_answer_body.py
@@ -86,3 +86,9 @@
                 serve_body(body), lambda it: read_answer_json(it, LIMIT)
             )
             self.assertEqual(found, value)
+
+    def test_deep_nesting_is_an_error_of_the_value(self):
+        """Guard against a `RecursionError` that ends the task which reads."""
+        body = b"[" * 20_000 + b"]" * 20_000
+        with self.assertRaises(ValueError):
+            read_at_the_wire(serve_body(body), lambda it: read_answer_json(it, LIMIT))
--- a/lentilhaven/gateway/store_watch.py
+++ b/lentilhaven/gateway/store_watch.py
@@ -15,10 +15,12 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.store_era import StoreEra
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.ignored_objects import IgnoredObjects
 from lentilhaven.platform.manifest_format import decode_manifest, read_version
-from lentilhaven.platform.replica_format import decode_replica
+from lentilhaven.platform.replica_format import decode_replica, find_fault
 from lentilhaven.platform.store_client import ObjectListing, StoreClient
 from lentilhaven.platform.store_kinds import CONFIG, MANIFEST, REPLICAS
+from lentilhaven.platform.store_page import ObjectChange
 
 #: Seconds for which a watch call waits for a change.  The time is long because each
 #: call is billed.  TCP keep-alive probes detect a dead connection much earlier.
@@ -34,6 +36,9 @@
 #: Kinds of failure after which the objects must be listed again.
 HISTORY_GONE = ("compacted", "restored")
 
+#: Kinds of failure of a watch whose changes can't be read; a listing includes them.
+UNREADABLE_CHANGES = ("unnamed", "too-large")
+
 #: Bounds of the pause after a failed call, in seconds.
 MIN_PAUSE, MAX_PAUSE = 0.1, 0.5
 
@@ -100,9 +105,9 @@
                 if answer.ok.changes:
                     await asyncio.sleep(BATCH_DELAY)
                 continue
-            if answer.error.kind in HISTORY_GONE:
+            if needs_listing(answer.error):
                 log.info(
-                    "history is gone",
+                    "objects must be listed again",
                     kind=self.kind,
                     position=str(self.position),
                     reason=answer.error.kind,
@@ -158,6 +163,12 @@
             )
 
 
+def needs_listing(failure: Failure) -> bool:
+    """Return whether the objects must be listed after a failed call."""
+    is_unreadable = failure.step is Step.WATCH and failure.kind in UNREADABLE_CHANGES
+    return is_unreadable or failure.kind in HISTORY_GONE
+
+
 def watch_manifest(gateway: Gateway, client: StoreClient) -> KindWatch:
     """
     Return a watch that keeps a gateway's manifest up to date.
@@ -169,10 +180,14 @@
     client : StoreClient
         Makes the calls.
     """
+    ignored = IgnoredObjects(CONFIG)
 
     def apply(listing: ObjectListing) -> None:
+        ignored.note_unnamed(listing.unnamed)
         for change in listing.changes:
-            if change.name == MANIFEST and change.value is not None:
+            if change.fault:
+                ignored.note(change, change.fault, is_error=change.name == MANIFEST)
+            elif change.name == MANIFEST and change.value is not None:
                 adopt_manifest(gateway, change.value, change.position, "store")
 
     on_failure = gateway.view.record_store_failure
@@ -243,11 +258,21 @@
     """
     view = gateway.view
 
+    ignored = IgnoredObjects(REPLICAS)
+
+    def decode(change: ObjectChange) -> Endpoint | None:
+        endpoint = decode_replica(change.name, change.value)
+        if endpoint is None and (change.fault or change.value is not None):
+            fault = change.fault or find_fault(change.name, change.value)
+            ignored.note(change, fault)
+        return endpoint
+
     def apply_listing(listing: ObjectListing) -> None:
+        ignored.note_unnamed(listing.unnamed)
         found = [
             endpoint
             for change in listing.changes
-            if (endpoint := decode_replica(change.name, change.value)) is not None
+            if (endpoint := decode(change)) is not None
         ]
         view.replace_endpoints(found, listing.position, "store")
 
@@ -255,8 +280,7 @@
         # The last change of each replica; None if it was deleted or can't be decoded,
         # in which case its endpoint is removed.
         changed: dict[str, Endpoint | None] = {
-            change.name: decode_replica(change.name, change.value)
-            for change in listing.changes
+            change.name: decode(change) for change in listing.changes
         }
         view.apply_changes(
             [endpoint for endpoint in changed.values() if endpoint is not None],
--- a/lentilhaven/platform/store_client.py
+++ b/lentilhaven/platform/store_client.py
@@ -10,8 +10,9 @@
 import attrs
 from expression import Error, Ok, Result
 
-from lentilhaven.core.answer_body import read_answer_json
+from lentilhaven.core.answer_body import AnswerTooLargeError, read_answer_body
 from lentilhaven.core.failure import Failure
+from lentilhaven.core.partial_json import Unreadable
 from lentilhaven.core.step import Step
 from lentilhaven.core.store_position import StorePosition
 from lentilhaven.objects.stored_object import StoredObject
@@ -23,6 +24,12 @@
     Written,
 )
 from lentilhaven.platform import headers
+from lentilhaven.platform.store_page import (
+    ObjectChange,
+    decode_change,
+    decode_revision,
+    load_page,
+)
 
 #: TCP keep-alive options: the first probe is sent after one second without traffic
 #: and others at intervals of one second.  The connection ends after two probes
@@ -43,30 +50,13 @@
 #: Exceptions of a request that gets no usable response.
 REQUEST_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
 
+#: Errors by which an answer without the expected members shows.
+MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+
 #: Status codes with which the store guarantees that a write had no effect.
 NO_EFFECT_STATUSES = (429, 503)
 
 
-@attrs.frozen
-class ObjectChange:
-    """
-    Current state of an object that was listed or has changed.
-
-    Attributes
-    ----------
-    name : str
-        Name of the object.
-    position : StorePosition
-        Position of the store at its last change.
-    value : Any
-        Content of the object; None if it has been deleted.
-    """
-
-    name: str
-    position: StorePosition
-    value: Any
-
-
 @attrs.frozen
 class ObjectListing:
     """
@@ -78,10 +68,13 @@
         The objects.
     position : StorePosition
         Position of the store from which a watch continues.
+    unnamed : int
+        Number of objects whose names can't be read.
     """
 
     changes: list[ObjectChange]
     position: StorePosition
+    unnamed: int = 0
 
 
 @attrs.define
@@ -113,6 +106,7 @@
     async def list_kind(self, kind: str) -> Result[ObjectListing, Failure]:
         """Read all objects of a kind, page by page."""
         found: list[ObjectChange] = []
+        unnamed = 0
         query: dict[str, str] = {}
         first: StorePosition | None = None
         while True:
@@ -121,17 +115,27 @@
                 return Error(answer.error)
             page, era = answer.ok
             try:
-                found += [decode_change(item, False, era) for item in page["items"]]
-                # Later pages may contain later changes.  A watch from the first
-                # page's position returns these again, which is harmless.
-                first = first or StorePosition(era, int(page["current_rev"]))
-                if era != first.era:
-                    return Error(restored_failure(Step.READ_OBJECT, first.era, era))
-                if not page.get("has_more"):
-                    return Ok(ObjectListing(found, first))
-            except (KeyError, TypeError, ValueError) as error:
+                items = [
+                    decode_change(item, False, era) for item in read_list(page, "items")
+                ]
+                revision = read_revision(page, "current_rev")
+                has_more = page.get("has_more")
+            except MALFORMED as error:
                 return Error(malformed_failure(Step.READ_OBJECT, error))
-            query = {"after": found[-1].name}
+            named = [item for item in items if item is not None]
+            found += named
+            unnamed += len(items) - len(named)
+            # Later pages may contain later changes.  A watch from the first page's
+            # position returns these again, which is harmless.
+            first = first or StorePosition(era, revision)
+            if era != first.era:
+                return Error(restored_failure(Step.READ_OBJECT, first.era, era))
+            if not has_more:
+                return Ok(ObjectListing(found, first, unnamed))
+            if not named or named[-1].name == query.get("after"):
+                detail = "the page has no name from which to continue"
+                return Error(Failure(Step.READ_OBJECT, PEER, "malformed", detail))
+            query = {"after": named[-1].name}
 
     async def watch_kind(
         self, kind: str, position: StorePosition, timeout: float
@@ -153,7 +157,9 @@
         Result
             The changed objects; none if nothing has changed in time.  A failure of
             kind ``"compacted"`` or ``"restored"`` means that the store does not have
-            the history since `position`, so that the objects must be listed again.
+            the history since `position`, and one of kind ``"unnamed"`` or
+            ``"too-large"`` that it can't be read; in each case the objects must be
+            listed again.
         """
         query = {
             "watch": str(position.revision),
@@ -167,18 +173,22 @@
         if era != position.era:
             return Error(restored_failure(Step.WATCH, position.era, era))
         try:
-            changes = [
-                decode_change(event["object"], bool(event.get("deleted")), era)
-                for event in body["events"]
-            ]
-            return Ok(
-                ObjectListing(changes, StorePosition(era, int(body["current_rev"])))
-            )
-        except (KeyError, TypeError, ValueError) as error:
+            changes = [decode_event(event, era) for event in read_list(body, "events")]
+            revision = read_revision(body, "current_rev")
+        except MALFORMED as error:
             return Error(malformed_failure(Step.WATCH, error))
+        named = [change for change in changes if change is not None]
+        if len(named) < len(changes):
+            detail = f"{len(changes) - len(named)} changes without a name"
+            return Error(Failure(Step.WATCH, PEER, "unnamed", detail))
+        return Ok(ObjectListing(named, StorePosition(era, revision)))
 
     async def read(self, name: str) -> Result[StoredObject | None, Failure]:
-        """Read the object ``KIND/NAME``; return None if it does not exist."""
+        """
+        Read the object ``KIND/NAME``; return None if it does not exist.
+
+        The value of an object whose content can't be read is None.
+        """
         answer = await self.get(Step.READ_OBJECT, name, {}, self.call_timeout)
         if answer.is_error():
             if answer.error.kind == "missing":
@@ -186,10 +196,12 @@
             return Error(answer.error)
         body, era = answer.ok
         try:
-            version = int(body["metadata"]["rev"])
-            return Ok(StoredObject(name, version, body.get("spec"), era))
-        except (KeyError, TypeError, ValueError) as error:
+            version = read_revision(body["metadata"], "rev")
+            value = body.get("spec")
+        except MALFORMED as error:
             return Error(malformed_failure(Step.READ_OBJECT, error))
+        is_readable = not isinstance(value, Unreadable)
+        return Ok(StoredObject(name, version, value if is_readable else None, era))
 
     async def write(self, name: str, value: Any, expected_version: int) -> WriteOutcome:
         """
@@ -234,12 +246,12 @@
                     return Refused(status_failure(Step.WRITE_OBJECT, response.status))
                 if response.status >= 400:
                     return Ambiguous(status_failure(Step.WRITE_OBJECT, response.status))
-                answer = await read_answer_json(response, MAX_ANSWER_BYTES)
-                return Written(int(answer["metadata"]["rev"]), era)
+                answer = load_page(await read_answer_body(response, MAX_ANSWER_BYTES))
+                return Written(read_revision(answer["metadata"], "rev"), era)
         except aiohttp.ClientConnectorError as error:
             # No connection was made, so the request was not sent.
             return Refused(no_answer_failure(Step.WRITE_OBJECT, error))
-        except (*REQUEST_ERRORS, KeyError, TypeError) as error:
+        except (*REQUEST_ERRORS, *MALFORMED) as error:
             return Ambiguous(no_answer_failure(Step.WRITE_OBJECT, error))
 
     async def get(
@@ -255,9 +267,12 @@
             async with self.session.get(url, params=query, timeout=limit) as response:
                 era = self.read_era(response)
                 if response.status == 200:
-                    body = await read_answer_json(response, MAX_ANSWER_BYTES)
-                    return Ok((body, era))
+                    body = await read_answer_body(response, MAX_ANSWER_BYTES)
+                    return Ok((load_page(body), era))
                 return Error(status_failure(step, response.status))
+        except AnswerTooLargeError as error:
+            kind = "too-large" if step is Step.WATCH else "no-answer"
+            return Error(Failure(step, PEER, kind, str(error)))
         except REQUEST_ERRORS as error:
             return Error(no_answer_failure(step, error))
 
@@ -271,12 +286,44 @@
         return era
 
 
-def decode_change(item: dict[str, Any], deleted: bool, era: int) -> ObjectChange:
-    """Decode one object; one that is being deleted counts as deleted."""
-    meta = item["metadata"]
-    value = None if deleted or meta.get("is_deleting") else item.get("spec")
-    position = StorePosition(era, int(meta.get("rev") or 0))
-    return ObjectChange(str(meta["name"]), position, value)
+def decode_event(event: Any, era: int) -> ObjectChange | None:
+    """Decode one change of a watch; return None if it names no object."""
+    if not isinstance(event, dict):
+        return None
+    deleted = event.get("deleted")
+    if isinstance(deleted, Unreadable):
+        return None
+    return decode_change(event.get("object"), bool(deleted), era)
+
+
+def read_list(answer: dict[str, Any], key: str) -> list[Any]:
+    """
+    Return a list in an answer.
+
+    Raises
+    ------
+    KeyError, TypeError
+        If there is none.
+    """
+    found = answer[key]
+    if not isinstance(found, list):
+        raise TypeError(f"{key} is no list")
+    return found
+
+
+def read_revision(fields: dict[str, Any], key: str) -> int:
+    """
+    Return a revision of the store.
+
+    Raises
+    ------
+    KeyError, ValueError
+        If there is none.
+    """
+    revision = decode_revision(fields[key])
+    if revision is None:
+        raise ValueError(f"{key} is no revision")
+    return revision
 
 
 def restored_failure(step: Step, before: int, era: int) -> Failure:
