Take over a lease whose record can't be read, and keep its task running

Cause: `Lease.refresh` structured the record without regard to errors, and `Lease.maintain` was the one background task that is not started again. One odd record (another writer's, or bytes that can't be read) ended the task of every process.

What callers saw: nobody places layers any more, so that engines that restart stay empty.

Change: a record that can't be read counts as that of an unknown holder, with its fencing number if that can be read. Like any other record, it is taken over once it has not changed for a term, so that a holder whose record is of another form is not robbed of its lease. The log names the version. The task runs again after an unforeseen error.

--- a/lentilhaven/leases/lease.py
+++ b/lentilhaven/leases/lease.py
@@ -8,12 +8,12 @@
 from transitions import Machine, MachineError
 
 from lentilhaven.core.clock import Clock
-from lentilhaven.core.converter import CONVERTER, to_document
+from lentilhaven.core.converter import to_document
 from lentilhaven.core.ids import VmId
 from lentilhaven.core.invariants import ensure
 from lentilhaven.core.logs import get_logger
-from lentilhaven.core.tasks import running_tasks
-from lentilhaven.leases.lease_record import LeaseRecord
+from lentilhaven.core.tasks import keep_running, running_tasks
+from lentilhaven.leases.lease_record import UNKNOWN_RUN, LeaseRecord, decode_record
 from lentilhaven.leases.lease_rules import (
     Observation,
     may_take_over,
@@ -258,15 +258,17 @@
         if found.is_error():
             return False
         stored = found.ok
-        record = CONVERTER.structure(stored.value, LeaseRecord) if stored else None
+        record = decode_record(stored.value) if stored else None
         version = stored.version if stored else 0
         era = stored.era if stored else self.current_era()
         if record is not None:
             self.highest_fence = max(self.highest_fence, record.fence)
         now = self.clock.monotonic()
-        self.observation = update_observation(
-            self.observation, version, record, now, era
-        )
+        previous = self.observation
+        self.observation = update_observation(previous, version, record, now, era)
+        is_unreadable = record is not None and record.run == UNKNOWN_RUN
+        if is_unreadable and self.observation is not previous:
+            log.warning("lease record can't be read", lease=self.name, version=version)
         if self.state == "held" and (record != self.record or era != self.era):
             self.handle_record_change(record, era, unconfirmed)
         return True
@@ -305,6 +307,6 @@
     lease : Lease
         The lease to maintain.
     """
-    async with running_tasks(lease.maintain()):
+    async with running_tasks(keep_running(lease.maintain)):
         yield lease
     await lease.release()
