Keep no address of a gateway to which no datagram can be sent

Cause: datagrams list other gateways, and their addresses were kept as they came. asyncio closes a datagram socket for good if `sendto` raises anything but an `OSError`, as it does for a port out of range or a name that is no text; an address without a port ended the round of sending before the gateways behind it.

What callers saw: a gateway that neither sends nor hears anything of the others until it restarts, so that suspicions, leaving endpoints and loads are not shared.

Change: a listed gateway without a usable address is skipped, and a datagram from one is ignored. Numbers that are not finite make a datagram invalid: added to a sum of loads, NaN would remain in it.

--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -11,6 +11,7 @@
 import attrs
 
 from lentilhaven.core.converter import CONVERTER
+from lentilhaven.core.ip_address import is_address
 from lentilhaven.core.store_position import StorePosition
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.endpoint_history import EndpointChanges
@@ -317,12 +318,12 @@
     >>> decode_message(b"[1]")
     """
     try:
-        fields: dict[str, Any] = json.loads(decompress(data))
+        fields: dict[str, Any] = DECODER.decode(decompress(data).decode())
         era = decode_optional_int(fields.get("era"))
         return PeerMessage(
             vm=str(fields["vm"]),
             run=str(fields["run"]),
-            address=str(fields["address"]),
+            address=decode_address(fields["address"]),
             number=int(fields["number"]),
             scope=Scope(fields["scope"]),
             data_centre=str(fields["data_centre"]),
@@ -343,10 +344,7 @@
                 str(name): (float(ages[0]), float(ages[1]))
                 for name, ages in fields["suspects"].items()
             },
-            members=tuple(
-                Member(str(address), str(data_centre), float(capacity))
-                for address, data_centre, capacity in fields["members"]
-            ),
+            members=tuple(decode_members(fields["members"])),
             changes=decode_changes(fields["changes"], era or 0),
             wants_answer=bool(fields["wants_answer"]),
             ready=bool(fields["ready"]),
@@ -391,6 +389,36 @@
         return None
 
 
+def decode_address(value: Any) -> str:
+    """
+    Decode an address to which datagrams are sent.
+
+    Raises
+    ------
+    ValueError
+        If nothing can be sent to it.
+    """
+    address = str(value)
+    if not is_address(address):
+        raise ValueError("no address")
+    return address
+
+
+def decode_members(value: Iterable[Any]) -> Iterator[Member]:
+    """Yield the listed gateways, without those to which nothing can be sent."""
+    for address, data_centre, capacity in value:
+        if is_address(str(address)):
+            yield Member(str(address), str(data_centre), float(capacity))
+
+
+def reject_constant(name: str) -> None:
+    """Reject `NaN` and infinity, which would remain in every sum."""
+    raise ValueError(f"{name} is no number")
+
+
+DECODER = json.JSONDecoder(parse_constant=reject_constant)
+
+
 def decode_ends(
     kind: SubjectKind, value: Iterable[Any]
 ) -> dict[Subject, dict[Incarnation, float]]:
