Log an answer of another gateway that can't be read

Cause: `fetch_newer` expected an object whose numbers are finite. Any other answer, one nested too deeply, or an endpoint of another form ended the task that catches up, which then began anew without its state.

Evidence, on the code before (test_odd_relays, 8 errors of 8), for example AttributeError: 'list' object has no attribute 'get' OverflowError: cannot convert float infinity to integer

Change: such an answer is logged and changes nothing. A list of which one endpoint can't be decoded is not applied, as it would remove that endpoint: unlike a page of the store, it has one writer.

--- a/lentilhaven/gateway/peer_relay.py
+++ b/lentilhaven/gateway/peer_relay.py
@@ -42,6 +42,18 @@
 #: Seconds that request handlers have to finish when the process ends.
 CLOSE_TIMEOUT = 0.1
 
+#: Errors of a request without a usable answer.
+ANSWER_ERRORS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
+
 log = get_logger("peering")
 
 
@@ -121,7 +133,7 @@
         ) as response:
             answer = await read_answer_json(response, MAX_ANSWER_BYTES)
             apply_answer(gateway, answer, message.vm)
-    except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError) as error:
+    except ANSWER_ERRORS as error:
         detail = f"{type(error).__name__}: {error}"
         log.info(
             "gateway does not answer", peer=message.vm, step="relay", detail=detail
@@ -137,13 +149,28 @@
         )
         adopt_manifest(gateway, answer["manifest"], position, source)
     if answer.get("endpoints") is not None:
-        endpoints = CONVERTER.structure(answer["endpoints"], list[Endpoint])
+        endpoints = decode_endpoints(answer["endpoints"])
         position = view.era.position(
             answer.get("era"), int(answer["endpoints_revision"])
         )
         view.replace_endpoints(endpoints, position, source)
 
 
+def decode_endpoints(value: Any) -> list[Endpoint]:
+    """
+    Decode the endpoints that another gateway holds.
+
+    Raises
+    ------
+    ValueError
+        If one of them can't be decoded: without it, the list isn't the whole one.
+    """
+    try:
+        return CONVERTER.structure(value, list[Endpoint])
+    except Exception as error:  # cattrs raises groups of errors
+        raise ValueError(f"endpoints: {error}") from error
+
+
 def make_answer(gateway: Gateway, query: Any) -> dict[str, Any]:
     """
     Return this gateway's positions, and the state that the query lacks.
