Reject numbers that are not finite in manifests and reports of engines

Cause: `float` and `int` accept NaN, infinity and integers of any size, which JSON of Python and of other writers may hold. A pace or a KV cache that is no number makes the costs of chains no numbers, and a time limit of NaN never passes.

Evidence, on the code before (test_formats, 16 failures), for example test_rejects_numbers_that_are_not_finite (field='pace', number=nan) AssertionError: (ValueError, OverflowError) not raised

Change: `to_number` and `to_integer` of core reject them, so that the report counts as failed, and the current manifest stays and the log says why.

--- a/lentilhaven/platform/engine_calls.py
+++ b/lentilhaven/platform/engine_calls.py
@@ -10,6 +10,7 @@
 
 from lentilhaven.core.answer_body import read_answer_json
 from lentilhaven.core.failure import Failure
+from lentilhaven.core.json_numbers import to_integer, to_number
 from lentilhaven.core.step import Step
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.layer_span import LayerSpan
@@ -131,7 +132,7 @@
                 detail = f"status {response.status}"
                 return Error(Failure(Step.ORDER, endpoint.id, "report", detail))
             answer = await read_answer_json(response, MAX_REPORT_BYTES)
-    except (*REQUEST_ERRORS, TypeError, OverflowError, RecursionError) as error:
+    except (*REQUEST_ERRORS, TypeError, OverflowError) as error:
         detail = f"{type(error).__name__}: {error}"
         cause = getattr(error, "os_error", None)
         is_refused = isinstance(cause, ConnectionRefusedError)
@@ -151,20 +152,20 @@
     Raises
     ------
     TypeError, ValueError, OverflowError
-        If the value is not a valid report.
+        If the value is not a valid report, or a number in it is not finite.
     """
     if not isinstance(value, dict):
         raise TypeError(f"a report is an object, not {type(value).__name__}")
     return EngineReport(
-        born=int(value.get("born") or 0),
+        born=to_integer(value.get("born") or 0),
         busy=bool(value.get("busy")),
-        accepted_orders=int(value.get("sequence") or 0),
+        accepted_orders=to_integer(value.get("sequence") or 0),
         layers=decode_layers(value)[1],
-        pace=float(value.get("pace") or 1.0),
-        running=int(value.get("active") or 0),
-        waiting=int(value.get("queued") or 0),
-        kv_used=float(value.get("kv_used") or 0.0),
-        kv_capacity=float(value.get("kv_total") or 0.0),
+        pace=to_number(value.get("pace") or 1.0),
+        running=to_integer(value.get("active") or 0),
+        waiting=to_integer(value.get("queued") or 0),
+        kv_used=to_number(value.get("kv_used") or 0.0),
+        kv_capacity=to_number(value.get("kv_total") or 0.0),
         stalled_requests=tuple(
             decode_stalled(item) for item in value.get("stalled") or ()
         ),
--- a/lentilhaven/platform/manifest_format.py
+++ b/lentilhaven/platform/manifest_format.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from lentilhaven.core.json_numbers import to_integer, to_number
 from lentilhaven.fleet.engine_spec import AcceleratorType, EngineSpec
 from lentilhaven.fleet.manifest import Manifest, RequestLimits, Tenant
 from lentilhaven.fleet.route_rule import RouteKind, RouteRule
@@ -31,13 +32,13 @@
 
     Raises
     ------
-    KeyError, TypeError, ValueError
-        If a required field is missing or has the wrong type.
+    KeyError, TypeError, ValueError, OverflowError
+        If a required field is missing or has the wrong type, or a number is not finite.
     """
     routes = [decode_route(route) for route in value["routes"]]
     services = [decode_service(service) for service in value["services"]]
     return Manifest(
-        version=int(value["version"]),
+        version=to_integer(value["version"]),
         routes={(route.host.lower(), route.path_prefix): route for route in routes},
         services={service.name: service for service in services},
         tenants=decode_tenants(value.get("tenants")),
@@ -49,11 +50,11 @@
     """Decode one route."""
     split = value.get("traffic_split")
     services = (
-        tuple((part["service"], float(part["weight"])) for part in split)
+        tuple((part["service"], to_number(part["weight"])) for part in split)
         if split
         else ((value["service"], 1.0),)
     )
-    timeout = float(value["timeout_ms"]) / 1000.0
+    timeout = to_number(value["timeout_ms"]) / 1000.0
     return RouteRule(
         name=value["name"],
         host=value["host"],
@@ -61,12 +62,13 @@
         kind=RouteKind(value["kind"]),
         services=services,
         timeout=timeout,
-        target_latency=float(value.get("target_latency_ms") or timeout * 1000) / 1000.0,
-        attempts=max(1, int(value.get("attempts") or 1)),
-        priority=int(value.get("priority") or 0),
+        target_latency=to_number(value.get("target_latency_ms") or timeout * 1000)
+        / 1000.0,
+        attempts=max(1, to_integer(value.get("attempts") or 1)),
+        priority=to_integer(value.get("priority") or 0),
         anonymous=bool(value.get("anonymous")),
         resumable=bool(value.get("resumable")),
-        gap_target=float(value.get("gap_target_ms") or 0.0) / 1000.0,
+        gap_target=to_number(value.get("gap_target_ms") or 0.0) / 1000.0,
     )
 
 
@@ -76,7 +78,7 @@
     return ServiceSpec(
         name=value["name"],
         health_path=value.get("health_path") or "/",
-        max_connections=int(value.get("max_connections") or 100),
+        max_connections=to_integer(value.get("max_connections") or 100),
         engine=decode_engine(engine) if engine else None,
     )
 
@@ -84,37 +86,37 @@
 def decode_engine(value: dict[str, Any]) -> EngineSpec:
     """Decode the specification of a service's engines."""
     model = value["models"][0]
-    pace = float(model.get("pace") or 1.0)
+    pace = to_number(model.get("pace") or 1.0)
     usual = value.get("usual") or {}
     kinds = [
         AcceleratorType(
             kind["name"],
-            float(kind["mb"]),
-            float(kind.get("pace") or 1.0),
-            float(kind.get("read_x") or 1.0),
+            to_number(kind["mb"]),
+            to_number(kind.get("pace") or 1.0),
+            to_number(kind.get("read_x") or 1.0),
         )
         for kind in value.get("kinds") or []
     ]
     return EngineSpec(
         model=model["name"],
-        layers=int(value.get("layers") or 0),
-        layer_mb=float(value.get("layer_mb") or 0.0),
-        kv_bytes_per_token=float(value.get("kv_bytes") or 0.0),
+        layers=to_integer(value.get("layers") or 0),
+        layer_mb=to_number(value.get("layer_mb") or 0.0),
+        kv_bytes_per_token=to_number(value.get("kv_bytes") or 0.0),
         cards={kind.name: kind for kind in kinds},
-        step_ms=float(value.get("step_ms") or 1.0) * pace,
-        step_ms_per_sequence=float(value.get("per_seq_ms") or 0.0),
-        step_ms_per_1k_tokens=float(value.get("context_per_k") or 0.0),
-        prefill_tokens_per_s=float(value.get("read_per_s") or 1e6),
-        load_s=float(model.get("load_s") or 0.0),
-        max_full_speed_loads=int(value.get("loads_at_once") or 0),
-        activation_bytes=float(value.get("activation_bytes") or 0.0),
-        link_mbps=float(value.get("link_mbps") or 0.0),
-        data_centre_link_mbps=float(value.get("pipe_mbps") or 0.0),
-        mean_prompt_tokens=float(usual.get("prompt") or 0.0),
-        mean_output_tokens=float(usual.get("answer") or 0.0),
-        tokens_per_step=int(value.get("stride") or 1),
-        report_lag_ms=float(value.get("report_lag_ms") or 0.0),
-        mean_kv_tokens=float(value.get("kv_capacity_tokens") or 0.0),
+        step_ms=to_number(value.get("step_ms") or 1.0) * pace,
+        step_ms_per_sequence=to_number(value.get("per_seq_ms") or 0.0),
+        step_ms_per_1k_tokens=to_number(value.get("context_per_k") or 0.0),
+        prefill_tokens_per_s=to_number(value.get("read_per_s") or 1e6),
+        load_s=to_number(model.get("load_s") or 0.0),
+        max_full_speed_loads=to_integer(value.get("loads_at_once") or 0),
+        activation_bytes=to_number(value.get("activation_bytes") or 0.0),
+        link_mbps=to_number(value.get("link_mbps") or 0.0),
+        data_centre_link_mbps=to_number(value.get("pipe_mbps") or 0.0),
+        mean_prompt_tokens=to_number(usual.get("prompt") or 0.0),
+        mean_output_tokens=to_number(usual.get("answer") or 0.0),
+        tokens_per_step=to_integer(value.get("stride") or 1),
+        report_lag_ms=to_number(value.get("report_lag_ms") or 0.0),
+        mean_kv_tokens=to_number(value.get("kv_capacity_tokens") or 0.0),
     )
 
 
@@ -125,7 +127,9 @@
     tenants = {}
     for tenant in value:
         priority = tenant.get("priority")
-        entry = Tenant(tenant["name"], None if priority is None else int(priority))
+        entry = Tenant(
+            tenant["name"], None if priority is None else to_integer(priority)
+        )
         for key in tenant.get("api_keys") or []:
             tenants[key] = entry
     return tenants
@@ -135,8 +139,8 @@
     """Decode the limits on requests, with defaults for missing ones."""
     defaults = RequestLimits()
     return RequestLimits(
-        header_bytes=int(value.get("max_header_bytes") or defaults.header_bytes),
-        body_bytes=int(value.get("max_body_bytes") or defaults.body_bytes),
+        header_bytes=to_integer(value.get("max_header_bytes") or defaults.header_bytes),
+        body_bytes=to_integer(value.get("max_body_bytes") or defaults.body_bytes),
         header_timeout=to_seconds(
             value.get("header_timeout_ms"), defaults.header_timeout
         ),
@@ -146,4 +150,4 @@
 
 def to_seconds(milliseconds: Any, default: float) -> float:
     """Convert milliseconds to seconds, or return the default if there are none."""
-    return float(milliseconds) / 1000.0 if milliseconds else default
+    return to_number(milliseconds) / 1000.0 if milliseconds else default
--- a/lentilhaven/platform/tests/test_formats.py
+++ b/lentilhaven/platform/tests/test_formats.py
@@ -112,6 +112,16 @@
         route = manifest.find_route("depot.example", "/draft/x")
         self.assertEqual(route.services, (("gen", 90.0), ("other", 10.0)))
 
+    def test_rejects_numbers_that_are_not_finite(self):
+        """Guard against time limits that never pass."""
+        for field in ("timeout_ms", "target_latency_ms", "gap_target_ms", "attempts"):
+            for number in (math.nan, math.inf, 10**400):
+                value = sample_manifest()
+                value["routes"][0][field] = number
+                with self.subTest(field=field, number=number):
+                    with self.assertRaises((ValueError, OverflowError)):
+                        decode_manifest(value)
+
     def test_requires_no_keys_without_tenants(self):
         value = sample_manifest()
         del value["tenants"]
@@ -221,3 +231,11 @@
         )
         self.assertEqual(found.layers, LayerSpan(0, 4))
         self.assertEqual(found.stalled_requests, (("r", "10.0.0.2:80"),))
+
+    def test_rejects_numbers_that_are_not_finite(self):
+        """Guard against costs of chains that are no numbers any more."""
+        for field in ("pace", "kv_used", "kv_total", "born", "sequence", "active"):
+            for number in (math.nan, math.inf, 10**400):
+                with self.subTest(field=field, number=number):
+                    with self.assertRaises((ValueError, OverflowError)):
+                        decode_report({field: number})
