--- a/lentilhaven/endpoints/service_client.py
+++ b/lentilhaven/endpoints/service_client.py
@@ -198,5 +198,5 @@
             headers = {"Content-Type": str(document["content_type"])}
             body = base64.b64decode(document["body"])
             return ServiceResponse(int(document["status"]), headers, body)
-    except (*REQUEST_ERRORS, KeyError, TypeError):
+    except (*REQUEST_ERRORS, KeyError, TypeError, OverflowError):
         return None
