--- a/lentilhaven/endpoints/tests/test_odd_key_status.py
+++ b/lentilhaven/endpoints/tests/test_odd_key_status.py
@@ -3,6 +3,7 @@
 
 import aiohttp
 
+from lentilhaven.core.tests.test_answer_body import serve_body
 from lentilhaven.endpoints.service_client import read_key_status
 from lentilhaven.tables.endpoint_spec import EndpointSpec
 
@@ -21,14 +22,7 @@
     """Return the outcome of a call according to an endpoint that sends a body."""
 
     async def main():
-        async def serve(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
-            writer.write(head % len(body) + body)
-            await writer.drain()
-            writer.close()
-
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(serve_body(body), "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         endpoint = EndpointSpec("e", f"http://127.0.0.1:{port}", "a")
         async with aiohttp.ClientSession() as session:
--- a/lentilhaven/gateway/store_watch.py
+++ b/lentilhaven/gateway/store_watch.py
@@ -107,7 +107,7 @@
                 continue
             if needs_listing(answer.error):
                 log.info(
-                    "objects must be listed again",
+                    "history is gone",
                     kind=self.kind,
                     position=str(self.position),
                     reason=answer.error.kind,
--- a/lentilhaven/gateway/tests/test_odd_relays.py
+++ b/lentilhaven/gateway/tests/test_odd_relays.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from lentilhaven.core.tests.test_answer_body import serve_body
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.peer_relay import fetch_newer
 from lentilhaven.gateway.tests.platform_testbed import sample_settings
@@ -29,14 +30,7 @@
         """Guard against a task that ends at each answer of such a gateway."""
 
         async def main(body):
-            async def serve(reader, writer):
-                await reader.readuntil(b"\r\n\r\n")
-                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
-                writer.write(head % len(body) + body)
-                await writer.drain()
-                writer.close()
-
-            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            server = await asyncio.start_server(serve_body(body), "127.0.0.1", 0)
             host, port = server.sockets[0].getsockname()
             gateway = Gateway(decode_settings(sample_settings(0)))
             address = f"{host}:{port}"
--- a/lentilhaven/logbook/request_story.py
+++ b/lentilhaven/logbook/request_story.py
@@ -37,6 +37,7 @@
         "store regained",
         "store restored",
         "history is gone",
+        "object ignored",
         "gateway silent",
     }
 )
