Find an unreadable value that is known by a comparison of texts

Cause: a page that can't be decoded as a whole is decoded again in each check of the store, about once a second, and the brackets of a value that is nested too deeply were counted each time.

Change: the client keeps up to 2 MB of such values, and skips one that comes again. The end of a value with a long number is only searched for where the value is not divided.

--- a/lentilhaven/core/partial_json.py
+++ b/lentilhaven/core/partial_json.py
@@ -8,6 +8,7 @@
 
 import json
 import re
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
@@ -28,6 +29,10 @@
 #: A string, a quotation mark that begins none, or a run of opening or closing brackets.
 TOKEN = re.compile(STRING.pattern + r'|"|[\[{]+|[\]}]+', re.DOTALL)
 
+#: Largest number of characters of values that can't be decoded that are kept: two
+#: objects of the largest size that the platform's store accepts.
+MAX_KEPT_LENGTH = 2_000_000
+
 #: A number or a literal name.
 SCALAR = re.compile(r'[^\s,:"\[\]{}]+')
 
@@ -46,8 +51,59 @@
     reason: str
 
 
+@attrs.define
+class UnreadableTexts:
+    """
+    Texts of lists and objects that can't be decoded, with the reasons.
+
+    What was found once is found again by a comparison of texts, which takes far less
+    time than the search for its end.
+
+    Attributes
+    ----------
+    reasons : OrderedDict
+        The values in place of the texts, the one that was added first at first.
+    length : int
+        Number of characters of all texts.
+    max_length : int
+        Largest number of characters that are kept.
+
+    Examples
+    --------
+    >>> texts = UnreadableTexts()
+    >>> texts.add("[[]]", Unreadable("nested too deeply"))
+    >>> texts.find("[7, [[]]]", 4)
+    (Unreadable(reason='nested too deeply'), 8)
+    """
+
+    reasons: OrderedDict[str, Unreadable] = attrs.field(factory=OrderedDict)
+    length: int = 0
+    max_length: int = MAX_KEPT_LENGTH
+
+    def add(self, text: str, value: Unreadable) -> None:
+        """Keep the whole text of a list or an object, unless it is too long."""
+        if len(text) > self.max_length or text in self.reasons:
+            return
+        self.reasons[text] = value
+        self.length += len(text)
+        while self.length > self.max_length:
+            dropped, _ = self.reasons.popitem(last=False)
+            self.length -= len(dropped)
+
+    def find(self, text: str, position: int) -> tuple[Unreadable, int] | None:
+        """Return the value that begins at a position, and the position behind it."""
+        for known, value in self.reasons.items():
+            # Brackets are balanced, so that the value ends where the known text does.
+            if text.startswith(known, position):
+                return value, position + len(known)
+        return None
+
+
 def load_partial(
-    data: bytes, levels: int, indivisible: frozenset[str] = frozenset()
+    data: bytes,
+    levels: int,
+    indivisible: frozenset[str] = frozenset(),
+    known: UnreadableTexts | None = None,
 ) -> Any:
     r"""
     Decode a JSON text, with `Unreadable` in place of values that can't be decoded.
@@ -63,6 +119,8 @@
         Number of levels of lists and objects that are divided into their members.
     indivisible : frozenset of str
         Keys of members that are decoded as a whole or not at all.
+    known : UnreadableTexts or None
+        What could not be decoded in earlier texts; None to keep nothing.
 
     Raises
     ------
@@ -78,8 +136,13 @@
         return json.loads(data)
     except (ValueError, RecursionError):
         text = data.decode("utf-8", "surrogateescape")
-    reader = PartialReader(text, INVALID_BYTE.search(text) is not None, indivisible)
-    value, end = reader.read(skip_space(text, 0), levels)
+    reader = PartialReader(
+        text,
+        INVALID_BYTE.search(text) is not None,
+        indivisible,
+        known if known is not None else UnreadableTexts(max_length=0),
+    )
+    value, end = reader.divide(skip_space(text, 0), levels, Unreadable("not JSON"))
     if isinstance(value, Unreadable):
         raise ValueError(value.reason)
     if skip_space(text, end) < len(text):
@@ -103,11 +166,14 @@
         Whether the text has bytes that are no UTF-8.
     indivisible : frozenset of str
         Keys of members that are decoded as a whole or not at all.
+    known : UnreadableTexts
+        Values that could not be decoded in earlier texts.
     """
 
     text: str
     has_invalid_bytes: bool
     indivisible: frozenset[str]
+    known: UnreadableTexts
 
     def read(self, position: int, levels: int) -> tuple[Any, int]:
         """
@@ -118,20 +184,49 @@
         ValueError
             If the end of the value can't be found.
         """
+        found = None if levels else self.known.find(self.text, position)
+        if found is not None:
+            return found
         value, end = self.decode(position)
         if end is not None and not isinstance(value, Unreadable):
             return value, end
+        return self.divide(position, levels, value, end)
+
+    def divide(
+        self, position: int, levels: int, value: Unreadable, end: int | None = None
+    ) -> tuple[Any, int]:
+        """
+        Decode the members of a value that can't be decoded as a whole, if allowed.
+
+        Parameters
+        ----------
+        position, levels : int
+            As in `read`.
+        value : Unreadable
+            What takes the place of the value if it isn't divided.
+        end : int or None
+            Position behind the value; None if it is not known.
+
+        Raises
+        ------
+        ValueError
+            If the end of the value can't be found.
+        """
         readers: dict[str, Callable[[int, int], tuple[Any, int]]] = {
             "{": self.read_object,
             "[": self.read_list,
         }
-        divide = readers.get(self.text[position : position + 1])
-        if levels and divide is not None:
+        read_members = readers.get(self.text[position : position + 1])
+        if levels and read_members is not None:
             try:
-                return divide(position, levels - 1)
+                return read_members(position, levels - 1)
             except ValueError:
                 value = Unreadable("not JSON")
-        return value, find_end(self.text, position) if end is None else end
+        if end is None:
+            end = self.find_end_of_digits(position) or find_end(self.text, position)
+        if read_members is not None and not levels:
+            self.known.add(self.text[position:end], value)
+        return value, end
 
     def decode(self, position: int) -> tuple[Any, int | None]:
         """Decode a value as a whole; the position is None if its end is not known."""
@@ -142,7 +237,7 @@
         except json.JSONDecodeError:
             return Unreadable("not JSON"), None
         except ValueError:
-            return Unreadable("too many digits"), self.find_end_of_digits(position)
+            return Unreadable("too many digits"), None
         if self.has_invalid_bytes and INVALID_BYTE.search(self.text, position, end):
             return Unreadable("not UTF-8"), end
         return value, end
@@ -169,7 +264,7 @@
             position = self.skip_mark(",", position)
 
     def read_object(self, position: int, levels: int) -> tuple[dict[str, Any], int]:
-        """Decode an object member by member."""
+        """Decode an object member by member, without those of unreadable keys."""
         found: dict[str, Any] = {}
         position = skip_space(self.text, position + 1)
         if self.text.startswith("}", position):
@@ -180,7 +275,9 @@
                 raise ValueError(f"no key at {position}")
             position = self.skip_mark(":", position)
             levels_of_member = 0 if key in self.indivisible else levels
-            found[key], position = self.read(position, levels_of_member)
+            value, position = self.read(position, levels_of_member)
+            if not INVALID_BYTE.search(key):
+                found[key] = value
             position = skip_space(self.text, position)
             if self.text.startswith("}", position):
                 return found, position + 1
--- a/lentilhaven/core/tests/test_partial_json.py
+++ b/lentilhaven/core/tests/test_partial_json.py
@@ -3,7 +3,7 @@
 
 from hypothesis import given, settings, strategies as st
 
-from lentilhaven.core.partial_json import Unreadable, load_partial
+from lentilhaven.core.partial_json import Unreadable, UnreadableTexts, load_partial
 
 #: Values that `json.loads` rejects, with the reason that is given.
 DAMAGED = {
@@ -63,6 +63,26 @@
             with self.subTest(text=text[:20]), self.assertRaises(ValueError):
                 load_partial(text, 3)
 
+    def test_known_values_change_no_result(self):
+        """Guard against a value that is taken for a longer or a later one."""
+        known = UnreadableTexts()
+        for damaged, reason in DAMAGED.items():
+            text = b'{"a": %b, "b": [%b, 1], "c": [[%b]]}' % ((damaged,) * 3)
+            for levels in (1, 2, 3, 1, 2, 3):
+                with self.subTest(reason=reason, levels=levels):
+                    found = load_partial(text, levels, known=known)
+                    self.assertEqual(found, load_partial(text, levels))
+
+    def test_known_values_are_bounded(self):
+        known = UnreadableTexts(max_length=200)
+        for number in range(20):
+            text = b'{"a": ["%d", "\xe9", "%b"]}' % (number, b"x" * 50)
+            load_partial(text, 1, known=known)
+            load_partial(b'{"a": ["\xe9", "%b"]}' % (b"x" * 300), 1, known=known)
+            self.assertLessEqual(known.length, 200)
+            self.assertEqual(known.length, sum(map(len, known.reasons)))
+        self.assertEqual(len(known.reasons), 3)
+
     @settings(derandomize=True, deadline=None, max_examples=100)
     @given(
         st.lists(VALUES, max_size=6),
--- a/lentilhaven/platform/store_client.py
+++ b/lentilhaven/platform/store_client.py
@@ -12,7 +12,7 @@
 
 from lentilhaven.core.answer_body import AnswerTooLargeError, read_answer_body
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.partial_json import Unreadable
+from lentilhaven.core.partial_json import Unreadable, UnreadableTexts
 from lentilhaven.core.step import Step
 from lentilhaven.core.store_position import StorePosition
 from lentilhaven.objects.stored_object import StoredObject
@@ -95,6 +95,8 @@
         the call must not be made.
     note_era : callable
         Takes the era of the store that an answer names.
+    unreadable : UnreadableTexts
+        What could not be decoded in earlier answers.
     """
 
     base_url: str
@@ -102,6 +104,7 @@
     call_timeout: float
     acquire_permit: Callable[[Step], Awaitable[Failure | None]]
     note_era: Callable[[int], None] = lambda era: None
+    unreadable: UnreadableTexts = attrs.field(factory=UnreadableTexts)
 
     async def list_kind(self, kind: str) -> Result[ObjectListing, Failure]:
         """Read all objects of a kind, page by page."""
@@ -268,7 +271,7 @@
                 era = self.read_era(response)
                 if response.status == 200:
                     body = await read_answer_body(response, MAX_ANSWER_BYTES)
-                    return Ok((load_page(body), era))
+                    return Ok((load_page(body, self.unreadable), era))
                 return Error(status_failure(step, response.status))
         except AnswerTooLargeError as error:
             kind = "too-large" if step is Step.WATCH else "no-answer"
--- a/lentilhaven/platform/store_page.py
+++ b/lentilhaven/platform/store_page.py
@@ -6,7 +6,7 @@
 import attrs
 
 from lentilhaven.core.json_numbers import is_count
-from lentilhaven.core.partial_json import Unreadable, load_partial
+from lentilhaven.core.partial_json import Unreadable, UnreadableTexts, load_partial
 from lentilhaven.core.store_position import StorePosition
 
 #: Levels of an answer down to the members of an object's metadata: the answer, its
@@ -43,19 +43,26 @@
     fault: str = ""
 
 
-def load_page(body: bytes) -> Any:
+def load_page(body: bytes, known: UnreadableTexts | None = None) -> Any:
     """
     Decode an answer of the store.
 
     What can't be read of an object is replaced by `Unreadable`: the objects of a kind
     may have several writers.
 
+    Parameters
+    ----------
+    body : bytes
+        Body of the answer.
+    known : UnreadableTexts or None
+        What could not be decoded in earlier answers; None to keep nothing.
+
     Raises
     ------
     ValueError
         If the answer is no JSON.
     """
-    return load_partial(body, PAGE_LEVELS, CONTENTS)
+    return load_partial(body, PAGE_LEVELS, CONTENTS, known)
 
 
 def decode_change(item: Any, deleted: bool, era: int) -> ObjectChange | None:
