Check addresses with one regular expression

An address is now checked for each gateway in each datagram, and for each entry in each listing. Numbers of an IP address have at most three digits: with leading zeros they may be read as octal.

--- a/lentilhaven/core/ip_address.py
+++ b/lentilhaven/core/ip_address.py
@@ -1,5 +1,12 @@
 """Addresses of other processes, as text."""
 
+import re
+
+#: The four numbers of an IP address, and a port.
+ADDRESS = re.compile(
+    r"([0-9]{1,3})\.([0-9]{1,3})\.([0-9]{1,3})\.([0-9]{1,3}):([0-9]{1,5})"
+)
+
 #: Largest port, and largest number in an IP address.
 MAX_PORT, MAX_OCTET = 65_535, 255
 
@@ -15,14 +22,8 @@
     >>> is_address("10.0.0.1:99999"), is_address("10.0.0.300:80")
     (False, False)
     """
-    host, _, port = text.rpartition(":")
-    numbers = host.split(".")
-    return len(numbers) == 4 and all(
-        is_number_up_to(number, limit)
-        for number, limit in [(port, MAX_PORT), *((it, MAX_OCTET) for it in numbers)]
-    )
-
-
-def is_number_up_to(text: str, limit: int) -> bool:
-    """Return whether a text is a decimal number of at most a limit."""
-    return text.isascii() and text.isdigit() and len(text) < 6 and int(text) <= limit
+    match = ADDRESS.fullmatch(text)
+    if match is None:
+        return False
+    *numbers, port = map(int, match.groups())
+    return port <= MAX_PORT and max(numbers) <= MAX_OCTET
--- a/lentilhaven/platform/store_page.py
+++ b/lentilhaven/platform/store_page.py
@@ -107,9 +107,9 @@
     """
     meta = item.get("metadata") if isinstance(item, dict) else None
     name = meta.get("name") if isinstance(meta, dict) else None
-    if not isinstance(name, str) or not name or SURROGATE.search(name):
+    if not isinstance(name, str) or not name:
         return None
-    return name
+    return name if name.isascii() or not SURROGATE.search(name) else None
 
 
 def decode_revision(value: Any) -> int | None:
