--- a/lentilhaven/core/partial_json.py
+++ b/lentilhaven/core/partial_json.py
@@ -8,96 +8,22 @@
 
 import json
 import re
-from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
 import attrs
 
+from lentilhaven.core.json_scan import find_end, skip_space
+from lentilhaven.core.unreadable import Unreadable, UnreadableTexts
+
 DECODER = json.JSONDecoder()
 
 #: Finds the end of a value whose numbers have too many digits.
 LENIENT_DECODER = json.JSONDecoder(parse_int=len)
 
-SPACE = re.compile(r"[ \t\n\r]*")
-
 #: A byte that is no UTF-8, as the error handler "surrogateescape" decodes it.
 INVALID_BYTE = re.compile("[\udc80-\udcff]")
 
-STRING = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL)
-
-#: A string, a quotation mark that begins none, or a run of opening or closing brackets.
-TOKEN = re.compile(STRING.pattern + r'|"|[\[{]+|[\]}]+', re.DOTALL)
-
-#: Largest number of characters of values that can't be decoded that are kept: two
-#: objects of the largest size that the platform's store accepts.
-MAX_KEPT_LENGTH = 2_000_000
-
-#: A number or a literal name.
-SCALAR = re.compile(r'[^\s,:"\[\]{}]+')
-
-
-@attrs.frozen
-class Unreadable:
-    """
-    Takes the place of a value that can't be decoded.
-
-    Attributes
-    ----------
-    reason : str
-        Why it can't be decoded, without its content.
-    """
-
-    reason: str
-
-
-@attrs.define
-class UnreadableTexts:
-    """
-    Texts of lists and objects that can't be decoded, with the reasons.
-
-    What was found once is found again by a comparison of texts, which takes far less
-    time than the search for its end.
-
-    Attributes
-    ----------
-    reasons : OrderedDict
-        The values in place of the texts, the one that was added first at first.
-    length : int
-        Number of characters of all texts.
-    max_length : int
-        Largest number of characters that are kept.
-
-    Examples
-    --------
-    >>> texts = UnreadableTexts()
-    >>> texts.add("[[]]", Unreadable("nested too deeply"))
-    >>> texts.find("[7, [[]]]", 4)
-    (Unreadable(reason='nested too deeply'), 8)
-    """
-
-    reasons: OrderedDict[str, Unreadable] = attrs.field(factory=OrderedDict)
-    length: int = 0
-    max_length: int = MAX_KEPT_LENGTH
-
-    def add(self, text: str, value: Unreadable) -> None:
-        """Keep the whole text of a list or an object, unless it is too long."""
-        if len(text) > self.max_length or text in self.reasons:
-            return
-        self.reasons[text] = value
-        self.length += len(text)
-        while self.length > self.max_length:
-            dropped, _ = self.reasons.popitem(last=False)
-            self.length -= len(dropped)
-
-    def find(self, text: str, position: int) -> tuple[Unreadable, int] | None:
-        """Return the value that begins at a position, and the position behind it."""
-        for known, value in self.reasons.items():
-            # Brackets are balanced, so that the value ends where the known text does.
-            if text.startswith(known, position):
-                return value, position + len(known)
-        return None
-
 
 def load_partial(
     data: bytes,
@@ -296,65 +222,3 @@
         if not self.text.startswith(mark, position):
             raise ValueError(f"no {mark!r} at {position}")
         return skip_space(self.text, position + 1)
-
-
-def skip_space(text: str, position: int) -> int:
-    """Return the position of the first character that is no space."""
-    match = SPACE.match(text, position)
-    return match.end() if match is not None else position
-
-
-def find_end(text: str, position: int) -> int:
-    """
-    Return the position behind a value, which is not decoded.
-
-    The brackets of a list or an object are only counted, so that its depth doesn't
-    matter.
-
-    Parameters
-    ----------
-    text : str
-        JSON text.
-    position : int
-        Position of the value's first character.
-
-    Raises
-    ------
-    ValueError
-        If the value has no end.
-
-    Examples
-    --------
-    >>> find_end('[[1, "]"], 2], 3', 0)
-    13
-    """
-    if text[position : position + 1] in ("[", "{"):
-        return find_closing_bracket(text, position)
-    match = STRING.match(text, position) or SCALAR.match(text, position)
-    if match is None:
-        raise ValueError(f"no value at {position}")
-    return match.end()
-
-
-def find_closing_bracket(text: str, position: int) -> int:
-    """
-    Return the position behind the bracket that closes the one at `position`.
-
-    Raises
-    ------
-    ValueError
-        If there is none.
-    """
-    depth = 0
-    for match in TOKEN.finditer(text, position):
-        start, end = match.span()
-        if text[start] in "[{":
-            depth += end - start
-        elif text[start] in "]}":
-            if end - start >= depth:
-                return start + depth
-            depth -= end - start
-        elif end - start == 1:
-            # A quotation mark that begins no string.
-            break
-    raise ValueError(f"no end of the value at {position}")
--- a/lentilhaven/core/tests/test_partial_json.py
+++ b/lentilhaven/core/tests/test_partial_json.py
@@ -3,7 +3,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from lentilhaven.core.partial_json import Unreadable, UnreadableTexts, load_partial
+from lentilhaven.core.partial_json import load_partial
+from lentilhaven.core.unreadable import Unreadable, UnreadableTexts
 
 #: Values that `json.loads` rejects, with the reason that is given.
 DAMAGED = {
--- a/lentilhaven/platform/store_client.py
+++ b/lentilhaven/platform/store_client.py
@@ -12,9 +12,9 @@
 
 from lentilhaven.core.answer_body import AnswerTooLargeError, read_answer_body
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.partial_json import Unreadable, UnreadableTexts
 from lentilhaven.core.step import Step
 from lentilhaven.core.store_position import StorePosition
+from lentilhaven.core.unreadable import Unreadable, UnreadableTexts
 from lentilhaven.objects.stored_object import StoredObject
 from lentilhaven.objects.write_outcome import (
     Ambiguous,
--- a/lentilhaven/platform/store_page.py
+++ b/lentilhaven/platform/store_page.py
@@ -6,8 +6,9 @@
 import attrs
 
 from lentilhaven.core.json_numbers import is_count
-from lentilhaven.core.partial_json import Unreadable, UnreadableTexts, load_partial
+from lentilhaven.core.partial_json import load_partial
 from lentilhaven.core.store_position import StorePosition
+from lentilhaven.core.unreadable import Unreadable, UnreadableTexts
 
 #: Levels of an answer down to the members of an object's metadata: the answer, its
 #: list, an event, the object and the metadata.
