Read the numbers in the heads of replicas' answers with care

Cause: `isdigit` holds for digits that `float` rejects, and a date with many digits raises OverflowError. Both errors left the parser's callback, and the response counted as malformed. A load of any size was taken as it is. What callers saw: 502 in place of the answer that the replica had given. Change: a time-out has ASCII digits, a date that overflows is no pause, and a load with a number below 0 or above 2^53 - 1 is none.

--- a/lentilhaven/platform/response_head.py
+++ b/lentilhaven/platform/response_head.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from lentilhaven.core.json_numbers import is_count
 from lentilhaven.platform import headers
 
 #: Longest pause that an endpoint may ask for, in seconds.
@@ -164,7 +165,7 @@
     except ValueError:
         try:
             seconds = email.utils.parsedate_to_datetime(text).timestamp() - clock()
-        except ValueError:
+        except (ValueError, OverflowError):
             return 0.0
     if math.isnan(seconds):
         return 0.0
@@ -233,11 +234,14 @@
     >>> decode_load("3,0,8")
     ReportedLoad(running=3, waiting=0, slots=8)
     >>> decode_load("many")
+    >>> decode_load("3,0," + "9" * 400)
     """
     try:
-        running, waiting, slots = (int(part) for part in text.split(","))
+        running, waiting, slots = map(int, text.split(","))
     except ValueError:
         return None
+    if not all(map(is_count, (running, waiting, slots))):
+        return None
     return ReportedLoad(running, waiting, slots)
 
 
@@ -249,9 +253,10 @@
     --------
     >>> decode_keep_alive("timeout=5, max=100")
     5.0
+    >>> decode_keep_alive("timeout=\N{SUPERSCRIPT TWO}")
     """
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
+        if name.lower() == "timeout" and value.isascii() and value.strip().isdigit():
             return float(value)
     return None
