Serve the connections that wait when a listener of the product's programs closes

Cause: the router and the agent close their listeners as the gateway did: connections in the kernel's queue are reset. Found by looking for the cause of lost requests beside a stop elsewhere. What callers saw: a reset and no answer, beside the stop of a loaded router. Change: `serve_with_limits` closes its listener by `close_listener`, and gives what waited the time for a request to be read before the handlers are ended. Other listeners, by reading: a gateway whose connection through another one is reset has sent no request before its handshake was answered, and goes another way; what gateways fetch from each other, and readiness checks, are asked again.

--- a/lentilhaven/serving/limited_server.py
+++ b/lentilhaven/serving/limited_server.py
@@ -1,6 +1,7 @@
 """HTTP server for an application that enforces limits, with optional TLS."""
 
 import asyncio
+import contextlib
 import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -12,6 +13,7 @@
 from lentilhaven.core.step import Step
 from lentilhaven.serving.guarded_connection import GuardedConnection, announce_end
 from lentilhaven.serving.server_limits import ServerLimits
+from lentilhaven.sockets import close_listener
 
 #: Length of the operating system's queue of connections to accept.
 BACKLOG = 512
@@ -19,6 +21,10 @@
 #: Time that handlers have to finish after the listener is closed, in seconds.
 CLOSE_TIMEOUT = 0.1
 
+#: Time in which the event loop reads the requests of connections that waited to be
+#: accepted, in seconds.
+READ_TIME = 0.02
+
 
 @asynccontextmanager
 async def serve_with_limits(
@@ -72,7 +78,15 @@
             url_host = f"[{host}]" if ":" in host else host
             yield f"{'https' if tls else 'http'}://{url_host}:{bound_port}"
         finally:
-            listener.close()
+            waiting = await close_listener(listener)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CLOSE_TIMEOUT):
+                    for connection in waiting:
+                        await loop.connect_accepted_socket(
+                            make_connection, connection, ssl=tls
+                        )
+                    if waiting:
+                        await asyncio.sleep(READ_TIME)
     finally:
         await runner.cleanup()
 
