Ignore SIGHUP once the event loop of a gateway has closed

Cause: an event loop that closes gives the signals that it handled their default action. A SIGHUP between that and the end of the process ended it.

Seen: a planned stop ended with status -1 instead of 0 if the settings were reloaded in its last milliseconds. Callers saw nothing; whoever watches the process took it for a failure.

Change: SIGHUP is blocked in the main thread before the loop closes, and ignored afterwards, which discards one that is pending. By then no other thread runs that could take it. The gateway of the soak ends in the same way.

--- a/lentilhaven/bench/soak/linked_gateway.py
+++ b/lentilhaven/bench/soak/linked_gateway.py
@@ -17,13 +17,12 @@
     """Run the gateway; return the exit status."""
     # As in `lentilhaven.gateway.__main__`, before the imports that take long.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    import asyncio
-
     from lentilhaven.bench.soak.linked_run import run
     from lentilhaven.core.logs import configure_logs
+    from lentilhaven.gateway.run_to_end import run_to_end
 
     configure_logs("info", sys.stdout)
-    asyncio.run(run(POLL_INTERVAL))
+    run_to_end(run(POLL_INTERVAL))
     return 0
 
 
--- a/lentilhaven/gateway/__main__.py
+++ b/lentilhaven/gateway/__main__.py
@@ -41,11 +41,10 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # These imports take most of the startup time, so the signal is ignored first.
     with uncollected_imports():
-        import asyncio
-
         from lentilhaven.core.log_buffer import LogBuffer
         from lentilhaven.core.logs import configure_logs
         from lentilhaven.gateway.program import serve
+        from lentilhaven.gateway.run_to_end import run_to_end
         from lentilhaven.platform.settings import SettingsFileError, read_settings
 
     stream = LogBuffer(sys.stdout.fileno())
@@ -55,7 +54,7 @@
     except SettingsFileError as error:
         print(f"lentilhaven-gateway: {error}", file=sys.stderr)
         return 2
-    asyncio.run(serve(settings))
+    run_to_end(serve(settings))
     return 0
 
 
