Share one testbed between the tests at the wire

Cause: three test modules each set up a gateway on the loopback interface, engines and callers; they had been written side by side. Change: `open_wire_gateway`, `wire_engine` and `receive_bytes` in wire_testbed.

--- a/lentilhaven/gateway/tests/stream_wire.py
+++ b/lentilhaven/gateway/tests/stream_wire.py
@@ -8,21 +8,15 @@
 
 import attrs
 
-from lentilhaven.core.store_position import StorePosition
-from lentilhaven.fleet.endpoint import Endpoint
-from lentilhaven.fleet.layer_span import LayerSpan
 from lentilhaven.gateway.budget import ASSUMED_GATEWAYS
-from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.gateway.listeners import open_caller_listener
-from lentilhaven.gateway.store_watch import adopt_manifest
-from lentilhaven.gateway.tests.platform_testbed import (
-    KEY,
-    LAYERS,
-    sample_manifest,
-    sample_settings,
+from lentilhaven.gateway.tests.platform_testbed import KEY
+from lentilhaven.gateway.tests.wire_testbed import (
+    address_of,
+    listening_port,
+    open_wire_gateway,
+    receive_bytes,
+    wire_engine,
 )
-from lentilhaven.gateway.tests.wire_testbed import SLOTS
-from lentilhaven.platform.settings import decode_settings
 from lentilhaven.standins.platform.sample_files import request_headers
 from lentilhaven.upstream.tests.wire import SETTLE_TIME, close_in_order
 
@@ -212,7 +206,7 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     try:
-        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        yield address_of(server)
     finally:
         server.close()
 
@@ -220,28 +214,12 @@
 @asynccontextmanager
 async def serving_callers(addresses: list[str]) -> AsyncIterator[int]:
     """Open a gateway before engines that hold all layers, and yield its port."""
-    settings = sample_settings(0)
-    settings["listen_addrs"]["front"] = "127.0.0.1:0"
-    settings["bounds"]["retry_budget_slack"] = RETRIES * ASSUMED_GATEWAYS
-    gateway = Gateway(decode_settings(settings))
-    position = StorePosition(0, 1)
-    adopt_manifest(gateway, sample_manifest(), position, "test")
     engines = [
-        Endpoint(
-            f"e{number}",
-            "gen",
-            address,
-            "dc-a",
-            SLOTS,
-            card="large",
-            layers=LayerSpan(0, LAYERS),
-            model="lentil-70",
-        )
-        for number, address in enumerate(addresses)
+        wire_engine(f"e{number}", address) for number, address in enumerate(addresses)
     ]
-    gateway.view.replace_endpoints(engines, position, "test")
-    async with open_caller_listener(gateway) as listener:
-        yield listener.tcp_server.sockets[0].getsockname()[1]
+    slack = RETRIES * ASSUMED_GATEWAYS
+    async with open_wire_gateway(engines, retry_budget_slack=slack) as (_, listener):
+        yield listening_port(listener)
 
 
 async def call(port: int, path: str, **headers: str) -> bytes:
@@ -250,17 +228,8 @@
     fields |= {"Content-Length": "0", "Connection": "close"}
     fields |= {name.replace("_", "-"): value for name, value in headers.items()}
     lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(f"POST {path} HTTP/1.1\r\n{''.join(lines)}\r\n".encode())
-    received = b""
-    try:
-        while data := await reader.read(65_536):
-            received += data
-    except OSError:
-        pass
-    finally:
-        writer.close()
-    return received
+    request = f"POST {path} HTTP/1.1\r\n{''.join(lines)}\r\n"
+    return await receive_bytes(port, request.encode())
 
 
 async def receive(answers: list[Answer], path: str, **headers: str) -> Received:
--- a/lentilhaven/gateway/tests/test_connections_at_a_stop.py
+++ b/lentilhaven/gateway/tests/test_connections_at_a_stop.py
@@ -5,14 +5,11 @@
 
 import attrs
 
-from lentilhaven.core.store_position import StorePosition
 from lentilhaven.gateway.caller_connection import LAST_IDLE_TIME
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.gateway.listeners import CallerListener, open_caller_listener
-from lentilhaven.gateway.store_watch import adopt_manifest
-from lentilhaven.gateway.tests.platform_testbed import sample_manifest, sample_settings
+from lentilhaven.gateway.listeners import CallerListener
 from lentilhaven.gateway.tests.raw_caller import RawAnswer, RawCaller, raw_request
-from lentilhaven.platform.settings import decode_settings
+from lentilhaven.gateway.tests.wire_testbed import listening_port, open_wire_gateway
 
 #: Number of callers that connect at the same time.
 CALLERS = 5
@@ -28,7 +25,7 @@
     @property
     def port(self) -> int:
         """Return the port for callers."""
-        return self.listener.tcp_server.sockets[0].getsockname()[1]
+        return listening_port(self.listener)
 
     def send_at_once(self, number: int) -> socket.socket:
         """Connect and send a whole request before the event loop runs again."""
@@ -47,13 +44,7 @@
 @asynccontextmanager
 async def open_wire():
     """Open a gateway without endpoints, which refuses every request."""
-    settings = sample_settings(0)
-    settings["listen_addrs"]["front"] = "127.0.0.1:0"
-    gateway = Gateway(decode_settings(settings))
-    position = StorePosition(0, 1)
-    adopt_manifest(gateway, sample_manifest(), position, "test")
-    gateway.view.replace_endpoints([], position, "test")
-    async with open_caller_listener(gateway) as listener:
+    async with open_wire_gateway([]) as (gateway, listener):
         yield Wire(gateway, listener)
 
 
--- a/lentilhaven/gateway/tests/wire_testbed.py
+++ b/lentilhaven/gateway/tests/wire_testbed.py
@@ -1,8 +1,8 @@
 """Testbed: one gateway whose callers and endpoints use the loopback interface."""
 
 import asyncio
-from collections.abc import Sequence
-from contextlib import AsyncExitStack
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
 from typing import Any
 
 import attrs
@@ -11,7 +11,7 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.layer_span import LayerSpan
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.gateway.listeners import open_caller_listener
+from lentilhaven.gateway.listeners import CallerListener, open_caller_listener
 from lentilhaven.gateway.store_watch import adopt_manifest
 from lentilhaven.gateway.tests.platform_testbed import (
     KEY,
@@ -50,17 +50,37 @@
         fields["Connection"] = "close"
         lines = [f"{method} {path} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-        received = b""
-        try:
-            while data := await reader.read(65_536):
-                received += data
-        except OSError:
-            pass
-        finally:
-            writer.close()
-        return name, received
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        return name, await receive_bytes(self.port, head.encode())
+
+
+async def receive_bytes(port: int, request: bytes) -> bytes:
+    """Return all bytes that a caller gets until its connection ends."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(request)
+    received = b""
+    try:
+        while data := await reader.read(65_536):
+            received += data
+    except OSError:
+        pass
+    finally:
+        writer.close()
+    return received
+
+
+def wire_engine(name: str, address: str) -> Endpoint:
+    """Return an engine that holds all layers."""
+    return Endpoint(
+        name,
+        "gen",
+        address,
+        "dc-a",
+        SLOTS,
+        card="large",
+        layers=LayerSpan(0, LAYERS),
+        model="lentil-70",
+    )
 
 
 def run_on_wire(script: Any, use: Any) -> Any:
@@ -84,18 +104,8 @@
     async def main() -> Any:
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         address = address_of(server)
-        engine = Endpoint(
-            "e",
-            "gen",
-            address,
-            "dc-a",
-            SLOTS,
-            card="large",
-            layers=LayerSpan(0, LAYERS),
-            model="lentil-70",
-        )
         plain = Endpoint("p", "stock", address, "dc-a", SLOTS)
-        found = await use_gateway([engine, plain], use)
+        found = await use_gateway([wire_engine("e", address), plain], use)
         server.close()
         return found
 
@@ -132,13 +142,26 @@
 
 async def use_gateway(endpoints: Sequence[Endpoint], use: Any) -> Any:
     """Return the result of `use(wire)` with a gateway that knows the endpoints."""
+    async with open_wire_gateway(endpoints) as (gateway, listener):
+        return await use(WireGateway(gateway, listening_port(listener)))
+
+
+def listening_port(listener: CallerListener) -> int:
+    """Return the port on which a gateway listens for callers."""
+    return listener.tcp_server.sockets[0].getsockname()[1]
+
+
+@asynccontextmanager
+async def open_wire_gateway(
+    endpoints: Sequence[Endpoint], **bounds: Any
+) -> AsyncIterator[tuple[Gateway, CallerListener]]:
+    """Open a gateway that knows some endpoints, with other bounds in its settings."""
     settings = sample_settings(0)
     settings["listen_addrs"]["front"] = "127.0.0.1:0"
+    settings["bounds"] |= bounds
     gateway = Gateway(decode_settings(settings))
     position = StorePosition(0, 1)
     adopt_manifest(gateway, sample_manifest(), position, "test")
     gateway.view.replace_endpoints(endpoints, position, "test")
-    async with AsyncExitStack() as stack:
-        listener = await stack.enter_async_context(open_caller_listener(gateway))
-        port = listener.tcp_server.sockets[0].getsockname()[1]
-        return await use(WireGateway(gateway, port))
+    async with open_caller_listener(gateway) as listener:
+        yield gateway, listener
