Let the soak's gateways run any version of the package

The processes, stand-ins and checks of the soak are needed for gateways of two versions too. A gateway's process now has a program, its module and the folder that holds the package, which may change from one start to the next; each start is recorded with it. Replicas can be added while gateways run. The departure of a replica, the checks of a single request and the comparison of a request with spans of time are functions of their own.

No check changes: the same ones run in the same order.

--- a/lentilhaven/bench/soak/gateway_process.py
+++ b/lentilhaven/bench/soak/gateway_process.py
@@ -14,6 +14,7 @@
 import attrs
 
 from lentilhaven.bench.soak.cut_file import CUT_FILE_VARIABLE, encode_cut
+from lentilhaven.bench.soak.gateway_program import LINKED_GATEWAY, GatewayProgram
 from lentilhaven.platform.settings import (
     SETTINGS_VARIABLE,
     PlatformSettings,
@@ -57,10 +58,12 @@
         Folder of the settings file and the log.
     session : aiohttp.ClientSession
         HTTP client for readiness checks.
+    program : GatewayProgram
+        Program that the next start runs.
+    starts : list of (float, GatewayProgram)
+        Time of the event loop of each start, in seconds, and the program that ran.
     process : asyncio.subprocess.Process or None
         Process that was started last; None before the first start.
-    start_count : int
-        Number of times that the process was started.
     last_signal_at : float
         Time of the event loop at which the last signal was sent, in seconds.
     failed_exits : list of int
@@ -81,8 +84,9 @@
     settings: dict[str, Any]
     folder: Path
     session: aiohttp.ClientSession
+    program: GatewayProgram = LINKED_GATEWAY
+    starts: list[tuple[float, GatewayProgram]] = attrs.field(factory=list)
     process: asyncio.subprocess.Process | None = None
-    start_count: int = 0
     last_signal_at: float = 0.0
     failed_exits: list[int] = attrs.field(factory=list)
     kill_spans: list[tuple[float, float]] = attrs.field(factory=list)
@@ -130,8 +134,8 @@
 
     async def spawn(self) -> None:
         """Record how the last process ended, and start a new one."""
-        self.start_count += 1
         self.record_exit()
+        self.starts.append((asyncio.get_running_loop().time(), self.program))
         environment = {
             **os.environ,
             SETTINGS_VARIABLE: str(self.write_settings()),
@@ -141,9 +145,10 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "lentilhaven.bench.soak.linked_gateway",
+                self.program.module,
                 stdout=log,
                 stderr=log,
+                cwd=self.program.folder,
                 env=environment,
             )
         await self.wait_for_signal_setup()
@@ -219,7 +224,10 @@
 
 @asynccontextmanager
 async def running_gateway(
-    settings: dict[str, Any], folder: Path, session: aiohttp.ClientSession
+    settings: dict[str, Any],
+    folder: Path,
+    session: aiohttp.ClientSession,
+    program: GatewayProgram = LINKED_GATEWAY,
 ) -> AsyncIterator[GatewayProcess]:
     """
     Run a gateway until the context ends.
@@ -232,8 +240,10 @@
         Folder for the settings file and the log.
     session : aiohttp.ClientSession
         HTTP client for readiness checks.
+    program : GatewayProgram
+        Program that is run.
     """
-    gateway = GatewayProcess(settings, folder, session)
+    gateway = GatewayProcess(settings, folder, session, program)
     await gateway.start()
     try:
         yield gateway
--- a/lentilhaven/bench/soak/soak.py
+++ b/lentilhaven/bench/soak/soak.py
@@ -20,10 +20,11 @@
 from lentilhaven.bench.soak.soak_crashing_requests import crash_on_request
 from lentilhaven.bench.soak.soak_environment import SoakEnvironment, open_environment
 from lentilhaven.bench.soak.soak_faults import inject_faults
+from lentilhaven.bench.soak.soak_leaving import leave_and_return
 from lentilhaven.bench.soak.soak_limits import check_limits
 from lentilhaven.bench.soak.soak_lost import check_lost
 from lentilhaven.bench.soak.soak_memory import MEGABYTE, check_memory, watch_memory
-from lentilhaven.bench.soak.soak_tables import CONFIG_APPLY, DRAIN_TIMEOUT
+from lentilhaven.bench.soak.soak_tables import CONFIG_APPLY
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import running_tasks
 
@@ -170,20 +171,10 @@
     """Let a replica announce that it leaves; check that it gets no new requests."""
     names = sorted(it for it in environment.fleet.replicas if it.startswith("i-stock"))
     replica = environment.fleet.replicas[environment.random.choice(names)]
-    replica.draining = True
-    environment.fleet.register(replica)
-    await asyncio.sleep(DRAIN_TIMEOUT)
-    run_count = len(replica.runs)
-    await asyncio.sleep(1.0)
-    if len(replica.runs) > run_count:
-        late_count = len(replica.runs) - run_count
-        findings.add("leaving replica", f"{replica.id} got {late_count} requests")
-    environment.store.delete("servers", replica.id)
-    await asyncio.sleep(0.5)
-    replica.draining = False
-    # The replica returns with a later start time, as after a restart.
-    replica.born += 1000
-    environment.fleet.register(replica)
+    late_runs = await leave_and_return(environment, replica)
+    if late_runs:
+        detail = f"{replica.id} got {len(late_runs)} requests"
+        findings.add("leaving replica", detail)
 
 
 async def rolling_restart(environment: SoakEnvironment) -> None:
--- a/lentilhaven/bench/soak/soak_checks.py
+++ b/lentilhaven/bench/soak/soak_checks.py
@@ -62,17 +62,33 @@
         Receives the violations.
     """
     runs = runs_by_request(environment)
+    check_requested(environment, runs, attempts, findings)
+    for attempt in attempts:
+        check_attempt(attempt, runs.get(attempt.id, []), findings)
+
+
+def check_requested(
+    environment: SoakEnvironment,
+    runs: dict[str, list[tuple[str, Run]]],
+    attempts: list[Attempt],
+    findings: Findings,
+) -> None:
+    """Check that callers sent all that ran, and that each chain has all layers."""
     sent_ids = {it.id for it in attempts}
     for request_id in runs.keys() - sent_ids:
         findings.add("nobody asked for it", f"{request_id} ran")
-    for attempt in attempts:
-        attempt_runs = runs.get(attempt.id, [])
-        check_runs(attempt, attempt_runs, findings)
-        check_answer(attempt, attempt_runs, findings)
     for path in environment.fleet.invalid_paths:
         findings.add("each layer once and in order", path)
 
 
+def check_attempt(
+    attempt: Attempt, runs: list[tuple[str, Run]], findings: Findings
+) -> None:
+    """Check the runs of a request and its answer."""
+    check_runs(attempt, runs, findings)
+    check_answer(attempt, runs, findings)
+
+
 def check_runs(
     attempt: Attempt, runs: list[tuple[str, Run]], findings: Findings
 ) -> None:
--- a/lentilhaven/bench/soak/soak_environment.py
+++ b/lentilhaven/bench/soak/soak_environment.py
@@ -12,6 +12,7 @@
 import attrs
 
 from lentilhaven.bench.soak.gateway_process import GatewayProcess, running_gateway
+from lentilhaven.bench.soak.gateway_program import LINKED_GATEWAY, GatewayProgram
 from lentilhaven.bench.soak.loopback_proxy import LoopbackProxy, open_proxy
 from lentilhaven.bench.soak.soak_callers import SoakCallers
 from lentilhaven.bench.soak.soak_soundness import Soundness
@@ -119,9 +120,17 @@
     return f"127.{64 + block % 128}.{(block // 128) % 60 * 4 + group}.{number + 1}"
 
 
+def replica_address(number: int) -> str:
+    """Return the address of a replica of this process, by its number from 0."""
+    return loopback_address(os.getpid(), 1, number)
+
+
 @asynccontextmanager
 async def open_environment(
-    seed: int, gateways: int, folder: Path
+    seed: int,
+    gateways: int,
+    folder: Path,
+    program: GatewayProgram = LINKED_GATEWAY,
 ) -> AsyncIterator[SoakEnvironment]:
     """
     Start the whole environment and wait until the gateways are ready.
@@ -134,18 +143,18 @@
         Number of gateways.
     folder : Path
         Folder for the settings files and logs.
+    program : GatewayProgram
+        Program that the gateways run at first.
     """
     store = FakeStore()
     fleet = FakeFleet(store, layers=LAYER_COUNT)
     store.put("config", "main", soak_manifest(1))
-    block = os.getpid()
     async with AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
         environment = SoakEnvironment(Random(seed), store, fleet, session)
-        replicas = soak_replicas(lambda number: loopback_address(block, 1, number))
-        await open_replicas(stack, environment, replicas, block)
+        await open_replicas(stack, environment, soak_replicas(replica_address))
         for number in range(gateways):
-            await open_gateway(stack, environment, number, block, folder)
+            await open_gateway(stack, environment, number, folder, program)
         await asyncio.gather(*(it.wait_until_ready() for it in environment.gateways))
         addresses = [it.decoded_settings.callers for it in environment.gateways]
         environment.callers = SoakCallers(environment.random, addresses)
@@ -153,14 +162,12 @@
 
 
 async def open_replicas(
-    stack: AsyncExitStack,
-    environment: SoakEnvironment,
-    replicas: list[FakeReplica],
-    block: int,
+    stack: AsyncExitStack, environment: SoakEnvironment, replicas: list[FakeReplica]
 ) -> None:
-    """Start all replicas, each behind a proxy on the address in its store entry."""
-    for number, replica in enumerate(replicas):
-        listen_host = loopback_address(block, 2, number)
+    """Start some replicas, each behind a proxy on the address in its store entry."""
+    first = len(environment.replica_proxies)
+    for number, replica in enumerate(replicas, first):
+        listen_host = loopback_address(os.getpid(), 2, number)
         replica.listen_host = listen_host
         proxy = await stack.enter_async_context(
             open_proxy(replica.host, replica.port, listen_host, replica.port)
@@ -174,10 +181,11 @@
     stack: AsyncExitStack,
     environment: SoakEnvironment,
     number: int,
-    block: int,
     folder: Path,
+    program: GatewayProgram,
 ) -> None:
     """Start a gateway that has its own proxy to the store."""
+    block = os.getpid()
     store_host = loopback_address(block, 3, number)
     host = loopback_address(block, 0, number)
     seeds = [loopback_address(block, 0, it) for it in range(2)]
@@ -189,5 +197,5 @@
     await stack.enter_async_context(serve_app(app, host=store_host, port=STORE_PORT))
     proxy = open_proxy(store_host, PROXY_PORT, store_host, STORE_PORT)
     environment.store_proxies.append(await stack.enter_async_context(proxy))
-    gateway = running_gateway(settings, folder, environment.session)
+    gateway = running_gateway(settings, folder, environment.session, program)
     environment.gateways.append(await stack.enter_async_context(gateway))
--- a/lentilhaven/bench/soak/soak_lost.py
+++ b/lentilhaven/bench/soak/soak_lost.py
@@ -60,19 +60,18 @@
             environment.soundness.spans.append([replica.id, time, until])
 
 
+def overlaps(attempt: Attempt, spans: list[tuple[float, float]]) -> bool:
+    """Return whether a request was in progress during one of some spans of time."""
+    return any(
+        attempt.began <= until and attempt.ended >= since for since, until in spans
+    )
+
+
 def is_excepted(environment: SoakEnvironment, attempt: Attempt, has_run: bool) -> bool:
     """Return whether the gateway's process or the time limit explains the end."""
     gateway = environment.gateways[attempt.gateway]
     # A process still takes connections between the signal and its end.
-    if any(
-        attempt.began <= until and attempt.ended >= since
-        for since, until in gateway.kill_spans
-    ):
-        return True
-    if any(
-        attempt.began <= until and attempt.ended >= since
-        for since, until in gateway.cut_spans
-    ):
+    if overlaps(attempt, [*gateway.kill_spans, *gateway.cut_spans]):
         return True
     if not has_run and any(
         attempt.began - STOP_TIME <= it <= attempt.ended for it in gateway.stop_times
