Play an upgrade beside an older commit, and the way back

No bench here had gateways of two versions.

`upgrade` extracts an older commit by `git archive` and runs its gateway as the deploy file does. Four gateways are replaced one after the other by SIGTERM and a start at the same address, under callers on kept and new connections, and then replaced back. Beside that, manifests are edited, a replica leaves, replicas and engines are added, replicas break answers off, and the holder of the lease is killed. The checks are those of the soak; besides, each gateway's manifest is probed ten times a second, and logs must show that each version reads the other's datagrams.

Each violation names the version of the gateway. Only what an older gateway loses at its own stop is counted without failing the run, since no change here can mend it.

--- a/lentilhaven/bench/__main__.py
+++ b/lentilhaven/bench/__main__.py
@@ -59,6 +59,7 @@
     json_file: Annotated[str, cyclopts.Parameter(name="--json")] = "",
     plot: str = "",
     inputs: str = "",
+    older: str = "",
     log_level: str = "critical",
 ) -> int:
     """
@@ -81,6 +82,8 @@
         File to which a plot is written.
     inputs
         Folder with earlier measurements, for control-cost.
+    older
+        Commit of this repository whose gateways are replaced, for upgrade.
     log_level
         Least severe level to log.
     """
@@ -91,7 +94,7 @@
         )
         return 2
     configure_logs(log_level)
-    options = ScenarioOptions(seed, size, deployment, plot, inputs)
+    options = ScenarioOptions(seed, size, deployment, plot, inputs, older=older)
     report = scenarios[scenario](options)
     if json_file:
         text = json.dumps(to_document(report), indent=2, sort_keys=True)
--- a/lentilhaven/bench/scenario_options.py
+++ b/lentilhaven/bench/scenario_options.py
@@ -23,6 +23,9 @@
         Folder with earlier measurements; empty for none.
     minutes : float
         Minutes after which a soak begins no new round; 0 for no limit.
+    older : str
+        Commit of this repository whose gateways an upgrade replaces; empty for the
+        scenario's default.
     """
 
     seed: int = 1
@@ -31,3 +34,4 @@
     plot: str = ""
     inputs: str = ""
     minutes: float = 0.0
+    older: str = ""
--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -30,6 +30,7 @@
 from lentilhaven.bench.soak import run_soak
 from lentilhaven.bench.tables_cost import run_tables_cost
 from lentilhaven.bench.throughput import run_throughput
+from lentilhaven.bench.upgrade import run_upgrade
 from lentilhaven.bench.view_cost import run_view_cost
 
 Scenario = Callable[[ScenarioOptions], Report]
@@ -61,5 +62,6 @@
     "soak": run_soak,
     "tables-cost": run_tables_cost,
     "throughput": run_throughput,
+    "upgrade": run_upgrade,
     "view-cost": run_view_cost,
 }
