--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -31,6 +31,7 @@
 from lentilhaven.bench.stops import run_stops
 from lentilhaven.bench.tables_cost import run_tables_cost
 from lentilhaven.bench.throughput import run_throughput
+from lentilhaven.bench.upgrade import run_upgrade
 from lentilhaven.bench.view_cost import run_view_cost
 
 Scenario = Callable[[ScenarioOptions], Report]
@@ -63,5 +64,6 @@
     "stops": run_stops,
     "tables-cost": run_tables_cost,
     "throughput": run_throughput,
+    "upgrade": run_upgrade,
     "view-cost": run_view_cost,
 }
