Let the soak find lost requests on new connections beside a stop

Cause: the soak passed over each request that was lost beside SIGTERM and had reached no replica. Change: only a request on a kept connection, which may cross its close, is excepted. The unit test of the exception is replaced by a stricter one: the same request on a new connection is now found.

--- a/lentilhaven/bench/soak/soak_lost.py
+++ b/lentilhaven/bench/soak/soak_lost.py
@@ -24,8 +24,8 @@
     Check that no connection ended before its response while the replica was sound.
 
     A replica that is silent for at most `MAX_SILENCE` counts as sound.  Excepted are
-    gateways that were killed or cut off from replicas, and requests that no replica
-    received while their gateway was terminated.
+    gateways that were killed or cut off from replicas, and requests on kept connections
+    that no replica received while their gateway was terminated.
 
     Parameters
     ----------
@@ -73,7 +73,9 @@
     # A process still takes connections between the signal and its end.
     if overlaps(attempt, [*gateway.kill_spans, *gateway.cut_spans]):
         return True
-    if not has_run and any(
+    # A request on a kept connection may cross its close.
+    may_cross = attempt.reused and not has_run
+    if may_cross and any(
         attempt.began - STOP_TIME <= it <= attempt.ended for it in gateway.stop_times
     ):
         return True
--- a/lentilhaven/bench/soak/tests/test_soak_checks.py
+++ b/lentilhaven/bench/soak/tests/test_soak_checks.py
@@ -226,11 +226,12 @@
         self.gateway.kill_spans.append((0.9, 1.5))
         self.assertEqual(self.find_lost(), 0)
 
-    def test_terminated_gateway_may_close_only_before_the_run(self):
+    def test_terminated_gateway_may_close_kept_connections_before_the_run(self):
         self.gateway.stop_times.append(0.5)
-        self.assertEqual(self.find_lost(), 0)
-        self.add_run("r1", "/post/1")
+        self.assertEqual(self.find_lost(reused=True), 0)
         self.assertEqual(self.find_lost(), 1)
+        self.add_run("r1", "/post/1")
+        self.assertEqual(self.find_lost(reused=True), 1)
 
     def test_gateway_that_is_cut_off_from_replicas(self):
         self.add_run("r1", "/post/1")
