Count no comment as an event that ends a begun stream

Cause: a run that had delivered any whole block counted as one with an event (`max(1, len(ids))`), so that a continuation of nothing but a comment, a `retry:` field or empty lines passed for the rest of the stream. An answer without framing that ended after a comment passed too. What callers saw: a stream of eight events that ended as whole after the fourth. Evidence: the new tests over loopback failed before: all 52 begun streams (13 ways to break off, four such continuations) ended as whole, and so did a resumed stream whose answer without framing ended after a comment. Change: a run counts its events only, and a run without one does not end a stream that had begun before it. An answer of its own that holds only a comment still ends as whole, since the caller may have all events.

--- a/lentilhaven/gateway/event_splitter.py
+++ b/lentilhaven/gateway/event_splitter.py
@@ -36,6 +36,11 @@
     ids: tuple[str, ...]
     unnamed: int = 0
 
+    @property
+    def count(self) -> int:
+        """Return the number of events; comments are none."""
+        return len(self.ids) + self.unnamed
+
 
 @attrs.define
 class EventSplitter:
--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -92,6 +92,7 @@
     pauses = PauseEstimator(expected)
     event_count = 0
     run.silent_since = loop.time()
+    joins_stream = relay.response is not None
     while chunk:
         now = loop.time()
         note_heard(relay.gateway, run.chain, now)
@@ -111,7 +112,7 @@
         chunk = await wait_or_move(relay, run, next_chunk, pauses.limit())
     if chunk is None:
         return silence_failure(relay, run)
-    return await finish_stream(relay, run, head, splitter.remainder)
+    return await finish_stream(relay, run, head, splitter.remainder, joins_stream)
 
 
 def check_order(relay: StreamRelay, run: StreamRun, events: Events) -> None:
@@ -139,7 +140,7 @@
 def note_events(relay: StreamRelay, run: StreamRun, events: Events) -> None:
     """Count the events of a run, and record the proof once there are enough."""
     is_proven = run.events >= PROOF_EVENTS
-    run.events += max(1, len(events.ids))
+    run.events += events.count
     if run.events >= PROOF_EVENTS and not is_proven:
         note_begun(relay.gateway, relay.call, run.record)
 
@@ -157,7 +158,11 @@
 
 
 async def finish_stream(
-    relay: StreamRelay, run: StreamRun, head: ResponseHead, remainder: bytes
+    relay: StreamRelay,
+    run: StreamRun,
+    head: ResponseHead,
+    remainder: bytes,
+    joins_stream: bool,
 ) -> Failure | None:
     """
     End the answer to the caller after the run has ended.
@@ -168,6 +173,8 @@
         The stream, the run and the head of its answer.
     remainder : bytes
         Start of an event whose end has not arrived.
+    joins_stream : bool
+        Whether the answer to the caller had begun before the run delivered anything.
 
     Returns
     -------
@@ -180,8 +187,7 @@
         If the run has ended within an event, or without an event in a begun stream or
         in an answer without framing.
     """
-    has_begun = relay.response is not None
-    proves_nothing = run.events == 0 and (has_begun or run.exchange.ends_at_eof)
+    proves_nothing = run.events == 0 and (joins_stream or run.exchange.ends_at_eof)
     if remainder.strip() or proves_nothing:
         # An engine that breaks off may still end the framing of its answer.
         detail = "the stream ended within an event, or before the first"
--- a/lentilhaven/gateway/tests/test_errors_within_streams.py
+++ b/lentilhaven/gateway/tests/test_errors_within_streams.py
@@ -140,6 +140,18 @@
     ),
 }
 
+#: Answers that end without an event, but with bytes of an event stream.
+COMMENT_STREAMS = {
+    name: Answer(constant(chunk(data) + LAST_CHUNK))
+    for name, data in {
+        "comment": b": out of memory\n\n",
+        "time for reconnecting": b"retry: 3000\n\n",
+        "empty lines": b"\n\n",
+    }.items()
+} | {
+    "comment without framing": Answer(constant(b": wait\n\n"), EVENT_STREAM + UNFRAMED)
+}
+
 #: Streams that don't go on where the one before broke off.
 OTHER_EVENTS = {
     "events from the first on": Answer(constant(chunk(events(1, EVENTS)) + LAST_CHUNK)),
@@ -278,10 +290,31 @@
         }
         self.receive(cases, whole=False)
 
+    # Guards against comments that count as the events that are missing.
+    def test_comments_do_not_end_a_begun_stream(self):
+        cases = {
+            (name, comment): [first, answer]
+            for name, first in BREAKS.items()
+            for comment, answer in COMMENT_STREAMS.items()
+        }
+        for case, received in receive_all(cases, "/draft/1").items():
+            with self.subTest(case=case):
+                self.assertEqual(received.ids, [1, 2, 3, 4])
+                self.assertFalse(received.is_whole)
+
+    # Guards against a lost connection that counts as the end after a comment.
     def test_answer_without_framing_proves_no_end(self):
         answer = EMPTY_STREAMS["head without framing"]
         found = receive_all({"": [answer]}, "/draft/1", Last_Event_Id="4")
         self.assertEqual(found[""].status, 502)
+        answer = COMMENT_STREAMS["comment without framing"]
+        found = receive_all({"": [answer]}, "/draft/1", Last_Event_Id="4")
+        self.assertFalse(found[""].is_whole)
+
+    def test_comment_before_the_end_keeps_a_whole_stream(self):
+        cases = {"end": [COMMENT_STREAMS["comment"]]}
+        found = receive_all(cases, "/draft/1", Last_Event_Id=str(EVENTS))
+        self.assertTrue(found["end"].is_whole)
 
     def test_caller_who_has_all_events_gets_the_end(self):
         found = receive_all({"": [SOUND]}, "/draft/1", Last_Event_Id=str(EVENTS))
