Set up the connections that wait when a TLS listener closes side by side

Cause: `serve_with_limits` set up the connections that waited one after another, and with TLS each set-up lasts until the handshake is done. An error of one handshake left the context of the listener, and a silent connection used up the time for all. What callers saw: no answer for a sound request that waited behind a connection without TLS or without bytes; and the shutdown of the program failed with the error of the handshake, which a port scan at that moment is enough for. Change: the connections are set up at the same time, within the same limit, and errors of one end nothing else.

--- a/lentilhaven/serving/limited_server.py
+++ b/lentilhaven/serving/limited_server.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import contextlib
+import socket
 import ssl
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from aiohttp import web
@@ -79,18 +80,45 @@
             yield f"{'https' if tls else 'http'}://{url_host}:{bound_port}"
         finally:
             waiting = await close_listener(listener)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CLOSE_TIMEOUT):
-                    for connection in waiting:
-                        await loop.connect_accepted_socket(
-                            make_connection, connection, ssl=tls
-                        )
-                    if waiting:
-                        await asyncio.sleep(READ_TIME)
+            await serve_waiting(make_connection, waiting, tls)
     finally:
         await runner.cleanup()
 
 
+async def serve_waiting(
+    make_connection: Callable[[], GuardedConnection],
+    waiting: list[socket.socket],
+    tls: ssl.SSLContext | None,
+) -> None:
+    """
+    Let the event loop read the requests of connections that waited to be accepted.
+
+    They are set up at the same time: with TLS, one of them may be silent or fail.
+
+    Parameters
+    ----------
+    make_connection : callable
+        Returns the protocol of a new connection.
+    waiting : list of socket.socket
+        The connections.
+    tls : ssl.SSLContext or None
+        TLS context of the listener; None for plain HTTP.
+    """
+    if not waiting:
+        return
+    loop = asyncio.get_running_loop()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CLOSE_TIMEOUT):
+            await asyncio.gather(
+                *(
+                    loop.connect_accepted_socket(make_connection, connection, ssl=tls)
+                    for connection in waiting
+                ),
+                return_exceptions=True,
+            )
+            await asyncio.sleep(READ_TIME)
+
+
 def unusable_address(host: str, port: int, error: Exception) -> Failure:
     """Return the failure for an address on which the server can't listen."""
     detail = f"can't listen on {host}:{port}: {error}"
