Bound the number of unreadable texts that are kept

Cause: what could not be decoded is kept up to 2,000,000 characters, whatever the number of texts, and each object that can't be decoded is compared with all of them. A writer that repeats a short unreadable entry with another number in it adds one each time. What callers saw: nothing yet; the event loop was held longer with each such write. Evidence: one change of a watch with a short unreadable entry took 0.63 ms after 1,000 versions of it and 6.39 ms after 10,000, by one run each; the new test failed before (1000 not less than or equal to 100). Change: 100 texts are kept. The same calls take 0.13 ms after 1,000 and after 10,000.

--- a/lentilhaven/core/tests/test_partial_json.py
+++ b/lentilhaven/core/tests/test_partial_json.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings, strategies as st
 
 from lentilhaven.core.partial_json import load_partial
-from lentilhaven.core.unreadable import Unreadable, UnreadableTexts
+from lentilhaven.core.unreadable import MAX_KEPT_TEXTS, Unreadable, UnreadableTexts
 
 #: Values that `json.loads` rejects, with the reason that is given.
 DAMAGED = {
@@ -84,6 +84,14 @@
             self.assertEqual(known.length, sum(map(len, known.reasons)))
         self.assertEqual(len(known.reasons), 3)
 
+    # Guards against comparisons with thousands of versions of a short entry.
+    def test_number_of_known_values_is_bounded(self):
+        known = UnreadableTexts()
+        for number in range(1_000):
+            load_partial(b'{"a": ["%d", "\xe9"]}' % number, 1, known=known)
+        self.assertLessEqual(len(known.reasons), MAX_KEPT_TEXTS)
+        self.assertEqual(known.length, sum(map(len, known.reasons)))
+
     @settings(derandomize=True, deadline=None, max_examples=100)
     @given(
         st.lists(VALUES, max_size=6),
--- a/lentilhaven/core/unreadable.py
+++ b/lentilhaven/core/unreadable.py
@@ -8,6 +8,10 @@
 #: objects of the largest size that the platform's store accepts.
 MAX_KEPT_LENGTH = 2_000_000
 
+#: Largest number of values that can't be decoded that are kept: each text is compared
+#: with all of them.
+MAX_KEPT_TEXTS = 100
+
 
 @attrs.frozen
 class Unreadable:
@@ -58,7 +62,7 @@
             return
         self.reasons[text] = value
         self.length += len(text)
-        while self.length > self.max_length:
+        while self.length > self.max_length or len(self.reasons) > MAX_KEPT_TEXTS:
             dropped, _ = self.reasons.popitem(last=False)
             self.length -= len(dropped)
 
