Read what has arrived before a head counts as late

Cause: a head that is incomplete for too long is refused with 408 by time alone, although its end may be in the buffer of the socket. Idle connections had the same fault. What callers saw: 408 for a whole request, or a reset. Evidence: both new tests over loopback failed before: 408 != 503, at a stop and at the manifest's limit. Change: a head is late only if nothing unread has arrived.

--- a/lentilhaven/gateway/caller_connection.py
+++ b/lentilhaven/gateway/caller_connection.py
@@ -157,7 +157,8 @@
     def has_late_head(self, now: float, timeout: float) -> bool:
         """Return whether a head has been incomplete for over `timeout` seconds."""
         began = self.head_began
-        return self.waits_for_request() and began is not None and now - began > timeout
+        is_late = began is not None and now - began > timeout
+        return is_late and self.waits_for_request() and not self.has_unread_bytes()
 
     def refuse_late_head(self) -> None:
         """Respond with 408 to a request whose head takes too long, and close."""
--- a/lentilhaven/gateway/tests/test_connections_at_a_stop.py
+++ b/lentilhaven/gateway/tests/test_connections_at_a_stop.py
@@ -6,7 +6,12 @@
 import attrs
 
 from lentilhaven.core.store_position import StorePosition
-from lentilhaven.gateway.caller_connection import LAST_IDLE_TIME
+from lentilhaven.gateway.caller_connection import (
+    HEAD_SLACK,
+    LAST_IDLE_TIME,
+    close_idle_connections,
+    current_limits,
+)
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.listeners import CallerListener, open_caller_listener
 from lentilhaven.gateway.store_watch import adopt_manifest
@@ -118,3 +123,44 @@
                 return [await RawCaller(*stream).read_answer()]
 
         self.check_refused(asyncio.run(scenario()))
+
+
+class LateHeadTests(unittest.TestCase):
+    """Whole requests were refused with 408, or reset, while their end was unread."""
+
+    def send_in_two_parts(self, check, delay):
+        """Return the answer if the end of a head is unread when it is checked."""
+
+        async def scenario():
+            async with open_wire() as wire:
+                caller = socket.create_connection(("127.0.0.1", wire.port))
+                request = raw_request("/look/1", "x1")
+                caller.sendall(request[:40])
+                # The event loop accepts the connection and reads the first part.
+                await asyncio.sleep(0.05)
+                caller.sendall(request[40:])
+                check(wire, asyncio.get_running_loop().time() + delay(wire))
+                return await read_answer(caller)
+
+        answer = asyncio.run(scenario())
+        self.assertIsNotNone(answer, "the connection ended without an answer")
+        self.assertEqual(answer.status, 503)
+
+    # Guards against the check at a stop, which comes before the next reading.
+    def test_head_that_has_arrived_at_a_stop_is_read(self):
+        def check(wire, now):
+            wire.gateway.leaving = wire.gateway.refuses_requests = True
+            for connection in wire.listener.http_server.connections:
+                connection.end(now)
+
+        self.send_in_two_parts(check, lambda wire: LAST_IDLE_TIME + 0.1)
+
+    # Guards against the periodic check, which comes before the next reading.
+    def test_head_that_has_arrived_at_the_limit_is_read(self):
+        def check(wire, now):
+            close_idle_connections(wire.gateway, wire.listener.http_server, now)
+
+        def delay(wire):
+            return current_limits(wire.gateway).header_timeout + HEAD_SLACK + 0.1
+
+        self.send_in_two_parts(check, delay)
