Let no comment take the lead of a stream

Cause: a run that has begun beside a silent one took the lead with its first whole block, which may be a comment, a `retry:` field or empty lines. The sound run then failed, and nothing was left if the other one did not go on. What callers saw: a stream of eight events that stopped after the fourth, although its engine was silent for one second only and then sent the rest. Change: a block without an event is relayed for the leader only.

--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -98,7 +98,8 @@
         note_heard(relay.gateway, run.chain, now)
         events = splitter.feed(chunk)
         run.exchange.keep(len(splitter.remainder), MAX_EVENT_BYTES)
-        if events.data:
+        # A comment proves no progress, so that it takes no lead.
+        if events.data and (events.count or run is relay.lead.leader):
             relay.lead.check(run, relay.last_event_id)
             check_order(relay, run, events)
             relay.take_lead(run)
--- a/lentilhaven/gateway/tests/test_lead_of_streams.py
+++ b/lentilhaven/gateway/tests/test_lead_of_streams.py
@@ -3,7 +3,17 @@
 import unittest.mock
 from contextlib import contextmanager
 
+import attrs
+
 from lentilhaven.gateway.tests.platform_testbed import engine, run_on_testbed
+from lentilhaven.gateway.tests.stream_wire import (
+    EVENTS as WIRE_EVENTS,
+    LAST_CHUNK,
+    Answer,
+    chunk,
+    events,
+    receive_all,
+)
 from lentilhaven.upstream.connection import UpstreamConnection
 
 #: Seconds from the request to the refusal of its first run, and to the answers of the
@@ -13,6 +23,9 @@
 #: Seconds from the request to the freeze of the gateway, and to its end.
 FREEZE_AT, WAKE_AT = 1.9, 2.4
 
+#: Seconds for which a sound engine falls silent within its stream.
+SILENCE = 1.0
+
 #: Output tokens of the stream, and the number of events that carry them.
 OUTPUT, EVENTS = 80, 20
 
@@ -66,3 +79,39 @@
                 reply = self.run_stream(reverse)
                 self.assertEqual(reply.event_ids, list(range(1, EVENTS + 1)))
                 self.assertTrue(reply.complete)
+
+
+@attrs.frozen
+class PausingAnswer(Answer):
+    """A stream whose engine falls silent after four events, and goes on."""
+
+    async def send(self, request, reader, writer):
+        writer.write(self.encode(request))
+        await asyncio.sleep(SILENCE)
+        writer.write(chunk(events(5, WIRE_EVENTS)) + LAST_CHUNK)
+        await writer.drain()
+
+
+class CommentTests(unittest.TestCase):
+    """
+    Guard against a sound stream that is broken off for a comment of a second run.
+
+    A comment took the lead, although its run had no event.
+    """
+
+    def test_run_with_a_comment_alone_does_not_take_the_lead(self):
+        first = PausingAnswer(lambda request: chunk(events(1, 4)))
+        comments = {
+            "comment": b": wait\n\n",
+            "time for reconnecting": b"retry: 3000\n\n",
+            "empty lines": b"\n\n",
+        }
+        cases = {
+            name: [first, Answer(lambda request, data=data: chunk(data), end=None)]
+            for name, data in comments.items()
+        }
+        for case, received in receive_all(cases, "/draft/1").items():
+            with self.subTest(case=case):
+                self.assertEqual(received.find_fault(), "")
+                self.assertEqual(received.ids, list(range(1, WIRE_EVENTS + 1)))
+                self.assertTrue(received.is_whole)
