Reuse no connection to an endpoint on which something unread has arrived

Cause: an idle connection was chosen by the time since its last response, although its end, or bytes that belong to no request, may be in the buffer of its socket; the event loop reads them only after the next request has been sent. What callers saw: a failure that promises nothing for an unsafe request, though it could have been sent on another connection; a copy of a refusal before the expected answer. Change: `take_idle` asks the kernel, and closes such a connection.

--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -10,6 +10,7 @@
 
 from lentilhaven.core.logs import get_logger
 from lentilhaven.platform.response_head import ResponseHead, decode_response_head
+from lentilhaven.sockets import has_unread_bytes
 from lentilhaven.upstream.answer_memory import (
     MAX_HEAD_BYTES,
     MAX_HEAD_FIELDS,
@@ -387,6 +388,10 @@
         if exchange is not None:
             exchange.finish()
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes, or the end, have arrived that were not read."""
+        return self.transport is not None and has_unread_bytes(self.transport)
+
     def is_self_delimited(self) -> bool:
         """Return whether the head defines where the response ends."""
         if self.head_only:
--- a/lentilhaven/upstream/connection_pool.py
+++ b/lentilhaven/upstream/connection_pool.py
@@ -209,8 +209,8 @@
         """
         Remove and return an idle connection, or return None if there is none.
 
-        Connections that are unusable, or that the endpoint may have closed, are
-        closed.
+        Connections that are unusable, that the endpoint may have closed, or on which
+        something has arrived since the last response, are closed.
         """
         connections = self.idle.get(endpoint.incarnation, [])
         now = asyncio.get_running_loop().time()
@@ -224,7 +224,8 @@
             if connection.keep_alive is not None:
                 limit = min(limit, connection.keep_alive - KEEP_ALIVE_MARGIN)
             is_fresh = connection.usable and now - connection.idle_since < limit
-            if is_fresh and self.may_carry(endpoint, connection, request_id):
+            may_carry = is_fresh and self.may_carry(endpoint, connection, request_id)
+            if may_carry and not connection.has_unread_bytes():
                 found = connection
             else:
                 connection.abort()
