Ignore datagrams with numbers that are not finite, however they are written

Cause: the decoder rejects the names `NaN` and `Infinity`, but `float` also reads a number that is too large (1e999), and the same names as text, as infinity or NaN. What callers saw: nothing yet; such a load remains in the sums of gateways, as `NaN` did. Change: each of these fields is decoded by `decode_finite`, which others already use.

--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -327,21 +327,25 @@
             number=int(fields["number"]),
             scope=Scope(fields["scope"]),
             data_centre=str(fields["data_centre"]),
-            capacity=float(fields["capacity"]),
+            capacity=decode_finite(fields["capacity"]),
             gateways=int(fields["gateways"]),
             relay=str(fields["relay"]),
             manifest_revision=int(fields["manifest_revision"]),
             endpoints_revision=int(fields["endpoints_revision"]),
             digest=str(fields["digest"]),
-            checked=float(fields["checked"]),
+            checked=decode_finite(fields["checked"]),
             loads={
-                str(name): (int(load[0]), float(load[1]))
+                str(name): (int(load[0]), decode_finite(load[1]))
                 for name, load in fields["loads"].items()
             },
-            pipes={str(name): float(rate) for name, rate in fields["pipes"].items()},
-            heard={str(name): float(age) for name, age in fields["heard"].items()},
+            pipes={
+                str(name): decode_finite(rate) for name, rate in fields["pipes"].items()
+            },
+            heard={
+                str(name): decode_finite(age) for name, age in fields["heard"].items()
+            },
             suspects={
-                str(name): (float(ages[0]), float(ages[1]))
+                str(name): (decode_finite(ages[0]), decode_finite(ages[1]))
                 for name, ages in fields["suspects"].items()
             },
             members=tuple(decode_members(fields["members"])),
@@ -352,7 +356,7 @@
             era=era,
             manifest_version=decode_optional_int(fields.get("manifest_version")),
             paces={
-                str(name): (float(pace[0]), float(pace[1]))
+                str(name): (decode_finite(pace[0]), decode_finite(pace[1]))
                 for name, pace in fields.get("paces", {}).items()
             },
             unreached=decode_unreached(fields.get("unreached")),
@@ -408,7 +412,7 @@
     """Yield the listed gateways, without those to which nothing can be sent."""
     for address, data_centre, capacity in value:
         if is_address(str(address)):
-            yield Member(str(address), str(data_centre), float(capacity))
+            yield Member(str(address), str(data_centre), decode_finite(capacity))
 
 
 def reject_constant(name: str) -> None:
@@ -504,7 +508,7 @@
 
 def decode_finite(value: Any) -> float:
     """
-    Decode a number of seconds.
+    Decode a number.
 
     Raises
     ------
@@ -513,7 +517,7 @@
     """
     number = float(value)
     if not math.isfinite(number):
-        raise ValueError(f"{value} seconds")
+        raise ValueError(f"{value} is not finite")
     return number
 
 
