Ignore datagrams whose counts no float holds

Cause: counts in datagrams are integers of any size. A count of 10^400 gateways in a sum for the whole fleet raised `OverflowError` wherever it divides a float. What callers saw: nothing yet; the task that checks slow endpoints failed and began again, and did nothing else, as long as the sum was held. Evidence: the new tests failed before: `background task failed`, OverflowError in `question_limit`, and three such counts were accepted. Change: counts of gateways, of requests in flight and of requests sent are decoded by `to_integer`, as the manifest's and the engines' numbers are.

--- a/lentilhaven/gateway/tests/test_hostile_datagrams.py
+++ b/lentilhaven/gateway/tests/test_hostile_datagrams.py
@@ -4,6 +4,7 @@
 import json
 import math
 import unittest
+import unittest.mock
 import zlib
 
 from lentilhaven.crashes.breaker import IDLE_TIME, MAX_HOLD
@@ -134,6 +135,26 @@
         self.assertIsNone(decode_message(make_datagram(text="[" * 100_000)))
 
 
+class CountTests(unittest.TestCase):
+    """Guard against counts that no float holds: what computes with them fails."""
+
+    # Guards against a sum for the whole fleet that ends the checks of slow endpoints.
+    def test_count_of_gateways(self):
+        text = make_datagram(scope="fleet", gateways=10**400)
+        with unittest.mock.patch("lentilhaven.core.tasks.log.error") as log_error:
+            self.assertEqual(receive(text, seconds=3.0)[1], 200)
+        self.assertEqual(log_error.mock_calls, [])
+
+    def test_counts(self):
+        for fields in (
+            {"gateways": 10**400},
+            {"loads": {"a": [10**400, 1.0]}},
+            {"sent": {"a": 10**400}},
+        ):
+            with self.subTest(fields=str(fields)[:40]):
+                self.assertIsNone(decode_message(make_datagram(**fields)))
+
+
 class MergeTests(unittest.TestCase):
     """Guard against values that block a request for ever or use up the memory."""
 
--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -12,6 +12,7 @@
 
 from lentilhaven.core.converter import CONVERTER
 from lentilhaven.core.ip_address import is_address
+from lentilhaven.core.json_numbers import to_integer
 from lentilhaven.core.store_position import StorePosition
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.endpoint_history import EndpointChanges
@@ -328,14 +329,14 @@
             scope=Scope(fields["scope"]),
             data_centre=str(fields["data_centre"]),
             capacity=decode_finite(fields["capacity"]),
-            gateways=int(fields["gateways"]),
+            gateways=to_integer(fields["gateways"]),
             relay=str(fields["relay"]),
             manifest_revision=int(fields["manifest_revision"]),
             endpoints_revision=int(fields["endpoints_revision"]),
             digest=str(fields["digest"]),
             checked=decode_finite(fields["checked"]),
             loads={
-                str(name): (int(load[0]), decode_finite(load[1]))
+                str(name): (to_integer(load[0]), decode_finite(load[1]))
                 for name, load in fields["loads"].items()
             },
             pipes={
@@ -362,7 +363,7 @@
             unreached=decode_unreached(fields.get("unreached")),
             attempts=decode_attempts(fields.get("attempts")),
             sent={
-                str(name): max(0, int(count))
+                str(name): max(0, to_integer(count))
                 for name, count in fields.get("sent", {}).items()
             },
             limits=decode_limits(fields.get("limits", ())),
