--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -12,6 +12,7 @@
 
 from lentilhaven.core.converter import CONVERTER
 from lentilhaven.core.ip_address import is_address
+from lentilhaven.core.json_numbers import to_integer
 from lentilhaven.core.store_position import StorePosition
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.endpoint_history import EndpointChanges
@@ -327,21 +328,25 @@
             number=int(fields["number"]),
             scope=Scope(fields["scope"]),
             data_centre=str(fields["data_centre"]),
-            capacity=float(fields["capacity"]),
-            gateways=int(fields["gateways"]),
+            capacity=decode_finite(fields["capacity"]),
+            gateways=to_integer(fields["gateways"]),
             relay=str(fields["relay"]),
             manifest_revision=int(fields["manifest_revision"]),
             endpoints_revision=int(fields["endpoints_revision"]),
             digest=str(fields["digest"]),
-            checked=float(fields["checked"]),
+            checked=decode_finite(fields["checked"]),
             loads={
-                str(name): (int(load[0]), float(load[1]))
+                str(name): (to_integer(load[0]), decode_finite(load[1]))
                 for name, load in fields["loads"].items()
             },
-            pipes={str(name): float(rate) for name, rate in fields["pipes"].items()},
-            heard={str(name): float(age) for name, age in fields["heard"].items()},
+            pipes={
+                str(name): decode_finite(rate) for name, rate in fields["pipes"].items()
+            },
+            heard={
+                str(name): decode_finite(age) for name, age in fields["heard"].items()
+            },
             suspects={
-                str(name): (float(ages[0]), float(ages[1]))
+                str(name): (decode_finite(ages[0]), decode_finite(ages[1]))
                 for name, ages in fields["suspects"].items()
             },
             members=tuple(decode_members(fields["members"])),
@@ -352,13 +357,13 @@
             era=era,
             manifest_version=decode_optional_int(fields.get("manifest_version")),
             paces={
-                str(name): (float(pace[0]), float(pace[1]))
+                str(name): (decode_finite(pace[0]), decode_finite(pace[1]))
                 for name, pace in fields.get("paces", {}).items()
             },
             unreached=decode_unreached(fields.get("unreached")),
             attempts=decode_attempts(fields.get("attempts")),
             sent={
-                str(name): max(0, int(count))
+                str(name): max(0, to_integer(count))
                 for name, count in fields.get("sent", {}).items()
             },
             limits=decode_limits(fields.get("limits", ())),
@@ -408,7 +413,7 @@
     """Yield the listed gateways, without those to which nothing can be sent."""
     for address, data_centre, capacity in value:
         if is_address(str(address)):
-            yield Member(str(address), str(data_centre), float(capacity))
+            yield Member(str(address), str(data_centre), decode_finite(capacity))
 
 
 def reject_constant(name: str) -> None:
@@ -504,7 +509,7 @@
 
 def decode_finite(value: Any) -> float:
     """
-    Decode a number of seconds.
+    Decode a number.
 
     Raises
     ------
@@ -513,7 +518,7 @@
     """
     number = float(value)
     if not math.isfinite(number):
-        raise ValueError(f"{value} seconds")
+        raise ValueError(f"{value} is not finite")
     return number
 
 
