Fuzz the objects of the store and the heads of endpoints' answers

Cause: the fuzzer called neither reader, which is where unreadable entries and numbers broke gateways. Change: two parsers more; a page without structure is read as empty, anything else that raises counts.

--- a/lentilhaven/bench/fuzz_parsers.py
+++ b/lentilhaven/bench/fuzz_parsers.py
@@ -15,6 +15,7 @@
 from lentilhaven.core.request_context import bind_request
 from lentilhaven.core.settings import parse_document, structure_document
 from lentilhaven.endpoints.load_report import LoadReport
+from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import (
     BreakerState,
@@ -23,6 +24,9 @@
     encode_message,
 )
 from lentilhaven.peering.subject import Subject, SubjectKind
+from lentilhaven.platform.replica_format import decode_replica
+from lentilhaven.platform.response_head import decode_response_head
+from lentilhaven.platform.store_page import decode_change, load_page
 from lentilhaven.router.authentication import WorkspaceIndex
 from lentilhaven.router.completion_request import parse_completion
 from lentilhaven.router.idempotency_key import (
@@ -71,6 +75,9 @@
     "operators": {"port": 1, "tls": {"certificate_file": "a", "key_file": "b"}},
 }
 
+#: Headers of an endpoint's answer that contain numbers.
+NUMBERS = ("Keep-Alive", "Retry-After", "Replica-Load", "Server-Limit")
+
 
 def decode(data: bytes) -> str:
     """Return bytes decoded as UTF-8, with invalid sequences replaced."""
@@ -118,7 +125,39 @@
             lambda it: decode_message(zlib.compress(it)),
             [json.loads(zlib.decompress(encode_message(sample_message())))],
         ),
+        FuzzedParser("objects of the store", read_objects, [sample_page()]),
+    ]
+
+
+def read_objects(data: bytes) -> list[Endpoint | None]:
+    """Decode a page of the platform's store; one that has no structure is empty."""
+    try:
+        page = load_page(data)
+    except ValueError:
+        return []
+    items = page.get("items") if isinstance(page, dict) else None
+    changes = [
+        change
+        for item in (items if isinstance(items, list) else [])
+        if (change := decode_change(item, False, 0)) is not None
     ]
+    return [decode_replica(change.name, change.value) for change in changes]
+
+
+def sample_page() -> dict[str, Any]:
+    """Return a page of the platform's store with the entry of a replica."""
+    entry = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "state": "ready",
+        "slots": 4,
+        "born": 7,
+        "models": [{"name": "m", "layers": {"from": 0, "target": 8, "version": 1}}],
+    }
+    metadata = {"name": "i-1", "rev": 3, "finalizers": [], "is_deleting": False}
+    item = {"metadata": metadata, "spec": entry, "status": None}
+    return {"items": [item], "has_more": False, "current_rev": 3}
 
 
 def sample_message() -> PeerMessage:
@@ -186,4 +225,8 @@
         FuzzedParser(
             "hop by hop", lambda it: forwarded_headers([("Connection", it), (it, "x")])
         ),
+        FuzzedParser(
+            "answer of an endpoint",
+            lambda it: decode_response_head(503, [(name, it) for name in NUMBERS]),
+        ),
     ]
