--- a/lentilhaven/upstream/tests/test_late_responses.py
+++ b/lentilhaven/upstream/tests/test_late_responses.py
@@ -3,6 +3,7 @@
 
 import attrs
 
+from lentilhaven.platform import headers
 from lentilhaven.upstream.connection_pool import ConnectionPool
 from lentilhaven.upstream.tests.wire import SETTLE_TIME, begin, run_at_the_wire
 
@@ -155,7 +156,7 @@
                 self.assertEqual(found, [(False, 2.0), (False, 0.0)])
 
     def test_endpoint_that_is_leaving_does_not_return(self):
-        late = encode(200, "r0", "Server-Leaving: 1")
+        late = encode(200, "r0", f"{headers.SERVER_LEAVING}: 1")
         found = self.signals_of(encode(200, "r0"), late + encode(200, "r1"))
         self.assertEqual(found, [(False, 0.0), (True, 0.0), (False, 0.0)])
 
