--- a/lentilhaven/bench/fuzz_parsers.py
+++ b/lentilhaven/bench/fuzz_parsers.py
@@ -24,6 +24,7 @@
     encode_message,
 )
 from lentilhaven.peering.subject import Subject, SubjectKind
+from lentilhaven.platform import headers
 from lentilhaven.platform.replica_format import decode_replica
 from lentilhaven.platform.response_head import decode_response_head
 from lentilhaven.platform.store_page import decode_change, load_page
@@ -76,7 +77,12 @@
 }
 
 #: Headers of an endpoint's answer that contain numbers.
-NUMBERS = ("Keep-Alive", "Retry-After", "Replica-Load", "Server-Limit")
+NUMBERS = (
+    "Keep-Alive",
+    headers.RETRY_AFTER,
+    headers.REPLICA_LOAD,
+    headers.SERVER_LIMIT,
+)
 
 
 def decode(data: bytes) -> str:
