Log requests that the end of a stop cuts off

A request that was cut at the end of the grace period was logged as `caller left`, and one whose body was being read not at all, so that the log could not tell whether the gateway had taken it too late or had not answered in time. No logic is changed.

Seen with gateways as processes: a request whose head came 1.5 s after SIGTERM and whose body ended at 6.6 s is passed on and cut without an answer (head_ms 1502, body_ms 6602), unsafe ones too.

--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -104,6 +104,8 @@
         Wakes the task that asks them.
     leaving : bool
         Whether the process is shutting down.
+    stop_began : float or None
+        Event loop time since which it is, in seconds; None before.
     refuses_requests : bool
         Whether new requests are refused, so that every accepted one can finish
         before the process ends.
@@ -144,6 +146,7 @@
     pace_questions: dict[tuple[str, int], Endpoint] = attrs.field(factory=dict)
     pace_signal: Signal = attrs.field(factory=Signal)
     leaving: bool = False
+    stop_began: float | None = None
     refuses_requests: bool = False
     counters: Counter[str] = attrs.field(factory=Counter)
     active: int = 0
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -45,6 +45,9 @@
 #: drained by then.  Zero would mean no limit.
 CLOSE_TIMEOUT = 0.1
 
+#: Seconds before the end of the grace period at which the process exits.
+GRACE_MARGIN = 0.6
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 log = get_logger("gateway")
@@ -79,7 +82,12 @@
     """Handle one request and log its result."""
     loop = asyncio.get_running_loop()
     began = loop.time()
-    parsed = await read_call(gateway, request, held)
+    try:
+        parsed = await read_call(gateway, request, held)
+    except asyncio.CancelledError:
+        log_cancelled(gateway, decode_request_head(request.headers).request_id, began)
+        raise
+    read_at = loop.time()
     if parsed.is_error():
         failure = parsed.error
         head = decode_request_head(request.headers)
@@ -96,9 +104,7 @@
     try:
         response = await forward_call(gateway, request, call)
     except asyncio.CancelledError:
-        log.info(
-            "caller left", request=call.id, ms=to_milliseconds(loop.time() - began)
-        )
+        log_cancelled(gateway, call.id, began, read_at)
         raise
     except Exception as error:
         location = describe_exception(error)
@@ -135,6 +141,40 @@
     return await relay_call(gateway, call)
 
 
+def log_cancelled(
+    gateway: Gateway, request_id: str, began: float, read_at: float | None = None
+) -> None:
+    """
+    Log that the caller has left, or that the stop of the gateway has cut a request off.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        State of the process.
+    request_id : str
+        Id of the request.
+    began, read_at : float
+        Event loop times at which its head and the end of its body had arrived, in
+        seconds; `read_at` is None before the latter.
+    """
+    now = asyncio.get_running_loop().time()
+    since, is_read = gateway.stop_began, read_at is not None
+    if since is None or now < since + gateway.settings.grace - GRACE_MARGIN:
+        log.info(
+            "caller left",
+            request=request_id,
+            ms=to_milliseconds(now - began),
+            read=is_read,
+        )
+        return
+    log.warning(
+        "request cut off",
+        request=request_id,
+        head_ms=to_milliseconds(began - since),
+        body_ms=None if read_at is None else to_milliseconds(read_at - since),
+    )
+
+
 def to_milliseconds(seconds: float) -> float:
     """Convert seconds to milliseconds, rounded for a log line."""
     return round(seconds * 1000, 1)
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -24,6 +24,7 @@
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.gateway_metrics import open_metrics_listener
 from lentilhaven.gateway.listeners import (
+    GRACE_MARGIN,
     CallerListener,
     open_caller_listener,
     open_ready_listener,
@@ -73,9 +74,6 @@
 #: balancer checks once a second and removes a gateway after two failed checks.
 ACCEPT_TIME = 2.6
 
-#: Seconds before the end of the grace period at which the process exits.
-GRACE_MARGIN = 0.6
-
 #: Seconds between two removals of the state of endpoints that are gone.
 SWEEP_INTERVAL = 1.0
 
@@ -301,7 +299,7 @@
     """
     loop = asyncio.get_running_loop()
     gateway.leaving = True
-    began = loop.time()
+    began = gateway.stop_began = loop.time()
     end = began + gateway.settings.grace - GRACE_MARGIN
     await asyncio.sleep(min(ACCEPT_TIME, end - began))
     gateway.refuses_requests = True
