Refuse requests whose bodies end after a stop has begun to refuse

Cause: whether a stopping gateway takes a request was decided when the head had arrived. Nothing looked at it again after the body, which may take as long as the caller likes.

Evidence: `request cut off` with head_ms 1502 and body_ms 6602.

Change: lentilhaven.draining holds the times of a stop, and limits that are set when it begins. Bodies are read within such a limit; when the gateway begins to refuse requests, those without their bodies are refused at once too, as not run, with Retry-After. A body that ends in the same moment is looked at once more after it.

--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -12,6 +12,8 @@
 from lentilhaven.core.signal import Signal
 from lentilhaven.crashes.ledger import CrashLedger
 from lentilhaven.crashes.run_log import RunLog
+from lentilhaven.draining.stop_schedule import StopSchedule
+from lentilhaven.draining.time_limits import TimeLimits
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.gateway.body_memory import BodyMemory
@@ -104,8 +106,10 @@
         Wakes the task that asks them.
     leaving : bool
         Whether the process is shutting down.
-    stop_began : float or None
-        Event loop time since which it is, in seconds; None before.
+    stop : StopSchedule or None
+        The times of the shutdown; None before it.
+    intake_limits : TimeLimits
+        Limits the reading of requests' bodies.
     refuses_requests : bool
         Whether new requests are refused, so that every accepted one can finish
         before the process ends.
@@ -146,7 +150,8 @@
     pace_questions: dict[tuple[str, int], Endpoint] = attrs.field(factory=dict)
     pace_signal: Signal = attrs.field(factory=Signal)
     leaving: bool = False
-    stop_began: float | None = None
+    stop: StopSchedule | None = None
+    intake_limits: TimeLimits = attrs.field(factory=TimeLimits)
     refuses_requests: bool = False
     counters: Counter[str] = attrs.field(factory=Counter)
     active: int = 0
--- a/lentilhaven/gateway/intake.py
+++ b/lentilhaven/gateway/intake.py
@@ -45,10 +45,7 @@
     """
     arrived = asyncio.get_running_loop().time()
     if gateway.refuses_requests:
-        detail = "this gateway is about to end"
-        return Error(
-            Failure(Step.ADMIT, "", "leaving", detail, retry_after=SHUTDOWN_RETRY_AFTER)
-        )
+        return Error(leaving_failure())
     manifest = gateway.view.manifest
     if manifest is None or not gateway.view.is_complete:
         detail = "no manifest is known yet"
@@ -68,7 +65,7 @@
         return Error(Failure(Step.AUTHENTICATE, "", "unknown-key", detail))
     if not head.request_id:
         return Error(Failure(Step.PARSE, "", "bad-request", "the request has no id"))
-    read = await read_body(request, held)
+    read = await read_body_in_time(gateway, request, held)
     if read.is_error():
         return Error(read.error)
     timeout = route.timeout
@@ -92,6 +89,29 @@
     )
 
 
+def leaving_failure() -> Failure:
+    """Return the failure of a request that a terminating gateway does not take."""
+    detail = "this gateway is about to end"
+    return Failure(Step.ADMIT, "", "leaving", detail, retry_after=SHUTDOWN_RETRY_AFTER)
+
+
+async def read_body_in_time(
+    gateway: Gateway, request: web.BaseRequest, held: HeldBody
+) -> Result[bytes, Failure]:
+    """
+    Read the body of a request, or return why it is refused.
+
+    A terminating gateway takes no request whose body ends after it has begun to refuse
+    requests: the decision that was made when the head arrived holds no longer.
+    """
+    try:
+        async with gateway.intake_limits.limited():
+            read = await read_body(request, held)
+    except TimeoutError:
+        return Error(leaving_failure())
+    return Error(leaving_failure()) if gateway.refuses_requests else read
+
+
 async def read_body(request: web.BaseRequest, held: HeldBody) -> Result[bytes, Failure]:
     """Read the body of a request, or return why it is refused."""
     try:
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -45,9 +45,6 @@
 #: drained by then.  Zero would mean no limit.
 CLOSE_TIMEOUT = 0.1
 
-#: Seconds before the end of the grace period at which the process exits.
-GRACE_MARGIN = 0.6
-
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 log = get_logger("gateway")
@@ -158,8 +155,8 @@
         seconds; `read_at` is None before the latter.
     """
     now = asyncio.get_running_loop().time()
-    since, is_read = gateway.stop_began, read_at is not None
-    if since is None or now < since + gateway.settings.grace - GRACE_MARGIN:
+    stop, is_read = gateway.stop, read_at is not None
+    if stop is None or now < stop.end_at:
         log.info(
             "caller left",
             request=request_id,
@@ -170,8 +167,8 @@
     log.warning(
         "request cut off",
         request=request_id,
-        head_ms=to_milliseconds(began - since),
-        body_ms=None if read_at is None else to_milliseconds(read_at - since),
+        head_ms=to_milliseconds(began - stop.began),
+        body_ms=None if read_at is None else to_milliseconds(read_at - stop.began),
     )
 
 
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -13,6 +13,7 @@
 from lentilhaven.core.ids import VmId
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import keep_running, running_tasks
+from lentilhaven.draining.stop_schedule import plan_stop
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.connection_factories import ConnectionFactories
 from lentilhaven.gateway.crash_checks import note_gone
@@ -24,7 +25,6 @@
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.gateway_metrics import open_metrics_listener
 from lentilhaven.gateway.listeners import (
-    GRACE_MARGIN,
     CallerListener,
     open_caller_listener,
     open_ready_listener,
@@ -70,10 +70,6 @@
     duration=3.0, renewal_interval=1.0, margin=0.3, poll_interval=0.5
 )
 
-#: Seconds after SIGTERM for which new connections are still accepted: the load
-#: balancer checks once a second and removes a gateway after two failed checks.
-ACCEPT_TIME = 2.6
-
 #: Seconds between two removals of the state of endpoints that are gone.
 SWEEP_INTERVAL = 1.0
 
@@ -286,9 +282,10 @@
     """
     Finish the requests in progress within the grace period.
 
-    The readiness check fails from the start, while requests are still accepted for at
-    most `ACCEPT_TIME` seconds.  Then idle connections are closed and new requests are
-    refused, which also answers callers on connections that have just been used.
+    The readiness check fails from the start, while requests are still accepted until
+    `StopSchedule.refuse_at`.  Then idle connections are closed, and new requests and
+    those whose bodies are incomplete are refused, which also answers callers on
+    connections that have just been used.
 
     Parameters
     ----------
@@ -299,12 +296,12 @@
     """
     loop = asyncio.get_running_loop()
     gateway.leaving = True
-    began = gateway.stop_began = loop.time()
-    end = began + gateway.settings.grace - GRACE_MARGIN
-    await asyncio.sleep(min(ACCEPT_TIME, end - began))
+    stop = gateway.stop = plan_stop(loop.time(), gateway.settings.grace)
+    gateway.intake_limits.set(stop.refuse_at)
+    await asyncio.sleep(stop.refuse_at - loop.time())
     gateway.refuses_requests = True
     await listener.stop()
-    await listener.close_connections(end)
+    await listener.close_connections(stop.end_at)
     await gateway.request_finished.wait_until(
-        lambda: not gateway.active and not gateway.tunnels, end - loop.time()
+        lambda: not gateway.active and not gateway.tunnels, stop.end_at - loop.time()
     )
--- a/lentilhaven/gateway/tests/test_kept_connections.py
+++ b/lentilhaven/gateway/tests/test_kept_connections.py
@@ -4,12 +4,13 @@
 import attrs
 from aiohttp import web
 
+from lentilhaven.draining.stop_schedule import ACCEPT_TIME
 from lentilhaven.gateway.caller_connection import (
     CallerConnection,
     close_idle_connections,
 )
 from lentilhaven.gateway.listeners import CallerListener, open_caller_listener
-from lentilhaven.gateway.program import ACCEPT_TIME, drain
+from lentilhaven.gateway.program import drain
 from lentilhaven.gateway.tests.platform_testbed import (
     plain_replicas,
     run_on_testbed,
--- a/lentilhaven/gateway/tests/test_shutdown.py
+++ b/lentilhaven/gateway/tests/test_shutdown.py
@@ -3,8 +3,9 @@
 
 import attrs
 
+from lentilhaven.draining.stop_schedule import ACCEPT_TIME
 from lentilhaven.gateway.listeners import open_caller_listener
-from lentilhaven.gateway.program import ACCEPT_TIME, drain
+from lentilhaven.gateway.program import drain
 from lentilhaven.gateway.tests.platform_testbed import (
     plain_replicas,
     run_on_testbed,
