Answer requests that have not ended before a stopping gateway does

Cause: the tasks of such requests were cancelled together with their connections, and the log had them as `caller left`.

Change: the work on requests gets a limit when the stop begins, 0.3 s before the process ends. At the limit a request that was sent to an endpoint is answered with 502 and `ran` unknown, one that was not with 503 and Retry-After; an answer of a replica that is there already is passed on. A stream that has begun is broken off as before, so that it does not look complete.

Test before, with a gateway as a process (test_planned_stop.LongWorkTests):

Tuples differ: (None, False) != (502, True) unsafe and safe, sent at 0.0 and 1.5 s

--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -110,6 +110,8 @@
         The times of the shutdown; None before it.
     intake_limits : TimeLimits
         Limits the reading of requests' bodies.
+    work_limits : TimeLimits
+        Limits the work on requests.
     refuses_requests : bool
         Whether new requests are refused, so that every accepted one can finish
         before the process ends.
@@ -152,6 +154,7 @@
     leaving: bool = False
     stop: StopSchedule | None = None
     intake_limits: TimeLimits = attrs.field(factory=TimeLimits)
+    work_limits: TimeLimits = attrs.field(factory=TimeLimits)
     refuses_requests: bool = False
     counters: Counter[str] = attrs.field(factory=Counter)
     active: int = 0
--- a/lentilhaven/gateway/intake.py
+++ b/lentilhaven/gateway/intake.py
@@ -7,6 +7,7 @@
 
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.step import Step
+from lentilhaven.draining.failures import leaving_failure
 from lentilhaven.fleet.manifest import Manifest
 from lentilhaven.fleet.route_rule import RouteRule
 from lentilhaven.gateway.body_memory import BodyGivenUpError, HeldBody
@@ -17,10 +18,6 @@
 #: Seconds after which a caller may retry at a gateway that has no manifest yet.
 NO_MANIFEST_RETRY_AFTER = 0.5
 
-#: Seconds after which a caller whom a terminating gateway refuses may retry at
-#: another gateway.
-SHUTDOWN_RETRY_AFTER = 0.02
-
 
 async def read_call(
     gateway: Gateway, request: web.BaseRequest, held: HeldBody
@@ -89,12 +86,6 @@
     )
 
 
-def leaving_failure() -> Failure:
-    """Return the failure of a request that a terminating gateway does not take."""
-    detail = "this gateway is about to end"
-    return Failure(Step.ADMIT, "", "leaving", detail, retry_after=SHUTDOWN_RETRY_AFTER)
-
-
 async def read_body_in_time(
     gateway: Gateway, request: web.BaseRequest, held: HeldBody
 ) -> Result[bytes, Failure]:
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -298,6 +298,7 @@
     gateway.leaving = True
     stop = gateway.stop = plan_stop(loop.time(), gateway.settings.grace)
     gateway.intake_limits.set(stop.refuse_at)
+    gateway.work_limits.set(stop.answer_at)
     await asyncio.sleep(stop.refuse_at - loop.time())
     gateway.refuses_requests = True
     await listener.stop()
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -11,6 +11,7 @@
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
 from lentilhaven.core.tasks import cancel_tasks
+from lentilhaven.draining.failures import cut_off_failure
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.crash_checks import (
@@ -132,6 +133,11 @@
         last = self.last_outcome
         return isinstance(last, Failure) and last.kind in HARMFUL_KINDS.values()
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a replica may have run the request, or may be running it."""
+        return self.possible_runs + len(self.running) > 0
+
     @property
     def succeeded(self) -> bool:
         """Return whether a replica has answered without a failure."""
@@ -191,24 +197,43 @@
     call : Call
         The request.
     """
-    loop = asyncio.get_running_loop()
-    gateway.budget_of(call.service).record_request(loop.time())
+    gateway.budget_of(call.service).record_request(asyncio.get_running_loop().time())
     attempts = Attempts()
     try:
-        while not attempts.succeeded:
-            began = attempts.may_continue(call) and begin_attempt(
-                gateway, call, attempts
-            )
-            if not attempts.running:
-                break
-            timeout = attempts.time_to_next(call, loop.time()) if began else None
-            await record_outcomes(attempts, timeout)
+        async with gateway.work_limits.limited():
+            await run_attempts(gateway, call, attempts)
+    except TimeoutError:
+        log_cut_off(gateway, call, attempts.may_have_run)
+        if not isinstance(attempts.last_run, UpstreamResponse):
+            return make_error_response(cut_off_failure(attempts.may_have_run))
     finally:
         await cancel_tasks(attempts.running)
     pause = time_to_retry(gateway, call, attempts)
     return make_response(gateway, call, attempts.final_outcome, pause)
 
 
+async def run_attempts(gateway: Gateway, call: Call, attempts: Attempts) -> None:
+    """Run attempts until one succeeds or no other may begin."""
+    loop = asyncio.get_running_loop()
+    while not attempts.succeeded:
+        began = attempts.may_continue(call) and begin_attempt(gateway, call, attempts)
+        if not attempts.running:
+            break
+        timeout = attempts.time_to_next(call, loop.time()) if began else None
+        await record_outcomes(attempts, timeout)
+
+
+def log_cut_off(gateway: Gateway, call: Call, may_have_run: bool) -> None:
+    """Log that a request is answered before its end, since the gateway stops."""
+    assert gateway.stop is not None
+    log.warning(
+        "request cut off",
+        request=call.id,
+        head_ms=round((call.arrived - gateway.stop.began) * 1000, 1),
+        may_have_run=may_have_run,
+    )
+
+
 def time_to_retry(gateway: Gateway, call: Call, attempts: Attempts) -> float | None:
     """
     Return the seconds until a replica that pauses or is at its limit may be used.
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -12,6 +12,7 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
+from lentilhaven.draining.failures import cut_off_failure
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.chain_choice import (
@@ -27,7 +28,11 @@
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.held_response import HeldResponse
 from lentilhaven.gateway.limit_checks import limit_wait
-from lentilhaven.gateway.service_relay import MAX_REFUSALS, UpstreamResponse
+from lentilhaven.gateway.service_relay import (
+    MAX_REFUSALS,
+    UpstreamResponse,
+    log_cut_off,
+)
 from lentilhaven.gateway.stream_run import run_on_chain
 from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
 
@@ -81,11 +86,13 @@
     gateway.budget_of(call.service).record_request(asyncio.get_running_loop().time())
     try:
         with ending_runs(relay):
-            async with asyncio.timeout_at(call.deadline):
+            async with (
+                gateway.work_limits.limited() as stop_scope,
+                asyncio.timeout_at(call.deadline),
+            ):
                 outcome = await run_until_done(relay)
     except TimeoutError:
-        detail = "no whole answer in time"
-        outcome = Failure(Step.STREAM, "", "timeout", detail, Ran.UNKNOWN)
+        outcome = limit_failure(relay, stop_scope.expired())
     if relay.response is not None:
         if isinstance(outcome, Failure):
             abort_stream(relay, outcome)
@@ -99,6 +106,24 @@
     return HeldResponse(gateway.pool.memory, outcome.head, outcome.body)
 
 
+def limit_failure(relay: StreamRelay, is_stop: bool) -> Failure:
+    """
+    Return the failure of a stream that has reached a limit of time.
+
+    Parameters
+    ----------
+    relay : StreamRelay
+        The stream.
+    is_stop : bool
+        Whether it is the limit of a gateway that stops; otherwise the call's deadline.
+    """
+    if not is_stop:
+        detail = "no whole answer in time"
+        return Failure(Step.STREAM, "", "timeout", detail, Ran.UNKNOWN)
+    log_cut_off(relay.gateway, relay.call, relay.runs > 0)
+    return cut_off_failure(relay.runs > 0)
+
+
 @contextmanager
 def ending_runs(relay: StreamRelay) -> Iterator[None]:
     """End the second run with the context, and the answer too after a defect."""
--- a/lentilhaven/gateway/tests/test_planned_stop.py
+++ b/lentilhaven/gateway/tests/test_planned_stop.py
@@ -20,8 +20,9 @@
 #: refused, and shortly before the end.
 EARLY, LATE, LAST = 1.5, 4.0, 6.6
 
-#: Seconds of work that ends before the process does.
-SHORT_WORK = 1.5
+#: Seconds of work that ends before the process does, and of work that does not; the
+#: latter is a pause within a stream too.
+SHORT_WORK, LONG_WORK = 1.5, 20.0
 
 #: Seconds by which an answer may come late on a busy machine.
 SLACK = 1.0
@@ -50,13 +51,24 @@
     output: int = 0
 
 
-CASES = {
+#: Requests beside a stop, by name, if the work of plain replicas is short.
+SHORT_CASES = {
+    "post": StopCase("/post/0", EARLY),
     "post, body late": StopCase("/post/1", EARLY, LATE),
     "post, body at the end": StopCase("/post/2", EARLY, LAST),
     "look, body late": StopCase("/look/1", EARLY, LATE),
+    "stream": StopCase("/once/0", EARLY, output=40),
     "stream, body late": StopCase("/once/1", EARLY, LATE, 40),
 }
 
+#: The same if all work is long.
+LONG_CASES = {
+    "post": StopCase("/post/0", 0.0),
+    "late post": StopCase("/post/1", EARLY),
+    "look": StopCase("/look/0", 0.0),
+    "stream": StopCase("/once/0", 0.0, output=40),
+}
+
 
 @attrs.define
 class StopResult:
@@ -67,6 +79,8 @@
     ----------
     status : int or None
         Status of the answer; None if the connection ended without one.
+    complete : bool
+        Whether the whole answer has arrived.
     at : float
         Seconds after SIGTERM at which the answer had arrived, or the end.
     runs : int
@@ -74,6 +88,7 @@
     """
 
     status: int | None
+    complete: bool
     at: float
     runs: int = 0
 
@@ -94,7 +109,10 @@
             await asyncio.wait([reading], timeout=case.body_at - case.sent_at)
             caller.writer.write(request[-held_back:])
         answer = await reading
-        return StopResult(answer and answer.status, loop.time() - began)
+        took = loop.time() - began
+        if answer is None:
+            return StopResult(None, False, took)
+        return StopResult(answer.status, answer.complete, took)
     finally:
         caller.writer.close()
 
@@ -107,38 +125,70 @@
     return manifest
 
 
+async def stop_beside(cases, plain_work, pause, folder):
+    """Stop a gateway beside the requests of some cases; return its exit status too."""
+    async with open_environment(1, 1, folder) as environment:
+        (gateway,) = environment.gateways
+        environment.store.put("config", "main", patient_manifest())
+        address = gateway.decoded_settings.callers
+        # Layers are loaded once a gateway holds the placement lease.
+        first_stream = StopCase("/once/first", 0.1, output=4)
+        while (await ask(address, first_stream, "first")).status != 200:
+            pass
+        for replica in environment.fleet.replicas.values():
+            replica.faults.delay = pause if replica.card else plain_work
+        asks = [ask(address, case, name) for name, case in cases.items()]
+        *results, _ = await asyncio.gather(*asks, gateway.stop())
+        found = dict(zip(cases, results, strict=True))
+        for run in environment.fleet.runs:
+            if run.request_id in found:
+                found[run.request_id].runs += 1
+        return found, gateway.process.returncode
+
+
 @functools.cache
-def play_stop():
-    """Stop a gateway beside the requests of `CASES`; return the results by name."""
-
-    async def main():
-        with tempfile.TemporaryDirectory(prefix="planned-stop-") as folder:
-            async with open_environment(1, 1, Path(folder)) as environment:
-                (gateway,) = environment.gateways
-                environment.store.put("config", "main", patient_manifest())
-                for replica in environment.fleet.replicas.values():
-                    replica.faults.delay = 0.0 if replica.card else SHORT_WORK
-                await asyncio.sleep(1.0)
-                address = gateway.decoded_settings.callers
-                asks = [ask(address, case, name) for name, case in CASES.items()]
-                *results, _ = await asyncio.gather(*asks, gateway.stop())
-                found = dict(zip(CASES, results, strict=True))
-                for run in environment.fleet.runs:
-                    found[run.request_id].runs += 1
-                return found, gateway.process.returncode
-
-    return asyncio.run(main())
+def play_stop(has_long_work):
+    """Return the results of `stop_beside` with short or long work."""
+    cases, work, pause = SHORT_CASES, SHORT_WORK, 0.0
+    if has_long_work:
+        cases, work, pause = LONG_CASES, LONG_WORK, LONG_WORK
+    with tempfile.TemporaryDirectory(prefix="planned-stop-") as folder:
+        return asyncio.run(stop_beside(cases, work, pause, Path(folder)))
 
 
 class LateBodyTests(unittest.TestCase):
     """Guards against passing on, until the end of a stop, what was begun before it."""
 
     def test_requests_without_their_bodies_are_refused_in_time(self):
-        results, _ = play_stop()
-        for name, case in CASES.items():
+        results, _ = play_stop(has_long_work=False)
+        for name, case in SHORT_CASES.items():
             if case.body_at:
+                found = results[name]
                 with self.subTest(name):
-                    self.assertEqual(
-                        (results[name].status, results[name].runs), (503, 0)
-                    )
-                    self.assertLess(results[name].at, ACCEPT_TIME + SLACK)
+                    self.assertEqual((found.status, found.runs), (503, 0))
+                    self.assertLess(found.at, ACCEPT_TIME + SLACK)
+
+    def test_requests_with_their_bodies_are_served(self):
+        results, exit_status = play_stop(has_long_work=False)
+        for name in ("post", "stream"):
+            with self.subTest(name):
+                found = results[name]
+                self.assertEqual((found.status, found.complete), (200, True))
+        self.assertEqual(exit_status, 0)
+
+
+class LongWorkTests(unittest.TestCase):
+    """Guards against connections that close without an answer at the end of a stop."""
+
+    def test_requests_that_have_not_ended_are_answered(self):
+        results, exit_status = play_stop(has_long_work=True)
+        for name in ("post", "late post", "look"):
+            with self.subTest(name):
+                found = results[name]
+                self.assertEqual((found.status, found.complete), (502, True))
+                self.assertGreater(found.runs, 0)
+        self.assertEqual(exit_status, 0)
+
+    def test_stream_that_has_begun_does_not_look_complete(self):
+        found = play_stop(has_long_work=True)[0]["stream"]
+        self.assertEqual((found.status, found.complete), (200, False))
