Reckon the grace period of a stop from the arrival of SIGTERM

A gateway whose event loop is seconds late began its stop when the loop handled the signal, so that it meant to go on after the platform has killed it, with the requests in progress.

Cause: the times of a stop were taken in a callback of the event loop, which runs after everything that is due already.

Change: the interpreter's handler of the signal, which runs between two instructions, takes the time; `gateway stopping` logs how late the loop was. A process that is suspended gets the signal when it goes on: nothing in it can know when it was sent.

Test: a loop that is blocked for 0.6 s while the signal arrives after 0.1 s; it tells 0.1 s (test_signal_time).

--- a/lentilhaven/draining/__init__.py
+++ b/lentilhaven/draining/__init__.py
@@ -7,4 +7,6 @@
 
 - `stop_schedule`: the times of a stop.
 - `time_limits`: tasks that end together at a time which is not known when they begin.
+- `signal_time`: when a signal arrived, even if the event loop is late.
+- `failures`: what the callers of refused and cut requests are told.
 """
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -13,6 +13,7 @@
 from lentilhaven.core.ids import VmId
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import keep_running, running_tasks
+from lentilhaven.draining.signal_time import SignalTime
 from lentilhaven.draining.stop_schedule import plan_stop
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.connection_factories import ConnectionFactories
@@ -94,10 +95,9 @@
     """
     structlog.contextvars.bind_contextvars(vm=settings.vm)
     gateway = Gateway(settings)
-    stop = asyncio.Event()
+    stop_signal = SignalTime()
+    stop_signal.watch((signal.SIGTERM, signal.SIGINT))
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload_settings, gateway)
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(open_ready_listener(gateway))
@@ -110,9 +110,10 @@
         )
         listener = await stack.enter_async_context(open_caller_listener(gateway))
         log.info("gateway started", callers=settings.callers)
-        await stop.wait()
-        log.info("gateway stopping", active=gateway.active)
-        await drain(gateway, listener)
+        began = await stop_signal.wait()
+        late_ms = round((loop.time() - began) * 1000, 1)
+        log.info("gateway stopping", active=gateway.active, late_ms=late_ms)
+        await drain(gateway, listener, began)
         log.info(
             "callers are served",
             active=gateway.active,
@@ -278,7 +279,9 @@
         gateway.view.expire()
 
 
-async def drain(gateway: Gateway, listener: CallerListener) -> None:
+async def drain(
+    gateway: Gateway, listener: CallerListener, began: float | None = None
+) -> None:
     """
     Finish the requests in progress within the grace period.
 
@@ -293,10 +296,13 @@
         State of the process.
     listener : CallerListener
         The listener for callers.
+    began : float or None
+        Event loop time since which the grace period runs, in seconds; None for now.
     """
     loop = asyncio.get_running_loop()
     gateway.leaving = True
-    stop = gateway.stop = plan_stop(loop.time(), gateway.settings.grace)
+    began = loop.time() if began is None else began
+    stop = gateway.stop = plan_stop(began, gateway.settings.grace)
     gateway.intake_limits.set(stop.refuse_at)
     gateway.work_limits.set(stop.answer_at)
     await asyncio.sleep(stop.refuse_at - loop.time())
