Refuse streams that a stopping gateway can't finish

Cause: every request in the first 2.6 s was taken, whatever its length.

Change: once a chain is chosen its estimated time is known. A stream that has not begun and would be cut off is refused as not run, with the Retry-After of a stopping gateway, and another gateway serves it whole. Streams that have begun go on as far as they get, so that a caller who resumes needs less. The estimate rests on the caller's hint of the length; one that is too low is cut off as before.

Test before, with a gateway as a process (test_planned_stop.LongStreamTests):

Tuples differ: (200, 1) != (503, 0)

--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -12,7 +12,7 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
-from lentilhaven.draining.failures import cut_off_failure
+from lentilhaven.draining.failures import cut_off_failure, leaving_failure
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.chain_choice import (
@@ -171,15 +171,9 @@
         now = loop.time()
         chain = await wait_for_chain(relay)
         if chain is None:
-            now = loop.time()
-            avoided = relay.avoided(now)
-            starts = possible_starts(gateway, call.service, avoided, now)
-            pause = limit_wait(gateway, call.service, starts, now)
-            pause = pause or time_to_cover(gateway, call, relay.spec, avoided, now)
-            if not isinstance(outcome, Failure):
-                detail = f"no chain of {call.service} covers the model"
-                outcome = Failure(Step.CHOOSE, "", "no-chain", detail)
-            return attrs.evolve(outcome, retry_after=outcome.retry_after or pause)
+            return no_chain_failure(relay, outcome)
+        if not leaves_time(relay, chain, now):
+            return leaving_failure()
         if relay.runs + relay.refusals > 0:
             budget = gateway.budget_of(call.service)
             if not budget.try_spend(now, gateway.count_gateways(now)):
@@ -193,6 +187,51 @@
             return outcome
 
 
+def no_chain_failure(relay: StreamRelay, outcome: RunOutcome) -> Failure:
+    """
+    Return the failure of a stream for which there is no chain.
+
+    Parameters
+    ----------
+    relay : StreamRelay
+        The stream.
+    outcome : UpstreamResponse, Failure or None
+        Outcome of its last run; None if there was none.
+    """
+    gateway, call = relay.gateway, relay.call
+    now = asyncio.get_running_loop().time()
+    avoided = relay.avoided(now)
+    starts = possible_starts(gateway, call.service, avoided, now)
+    pause = limit_wait(gateway, call.service, starts, now)
+    pause = pause or time_to_cover(gateway, call, relay.spec, avoided, now)
+    if not isinstance(outcome, Failure):
+        detail = f"no chain of {call.service} covers the model"
+        outcome = Failure(Step.CHOOSE, "", "no-chain", detail)
+    return attrs.evolve(outcome, retry_after=outcome.retry_after or pause)
+
+
+def leaves_time(relay: StreamRelay, chain: Chain, now: float) -> bool:
+    """
+    Return whether a stream may begin on a chain at a gateway that may be stopping.
+
+    One that would be cut off is better served by another gateway from its first event
+    on.  One that has begun goes on here as far as it gets.
+    """
+    stop = relay.gateway.stop
+    if stop is None or relay.response is not None or relay.runs > 0:
+        return True
+    seconds = chain.cost / 1000.0
+    if stop.leaves_time_for(seconds, now):
+        return True
+    log.info(
+        "stream is too long for a gateway that stops",
+        request=relay.call.id,
+        estimate_ms=round(chain.cost),
+        left_ms=round((stop.answer_at - now) * 1000),
+    )
+    return False
+
+
 async def run_with_successors(relay: StreamRelay, chain: Chain) -> RunOutcome:
     """
     Run a request on a chain, and follow the runs that begin beside it if it fails.
--- a/lentilhaven/gateway/tests/test_planned_stop.py
+++ b/lentilhaven/gateway/tests/test_planned_stop.py
@@ -59,6 +59,7 @@
     "look, body late": StopCase("/look/1", EARLY, LATE),
     "stream": StopCase("/once/0", EARLY, output=40),
     "stream, body late": StopCase("/once/1", EARLY, LATE, 40),
+    "long stream": StopCase("/once/2", EARLY, output=4000),
 }
 
 #: The same if all work is long.
@@ -177,6 +178,15 @@
         self.assertEqual(exit_status, 0)
 
 
+class LongStreamTests(unittest.TestCase):
+    """Guards against streams that a stopping gateway takes and cuts off."""
+
+    def test_stream_that_can_not_end_in_time_is_refused(self):
+        found = play_stop(has_long_work=False)[0]["long stream"]
+        self.assertEqual((found.status, found.runs), (503, 0))
+        self.assertLess(found.at, EARLY + SLACK)
+
+
 class LongWorkTests(unittest.TestCase):
     """Guards against connections that close without an answer at the end of a stop."""
 
