Let other gateways send nothing more through one that stops

A gateway that is cut off from replicas reaches them through another one.

Cause: new connections are refused from SIGTERM on, but those in use were kept and used again, since nothing told the other gateway. The stop waited for them until its end.

Change: a stopping gateway says so in a frame of its own on each such connection, in front of what the endpoint sends. The connection carries what is under way and no other request, and is closed at once if it is idle. A gateway says when it asks that it knows the frame, so that earlier releases are not told; to them nothing changes.

Test before, with two gateways as processes (test_planned_stop.TunnelTests):

{200, 502, 503} not less than or equal to {200, 503}

--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -288,7 +288,8 @@
     The readiness check fails from the start, while requests are still accepted until
     `StopSchedule.refuse_at`.  Then idle connections are closed, and new requests and
     those whose bodies are incomplete are refused, which also answers callers on
-    connections that have just been used.
+    connections that have just been used.  Other gateways, which need no time to notice,
+    send no further requests through this one from the start.
 
     Parameters
     ----------
@@ -305,6 +306,7 @@
     stop = gateway.stop = plan_stop(began, gateway.settings.grace)
     gateway.intake_limits.set(stop.refuse_at)
     gateway.work_limits.set(stop.answer_at)
+    gateway.leave_tunnels()
     await asyncio.sleep(stop.refuse_at - loop.time())
     gateway.refuses_requests = True
     await listener.stop()
--- a/lentilhaven/gateway/tests/test_planned_stop.py
+++ b/lentilhaven/gateway/tests/test_planned_stop.py
@@ -12,6 +12,7 @@
 from lentilhaven.bench.soak.soak_tables import soak_manifest
 from lentilhaven.draining.stop_schedule import ACCEPT_TIME
 from lentilhaven.gateway.tests.raw_caller import RawCaller, raw_request
+from lentilhaven.standins.platform.cut_links import Cut
 
 #: Seconds of the routes' timeouts: longer than the grace period.
 ROUTE_TIMEOUT = 30.0
@@ -202,3 +203,53 @@
     def test_stream_that_has_begun_does_not_look_complete(self):
         found = play_stop(has_long_work=True)[0]["stream"]
         self.assertEqual((found.status, found.complete), (200, False))
+
+
+class TunnelTests(unittest.TestCase):
+    """Guards against requests of other gateways that end with a stopping one."""
+
+    #: Seconds of the work on each request, and number of callers that send them.
+    WORK, CALLERS = 0.3, 4
+
+    async def play(self, folder):
+        """
+        Stop a gateway through which another one reaches the replicas.
+
+        Returns
+        -------
+        tuple of (list, float)
+            The statuses of the other one's requests, which must not be repeated, and
+            the seconds that the stop has taken.
+        """
+        loop = asyncio.get_running_loop()
+        statuses = []
+        async with open_environment(1, 2, folder) as environment:
+            asked, stopped = environment.gateways
+            replicas = environment.fleet.replicas.values()
+            for replica in replicas:
+                replica.faults.delay = self.WORK
+            asked.write_cut(Cut.REFUSE, [it.host for it in replicas])
+            await asyncio.sleep(1.0)
+
+            async def call(number):
+                while stopped.running:
+                    name = f"post-{number}-{len(statuses)}"
+                    case = StopCase(f"/post/{name}", 0.0)
+                    found = await ask(asked.decoded_settings.callers, case, name)
+                    statuses.append(found.status)
+
+            calls = [asyncio.ensure_future(call(it)) for it in range(self.CALLERS)]
+            await asyncio.sleep(1.0)
+            began = loop.time()
+            await stopped.stop()
+            took = loop.time() - began
+            await asyncio.gather(*calls)
+        return statuses, took
+
+    def test_requests_end_before_the_gateway_between_does(self):
+        with tempfile.TemporaryDirectory(prefix="planned-stop-") as folder:
+            statuses, took = asyncio.run(self.play(Path(folder)))
+        # Without another way, requests are refused as not run.
+        self.assertLessEqual(set(statuses), {200, 503})
+        self.assertIn(200, statuses)
+        self.assertLess(took, ACCEPT_TIME + SLACK)
--- a/lentilhaven/links/frames.py
+++ b/lentilhaven/links/frames.py
@@ -3,7 +3,8 @@
 
 An answer without a length ends with its connection, and is whole only if the endpoint
 has closed it in order.  The connection between two gateways may break too, so that its
-own end says nothing: a frame tells how the endpoint's connection has ended.
+own end says nothing: a frame tells how the endpoint's connection has ended.  Another
+one tells that the gateway itself is about to end.
 """
 
 import enum
@@ -14,8 +15,9 @@
 #: Length of a frame's data, as four bytes in front of it.
 HEADER = struct.Struct(">I")
 
-#: Lengths that stand for an end of the endpoint's connection.
+#: Lengths that stand for an end of the endpoint's connection, and for a notice.
 CLOSED_LENGTH, BROKEN_LENGTH = 0, 0xFFFFFFFF
+LEAVING_LENGTH = 0xFFFFFFFE
 
 #: Maximum length of the data of a frame, in bytes; more than one read returns.
 MAX_FRAME_BYTES = 1 << 20
@@ -28,6 +30,17 @@
     BROKEN = BROKEN_LENGTH
 
 
+class Notice(enum.Enum):
+    """What a gateway says beside what the endpoint sends."""
+
+    #: It is about to end: no further request should be sent through it.
+    LEAVING = LEAVING_LENGTH
+
+
+#: Frames without data, by the length that stands for them.
+MARKS: dict[int, StreamEnd | Notice] = {it.value: it for it in (*StreamEnd, *Notice)}
+
+
 class FrameError(ValueError):
     """Received bytes are no frames."""
 
@@ -37,9 +50,9 @@
     return HEADER.pack(len(data)) + data
 
 
-def encode_end(end: StreamEnd) -> bytes:
-    """Encode the end of the endpoint's connection."""
-    return HEADER.pack(end.value)
+def encode_mark(mark: StreamEnd | Notice) -> bytes:
+    """Encode the end of the endpoint's connection, or a notice."""
+    return HEADER.pack(mark.value)
 
 
 @attrs.define
@@ -55,14 +68,14 @@
     Examples
     --------
     >>> decoder = FrameDecoder()
-    >>> data = encode_frame(b"abc") + encode_end(StreamEnd.CLOSED)
+    >>> data = encode_frame(b"abc") + encode_mark(StreamEnd.CLOSED)
     >>> decoder.feed(data[:5]), decoder.feed(data[5:])
     ([], [b'abc', <StreamEnd.CLOSED: 0>])
     """
 
     buffer: bytearray = attrs.field(factory=bytearray)
 
-    def feed(self, data: bytes) -> list[bytes | StreamEnd]:
+    def feed(self, data: bytes) -> list[bytes | StreamEnd | Notice]:
         """
         Return the frames that are complete with new data.
 
@@ -72,12 +85,12 @@
             If a frame is longer than `MAX_FRAME_BYTES`.
         """
         self.buffer += data
-        found: list[bytes | StreamEnd] = []
+        found: list[bytes | StreamEnd | Notice] = []
         while len(self.buffer) >= HEADER.size:
             (length,) = HEADER.unpack_from(self.buffer)
-            if length in (CLOSED_LENGTH, BROKEN_LENGTH):
+            if length in MARKS:
                 del self.buffer[: HEADER.size]
-                found.append(StreamEnd(length))
+                found.append(MARKS[length])
                 continue
             if length > MAX_FRAME_BYTES:
                 raise FrameError(f"a frame of {length} bytes")
--- a/lentilhaven/links/handshake.py
+++ b/lentilhaven/links/handshake.py
@@ -36,10 +36,13 @@
         The endpoint.
     vm : str
         VM of the gateway that asks.
+    takes_notices : bool
+        Whether it knows the frames of `Notice`; earlier releases do not.
     """
 
     incarnation: Incarnation
     vm: str
+    takes_notices: bool = True
 
 
 class TunnelRefusedError(OSError):
@@ -68,7 +71,12 @@
     True
     """
     endpoint, born = request.incarnation
-    fields = {"endpoint": endpoint, "born": born, "vm": request.vm}
+    fields = {
+        "endpoint": endpoint,
+        "born": born,
+        "vm": request.vm,
+        "notices": request.takes_notices,
+    }
     return json.dumps(fields).encode() + b"\n"
 
 
@@ -83,7 +91,8 @@
     try:
         fields = json.loads(line)
         incarnation = (str(fields["endpoint"]), int(fields["born"]))
-        return TunnelRequest(incarnation, str(fields["vm"]))
+        takes_notices = fields.get("notices") is True
+        return TunnelRequest(incarnation, str(fields["vm"]), takes_notices)
     except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
         return None
 
--- a/lentilhaven/links/tests/test_frames.py
+++ b/lentilhaven/links/tests/test_frames.py
@@ -9,8 +9,8 @@
     FrameDecoder,
     FrameError,
     StreamEnd,
-    encode_end,
     encode_frame,
+    encode_mark,
 )
 from lentilhaven.links.handshake import (
     TunnelError,
@@ -30,7 +30,7 @@
         st.sampled_from(StreamEnd),
     )
     def test_what_was_sent_is_read_whatever_the_pieces(self, chunks, size, end):
-        sent = b"".join(map(encode_frame, chunks)) + encode_end(end)
+        sent = b"".join(map(encode_frame, chunks)) + encode_mark(end)
         decoder = FrameDecoder()
         found = []
         for start in range(0, len(sent), size):
--- a/lentilhaven/links/tests/test_tunnels.py
+++ b/lentilhaven/links/tests/test_tunnels.py
@@ -4,6 +4,8 @@
 import contextlib
 import unittest
 
+import attrs
+
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.links.handshake import (
     TunnelError,
@@ -48,6 +50,9 @@
     def fail(self, kind, detail):
         self.events.append(kind)
 
+    def retire(self):
+        self.events.append("retired")
+
 
 def find(request):
     """Return the endpoint of a request."""
@@ -161,6 +166,40 @@
         self.assertLess(held, 3 * MAX_BUFFER_BYTES)
 
 
+class LeavingTests(unittest.TestCase):
+    """Guards against requests that are sent through a gateway until it ends."""
+
+    def play_leaving(self, request=REQUEST, leaves_at_once=False):
+        """Return what the end of a tunnel is told by a gateway that stops."""
+        is_leaving = []
+
+        def admit(request):
+            if leaves_at_once:
+                is_leaving.append(True)
+            return find(request)
+
+        async def use(recorder, server):
+            await open_tunnel(connect_tcp, RELAY, request, recorder)
+            if not leaves_at_once:
+                server.announce_leaving()
+            recorder.transport.write(b"rest")
+            await asyncio.sleep(0.5)
+            return recorder.data, list(recorder.events)
+
+        return play(echo, use, admit, is_leaving=lambda: bool(is_leaving))
+
+    def test_exchange_in_progress_goes_on(self):
+        self.assertEqual(self.play_leaving(), (b"rest", ["retired"]))
+
+    def test_stop_that_begins_while_the_endpoint_is_connected(self):
+        found = self.play_leaving(leaves_at_once=True)
+        self.assertEqual(found, (b"rest", ["retired"]))
+
+    def test_earlier_release_is_not_told(self):
+        request = attrs.evolve(REQUEST, takes_notices=False)
+        self.assertEqual(self.play_leaving(request), (b"rest", []))
+
+
 class RefusalTests(unittest.TestCase):
     def refuse(self, serve=echo, request=REQUEST, **options):
         """Return the reason for which no endpoint is connected."""
--- a/lentilhaven/links/tunnel_client.py
+++ b/lentilhaven/links/tunnel_client.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any, Protocol
 
-from lentilhaven.links.frames import FrameDecoder, FrameError, StreamEnd
+from lentilhaven.links.frames import FrameDecoder, FrameError, Notice, StreamEnd
 from lentilhaven.links.handshake import (
     MAX_LINE_BYTES,
     TunnelError,
@@ -33,6 +33,9 @@
     def fail(self, kind: str, detail: str) -> None:
         """End with an error."""
 
+    def retire(self) -> None:
+        """Begin nothing new on the connection."""
+
 
 class TunnelConnection(asyncio.Protocol):
     """
@@ -119,6 +122,10 @@
             if isinstance(frame, bytes):
                 self.inner.data_received(frame)
                 continue
+            if frame is Notice.LEAVING:
+                self.inner.retire()
+                continue
+            assert isinstance(frame, StreamEnd)
             self.end = frame
             if frame is StreamEnd.CLOSED:
                 self.inner.eof_received()
--- a/lentilhaven/links/tunnel_server.py
+++ b/lentilhaven/links/tunnel_server.py
@@ -9,7 +9,7 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import report_task_failure
 from lentilhaven.fleet.endpoint import Endpoint
-from lentilhaven.links.frames import StreamEnd, encode_end, encode_frame
+from lentilhaven.links.frames import Notice, StreamEnd, encode_frame, encode_mark
 from lentilhaven.links.handshake import (
     MAX_LINE_BYTES,
     TunnelError,
@@ -73,6 +73,11 @@
             return TunnelError.BUSY
         return self.find_endpoint(request)
 
+    def announce_leaving(self) -> None:
+        """Tell the other gateways to send no further requests through this one."""
+        for tunnel in list(self.tunnels):
+            tunnel.announce_leaving()
+
 
 class Tunnel(asyncio.Protocol):
     """
@@ -167,6 +172,8 @@
             return
         self.endpoint_side = side
         self.transport.write(encode_answer(None))
+        if self.server.is_leaving():
+            self.announce_leaving()
         if self.buffer:
             data, self.buffer = self.buffer, b""
             self.data_received(data)
@@ -183,6 +190,13 @@
             self.transport.write(encode_answer(error))
             self.transport.close()
 
+    def announce_leaving(self) -> None:
+        """Tell the other gateway to use this connection for no further request."""
+        is_connected = self.transport is not None and self.endpoint_side is not None
+        if is_connected and self.request is not None and self.request.takes_notices:
+            assert self.transport is not None
+            self.transport.write(encode_mark(Notice.LEAVING))
+
     def pass_back(self, data: bytes) -> None:
         """Pass on what the endpoint has sent."""
         self.received += len(data)
@@ -192,7 +206,7 @@
     def end(self, end: StreamEnd) -> None:
         """Tell how the endpoint's connection has ended, and close this one."""
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(encode_end(end))
+            self.transport.write(encode_mark(end))
             self.transport.close()
 
     def pause_writing(self) -> None:
--- a/lentilhaven/upstream/connection.py
+++ b/lentilhaven/upstream/connection.py
@@ -176,7 +176,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data; close the connection if no request is in progress."""
         if self.exchange is None:
-            self.reject_unsolicited_data()
+            self.retire()
             return
         self.activity.at = asyncio.get_running_loop().time()
         self.framing_bytes += len(data)
@@ -216,7 +216,7 @@
         self.matches_request = False
         self.ends_at_eof = False
         if self.exchange is None:
-            self.reject_unsolicited_data()
+            self.retire()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header or trailer."""
@@ -260,7 +260,7 @@
     def on_body(self, body: bytes) -> None:
         """Deliver a part of the body, and pause reading if too much is unread."""
         if self.exchange is None:
-            self.reject_unsolicited_data()
+            self.retire()
             return
         self.framing_bytes = 0
         if not self.matches_request:
@@ -410,8 +410,8 @@
             exchange.fail(UpstreamError(kind, detail, sent=True))
         self.abort()
 
-    def reject_unsolicited_data(self) -> None:
-        """Make the connection unusable, and close it if no exchange is in progress."""
+    def retire(self) -> None:
+        """Carry no further exchange; close the connection if there is none."""
         self.usable = False
         if self.exchange is None:
             self.abort()
