Refuse at a leaving VM's router what has no body yet

A router that drains decided when a request's head had arrived whether to take it. A body that ended after it had begun to refuse requests was passed on; one that did not come held the shutdown up until the listener's limit and got 408.

Change: bodies are read within a limit that is set when the refusals begin, and the decision is looked at once more after the body. The callers get 503, `ran` no, at once.

Test before (router/tests/test_kept_connections.py, LateBodyTests):

Tuples differ: (200, True) != (503, True) the body ends 0.05 s after the refusals began Tuples differ: (408, True) != (503, True) it does not end

--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -19,6 +19,7 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import report_task_failure, running_tasks
 from lentilhaven.core.tls import client_context
+from lentilhaven.draining.time_limits import TimeLimits
 from lentilhaven.endpoints.engine_client import EngineClient
 from lentilhaven.endpoints.stage import Stage
 from lentilhaven.endpoints.trace_forwarding import trace_forwarding
@@ -76,6 +77,8 @@
         Whether a shutdown has begun; the router then reports that it is not ready.
     draining : bool
         Whether new requests are refused.
+    intake_limits : TimeLimits
+        Limits the reading of requests' bodies.
     cutting_off : bool
         Whether a shutdown is cancelling the requests in flight.
     requests : dict
@@ -122,6 +125,7 @@
     own_load: Counter[EndpointId] = attrs.field(factory=Counter)
     leaving: bool = False
     draining: bool = False
+    intake_limits: TimeLimits = attrs.field(factory=TimeLimits)
     cutting_off: bool = False
     requests: dict[asyncio.Task, RequestRecord] = attrs.field(factory=dict)
     transports: weakref.WeakSet[asyncio.Transport] = attrs.field(
--- a/lentilhaven/router/router_api.py
+++ b/lentilhaven/router/router_api.py
@@ -145,23 +145,32 @@
     Raises
     ------
     FailureError
-        If the token is unknown, the key or the body is malformed, or the body
-        takes longer than the listener's limit.
+        If the token is unknown, the key or the body is malformed, the body takes
+        longer than the listener's limit, or the VM refuses requests before it ends.
     """
     workspace = authenticate_caller(request)
     bind_contextvars(workspace=workspace.id)
     bad_key = check_idempotency_key(request.headers)
     if bad_key is not None:
         raise FailureError(bad_key)
-    limit = request.app[ROUTER].settings.limits.body_timeout
+    router = request.app[ROUTER]
+    limit = router.settings.limits.body_timeout
     try:
-        async with asyncio.timeout(limit):
+        async with (
+            router.intake_limits.limited() as stop_scope,
+            asyncio.timeout(limit),
+        ):
             await request.read()
     except TimeoutError as error:
+        if stop_scope.expired():
+            failure = leaving_failure("this VM is leaving", Ran.NO)
+            raise FailureError(failure) from error
         detail = f"the body took more than {limit:g} s"
         raise FailureError(Failure(Step.PARSE, "", "slow", detail)) from error
     except web.RequestPayloadError as error:
         raise FailureError(bad_request("the body is malformed")) from error
+    if router.draining:
+        raise FailureError(leaving_failure("this VM is leaving", Ran.NO))
 
 
 def failure_from_http_error(request: web.Request, error: web.HTTPException) -> Failure:
--- a/lentilhaven/router/shutdown.py
+++ b/lentilhaven/router/shutdown.py
@@ -2,9 +2,10 @@
 Graceful shutdown of a router.
 
 The router reports that it is not ready, but accepts requests for `drain_delay`
-seconds, so that the load balancer can notice.  It then refuses new requests and
-waits for those in flight.  Requests are cut off only at the drain limit or on a
-second signal, and their callers receive an error that says so.
+seconds, so that the load balancer can notice.  It then refuses new requests, also
+those whose bodies are incomplete, and waits for those in flight.  Requests are cut off
+only at the drain limit or on a second signal, and their callers receive an error that
+says so.
 """
 
 import asyncio
@@ -46,6 +47,7 @@
         force_stop, router.clock.sleep(router.settings.drain_delay)
     )
     router.draining = True
+    router.intake_limits.set(asyncio.get_running_loop().time())
     limit = router.settings.drain_limit
     try:
         async with asyncio.timeout(limit):
--- a/lentilhaven/router/tests/test_kept_connections.py
+++ b/lentilhaven/router/tests/test_kept_connections.py
@@ -4,6 +4,7 @@
 from urllib.parse import urlsplit
 
 from lentilhaven.gateway.tests.raw_caller import RawCaller
+from lentilhaven.router.shutdown import drain
 from lentilhaven.standins.virtual import run_virtual
 from lentilhaven.testbed import TestbedPlan, open_testbed
 
@@ -67,3 +68,33 @@
             return await caller.ask(request, PATIENCE)
 
         self.assertEqual(self.run_stream(scenario).idle_time, 0.0)
+
+
+class LateBodyTests(unittest.TestCase):
+    """Guards against passing on a request whose body ends after a stop has refused."""
+
+    def play(self, sends_rest):
+        async def main():
+            async with open_testbed(TestbedPlan(drain_delay=0.1)) as testbed:
+                router = testbed.vms[0].router
+                url = urlsplit(testbed.vms[0].url)
+                caller = await RawCaller.connect(url.port, url.hostname)
+                request = completion_request(testbed)
+                caller.writer.write(request[:-4])
+                await asyncio.sleep(0.1)
+                stop = asyncio.ensure_future(drain(router, asyncio.Event()))
+                await asyncio.sleep(0.15)
+                if sends_rest:
+                    caller.writer.write(request[-4:])
+                answer = await caller.read_answer(PATIENCE)
+                return answer, await stop
+
+        return run_virtual(main())
+
+    def test_it_is_refused_as_not_run_at_once(self):
+        for sends_rest in (False, True):
+            with self.subTest(sends_rest=sends_rest):
+                answer, cut_off = self.play(sends_rest)
+                self.assertEqual((answer.status, answer.complete), (503, True))
+                self.assertEqual(json.loads(answer.body)["ran"], "no")
+                self.assertEqual(cut_off, 0)
