--- a/lentilhaven/gateway/tests/test_lead_of_streams.py
+++ b/lentilhaven/gateway/tests/test_lead_of_streams.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 import unittest
 import unittest.mock
 from contextlib import contextmanager
@@ -14,6 +15,7 @@
     events,
     receive_all,
 )
+from lentilhaven.standins.platform.cut_links import Cut
 from lentilhaven.upstream.connection import UpstreamConnection
 
 #: Seconds from the request to the refusal of its first run, and to the answers of the
@@ -49,10 +51,22 @@
     A run that had lost the lead before it had ever led took it back.
     """
 
-    def run_stream(self, reverse):
-        """Return the reply to a stream of which two runs answer during a freeze."""
+    def run_stream(self, reverse, relayed=False):
+        """
+        Return the reply to a stream of which two runs answer during a freeze.
+
+        Parameters
+        ----------
+        reverse : bool
+            Whether the second run's answer is read before the third one's.
+        relayed : bool
+            Whether the gateway reaches the engines through another one.
+        """
 
         async def scenario(bed):
+            if relayed:
+                hosts = {it.host for it in bed.fleet.replicas.values()}
+                bed.links[0].begin_cut(Cut.REFUSE, hosts)
             now = asyncio.get_running_loop().time()
             replicas = bed.fleet.replicas
             replicas["i-a0"].faults.silent_until = now + REFUSAL_AT
@@ -64,6 +78,7 @@
             with holding_data() as held:
                 await asyncio.sleep(WAKE_AT - FREEZE_AT)
             self.assertEqual(len(held), 2)
+            self.assertEqual({it.relayed for it in held}, {relayed})
             for connection in sorted(held, key=list(held).index, reverse=reverse):
                 for data in held[connection]:
                     connection.data_received(data)
@@ -71,12 +86,12 @@
 
         engines = [engine("a0", 0, 4, card="large"), engine("a4", 4, 8, card="large")]
         engines += [engine(f"{it}{at}", at, at + 4) for it in "bc" for at in (0, 4)]
-        return run_on_testbed(scenario, engines)
+        return run_on_testbed(scenario, engines, gateways=2)
 
     def test_caller_gets_the_events_of_one_run(self):
-        for reverse in (False, True):
-            with self.subTest(reverse=reverse):
-                reply = self.run_stream(reverse)
+        for reverse, relayed in itertools.product((False, True), repeat=2):
+            with self.subTest(reverse=reverse, relayed=relayed):
+                reply = self.run_stream(reverse, relayed)
                 self.assertEqual(reply.event_ids, list(range(1, EVENTS + 1)))
                 self.assertTrue(reply.complete)
 
