Send each HTTP request of the programs once

Cause: aiohttp sends a request with an idempotent method again by itself if its connection is lost before the head of the answer is complete, also on a new connection. The caller gets the answer to a request that it does not know of. Only calls to plain services had this off.

Change: open_session opens all sessions, and sends each request once. Whoever calls repeats reads already, as after any other failure; an edit of the tables or a lease whose answer is lost reads its own write back. The exception for plain services goes.

The stand-in of test_answer_body closed its connection without saying so, and the listing of test_odd_pages went on at another one by such a hidden second request; it says so now, and the test asks for the same outcome.

--- a/lentilhaven/agent/agent.py
+++ b/lentilhaven/agent/agent.py
@@ -11,6 +11,7 @@
 from lentilhaven.agent.view_feed import ViewFeed
 from lentilhaven.control.view import EndpointView, View
 from lentilhaven.control.view_update import ViewUpdate
+from lentilhaven.core.client_session import open_session
 from lentilhaven.core.clock import Clock
 from lentilhaven.core.ids import EndpointId
 from lentilhaven.core.logs import get_logger
@@ -265,7 +266,7 @@
     generator = rng or random.SystemRandom()
     members = Members(settings.vm, settings.data_centre)
     async with (
-        aiohttp.ClientSession(connector=connector) as session,
+        open_session(connector=connector) as session,
         open_journal_host(
             settings.vm,
             client.for_share(Share.JOURNAL),
--- a/lentilhaven/cli/connection.py
+++ b/lentilhaven/cli/connection.py
@@ -15,6 +15,7 @@
 from lentilhaven.cli.exit_codes import ExitCode
 from lentilhaven.cli.output import report_failure
 from lentilhaven.core.answer_body import read_answer_json
+from lentilhaven.core.client_session import open_session
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.secrets import read_secret
 from lentilhaven.core.step import Step
@@ -170,7 +171,7 @@
         open_object_client(
             settings.store_url, aiohttp.TCPConnector(ssl=store_tls)
         ) as store,
-        aiohttp.ClientSession(
+        open_session(
             connector=aiohttp.TCPConnector(ssl=vm_tls), headers=headers
         ) as session,
     ):
--- a/lentilhaven/core/tests/test_answer_body.py
+++ b/lentilhaven/core/tests/test_answer_body.py
@@ -32,7 +32,8 @@
 
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        fields = b"Connection: close\r\nContent-Length: %d\r\n\r\n" % len(body)
+        writer.write(HEAD + fields + body)
         await writer.drain()
         writer.close()
 
--- a/lentilhaven/endpoints/service_client.py
+++ b/lentilhaven/endpoints/service_client.py
@@ -111,7 +111,6 @@
             headers=call.headers,
             timeout=limit,
             allow_redirects=False,
-            middlewares=[send_once()],
         ) as response:
             ran = Ran.YES
             body = await read_answer_body(response, MAX_RESPONSE_BYTES)
@@ -122,27 +121,6 @@
         return Error(service_lost_failure(endpoint, error, ran))
 
 
-def send_once() -> aiohttp.ClientMiddlewareType:
-    """
-    Return a middleware that prevents aiohttp from sending a request twice.
-
-    When a connection is lost, aiohttp resends a request whose method is idempotent
-    by default.  Here only the route defines which requests are idempotent.
-    """
-    sent = False
-
-    async def middleware(
-        request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-    ) -> aiohttp.ClientResponse:
-        nonlocal sent
-        if sent:
-            raise aiohttp.ServerDisconnectedError("the connection was lost")
-        sent = True
-        return await handler(request)
-
-    return middleware
-
-
 def service_lost_failure(
     endpoint: EndpointSpec, error: BaseException, ran: Ran
 ) -> Failure:
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -6,10 +6,10 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
 
-import aiohttp
 import attrs
 import structlog
 
+from lentilhaven.core.client_session import open_session
 from lentilhaven.core.ids import VmId
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import keep_running, running_tasks
@@ -192,7 +192,7 @@
             )
         )
         session = await stack.enter_async_context(
-            aiohttp.ClientSession(connector=factories.connector())
+            open_session(connector=factories.connector())
         )
         gateway.session = session
         lease = await stack.enter_async_context(open_lease(make_lease(gateway, client)))
--- a/lentilhaven/objects/object_client.py
+++ b/lentilhaven/objects/object_client.py
@@ -24,6 +24,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from lentilhaven.core.client_session import open_session
 from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.step import Step
@@ -302,5 +303,5 @@
         Replaces the system's clock.
     """
     timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT)
-    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+    async with open_session(connector=connector, timeout=timeout) as session:
         yield ObjectClient(base_url, session, clock or system_clock())
--- a/lentilhaven/platform/store_client.py
+++ b/lentilhaven/platform/store_client.py
@@ -11,6 +11,7 @@
 from expression import Error, Ok, Result
 
 from lentilhaven.core.answer_body import AnswerTooLargeError, read_answer_body
+from lentilhaven.core.client_session import open_session
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.step import Step
 from lentilhaven.core.store_position import StorePosition
@@ -390,7 +391,7 @@
         Takes the era of the store that an answer names.
     """
     connector = (make_connector or make_store_connector)()
-    async with aiohttp.ClientSession(connector=connector) as session:
+    async with open_session(connector=connector) as session:
         yield StoreClient(
             f"http://{address}", session, call_timeout, acquire_permit, note_era
         )
--- a/lentilhaven/router/router.py
+++ b/lentilhaven/router/router.py
@@ -14,6 +14,7 @@
 
 from lentilhaven.answers.event_id import derive_key
 from lentilhaven.control.view import EndpointState, View
+from lentilhaven.core.client_session import open_session
 from lentilhaven.core.clock import Clock
 from lentilhaven.core.ids import EndpointId, PoolName, RouteName, WorkspaceId
 from lentilhaven.core.logs import get_logger
@@ -312,8 +313,8 @@
         fresh_connector = aiohttp.TCPConnector(limit=0, force_close=True, ssl=ssl)
     trace = [trace_forwarding()]
     async with (
-        aiohttp.ClientSession(connector=connector, trace_configs=trace) as session,
-        aiohttp.ClientSession(connector=fresh_connector, trace_configs=trace) as fresh,
+        open_session(connector=connector, trace_configs=trace) as session,
+        open_session(connector=fresh_connector, trace_configs=trace) as fresh,
     ):
         agent = AgentClient(settings.agent_url, session, token)
         engines = EngineClient(session, fresh)
