Let callers of the soak send bodies slowly

One in twenty requests with a body sends its last byte up to 1.2 s late, so that bodies cross the moment in which a stopping gateway begins to refuse requests, and edits and restarts.

--- a/lentilhaven/bench/soak/kept_connection.py
+++ b/lentilhaven/bench/soak/kept_connection.py
@@ -133,10 +133,21 @@
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 self.streams = await asyncio.open_connection(host, int(port))
 
-    async def exchange(self, request: bytes, response: ResponseReader) -> None:
+    async def exchange(
+        self, request: bytes, response: ResponseReader, pause: float = 0.0
+    ) -> None:
         """
         Send a request and read until the response or the connection ends.
 
+        Parameters
+        ----------
+        request : bytes
+            The request.
+        response : ResponseReader
+            Takes what is received.
+        pause : float
+            Seconds before the last byte of the request.
+
         Raises
         ------
         OSError
@@ -146,6 +157,10 @@
         """
         assert self.streams is not None
         reader, writer = self.streams
+        if pause:
+            writer.write(request[:-1])
+            await asyncio.sleep(pause)
+            request = request[-1:]
         writer.write(request)
         while not response.complete:
             data = await reader.read(CHUNK_SIZE)
--- a/lentilhaven/bench/soak/soak_callers.py
+++ b/lentilhaven/bench/soak/soak_callers.py
@@ -45,6 +45,10 @@
 #: each time.
 HOT_FRACTION, HOT_TARGET, HOT_BODY = 0.2, "/{}/hot", b"hot body"
 
+#: Fraction of the requests with a body whose last byte comes late, and the maximum
+#: seconds by which it does.
+SLOW_FRACTION, MAX_BODY_PAUSE = 0.05, 1.2
+
 #: Statuses that guarantee that a request has not run and will not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -92,6 +96,8 @@
         Whether the connection had carried a response before.
     closed : bool
         Whether the gateway ended the connection before a complete response.
+    body_pause : float
+        Seconds before the last byte of the body.
     """
 
     id: str
@@ -111,6 +117,7 @@
     prompt: str = ""
     reused: bool = False
     closed: bool = False
+    body_pause: float = 0.0
 
     @sent_body.default
     def _default_body(self) -> bytes:
@@ -197,6 +204,8 @@
         if self.random.random() < HOT_FRACTION:
             attempt.target = HOT_TARGET.format(kind)
             attempt.sent_body = attempt.sent_body and HOT_BODY
+        if attempt.sent_body and self.random.random() < SLOW_FRACTION:
+            attempt.body_pause = self.random.uniform(0.0, MAX_BODY_PAUSE)
         is_faulty = has_faulty_prompts and self.random.random() < FAULTY_FRACTION
         if attempt.events:
             middle = f"{self.crashing_part}:30," if is_faulty else ""
@@ -239,7 +248,7 @@
             await connection.ensure_open()
             attempt.reused = connection.is_reused
             async with asyncio.timeout(CALLER_TIMEOUT):
-                await connection.exchange(request, response)
+                await connection.exchange(request, response, attempt.body_pause)
             attempt.closed = not response.complete
         except ConnectionRefusedError:
             attempt.reached = False
