Leave the fields of broken heads out of errors

Failures of calls whose answer broke off within its head, or had a malformed one, repeated what had arrived of it, also a peer's cookie or token. They are logged, and the details of some are told to callers.

Cause: aiohttp puts the partial head, or the line that it can't read, into the message of the error.

Change: sessions of open_session name what is wrong with the head, and not the head. A malformed head is no longer told as an answer with status 400.

--- a/lentilhaven/core/client_session.py
+++ b/lentilhaven/core/client_session.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import aiohttp
+from aiohttp.http_exceptions import HttpProcessingError
 
 
 @asynccontextmanager
@@ -22,8 +23,34 @@
     ----------
     **options
         Options of `aiohttp.ClientSession`.
+
+    See Also
+    --------
+    without_head : What its errors leave out.
     """
-    async with aiohttp.ClientSession(**options) as session:
+    async with aiohttp.ClientSession(middlewares=[without_head], **options) as session:
         # aiohttp has no public option for this; its own test client sets the same.
         session._retry_connection = False
         yield session
+
+
+async def without_head(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """
+    Leave out of an error what has arrived of a head that can't be read.
+
+    aiohttp puts it into the message if the head breaks off or is malformed.  Its fields
+    may hold secrets, and messages of errors are logged and told to callers.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ServerDisconnectedError as error:
+        if isinstance(error.message, str):
+            raise
+        detail = "the answer broke off within its head"
+        raise aiohttp.ServerDisconnectedError(detail) from None
+    except aiohttp.ClientResponseError as error:
+        if not isinstance(error.__cause__, HttpProcessingError):
+            raise
+        raise aiohttp.ClientPayloadError("the head is malformed") from None
--- a/lentilhaven/core/tests/test_cut_answers.py
+++ b/lentilhaven/core/tests/test_cut_answers.py
@@ -32,15 +32,20 @@
 #: Seconds after which a call gives up.
 TIMEOUT = 5.0
 
+#: What no failure may repeat: failures are logged, and told to callers.
+SECRET = b"token-of-the-peer"
+
 #: What arrives of the answer's head.
 CUTS = (
     b"",
     b"HTTP/1.1 200",
     b"HTTP/1.1 200 OK\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nSet-Cookie: " + SECRET + b"\r\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nETag: 1\r\n",
     b"HTTP/1.1 200 OK\r\nConnection: close\r\nA",
     b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+    # A head that can't be read, whose error shows where.
+    b"HTTP/1.1 200 OK\r\nSet-Cookie: " + SECRET + b"\x00\r\n\r\n",
 )
 
 
@@ -146,8 +151,8 @@
 
 
 async def play(call):
-    """Make a call for each cut and end; return those that went wrong."""
-    wrong, arrivals, answer = [], [], SimpleNamespace()
+    """Make a call for each cut and end; return those that went wrong, and all."""
+    wrong, outcomes, arrivals, answer = [], [], [], SimpleNamespace()
 
     async def serve(reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
@@ -172,12 +177,13 @@
             for answer.end in (close_in_order, reset):
                 arrivals.clear()
                 outcome = await call(place)
+                outcomes.append(outcome)
                 if not is_error(outcome) or len(arrivals) != 1:
                     wrong.append(
                         (answer.cut, answer.end.__name__, outcome, arrivals[:])
                     )
     server.close()
-    return wrong
+    return wrong, outcomes
 
 
 class CutAnswerTests(unittest.TestCase):
@@ -186,7 +192,14 @@
     def test_each_call_fails_and_is_made_once(self):
         for name, call in CALLS.items():
             with self.subTest(name):
-                self.assertEqual(asyncio.run(play(call)), [])
+                self.assertEqual(asyncio.run(play(call))[0], [])
+
+    def test_fields_of_a_head_are_not_told(self):
+        """Guards against secrets of a peer in logs and in answers to callers."""
+        for name, call in CALLS.items():
+            with self.subTest(name):
+                outcomes = asyncio.run(play(call))[1]
+                self.assertNotIn(SECRET.decode(), repr(outcomes))
 
 
 class LostConfirmationTests(unittest.TestCase):
