Pass on an answer that has come as a stopping gateway cuts a request off

An attempt that had ended in the iteration of the event loop in which the limit of a stop was reached was not looked at, so that its caller would have got 502 although the answer was there.

--- a/lentilhaven/draining/time_limits.py
+++ b/lentilhaven/draining/time_limits.py
@@ -44,7 +44,8 @@
         """Cut off the work in progress, and all that begins later, at a time."""
         self.at = at
         for scope in self.scopes:
-            scope.reschedule(at)
+            if not scope.expired():
+                scope.reschedule(at)
 
     @asynccontextmanager
     async def limited(self) -> AsyncIterator[asyncio.Timeout]:
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -163,6 +163,12 @@
         elif outcome.kind not in UNSENT_KINDS:
             self.refusals += 1
 
+    def record_done(self) -> None:
+        """Record the outcomes of the attempts that have ended."""
+        for task in [it for it in self.running if it.done()]:
+            self.running.discard(task)
+            self.record(task.result())
+
     def may_continue(self, call: Call) -> bool:
         """Return whether the request may be sent to another replica."""
         if self.refusals >= MAX_REFUSALS or self.succeeded or self.is_harmful:
@@ -203,6 +209,7 @@
         async with gateway.work_limits.limited():
             await run_attempts(gateway, call, attempts)
     except TimeoutError:
+        attempts.record_done()
         log_cut_off(gateway, call, attempts.may_have_run)
         if not isinstance(attempts.last_run, UpstreamResponse):
             return make_error_response(cut_off_failure(attempts.may_have_run))
@@ -300,11 +307,10 @@
     timeout : float or None
         Seconds after which to give up; None to wait without a limit.
     """
-    done, attempts.running = await asyncio.wait(
+    await asyncio.wait(
         attempts.running, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
     )
-    for task in done:
-        attempts.record(task.result())
+    attempts.record_done()
 
 
 def make_response(
