Call a caller's workspace so within the gateway

Change: Manifest.workspaces, Workspace and Call.workspace; the wire stays as it is, and so do the stand-ins that speak it.

--- a/lentilhaven/fleet/manifest.py
+++ b/lentilhaven/fleet/manifest.py
@@ -27,9 +27,9 @@
 
 
 @attrs.frozen
-class Tenant:
+class Workspace:
     """
-    A workspace.
+    A workspace whose API keys a manifest names.
 
     Attributes
     ----------
@@ -56,8 +56,8 @@
         `RouteRule` by host and path prefix.
     services : dict
         `ServiceSpec` by name.
-    tenants : dict or None
-        `Tenant` by API key; None if requests need no key.
+    workspaces : dict or None
+        `Workspace` by API key; None if requests need no key.
     limits : RequestLimits
         Limits on callers' requests and connections.
     """
@@ -65,7 +65,7 @@
     version: int
     routes: dict[tuple[str, str], RouteRule]
     services: dict[str, ServiceSpec]
-    tenants: dict[str, Tenant] | None = None
+    workspaces: dict[str, Workspace] | None = None
     limits: RequestLimits = attrs.field(factory=RequestLimits)
 
     def find_route(self, host: str, path: str) -> RouteRule | None:
--- a/lentilhaven/gateway/call.py
+++ b/lentilhaven/gateway/call.py
@@ -30,7 +30,7 @@
         The route that the request matches.
     service : str
         Name of the service that handles the request.
-    tenant : str
+    workspace : str
         Name of the caller's workspace; empty if the request was accepted without a
         known API key.
     priority : int
@@ -49,7 +49,7 @@
     body: bytes
     route: RouteRule
     service: str
-    tenant: str
+    workspace: str
     priority: int
     arrived: float
     deadline: float
@@ -64,7 +64,7 @@
         Attempts of a caller differ in their id, and the headers do not count.
         """
         found = hashlib.blake2b(digest_size=DIGEST_BYTES)
-        for text in (self.tenant, self.method, self.route.host, self.target):
+        for text in (self.workspace, self.method, self.route.host, self.target):
             encoded = text.encode("utf-8", "surrogateescape")
             found.update(b"%d:%b" % (len(encoded), encoded))
         found.update(self.body)
--- a/lentilhaven/gateway/crash_checks.py
+++ b/lentilhaven/gateway/crash_checks.py
@@ -210,7 +210,7 @@
     """Record that an endpoint has ended before a run on it was answered."""
     now = asyncio.get_running_loop().time()
     add_ends(gateway, record, endpoint.incarnation, now)
-    log_lost(gateway, call.id, call.tenant, endpoint.incarnation, record)
+    log_lost(gateway, call.id, call.workspace, endpoint.incarnation, record)
     gateway.urgent_signal.notify()
     begin_end_check(gateway, endpoint)
 
--- a/lentilhaven/gateway/intake.py
+++ b/lentilhaven/gateway/intake.py
@@ -68,7 +68,7 @@
     timeout = route.timeout
     if head.timeout is not None:
         timeout = min(timeout, head.timeout)
-    tenant, priority = identity
+    workspace, priority = identity
     return Ok(
         Call(
             method=request.method,
@@ -77,7 +77,7 @@
             body=read.ok,
             route=route,
             service=choose_service(gateway, route),
-            tenant=tenant,
+            workspace=workspace,
             priority=priority,
             arrived=arrived,
             deadline=arrived + timeout,
@@ -126,13 +126,13 @@
         None if the route needs an API key and the request has no known one.  On an
         anonymous route an unknown key is ignored, and the name is empty.
     """
-    if manifest.tenants is None:
+    if manifest.workspaces is None:
         return "", route.priority
-    tenant = manifest.tenants.get(head.api_key) if head.api_key else None
-    if tenant is None:
+    workspace = manifest.workspaces.get(head.api_key) if head.api_key else None
+    if workspace is None:
         return ("", route.priority) if route.anonymous else None
-    priority = route.priority if tenant.priority is None else tenant.priority
-    return tenant.name, priority
+    priority = workspace.priority
+    return workspace.name, route.priority if priority is None else priority
 
 
 def choose_service(gateway: Gateway, route: RouteRule) -> str:
--- a/lentilhaven/gateway/limit_checks.py
+++ b/lentilhaven/gateway/limit_checks.py
@@ -41,7 +41,7 @@
     """Count an attempt to send a request."""
     now = asyncio.get_running_loop().time()
     demand = gateway.demands.setdefault(call.service, ServiceDemand())
-    demand.record(call.tenant, now)
+    demand.record(call.workspace, now)
     return SendAttempt()
 
 
@@ -96,8 +96,8 @@
     scale = 1.0
     if 0.0 < fraction < 1.0:
         counts = dict(gateway.demands[call.service].by_workspace)
-        counts.setdefault(call.tenant, 1)
-        scale = fair_fraction(counts, call.tenant, fraction) / fraction
+        counts.setdefault(call.workspace, 1)
+        scale = fair_fraction(counts, call.workspace, fraction) / fraction
     permitted = permitted_endpoints(rates, demand, attempt.position, scale)
     return {
         endpoint.id
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -118,7 +118,7 @@
         route=call.route.name,
         service=call.service,
         kind=call.route.kind.value,
-        workspace=call.tenant,
+        workspace=call.workspace,
         status=response.status,
         ms=to_milliseconds(loop.time() - began),
         manifest=call.manifest_version,
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -496,7 +496,7 @@
         If the exchange fails.
     """
     loop = asyncio.get_running_loop()
-    own = gateway_headers(endpoint, call.deadline - loop.time(), call.tenant)
+    own = gateway_headers(endpoint, call.deadline - loop.time(), call.workspace)
     request = encode_request(call.method, call.target, call.head, len(call.body), own)
     with (
         recording_run(gateway, call, [endpoint]) as record,
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -128,7 +128,7 @@
         own = gateway_headers(
             first,
             call.deadline - loop.time(),
-            call.tenant,
+            call.workspace,
             call.priority,
             chain.parts,
             relay.last_event_id,
--- a/lentilhaven/gateway/tests/test_call.py
+++ b/lentilhaven/gateway/tests/test_call.py
@@ -20,7 +20,7 @@
         "body": b"count 7",
         "route": manifest.find_route(HOST, "/look/7"),
         "service": "stock",
-        "tenant": "depot",
+        "workspace": "depot",
         "priority": 1,
         "arrived": 0.0,
         "deadline": 1.0,
@@ -39,13 +39,13 @@
     def test_each_part_of_the_identity_counts(self):
         route = make_call().route
         changes = (
-            {"tenant": "yard"},
+            {"workspace": "yard"},
             {"method": "GET"},
             {"target": "/look/8"},
             {"target": "/look/7?x=1"},
             {"body": b"count 8"},
             {"body": b""},
-            {"tenant": "depo", "method": "tPOST"},
+            {"workspace": "depo", "method": "tPOST"},
             {"route": attrs.evolve(route, host="other.example")},
         )
         found = {make_call(**change).digest for change in changes}
--- a/lentilhaven/platform/manifest_format.py
+++ b/lentilhaven/platform/manifest_format.py
@@ -4,7 +4,7 @@
 
 from lentilhaven.core.json_numbers import to_integer, to_number
 from lentilhaven.fleet.engine_spec import AcceleratorType, EngineSpec
-from lentilhaven.fleet.manifest import Manifest, RequestLimits, Tenant
+from lentilhaven.fleet.manifest import Manifest, RequestLimits, Workspace
 from lentilhaven.fleet.route_rule import RouteKind, RouteRule
 from lentilhaven.fleet.service_spec import ServiceSpec
 
@@ -41,7 +41,7 @@
         version=to_integer(value["version"]),
         routes={(route.host.lower(), route.path_prefix): route for route in routes},
         services={service.name: service for service in services},
-        tenants=decode_tenants(value.get("tenants")),
+        workspaces=decode_workspaces(value.get("tenants")),
         limits=decode_limits(value.get("limits") or {}),
     )
 
@@ -120,19 +120,21 @@
     )
 
 
-def decode_tenants(value: list[dict[str, Any]] | None) -> dict[str, Tenant] | None:
+def decode_workspaces(
+    value: list[dict[str, Any]] | None,
+) -> dict[str, Workspace] | None:
     """Return the workspaces by API key, or None if requests need no key."""
     if value is None:
         return None
-    tenants = {}
-    for tenant in value:
-        priority = tenant.get("priority")
-        entry = Tenant(
-            tenant["name"], None if priority is None else to_integer(priority)
+    workspaces = {}
+    for entry in value:
+        priority = entry.get("priority")
+        workspace = Workspace(
+            entry["name"], None if priority is None else to_integer(priority)
         )
-        for key in tenant.get("api_keys") or []:
-            tenants[key] = entry
-    return tenants
+        for key in entry.get("api_keys") or []:
+            workspaces[key] = workspace
+    return workspaces
 
 
 def decode_limits(value: dict[str, Any]) -> RequestLimits:
--- a/lentilhaven/platform/tests/test_formats.py
+++ b/lentilhaven/platform/tests/test_formats.py
@@ -101,7 +101,7 @@
         self.assertTrue(route.repeatable)
         self.assertFalse(manifest.find_route("depot.example", "/once/x").repeatable)
         self.assertEqual(manifest.services["gen"].engine.layers, 8)
-        self.assertEqual(manifest.tenants["key-of-depot"].name, "depot")
+        self.assertEqual(manifest.workspaces["key-of-depot"].name, "depot")
         self.assertEqual(manifest.limits.idle_timeout, 30.0)
 
     def test_decodes_a_traffic_split(self):
@@ -125,7 +125,7 @@
     def test_requires_no_keys_without_tenants(self):
         value = sample_manifest()
         del value["tenants"]
-        self.assertIsNone(decode_manifest(value).tenants)
+        self.assertIsNone(decode_manifest(value).workspaces)
 
 
 class SettingsTests(unittest.TestCase):
