Name what broken heads and retired connections need for themselves

Cause: reading the change as a newcomer, `without_head` and `leave_tunnels` could not be understood without their callers, two comments named no subject, and one docstring had a figure of speech. Callers saw nothing of it.

Change: hide_unreadable_head, retire_tunnels, and the texts.

--- a/lentilhaven/core/client_session.py
+++ b/lentilhaven/core/client_session.py
@@ -26,15 +26,17 @@
 
     See Also
     --------
-    without_head : What its errors leave out.
+    hide_unreadable_head : Keeps secrets of peers out of its errors.
     """
-    async with aiohttp.ClientSession(middlewares=[without_head], **options) as session:
+    async with aiohttp.ClientSession(
+        middlewares=[hide_unreadable_head], **options
+    ) as session:
         # aiohttp has no public option for this; its own test client sets the same.
         session._retry_connection = False
         yield session
 
 
-async def without_head(
+async def hide_unreadable_head(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
     """
--- a/lentilhaven/draining/signal_time.py
+++ b/lentilhaven/draining/signal_time.py
@@ -43,7 +43,7 @@
         def note_time(number: int, frame: FrameType | None) -> None:
             self.at = min(self.at, loop.time())
 
-        # The interpreter wakes the loop whatever the handler is.
+        # The loop is woken through a descriptor, so that its callbacks still run.
         for number in numbers:
             signal.signal(number, note_time)
 
--- a/lentilhaven/draining/stop_schedule.py
+++ b/lentilhaven/draining/stop_schedule.py
@@ -9,8 +9,8 @@
 #: Seconds before the end of the grace period at which the process exits.
 GRACE_MARGIN = 0.6
 
-#: Seconds before that at which requests that have not ended are answered, so that the
-#: answers reach their callers.
+#: Seconds before the exit at which requests that have not ended are answered, so that
+#: the answers reach their callers.
 ANSWER_MARGIN = 0.3
 
 
@@ -73,7 +73,7 @@
     >>> [round(it, 3) for it in (stop.refuse_at, stop.answer_at, stop.end_at)]
     [12.6, 17.1, 17.4]
 
-    A grace period that is too short for all of this leaves out the first part:
+    A grace period no longer than the margin leaves time for nothing:
 
     >>> plan_stop(10.0, 0.5)
     StopSchedule(began=10.0, refuse_at=10.0, answer_at=10.0, end_at=10.0)
--- a/lentilhaven/gateway/endpoint_links.py
+++ b/lentilhaven/gateway/endpoint_links.py
@@ -348,6 +348,6 @@
     host, _, port = gateway.peers.own.address.rpartition(":")
     server = make_tunnel_server(gateway, connect)
     gateway.tunnels = server.tunnels
-    gateway.leave_tunnels = server.announce_leaving
+    gateway.retire_tunnels = server.announce_leaving
     async with open_tunnel_listener(server, host, int(port)):
         yield
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -98,8 +98,8 @@
         Checks of links to endpoints that are in progress.
     tunnels : set
         Connections of other gateways to endpoints through this one.
-    leave_tunnels : callable
-        Tells the other gateways to send no further requests on them.
+    retire_tunnels : callable
+        Tells the other gateways to send no further requests on these connections.
     urgent_signal : Signal
         Wakes the task that sends messages to the other gateways.
     pace_questions : dict
@@ -150,7 +150,7 @@
     end_checks: dict[Incarnation, asyncio.Future[None]] = attrs.field(factory=dict)
     link_checks: set[asyncio.Future[None]] = attrs.field(factory=set)
     tunnels: Collection[object] = ()
-    leave_tunnels: Callable[[], None] = lambda: None
+    retire_tunnels: Callable[[], None] = lambda: None
     urgent_signal: Signal = attrs.field(factory=Signal)
     pace_questions: dict[tuple[str, int], Endpoint] = attrs.field(factory=dict)
     pace_signal: Signal = attrs.field(factory=Signal)
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -306,7 +306,7 @@
     stop = gateway.stop = plan_stop(began, gateway.settings.grace)
     gateway.intake_limits.set(stop.refuse_at)
     gateway.work_limits.set(stop.answer_at)
-    gateway.leave_tunnels()
+    gateway.retire_tunnels()
     await asyncio.sleep(stop.refuse_at - loop.time())
     gateway.refuses_requests = True
     await listener.stop()
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -214,8 +214,8 @@
     """
     Return whether a stream may begin on a chain at a gateway that may be stopping.
 
-    One that would be cut off is better served by another gateway from its first event
-    on.  One that has begun goes on here as far as it gets.
+    Another gateway serves one that would be cut off here without a break.  One that has
+    begun goes on until the process ends, and its caller may go on from there.
     """
     stop = relay.gateway.stop
     if stop is None or relay.response is not None or relay.runs > 0:
