--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Collection, Sequence
 
-import attrs
-
+from lentilhaven.chains.candidate_sets import drop_dominated, hold_starts
 from lentilhaven.chains.chain import Chain
 from lentilhaven.chains.chain_costs import ChainCosts
 from lentilhaven.chains.chain_search import Candidate, find_chain
@@ -15,6 +14,7 @@
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.pipe_meter import pipe_name
+from lentilhaven.locality import stays_local
 from lentilhaven.peering.load_sums import LoadSums
 
 #: Relative increase of a request's estimated time on an engine whose KV memory is
@@ -105,8 +105,11 @@
     """
     costs = build_costs(gateway, spec, call, now)
     candidates = find_candidates(gateway, call, spec, excluded, costs, now)
-    candidates = drop_dominated(hold_starts(candidates, held))
-    chain = find_chain(LayerSpan(0, spec.layers), candidates, costs.hop_ms)
+    candidates = hold_starts(candidates, held)
+    chain = find_local_chain(gateway, call.route, costs, candidates)
+    if chain is None:
+        kept = drop_dominated(candidates)
+        chain = find_chain(LayerSpan(0, spec.layers), kept, costs.hop_ms)
     if chain is None:
         return None
     chain.check(spec.layers)
@@ -122,14 +125,24 @@
     return chain
 
 
-def hold_starts(
-    candidates: Sequence[Candidate], held: Collection[str]
-) -> list[Candidate]:
-    """Return candidates of which those with given ids may not begin a chain."""
-    return [
-        attrs.evolve(it, may_begin=False) if it.endpoint.id in held else it
-        for it in candidates
-    ]
+def find_local_chain(
+    gateway: Gateway,
+    route: RouteRule,
+    costs: ChainCosts,
+    candidates: Sequence[Candidate],
+) -> Chain | None:
+    """Return a chain in the gateway's data centre that is in time, or None."""
+    own = gateway.settings.data_centre
+    local = [it for it in candidates if it.endpoint.data_centre == own]
+    if len(local) == len(candidates):
+        return None
+    layers = LayerSpan(0, costs.spec.layers)
+    chain = find_chain(layers, drop_dominated(local), costs.hop_ms)
+    if chain is None:
+        return None
+    pause = costs.mean_pause(chain.cost)
+    longest = route.gap_target or route.stream_patience
+    return chain if stays_local(pause, longest, gateway.random) else None
 
 
 def possible_starts(
@@ -171,54 +184,6 @@
     ]
 
 
-def drop_dominated(candidates: Sequence[Candidate]) -> list[Candidate]:
-    """
-    Drop dominated candidates, except some that have equal layers and equal cost.
-
-    A dominating candidate is in the same data centre, holds at least the same layers,
-    is not slower and can begin a chain if the other one can.  Of candidates that
-    dominate each other, one is kept.  A dominated candidate also stays if it has the
-    same layers and cost as the dominating one and comes before it, as `widest_first`
-    ignores `may_begin`.
-
-    Dropping candidates shortens the search, whose time grows with the square of their
-    number: with all 93 engines of a large deployment, it takes 3.7 ms.
-
-    Examples
-    --------
-    >>> def make(name, start, end, cost):
-    ...     span = LayerSpan(start, end)
-    ...     return Candidate(Endpoint(name, "s", name, "z", layers=span), cost)
-    >>> kept = drop_dominated([make("a", 0, 4, 1.0), make("b", 1, 3, 2.0)])
-    >>> [it.endpoint.id for it in kept]
-    ['a']
-    """
-    kept: dict[str, list[Candidate]] = {}
-    for it in sorted(candidates, key=widest_first):
-        local = kept.setdefault(it.endpoint.data_centre, [])
-        if not any(dominates(other, it) for other in local):
-            local.append(it)
-    return [it for local in kept.values() for it in local]
-
-
-def widest_first(candidate: Candidate) -> tuple[int, float]:
-    """Return a sort key: most layers first, then lowest cost."""
-    span = candidate.endpoint.layers
-    return -len(span) if span is not None else 0, candidate.layer_cost
-
-
-def dominates(one: Candidate, other: Candidate) -> bool:
-    """Return whether a candidate makes another in its data centre unnecessary."""
-    wide, narrow = one.endpoint.layers, other.endpoint.layers
-    return (
-        one.layer_cost <= other.layer_cost
-        and wide is not None
-        and narrow is not None
-        and wide.contains(narrow)
-        and (one.may_begin or not other.may_begin)
-    )
-
-
 def live_engines_cover_model(
     gateway: Gateway,
     call: Call,
--- a/lentilhaven/gateway/tests/test_chain_choice.py
+++ b/lentilhaven/gateway/tests/test_chain_choice.py
@@ -3,12 +3,12 @@
 
 from hypothesis import given, settings, strategies as st
 
+from lentilhaven.chains.candidate_sets import drop_dominated
 from lentilhaven.chains.chain_costs import ChainCosts
 from lentilhaven.chains.chain_search import Candidate, find_chain
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.engine_spec import AcceleratorType, EngineSpec
 from lentilhaven.fleet.layer_span import LayerSpan
-from lentilhaven.gateway.chain_choice import drop_dominated
 from lentilhaven.placement.plan import plan_layers
 
 #: Cards of each kind in `SPEC`, by data centre, in the largest known deployment.
