--- a/lentilhaven/chains/candidate_sets.py
+++ b/lentilhaven/chains/candidate_sets.py
@@ -32,6 +32,8 @@
 
     Examples
     --------
+    >>> from lentilhaven.fleet.endpoint import Endpoint
+    >>> from lentilhaven.fleet.layer_span import LayerSpan
     >>> def make(name, start, end, cost):
     ...     span = LayerSpan(start, end)
     ...     return Candidate(Endpoint(name, "s", name, "z", layers=span), cost)
