--- a/lentilhaven/recovery/silence_limit.py
+++ b/lentilhaven/recovery/silence_limit.py
@@ -9,7 +9,7 @@
 #: once, it takes 0.08 s in the median and 0.2 s at the 90th percentile.
 RECOVERY_TIME = 0.15
 
-#: Least silence that counts as a fault, in seconds, whatever a route's longest pause is,
+#: Least silence that counts as a fault, in seconds, whatever a route's pause may be,
 #: and the one for a route that states none.
 LEAST_SILENCE, USUAL_SILENCE = 0.08, 0.14
 
