Let requests wait for the first manifest of a starting gateway

Change: a request waits for the manifest for up to 1 s, and a fifth of the caller's time; a refusal then names 2 s or more, spread, within a third of the time left. Tests: the three of test_first_manifest fail before (503 at once, 0.5 s).

--- a/lentilhaven/gateway/intake.py
+++ b/lentilhaven/gateway/intake.py
@@ -6,6 +6,7 @@
 from expression import Error, Ok, Result
 
 from lentilhaven.core.failure import Failure
+from lentilhaven.core.logs import get_logger
 from lentilhaven.core.step import Step
 from lentilhaven.draining.failures import leaving_failure
 from lentilhaven.fleet.manifest import Manifest
@@ -13,10 +14,11 @@
 from lentilhaven.gateway.body_memory import BodyGivenUpError, HeldBody
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.limits.retry_time import MAX_SHARE_OF_TIME_LEFT, retry_after
+from lentilhaven.limits.start_wait import LATE_START_TIME, start_wait
 from lentilhaven.platform.request_head import RequestHead, decode_request_head
 
-#: Seconds after which a caller may retry at a gateway that has no manifest yet.
-NO_MANIFEST_RETRY_AFTER = 0.5
+log = get_logger("gateway")
 
 
 async def read_call(
@@ -43,15 +45,10 @@
     arrived = asyncio.get_running_loop().time()
     if gateway.refuses_requests:
         return Error(leaving_failure())
-    manifest = gateway.view.manifest
-    if manifest is None or not gateway.view.is_complete:
-        detail = "no manifest is known yet"
-        return Error(
-            Failure(
-                Step.ROUTE, "", "starting", detail, retry_after=NO_MANIFEST_RETRY_AFTER
-            )
-        )
     head = decode_request_head(request.headers)
+    manifest = await wait_for_manifest(gateway, head, arrived)
+    if manifest is None:
+        return Error(starting_failure(gateway, head, arrived))
     host = request.headers.get("Host", "")
     route = manifest.find_route(host, request.raw_path.partition("?")[0])
     if route is None:
@@ -86,6 +83,37 @@
     )
 
 
+async def wait_for_manifest(
+    gateway: Gateway, head: RequestHead, arrived: float
+) -> Manifest | None:
+    """Return the manifest, or None if a starting gateway does not know it in time."""
+    view = gateway.view
+    if not view.is_complete:
+        pause = start_wait(head.timeout)
+        await view.changed.wait_until(
+            lambda: view.is_complete or gateway.refuses_requests, pause
+        )
+        now = asyncio.get_running_loop().time()
+        log.info(
+            "request waited for the first manifest",
+            request=head.request_id,
+            known=view.is_complete,
+            ms=round((now - arrived) * 1000, 1),
+        )
+    return view.manifest if view.is_complete else None
+
+
+def starting_failure(gateway: Gateway, head: RequestHead, arrived: float) -> Failure:
+    """Return the failure of a request at a gateway that has no manifest yet."""
+    if gateway.refuses_requests:
+        return leaving_failure()
+    left = head.timeout or LATE_START_TIME / MAX_SHARE_OF_TIME_LEFT
+    left -= asyncio.get_running_loop().time() - arrived
+    pause = retry_after(LATE_START_TIME, 0, left, gateway.random)
+    detail = "no manifest is known yet"
+    return Failure(Step.ROUTE, "", "starting", detail, retry_after=pause)
+
+
 async def read_body_in_time(
     gateway: Gateway, request: web.BaseRequest, held: HeldBody
 ) -> Result[bytes, Failure]:
