Move the events of streams and the pipe meter to their subjects

They are pure code without a gateway's state: event splitting and order belong to the validation of answers, the token rates of pipes to the costs of chains.

--- a/lentilhaven/gateway/event_order.py
+++ b/lentilhaven/answers/event_order.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lentilhaven.gateway.event_splitter import Events
+from lentilhaven.answers.event_splitter import Events
 
 #: Digits of an id that is compared as a number.
 MAX_DIGITS = 18
--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -6,6 +6,7 @@
 from lentilhaven.chains.chain import Chain
 from lentilhaven.chains.chain_costs import ChainCosts
 from lentilhaven.chains.chain_search import Candidate, find_chain
+from lentilhaven.chains.pipe_meter import pipe_name
 from lentilhaven.core.logs import get_logger
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.engine_spec import EngineSpec
@@ -13,7 +14,6 @@
 from lentilhaven.fleet.route_rule import RouteRule
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.gateway.pipe_meter import pipe_name
 from lentilhaven.locality import stays_local
 from lentilhaven.peering.load_sums import LoadSums
 
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -8,6 +8,7 @@
 import aiohttp
 import attrs
 
+from lentilhaven.chains.pipe_meter import PipeMeter
 from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.signal import Signal
 from lentilhaven.crashes.ledger import CrashLedger
@@ -20,7 +21,6 @@
 from lentilhaven.gateway.budget import RetryBudgetShare
 from lentilhaven.gateway.endpoint_signals import note_signals
 from lentilhaven.gateway.endpoint_states import EndpointStates
-from lentilhaven.gateway.pipe_meter import PipeMeter
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.peer_table import PeerTable
--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -4,11 +4,11 @@
 
 from aiohttp import web
 
+from lentilhaven.answers.event_splitter import Events, EventSplitter
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.gateway.crash_checks import PROOF_EVENTS, note_answered, note_begun
-from lentilhaven.gateway.event_splitter import Events, EventSplitter
 from lentilhaven.gateway.gateway_metrics import record_first_event
 from lentilhaven.gateway.pace_check import note_pause
 from lentilhaven.gateway.silence import note_heard
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -7,6 +7,7 @@
 import attrs
 from aiohttp import web
 
+from lentilhaven.answers.event_order import EventOrder
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
@@ -24,7 +25,6 @@
 )
 from lentilhaven.gateway.crash_checks import HARMFUL_KINDS, forbids_repeat_now
 from lentilhaven.gateway.error_responses import make_error_response
-from lentilhaven.gateway.event_order import EventOrder
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.held_response import HeldResponse
 from lentilhaven.gateway.limit_checks import limit_wait
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from lentilhaven.chains.chain import Chain
+from lentilhaven.chains.pipe_meter import count_crossings
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.ran import Ran
@@ -12,7 +13,6 @@
     recording_run,
 )
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
-from lentilhaven.gateway.pipe_meter import count_crossings
 from lentilhaven.gateway.service_relay import UpstreamResponse, check_before_send
 from lentilhaven.gateway.stream_events import relay_answer
 from lentilhaven.gateway.stream_lead import StreamRun, SupersededError
--- a/lentilhaven/gateway/stream_state.py
+++ b/lentilhaven/gateway/stream_state.py
@@ -6,13 +6,13 @@
 import attrs
 from aiohttp import web
 
+from lentilhaven.answers.event_order import EventOrder
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.chain_choice import possible_starts
-from lentilhaven.gateway.event_order import EventOrder
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.limit_checks import (
     SendAttempt,
--- a/lentilhaven/gateway/tests/test_busy_pipe.py
+++ b/lentilhaven/gateway/tests/test_busy_pipe.py
@@ -10,10 +10,10 @@
 import unittest
 
 from lentilhaven.chains.chain_costs import ChainCosts
+from lentilhaven.chains.pipe_meter import PipeMeter
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.fleet.route_rule import RouteKind, RouteRule
 from lentilhaven.gateway.chain_choice import is_too_slow
-from lentilhaven.gateway.pipe_meter import PipeMeter
 from lentilhaven.gateway.tests.platform_testbed import (
     engine,
     run_on_testbed,
