Queue streams for chains, and continue broken ones where the first event is soonest

Cause: a stream without a chain polled every 30 ms and in no order, and a second run took the chain that ends first, not the one that goes on first. Change: a new subpackage admission with the queue of a service, woken by events; prompts that are sent but not read; whether a chain has room. Streams of manifests with differing priorities or several workspaces wait in order, are refused at once if they would start too late, and get two priorities each at engines, of which the first is for streams that continue.

--- /dev/null
+++ b/lentilhaven/admission/service_queues.py
@@ -0,0 +1,82 @@
+"""The queues of a process, and what their decisions share."""
+
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+
+from lentilhaven.admission.order_rules import OrderRules
+from lentilhaven.admission.service_queue import ServiceQueue
+from lentilhaven.admission.unread_prompts import UnreadPrompts
+from lentilhaven.fleet.fleet_view import FleetView
+from lentilhaven.fleet.manifest import Manifest
+
+
+@attrs.define(eq=False)
+class ServiceQueues:
+    """
+    The queues of a process.
+
+    Attributes
+    ----------
+    counters : Counter
+        As in `ServiceQueue`.
+    next_change : callable
+        Takes a service and a time; otherwise as in `ServiceQueue`.
+    ages : callable
+        As in `ServiceQueue`.
+    queues : dict
+        `ServiceQueue` by service.
+    unread : UnreadPrompts
+        Prompts that this process has sent.
+    manifest : Manifest or None
+        The manifest from which `rules` were made.
+    rules : OrderRules
+        Which requests are ordered.
+    """
+
+    counters: Counter[str] = attrs.field(factory=Counter)
+    next_change: Callable[[str, float], float | None] = lambda service, now: None
+    ages: Callable[[float], dict[str, float]] = lambda now: {}
+    queues: dict[str, ServiceQueue] = attrs.field(factory=dict)
+    unread: UnreadPrompts = attrs.field(factory=UnreadPrompts)
+    manifest: Manifest | None = None
+    rules: OrderRules = attrs.field(factory=OrderRules)
+
+    def of(self, service: str) -> ServiceQueue:
+        """Return the queue of a service, and create it if needed."""
+        queue = self.queues.get(service)
+        if queue is None:
+            queue = self.queues[service] = ServiceQueue(
+                service,
+                self.counters,
+                lambda now: self.next_change(service, now),
+                self.ages,
+            )
+        return queue
+
+    def rules_of(self, manifest: Manifest | None) -> OrderRules:
+        """Return the rules of the current manifest."""
+        if manifest is not self.manifest:
+            self.manifest, self.rules = manifest, OrderRules.of(manifest)
+        return self.rules
+
+    async def follow(self, view: FleetView) -> None:
+        """Apply each change of the manifest or of the endpoints, until cancelled."""
+        while True:
+            await view.changed.event.wait()
+            if view.manifest is self.manifest:
+                self.notify_room()
+            else:
+                self.rules_of(view.manifest)
+                self.renew()
+
+    def notify_room(self) -> None:
+        """Try waiting requests soon, since capacity may have appeared."""
+        for queue in self.queues.values():
+            queue.notify_room()
+
+    def renew(self) -> None:
+        """Order the waiting requests by what the manifest says now."""
+        for queue in self.queues.values():
+            queue.renew()
--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Collection, Sequence
 
+import attrs
+
+from lentilhaven.admission.chain_capacity import read_ms
 from lentilhaven.chains.candidate_sets import drop_dominated, hold_starts
 from lentilhaven.chains.chain import Chain
 from lentilhaven.chains.chain_costs import ChainCosts
@@ -39,6 +42,14 @@
 #: with the same information from choosing the same chain.
 COST_JITTER = 0.1
 
+#: The same for a stream that continues elsewhere: those of many gateways begin within
+#: some 30 ms after a loss, before any datagram tells of the others.
+RECOVERY_JITTER = 0.4
+
+#: Decoding steps that count towards the choice of the chain whose first event comes
+#: soonest.
+FIRST_EVENT_STEPS = 2
+
 log = get_logger("gateway")
 
 
@@ -68,6 +79,7 @@
     now: float,
     continues: bool = False,
     held: Collection[str] = (),
+    soonest: bool = False,
 ) -> Chain | None:
     """
     Return the chain on which a request is expected to finish first.
@@ -92,6 +104,9 @@
         Whether the request continues a stream of which the caller has events.
     held : collection of str
         Ids of endpoints that must not begin the chain.
+    soonest : bool
+        Whether the chain is chosen on which the first event is expected soonest, in any
+        data centre: a pause is over then.
 
     Returns
     -------
@@ -104,6 +119,8 @@
         If the chain found does not run each layer exactly once.
     """
     costs = build_costs(gateway, spec, call, now)
+    if soonest:
+        return find_soonest_chain(gateway, call, costs, excluded, held, now)
     candidates = find_candidates(gateway, call, spec, excluded, costs, now)
     candidates = hold_starts(candidates, held)
     chain = find_local_chain(gateway, call.route, costs, candidates)
@@ -125,6 +142,65 @@
     return chain
 
 
+def find_soonest_chain(
+    gateway: Gateway,
+    call: Call,
+    costs: ChainCosts,
+    excluded: Collection[str],
+    held: Collection[str],
+    now: float,
+) -> Chain | None:
+    """
+    Return the chain on which the first event is expected soonest, or None.
+
+    Parameters are those of `choose_chain`.  The random factors spread the choices of
+    gateways that lose streams at the same time and know the same.
+    """
+    spec = costs.spec
+    first = attrs.evolve(costs, output_tokens=float(FIRST_EVENT_STEPS))
+    usual = find_candidates(gateway, call, spec, excluded, costs, now)
+    candidates = [
+        attrs.evolve(it, layer_cost=first_event_cost(gateway, first, it.endpoint, now))
+        for it in hold_starts(usual, held)
+    ]
+    layers = LayerSpan(0, spec.layers)
+    chain = find_chain(layers, drop_dominated(candidates), first.hop_ms)
+    if chain is None:
+        return None
+    chain.check(spec.layers)
+    layer_costs = {it.endpoint.id: it.layer_cost for it in usual}
+    total = sum(layer_costs[it.id] * len(span) for it, span in chain.parts)
+    total += sum(
+        costs.hop_ms(one.data_centre, other.data_centre)
+        for one, other in zip(chain.endpoints, chain.endpoints[1:], strict=False)
+    )
+    return attrs.evolve(chain, cost=total)
+
+
+def first_event_cost(
+    gateway: Gateway, costs: ChainCosts, endpoint: Endpoint, now: float
+) -> float:
+    """Return the cost of each layer at an endpoint, with what it reads before."""
+    state = gateway.endpoint_states.of(endpoint)
+    requests, _ = gateway.peers.load_of_others(now).load_of(endpoint.id)
+    slowdown = state.current_slowdown(now)
+    cost = costs.layer_ms(endpoint.card, slowdown, state.requests + requests)
+    cost *= gateway.random.uniform(1 - RECOVERY_JITTER, 1 + RECOVERY_JITTER)
+    layers = len(endpoint.layers) if endpoint.layers else 1
+    unread = unread_at(gateway, endpoint.id, now)
+    return cost + unread * read_ms(costs.spec, endpoint.card, slowdown) / layers
+
+
+def unread_at(gateway: Gateway, endpoint: str, now: float) -> float:
+    """Return the layer-tokens of prompts that an endpoint has got but not read."""
+    return gateway.queues.unread.of(endpoint) + unread_of_others(gateway, endpoint, now)
+
+
+def unread_of_others(gateway: Gateway, endpoint: str, now: float) -> float:
+    """Return what other gateways report as unread; no datagram contains it yet."""
+    return 0.0
+
+
 def find_local_chain(
     gateway: Gateway,
     route: RouteRule,
--- a/lentilhaven/gateway/endpoint_states.py
+++ b/lentilhaven/gateway/endpoint_states.py
@@ -249,7 +249,12 @@
 
     def available(self, now: float) -> bool:
         """Return whether the endpoint may get a request."""
-        return now >= max(self.suspected_until, self.refused_until, self.paused_until)
+        return now >= self.unavailable_until
+
+    @property
+    def unavailable_until(self) -> float:
+        """Return the time from which the endpoint may get requests."""
+        return max(self.suspected_until, self.refused_until, self.paused_until)
 
 
 @attrs.define
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -8,6 +8,7 @@
 import aiohttp
 import attrs
 
+from lentilhaven.admission import OrderRules, ServiceQueues
 from lentilhaven.chains.pipe_meter import PipeMeter
 from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.signal import Signal
@@ -84,6 +85,8 @@
         `RetryBudgetShare` by service.
     demands : dict
         `ServiceDemand` by service.
+    queues : ServiceQueues
+        Requests that wait for capacity.
     peers : PeerTable
         The other gateways.
     link_traffic : PipeMeter
@@ -143,6 +146,7 @@
     behind_signal: Signal = attrs.field(factory=Signal)
     budgets: dict[str, RetryBudgetShare] = attrs.field(factory=dict)
     demands: dict[str, ServiceDemand] = attrs.field(factory=dict)
+    queues: ServiceQueues = attrs.field()
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
     crash_ledger: CrashLedger = attrs.field()
@@ -164,8 +168,9 @@
     request_finished: Signal = attrs.field(factory=Signal)
 
     def __attrs_post_init__(self) -> None:
-        """Apply what endpoints say about themselves in the heads of their answers."""
+        """Connect the parts of the state that act on each other."""
         self.pool.on_head = self.note_head
+        self.queues.counters = self.counters
 
     def note_head(self, endpoint: Endpoint, head: ResponseHead) -> None:
         """Apply what the head of an answer says about its endpoint."""
@@ -189,6 +194,30 @@
         """Return a memory without bodies."""
         return BodyMemory(answer_memory_limit(self.settings.memory))
 
+    @queues.default
+    def empty_queues(self) -> ServiceQueues:
+        """Return queues without requests."""
+        return ServiceQueues(next_change=self.next_return, ages=self.report_ages)
+
+    def next_return(self, service: str, now: float) -> float | None:
+        """Return when the next endpoint that is unavailable may get requests again."""
+        times = [
+            until
+            for endpoint in self.view.of_service(service)
+            if (until := self.endpoint_states.of(endpoint).unavailable_until) > now
+        ]
+        return min(times, default=None)
+
+    def report_ages(self, now: float) -> dict[str, float]:
+        """Return the ages of the latest and of the oldest report of other gateways."""
+        ages = [now - it.received_at for it in self.peers.peers.values()]
+        return {"latest": min(ages), "oldest": max(ages)} if ages else {}
+
+    @property
+    def rules(self) -> OrderRules:
+        """Return which requests the current manifest orders."""
+        return self.queues.rules_of(self.view.manifest)
+
     @peers.default
     def empty_peer_table(self) -> PeerTable:
         """Return a table without other gateways."""
--- a/lentilhaven/gateway/intake.py
+++ b/lentilhaven/gateway/intake.py
@@ -135,6 +135,16 @@
     return workspace.name, route.priority if priority is None else priority
 
 
+def current_priority(gateway: Gateway, call: Call) -> int:
+    """Return the priority of a request by the manifest that is in force now."""
+    manifest = gateway.view.manifest
+    if manifest is None or manifest.version == call.manifest_version:
+        return call.priority
+    route = manifest.find_route(call.route.host, call.target.partition("?")[0])
+    identity = authenticate(manifest, route, call.head) if route else None
+    return identity[1] if identity else call.priority
+
+
 def choose_service(gateway: Gateway, route: RouteRule) -> str:
     """Return one of the route's services, chosen at random by weight."""
     if len(route.services) == 1:
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -106,6 +106,7 @@
             self.gateway, message, now
         ) and self.gateway.peers.is_large_fleet(now):
             self.gateway.urgent_signal.notify()
+        self.gateway.queues.notify_room()
         if message.scope is Scope.PROBE:
             self.send(Scope.MEMBERS, [message.address], now)
 
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -228,6 +228,7 @@
                         lambda: catch_up(gateway, session, read_manifest),
                         lambda: refresh_digest(gateway),
                         placer.run,
+                        lambda: gateway.queues.follow(gateway.view),
                         lambda: check_paces(gateway),
                         lambda: check_suspects(gateway),
                         lambda: probe_links(gateway),
--- a/lentilhaven/gateway/silence.py
+++ b/lentilhaven/gateway/silence.py
@@ -14,7 +14,11 @@
 def note_heard(gateway: Gateway, chain: Chain, now: float) -> None:
     """Record that an event has passed through all parts of a chain."""
     for endpoint, _ in chain.parts:
-        gateway.endpoint_states.of(endpoint).note_heard(now)
+        state = gateway.endpoint_states.of(endpoint)
+        was_suspected = state.suspected_until > now
+        state.note_heard(now)
+        if was_suspected and not state.suspected_until:
+            gateway.queues.notify_room()
 
 
 def suspect_silent_parts(
--- /dev/null
+++ b/lentilhaven/gateway/stream_admission.py
@@ -0,0 +1,220 @@
+"""Chains for streams, through the queue of their service."""
+
+import asyncio
+from collections.abc import Collection
+
+import attrs
+
+from lentilhaven.admission import Refusal
+from lentilhaven.admission.chain_capacity import estimate_reading, usual_read_time
+from lentilhaven.chains.chain import Chain
+from lentilhaven.core.failure import Failure
+from lentilhaven.core.step import Step
+from lentilhaven.gateway.chain_choice import (
+    build_costs,
+    choose_chain,
+    live_engines_cover_model,
+    log_missing_layers,
+    possible_starts,
+    time_to_cover,
+    unread_at,
+)
+from lentilhaven.gateway.intake import current_priority
+from lentilhaven.gateway.limit_checks import limit_wait
+from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
+from lentilhaven.limits.queue_decision import allowed_wait
+from lentilhaven.limits.retry_time import retry_after
+from lentilhaven.limits.waiting_queue import QueueEntry
+
+#: Share of the target latency for which a request waits for capacity if the manifest
+#: orders nothing.  Under overload, a longer wait only delays the refusals.
+CAPACITY_WAIT_SHARE = 0.12
+
+#: Minimum time that a request waits for capacity, in seconds.  It matters to a stream
+#: that must continue on another chain after the time of `CAPACITY_WAIT_SHARE` has
+#: passed.
+MIN_CAPACITY_WAIT = 0.05
+
+
+def make_entry(relay: StreamRelay) -> QueueEntry:
+    """
+    Return the place of a stream in the queue of its service.
+
+    It is due when a prompt that begins to be read then still meets the target of the
+    first event, or the longest pause of a stream that continues.
+    """
+    call = relay.call
+    cost = max(1.0, relay.tokens)
+    if not relay.gateway.rules.is_ordered:
+        return QueueEntry(call.id, 0, "", cost, call.arrived, call.arrived)
+    due = call.arrived + call.route.target_latency
+    if relay.continues:
+        patience = call.route.gap_target or call.route.stream_patience
+        due = (relay.heard_at or call.arrived) + patience
+    due -= usual_read_time(relay.spec, call.head.prompt_tokens)
+    priority = current_priority(relay.gateway, call)
+    return QueueEntry(
+        call.id, priority, call.workspace, cost, call.arrived, due, relay.continues
+    )
+
+
+def wait_limit(relay: StreamRelay, entry: QueueEntry) -> float:
+    """Return the event loop time at which a stream's wait for capacity ends."""
+    now = asyncio.get_running_loop().time()
+    call = relay.call
+    latest = call.arrived + CAPACITY_WAIT_SHARE * call.route.target_latency
+    until = max(latest, now + MIN_CAPACITY_WAIT)
+    if relay.gateway.rules.is_ordered:
+        until = max(until, now + allowed_wait(entry, now, call.deadline))
+    return min(call.deadline, until)
+
+
+async def wait_for_chain(
+    relay: StreamRelay, replaced: Collection[str] = ()
+) -> Chain | Refusal:
+    """
+    Return a chain, or why there is none in time.
+
+    A stream is refused at once if the engines that are not suspected do not cover the
+    model, or if all that could begin a chain are at their limits.  Serving a request
+    after a wait is better than refusing it if the answer still meets its target.
+
+    Parameters
+    ----------
+    relay : StreamRelay
+        The stream.
+    replaced : collection of str
+        Ids of endpoints that are not used in addition to those that the stream avoids.
+    """
+    gateway, call = relay.gateway, relay.call
+    now = asyncio.get_running_loop().time()
+    entry = make_entry(relay)
+    until = wait_limit(relay, entry)
+
+    def try_start() -> Chain | Refusal | None:
+        return try_chain(relay, entry, replaced, until)
+
+    def renew() -> tuple[QueueEntry, float]:
+        renewed = make_entry(relay)
+        return renewed, min(until, wait_limit(relay, renewed))
+
+    is_ordered = gateway.rules.is_ordered
+    avoided = frozenset(relay.avoided(now) | set(replaced))
+    scope = (avoided, frozenset(relay.held(now)), round(entry.cost).bit_length())
+    return await gateway.queues.of(call.service).wait(
+        entry,
+        try_start,
+        until=until,
+        deadline=call.deadline if is_ordered else None,
+        scope=scope,
+        renew=renew,
+    )
+
+
+def try_chain(
+    relay: StreamRelay, entry: QueueEntry, replaced: Collection[str], until: float
+) -> Chain | Refusal | None:
+    """
+    Return a chain that has room for a stream, None, or why a wait is in vain.
+
+    Parameters
+    ----------
+    relay, replaced
+        As in `wait_for_chain`.
+    entry : QueueEntry
+        The stream's place in the queue.
+    until : float
+        Event loop time at which its wait ends, in seconds.
+    """
+    gateway, call, spec = relay.gateway, relay.call, relay.spec
+    now = asyncio.get_running_loop().time()
+    avoided = relay.avoided(now) | set(replaced)
+    held = relay.held(now)
+    chain = find_chain_for(relay, avoided, now)
+    if chain is not None:
+        return chain if has_room(relay, chain, entry, now) else None
+    if now < until and live_engines_cover_model(
+        gateway, call, spec, avoided, now, until, held
+    ):
+        return None
+    log_missing_layers(gateway, call, spec, avoided, now, held)
+    return Refusal("no-chain")
+
+
+def find_chain_for(
+    relay: StreamRelay, avoided: Collection[str], now: float
+) -> Chain | None:
+    """Return the best chain for a stream, whether or not it has room."""
+    gateway = relay.gateway
+    has_begun = relay.response is not None
+    soonest = gateway.rules.is_ordered and relay.continues
+    return choose_chain(
+        gateway,
+        relay.call,
+        relay.spec,
+        avoided,
+        now,
+        has_begun,
+        relay.held(now),
+        soonest,
+    )
+
+
+def has_room(relay: StreamRelay, chain: Chain, entry: QueueEntry, now: float) -> bool:
+    """
+    Return whether a chain can read a stream's prompt now without harm to others.
+
+    A stream that continues is not delayed unless others wait with it.
+    """
+    gateway, call, spec = relay.gateway, relay.call, relay.spec
+    queue = gateway.queues.of(call.service)
+    if not gateway.rules.is_ordered or (relay.continues and not queue.waiters):
+        return True
+    costs = build_costs(gateway, spec, call, now)
+    slowdowns = {
+        it.id: gateway.endpoint_states.of(it).current_slowdown(now)
+        for it in chain.endpoints
+    }
+    prompt_costs = attrs.evolve(costs, output_tokens=0.0)
+    estimate = estimate_reading(
+        spec,
+        chain.parts,
+        costs.prompt_tokens,
+        lambda endpoint: unread_at(gateway, endpoint, now),
+        slowdowns.__getitem__,
+        prompt_costs.hop_ms,
+    )
+    time_left = entry.due + usual_read_time(spec, costs.prompt_tokens) - now
+    return estimate.leaves_room(time_left, call.route.gap_target)
+
+
+def no_chain_failure(
+    relay: StreamRelay, refusal: Refusal, outcome: RunOutcome
+) -> Failure:
+    """
+    Return the failure of a stream for which there is no chain.
+
+    Parameters
+    ----------
+    relay : StreamRelay
+        The stream.
+    refusal : Refusal
+        Why there is none.
+    outcome : UpstreamResponse, Failure or None
+        Outcome of its last run; None if there was none.
+    """
+    gateway, call = relay.gateway, relay.call
+    now = asyncio.get_running_loop().time()
+    avoided = relay.avoided(now)
+    starts = possible_starts(gateway, call.service, avoided, now)
+    pause = limit_wait(gateway, call.service, starts, now)
+    pause = pause or time_to_cover(gateway, call, relay.spec, avoided, now)
+    if pause is None and gateway.rules.is_ordered:
+        left = call.deadline - now
+        pause = retry_after(refusal.wait, call.priority, left, gateway.random)
+    if not isinstance(outcome, Failure):
+        kind, detail = "no-chain", f"no chain of {call.service} covers the model"
+        if refusal.cause != "no-chain":
+            detail = f"no chain of {call.service} has room in time: {refusal.cause}"
+        outcome = Failure(Step.CHOOSE, "", kind, detail)
+    return attrs.evolve(outcome, retry_after=outcome.retry_after or pause)
--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -94,6 +94,8 @@
         now = loop.time()
         note_heard(relay.gateway, run.chain, now)
         events = splitter.feed(chunk)
+        if run.reading is not None and events.count and run.reading.end():
+            relay.gateway.queues.notify_room()
         run.exchange.keep(len(splitter.remainder), MAX_EVENT_BYTES)
         # A comment proves no progress, so that it takes no lead.
         if events.data and (events.count or run is relay.lead.leader):
@@ -105,7 +107,7 @@
             pauses.record(now - run.silent_since)
             event_count += 1
             note_pause(relay.gateway, run.chain, event_count, pauses.mean, expected)
-            run.silent_since = now
+            run.silent_since = relay.heard_at = now
         next_chunk = run.exchange.next_chunk
         chunk = await wait_or_move(relay, run, next_chunk, pauses.limit())
     if chunk is None:
--- a/lentilhaven/gateway/stream_lead.py
+++ b/lentilhaven/gateway/stream_lead.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from lentilhaven.admission.unread_prompts import PromptReading
 from lentilhaven.chains.chain import Chain
 from lentilhaven.crashes.run_log import RunRecord
 from lentilhaven.upstream.connection import UpstreamConnection
@@ -34,6 +35,8 @@
         Number of events that the run has delivered.
     moves : int
         Number of attempts to move the run to other endpoints.
+    reading : PromptReading or None
+        The prompt while it is unread; None for a run of a test without one.
     connection : UpstreamConnection or None
         Connection to the first engine; None for a run of a test without one.
     """
@@ -47,6 +50,7 @@
     events: int = 0
     moves: int = 0
     connection: UpstreamConnection | None = None
+    reading: PromptReading | None = None
 
 
 @attrs.define(eq=False)
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -7,6 +7,7 @@
 import attrs
 from aiohttp import web
 
+from lentilhaven.admission import Refusal
 from lentilhaven.answers.event_order import EventOrder
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
@@ -16,40 +17,19 @@
 from lentilhaven.draining.failures import cut_off_failure, leaving_failure
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
-from lentilhaven.gateway.chain_choice import (
-    choose_chain,
-    live_engines_cover_model,
-    log_missing_layers,
-    possible_starts,
-    time_to_cover,
-)
 from lentilhaven.gateway.crash_checks import HARMFUL_KINDS, forbids_repeat_now
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.held_response import HeldResponse
-from lentilhaven.gateway.limit_checks import limit_wait
 from lentilhaven.gateway.service_relay import (
     MAX_REFUSALS,
     UpstreamResponse,
     log_cut_off,
 )
+from lentilhaven.gateway.stream_admission import no_chain_failure, wait_for_chain
 from lentilhaven.gateway.stream_run import run_on_chain
 from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
 
-#: Share of the target latency for which a request waits for capacity.  Under overload,
-#: a longer wait only delays the refusals.
-CAPACITY_WAIT_SHARE = 0.12
-
-#: Minimum time that a request waits for capacity, in seconds.  It matters to a stream
-#: that must continue on another chain after the time of `CAPACITY_WAIT_SHARE` has
-#: passed.
-MIN_CAPACITY_WAIT = 0.05
-
-#: Seconds between two checks for capacity, and their minimum: the rest of a wait may
-#: be too short for the clock's resolution.
-CAPACITY_POLL_INTERVAL = 0.03
-MIN_POLL_INTERVAL = 0.001
-
 log = get_logger("gateway")
 
 
@@ -170,8 +150,8 @@
     while True:
         now = loop.time()
         chain = await wait_for_chain(relay)
-        if chain is None:
-            return no_chain_failure(relay, outcome)
+        if isinstance(chain, Refusal):
+            return no_chain_failure(relay, chain, outcome)
         if not leaves_time(relay, chain, now):
             return leaving_failure()
         if relay.runs + relay.refusals > 0:
@@ -187,29 +167,6 @@
             return outcome
 
 
-def no_chain_failure(relay: StreamRelay, outcome: RunOutcome) -> Failure:
-    """
-    Return the failure of a stream for which there is no chain.
-
-    Parameters
-    ----------
-    relay : StreamRelay
-        The stream.
-    outcome : UpstreamResponse, Failure or None
-        Outcome of its last run; None if there was none.
-    """
-    gateway, call = relay.gateway, relay.call
-    now = asyncio.get_running_loop().time()
-    avoided = relay.avoided(now)
-    starts = possible_starts(gateway, call.service, avoided, now)
-    pause = limit_wait(gateway, call.service, starts, now)
-    pause = pause or time_to_cover(gateway, call, relay.spec, avoided, now)
-    if not isinstance(outcome, Failure):
-        detail = f"no chain of {call.service} covers the model"
-        outcome = Failure(Step.CHOOSE, "", "no-chain", detail)
-    return attrs.evolve(outcome, retry_after=outcome.retry_after or pause)
-
-
 def leaves_time(relay: StreamRelay, chain: Chain, now: float) -> bool:
     """
     Return whether a stream may begin on a chain at a gateway that may be stopping.
@@ -264,37 +221,6 @@
     return outcome is not None
 
 
-async def wait_for_chain(relay: StreamRelay) -> Chain | None:
-    """
-    Return a chain, or None if no capacity becomes free in time.
-
-    There is no wait if the engines that are not suspected do not cover the model, or if
-    all that could begin a chain are at their limits.  Each
-    stream that ends frees capacity.  Serving a request after a wait is better than
-    refusing it if the answer still meets the target latency.
-    """
-    gateway, call = relay.gateway, relay.call
-    loop = asyncio.get_running_loop()
-    latest = call.arrived + CAPACITY_WAIT_SHARE * call.route.target_latency
-    until = min(call.deadline, max(latest, loop.time() + MIN_CAPACITY_WAIT))
-    while True:
-        now = loop.time()
-        continues = relay.response is not None
-        avoided = relay.avoided(now)
-        held = relay.held(now)
-        chain = choose_chain(gateway, call, relay.spec, avoided, now, continues, held)
-        if chain is not None:
-            return chain
-        if now >= until or not live_engines_cover_model(
-            gateway, call, relay.spec, avoided, now, until, held
-        ):
-            log_missing_layers(gateway, call, relay.spec, avoided, now, held)
-            return None
-        await asyncio.sleep(
-            min(CAPACITY_POLL_INTERVAL, max(MIN_POLL_INTERVAL, until - now))
-        )
-
-
 async def may_retry(relay: StreamRelay, failure: Failure) -> bool:
     """Return whether the request may be sent to another chain after a failure."""
     has_begun = relay.response is not None
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from lentilhaven.admission.unread_prompts import PromptReading
 from lentilhaven.chains.chain import Chain
 from lentilhaven.chains.pipe_meter import count_crossings
 from lentilhaven.core.failure import Failure
@@ -42,7 +43,10 @@
     gateway, call = relay.gateway, relay.call
     loop = asyncio.get_running_loop()
     began = loop.time()
-    tokens = float(call.head.prompt_tokens + (call.head.length_hint or 0))
+    tokens = relay.tokens
+    queue = gateway.queues.of(call.service)
+    queue.note_start()
+    reading = gateway.queues.unread.begin(chain.parts, call.head.prompt_tokens)
     for endpoint, span in chain.parts:
         state = gateway.endpoint_states.of(endpoint)
         state.requests += 1
@@ -50,7 +54,7 @@
     gateway.link_traffic.record(count_crossings(chain.parts), tokens, began)
     ended = "cancelled"
     try:
-        outcome = await exchange_on_chain(relay, chain)
+        outcome = await exchange_on_chain(relay, chain, reading)
         ended = "done" if outcome is None else describe_outcome(outcome)
         return outcome
     finally:
@@ -58,6 +62,8 @@
             state = gateway.endpoint_states.of(endpoint)
             state.requests -= 1
             state.kv_token_layers -= tokens * len(span)
+        reading.end()
+        queue.note_end(tokens, loop.time() - began if ended == "done" else None)
         log.info(
             "chain tried",
             request=call.id,
@@ -89,7 +95,9 @@
         )
 
 
-async def exchange_on_chain(relay: StreamRelay, chain: Chain) -> RunOutcome:
+async def exchange_on_chain(
+    relay: StreamRelay, chain: Chain, reading: PromptReading
+) -> RunOutcome:
     """
     Send a request to the first engine of a chain and relay the response.
 
@@ -129,7 +137,7 @@
             first,
             call.deadline - loop.time(),
             call.workspace,
-            call.priority,
+            gateway.rules.engine_priority(call.priority, relay.continues),
             chain.parts,
             relay.last_event_id,
             relay.weights,
@@ -148,6 +156,7 @@
                 loop.time(),
                 last_event_id=relay.last_event_id,
                 connection=connection,
+                reading=reading,
             )
             relay.lead.begin(run)
             log_later_run(relay, run)
--- a/lentilhaven/gateway/stream_state.py
+++ b/lentilhaven/gateway/stream_state.py
@@ -69,6 +69,8 @@
         not asked again, in seconds, by id.
     events : int
         Number of events that were relayed.
+    heard_at : float
+        Event loop time of the last of them, in seconds; 0 before the first.
     lead : StreamLead
         Decides whose events are relayed.
     successor : asyncio.Task or None
@@ -91,6 +93,7 @@
     excluded: set[str] = attrs.field(factory=set)
     refusing: dict[str, float] = attrs.field(factory=dict)
     events: int = 0
+    heard_at: float = 0.0
     lead: StreamLead = attrs.field(factory=StreamLead)
     successor: asyncio.Task[RunOutcome] | None = None
 
@@ -105,6 +108,16 @@
         can_go_on = self.call.route.repeatable and not self.order.has_unnamed
         return can_go_on and self.runs < self.call.route.attempts
 
+    @property
+    def continues(self) -> bool:
+        """Return whether the caller has got events of this stream, from any gateway."""
+        return self.response is not None or self.last_event_id != ""
+
+    @property
+    def tokens(self) -> float:
+        """Return the expected number of tokens of the prompt and of the answer."""
+        return float(self.call.head.prompt_tokens + (self.call.head.length_hint or 0))
+
     def avoided(self, now: float) -> set[str]:
         """Return the ids of endpoints that a run which begins now must not use."""
         return self.excluded | {
--- a/lentilhaven/gateway/stream_waiting.py
+++ b/lentilhaven/gateway/stream_waiting.py
@@ -6,11 +6,11 @@
 
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.tasks import report_task_failure
-from lentilhaven.gateway.chain_choice import choose_chain
 from lentilhaven.gateway.chain_move import MAX_MOVES, move_chain
 from lentilhaven.gateway.crash_checks import forbids_repeat, is_refused
 from lentilhaven.gateway.endpoint_links import begin_link_check
 from lentilhaven.gateway.silence import suspect_silent_parts
+from lentilhaven.gateway.stream_admission import find_chain_for
 from lentilhaven.gateway.stream_lead import StreamRun
 from lentilhaven.gateway.stream_state import StreamRelay
 
@@ -123,11 +123,7 @@
         return
     replaced = set() if lost_link else set(suspects or [run.chain.first.id])
     gateway, call = relay.gateway, relay.call
-    continues = relay.response is not None
-    avoided = relay.avoided(now) | replaced
-    chain = choose_chain(
-        gateway, call, relay.spec, avoided, now, continues, relay.held(now)
-    )
+    chain = find_chain_for(relay, relay.avoided(now) | replaced, now)
     if chain is None or forbids_repeat(gateway, call):
         return
     budget = gateway.budget_of(call.service)
