--- a/lentilhaven/admission/service_queue.py
+++ b/lentilhaven/admission/service_queue.py
@@ -62,6 +62,11 @@
     renew: Callable[[], tuple[QueueEntry, float]] | None = None
     is_starting: bool = False
 
+    def is_over(self, now: float) -> bool:
+        """Return whether the wait has ended, although its task has not resumed."""
+        until = self.timeout.when()
+        return self.done.done() or (until is not None and now >= until)
+
 
 @attrs.define(eq=False)
 class ServiceQueue:
@@ -342,7 +347,7 @@
         failed: set[Hashable] = set()
         for entry in self.queue.in_order(now):
             waiter = self.waiters[entry]
-            if waiter.scope in failed or waiter.done.done():
+            if waiter.scope in failed or waiter.is_over(now):
                 continue
             if self.try_waiter(waiter, now):
                 return True
--- a/lentilhaven/admission/tests/test_service_queue.py
+++ b/lentilhaven/admission/tests/test_service_queue.py
@@ -238,8 +238,8 @@
             tasks = await fill(queue, room, make_entry("a"), wait=0.05)
             tasks += await fill(queue, room, make_entry("b"))
             room.free = 1
-            queue.notify_room()
             asyncio.get_running_loop().call_soon(time.sleep, 0.1)
+            asyncio.get_running_loop().call_soon(queue.notify_room)
             found = await asyncio.gather(*tasks)
             return getattr(found[0], "cause", ""), found[1], room.begun
 
