Date a suspicion by the silence, not by its detection

Cause: at a loss of 4 of 99 engines, all parts of some 50 silent chains are suspected at once, and events that other gateways get during the silence did not refute that until 50 ms after the detection. Change: the suspicion states when the endpoint has failed at the latest.

--- a/lentilhaven/gateway/silence.py
+++ b/lentilhaven/gateway/silence.py
@@ -7,6 +7,7 @@
     SUSPICION_TIME,
 )
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.recovery import latest_failure
 
 log = get_logger("gateway")
 
@@ -55,7 +56,8 @@
         if state.heard_at <= since + REFUTE_MARGIN:
             if state.suspected_until <= now:
                 # A suspicion that is dated anew could not be refuted by the next event.
-                state.note_suspicion(now, now + SUSPICION_TIME)
+                failed_at = latest_failure(since, now)
+                state.note_suspicion(failed_at, now + SUSPICION_TIME)
                 fresh = True
             suspects.append(endpoint.id)
     if not fresh:
--- a/lentilhaven/recovery/__init__.py
+++ b/lentilhaven/recovery/__init__.py
@@ -6,6 +6,10 @@
 usual variations count.
 """
 
-from lentilhaven.recovery.silence_limit import PauseEstimator, first_event_limit
+from lentilhaven.recovery.silence_limit import (
+    PauseEstimator,
+    first_event_limit,
+    latest_failure,
+)
 
-__all__ = ["PauseEstimator", "first_event_limit"]
+__all__ = ["PauseEstimator", "first_event_limit", "latest_failure"]
--- a/lentilhaven/recovery/silence_limit.py
+++ b/lentilhaven/recovery/silence_limit.py
@@ -20,6 +20,9 @@
 #: A silence of this many mean pauses counts as a fault, within the limits above.
 PAUSE_FACTOR = 3.0
 
+#: Longest usual pause between two events of a stream, in seconds.
+LONGEST_USUAL_PAUSE = 0.05
+
 #: A first event that takes this many times its estimate, plus `FIRST_EVENT_SLACK`,
 #: counts as missing; its time varies more than that of later events.
 FIRST_EVENT_FACTOR = 3.0
@@ -63,6 +66,30 @@
         return min(MAX_SILENCE, max(least, PAUSE_FACTOR * self.mean))
 
 
+def latest_failure(silent_since: float, now: float) -> float:
+    """
+    Return when an endpoint that is found to be silent has failed at the latest.
+
+    It was sound at its last event, and has failed at the next one.  Whoever has heard
+    from it since then need not suspect it: after a loss of 4 of 99 engines some 50
+    streams are silent at once, whose parts are nearly all engines.
+
+    Parameters
+    ----------
+    silent_since, now : float
+        Start of the silence, and current time, in seconds.
+
+    Examples
+    --------
+    >>> round(latest_failure(1.0, 1.12), 2), round(latest_failure(1.0, 1.5), 2)
+    (1.05, 1.41)
+    >>> latest_failure(1.0, 1.02)
+    1.02
+    """
+    last_heard = max(silent_since, now - USUAL_SILENCE)
+    return min(now, last_heard + LONGEST_USUAL_PAUSE)
+
+
 def first_event_limit(expected: float) -> float:
     """
     Return how long to wait for a first event, in seconds.
