--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -19,7 +19,6 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.gateway.body_memory import BodyMemory
-from lentilhaven.gateway.budget import RetryBudgetShare
 from lentilhaven.gateway.endpoint_signals import note_signals
 from lentilhaven.gateway.endpoint_states import EndpointStates
 from lentilhaven.peering.member import Member
@@ -29,6 +28,7 @@
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.rate_limits import ServiceDemand
+from lentilhaven.retries.retry_budget_share import RetryBudgetShare
 from lentilhaven.serving.metrics import Metrics
 from lentilhaven.upstream.answer_memory import AnswerMemory, answer_memory_limit
 from lentilhaven.upstream.connection_pool import ConnectionPool
