Order plain requests and second runs by the queue of their service

Cause: a request to a plain service took the replica with the shortest expected wait without regard to slots, priority or workspace; a second run without a chain was tried again every 40 ms. Change: under a manifest that orders requests, a plain one waits for a slot for at most 0.3 of its target latency, and a second run waits in the queue.

--- a/lentilhaven/bench/soak/linked_gateway.py
+++ b/lentilhaven/bench/soak/linked_gateway.py
@@ -19,7 +19,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from lentilhaven.bench.soak.linked_run import run
     from lentilhaven.core.logs import configure_logs
-    from lentilhaven.gateway.run_to_end import run_to_end
+    from lentilhaven.draining.run_to_end import run_to_end
 
     configure_logs("info", sys.stdout)
     run_to_end(run(POLL_INTERVAL))
--- a/lentilhaven/gateway/__main__.py
+++ b/lentilhaven/gateway/__main__.py
@@ -43,8 +43,8 @@
     with uncollected_imports():
         from lentilhaven.core.log_buffer import LogBuffer
         from lentilhaven.core.logs import configure_logs
+        from lentilhaven.draining.run_to_end import run_to_end
         from lentilhaven.gateway.program import serve
-        from lentilhaven.gateway.run_to_end import run_to_end
         from lentilhaven.platform.settings import SettingsFileError, read_settings
 
     stream = LogBuffer(sys.stdout.fileno())
--- a/lentilhaven/gateway/endpoint_signals.py
+++ b/lentilhaven/gateway/endpoint_signals.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from lentilhaven.admission.slots import StatedLoad
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.signal import Signal
 from lentilhaven.fleet.endpoint import Endpoint
@@ -44,6 +45,11 @@
         urgent_signal.notify()
     if head.refusal_pause > 0:
         pause_endpoint(states, endpoint, head.refusal_pause)
+    if head.load is not None:
+        state = states.of(endpoint)
+        at = asyncio.get_running_loop().time()
+        requests = head.load.running + head.load.waiting
+        state.stated = StatedLoad(requests, state.requests, at)
     note_limit(states, urgent_signal, endpoint, head)
 
 
--- a/lentilhaven/gateway/endpoint_states.py
+++ b/lentilhaven/gateway/endpoint_states.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from lentilhaven.admission.slots import StatedLoad
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.peering.messages import MAX_DISTANCE
 from lentilhaven.rate_limits import NamedLimit
@@ -87,6 +88,8 @@
     named_limit : NamedLimit or None
         Request rate that the endpoint has named as its limit, to any gateway; None if
         it has named none.
+    stated : StatedLoad or None
+        Load that the endpoint has stated in its last answer with one.
     unreached_since : float or None
         Time since which this gateway's own link to the endpoint is gone, while other
         gateways reach it; None while the link is there.
@@ -116,6 +119,7 @@
     refused_until: float = 0.0
     paused_until: float = 0.0
     named_limit: NamedLimit | None = None
+    stated: StatedLoad | None = None
     unreached_since: float | None = None
     link_checked_at: float = -math.inf
     sent_at: deque[float] = attrs.field(factory=deque)
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -39,6 +39,7 @@
     pause_left,
     usable_replicas,
 )
+from lentilhaven.gateway.slot_admission import prefer_free_slots, wait_for_slot
 from lentilhaven.platform.request_head import encode_request, gateway_headers
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.upstream.connection import UpstreamConnection
@@ -207,6 +208,7 @@
     attempts = Attempts()
     try:
         async with gateway.work_limits.limited():
+            await wait_for_slot(gateway, call)
             await run_attempts(gateway, call, attempts)
     except TimeoutError:
         attempts.record_done()
@@ -268,7 +270,8 @@
     if not usable or now >= call.deadline:
         return False
     held = held_back(gateway, call, usable, begin_send_attempt(gateway, call), now)
-    endpoint = choose_replica(gateway, [it for it in usable if it.id not in held], now)
+    permitted = [it for it in usable if it.id not in held]
+    endpoint = choose_replica(gateway, prefer_free_slots(gateway, permitted), now)
     if endpoint is None:
         log.info("replicas are at their limits", request=call.id, replicas=len(held))
         return False
@@ -285,11 +288,20 @@
         note_slow_replica(gateway, attempts.endpoints[-1], now - attempts.started_at)
     attempts.endpoints.append(endpoint)
     attempts.started_at = now
+    # Counted here, since the next request may be tried before the task begins.
+    gateway.endpoint_states.of(endpoint).requests += 1
     task = asyncio.ensure_future(try_replica(gateway, call, endpoint))
+    task.add_done_callback(lambda ended: note_attempt_end(gateway, endpoint))
     attempts.running.add(task)
     return True
 
 
+def note_attempt_end(gateway: Gateway, endpoint: Endpoint) -> None:
+    """Count that a request is no longer in flight at a replica."""
+    gateway.endpoint_states.of(endpoint).requests -= 1
+    gateway.queues.notify_room()
+
+
 def note_slow_replica(gateway: Gateway, endpoint: Endpoint, seconds: float) -> None:
     """Record that a replica has not answered for some seconds."""
     gateway.endpoint_states.of(endpoint).record(seconds, failed=True)
@@ -370,7 +382,6 @@
     loop = asyncio.get_running_loop()
     state = gateway.endpoint_states.of(endpoint)
     began = loop.time()
-    state.requests += 1
     check = loop.call_later(SLOW_ANSWER_TIME, begin_link_check, gateway, endpoint)
     try:
         outcome = await exchange_once(gateway, call, endpoint, call.deadline)
@@ -380,7 +391,6 @@
         raise
     finally:
         check.cancel()
-        state.requests -= 1
     now = loop.time()
     failed = not isinstance(outcome, UpstreamResponse) or outcome.failed
     if isinstance(outcome, Failure) and outcome.kind in NEUTRAL_KINDS:
--- /dev/null
+++ b/lentilhaven/gateway/slot_admission.py
@@ -0,0 +1,65 @@
+"""Slots of replicas for requests to plain services, through the service's queue."""
+
+import asyncio
+from collections.abc import Sequence
+
+from lentilhaven.admission.slots import free_slots
+from lentilhaven.fleet.endpoint import Endpoint
+from lentilhaven.gateway.call import Call
+from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.gateway.intake import current_priority
+from lentilhaven.gateway.replica_choice import usable_replicas
+from lentilhaven.limits.waiting_queue import QueueEntry
+
+#: Share of the target latency for which a request waits for a slot.  After that it is
+#: sent to a replica, which queues or refuses it: what is known of other gateways is up
+#: to 0.45 s old, and must not turn a request away that could be served.
+SLOT_WAIT_SHARE = 0.3
+
+
+async def wait_for_slot(gateway: Gateway, call: Call) -> None:
+    """
+    Wait until a replica has a free slot, in the order of the service's queue.
+
+    There is no wait if the manifest orders nothing, or without a replica.
+    """
+    if not gateway.rules.is_ordered:
+        return
+    now = asyncio.get_running_loop().time()
+    until = min(call.deadline, now + SLOT_WAIT_SHARE * call.route.target_latency)
+
+    def make_entry() -> tuple[QueueEntry, float]:
+        priority = current_priority(gateway, call)
+        due = call.arrived + call.route.target_latency
+        entry = QueueEntry(call.id, priority, call.workspace, 1.0, call.arrived, due)
+        return entry, until
+
+    def has_slot() -> bool | None:
+        usable = usable_replicas(gateway, call.service, ())
+        return True if not usable or with_free_slots(gateway, usable) else None
+
+    queue = gateway.queues.of(call.service)
+    await queue.wait(make_entry()[0], has_slot, until=until, renew=make_entry)
+
+
+def with_free_slots(gateway: Gateway, replicas: Sequence[Endpoint]) -> list[Endpoint]:
+    """Return the replicas that can begin a request at once and are available."""
+    now = asyncio.get_running_loop().time()
+    others = gateway.peers.load_of_others(now)
+    found = []
+    for replica in replicas:
+        state = gateway.endpoint_states.of(replica)
+        told = others.load_of(replica.id)[0]
+        free = free_slots(replica.slots, state.requests, told, state.stated, now)
+        if free > 0 and state.available(now):
+            found.append(replica)
+    return found
+
+
+def prefer_free_slots(
+    gateway: Gateway, replicas: Sequence[Endpoint]
+) -> Sequence[Endpoint]:
+    """Return those with free slots, or all if there is none or nothing is ordered."""
+    if not gateway.rules.is_ordered:
+        return replicas
+    return with_free_slots(gateway, replicas) or replicas
--- a/lentilhaven/gateway/store_watch.py
+++ b/lentilhaven/gateway/store_watch.py
@@ -15,7 +15,7 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.store_era import StoreEra
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.gateway.ignored_objects import IgnoredObjects
+from lentilhaven.platform.ignored_objects import IgnoredObjects
 from lentilhaven.platform.manifest_format import decode_manifest, read_version
 from lentilhaven.platform.replica_format import decode_replica, find_fault
 from lentilhaven.platform.store_client import ObjectListing, StoreClient
--- a/lentilhaven/gateway/stream_admission.py
+++ b/lentilhaven/gateway/stream_admission.py
@@ -133,8 +133,12 @@
     chain = find_chain_for(relay, avoided, now)
     if chain is not None:
         return chain if has_room(relay, chain, entry, now) else None
-    if now < until and live_engines_cover_model(
-        gateway, call, spec, avoided, now, until, held
+    # Most suspicions after a loss are refuted soon, and a stream that has begun would
+    # break off without a chain.
+    is_patient = gateway.rules.is_ordered and relay.response is not None
+    if now < until and (
+        is_patient
+        or live_engines_cover_model(gateway, call, spec, avoided, now, until, held)
     ):
         return None
     log_missing_layers(gateway, call, spec, avoided, now, held)
--- a/lentilhaven/gateway/stream_waiting.py
+++ b/lentilhaven/gateway/stream_waiting.py
@@ -4,15 +4,22 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+import attrs
+
+from lentilhaven.admission import Refusal
+from lentilhaven.chains.chain import Chain
+from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
+from lentilhaven.core.ran import Ran
+from lentilhaven.core.step import Step
 from lentilhaven.core.tasks import report_task_failure
 from lentilhaven.gateway.chain_move import MAX_MOVES, move_chain
 from lentilhaven.gateway.crash_checks import forbids_repeat, is_refused
 from lentilhaven.gateway.endpoint_links import begin_link_check
 from lentilhaven.gateway.silence import suspect_silent_parts
-from lentilhaven.gateway.stream_admission import find_chain_for
+from lentilhaven.gateway.stream_admission import find_chain_for, wait_for_chain
 from lentilhaven.gateway.stream_lead import StreamRun
-from lentilhaven.gateway.stream_state import StreamRelay
+from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
 
 #: Seconds after which a second run begins beside a silent one although all of its
 #: endpoints are active.  Until then, the run is assumed to wait behind other work, as
@@ -122,26 +129,69 @@
     if is_slow_only and now - run.silent_since < SLOW_RUN_LIMIT:
         return
     replaced = set() if lost_link else set(suspects or [run.chain.first.id])
-    gateway, call = relay.gateway, relay.call
-    chain = find_chain_for(relay, relay.avoided(now) | replaced, now)
-    if chain is None or forbids_repeat(gateway, call):
-        return
-    budget = gateway.budget_of(call.service)
-    if not budget.try_spend(now, gateway.count_gateways(now)):
-        return
-    relay.excluded |= replaced
-    log.info(
-        "second run begins",
-        request=call.id,
-        silent_ms=round((now - run.silent_since) * 1000),
-        suspects=suspects,
-        first=chain.first.id,
-    )
-    task = asyncio.ensure_future(relay.run_on_chain(relay, chain))
+    begin = SecondRun(relay, run, suspects, replaced)
+    if relay.gateway.rules.is_ordered:
+        task = asyncio.ensure_future(begin.run_in_turn())
+    else:
+        chain = find_chain_for(relay, relay.avoided(now) | replaced, now)
+        if chain is None or not begin.is_permitted(chain):
+            return
+        task = asyncio.ensure_future(relay.run_on_chain(relay, chain))
     task.add_done_callback(report_task_failure)
     relay.successor = task
 
 
+@attrs.frozen
+class SecondRun:
+    """
+    A run that is to begin beside a silent one.
+
+    Attributes
+    ----------
+    relay, run
+        The stream and its silent run.
+    suspects : list of str
+        Ids of the endpoints that are suspected.
+    replaced : set of str
+        Ids of the endpoints that the second run must not use.
+    """
+
+    relay: StreamRelay
+    run: StreamRun
+    suspects: list[str]
+    replaced: set[str]
+
+    async def run_in_turn(self) -> RunOutcome:
+        """Run once the service's queue gives a chain, unless that takes too long."""
+        relay = self.relay
+        chain = await wait_for_chain(relay, self.replaced)
+        if not isinstance(chain, Refusal) and self.is_permitted(chain):
+            return await relay.run_on_chain(relay, chain)
+        if relay.successor is asyncio.current_task():
+            relay.successor = None
+        detail = "no chain for a second run"
+        return Failure(Step.STREAM, "", "no-chain", detail, Ran.UNKNOWN)
+
+    def is_permitted(self, chain: Chain) -> bool:
+        """Return whether the request may be sent again, and count it if so."""
+        gateway, call = self.relay.gateway, self.relay.call
+        now = asyncio.get_running_loop().time()
+        budget = gateway.budget_of(call.service)
+        if forbids_repeat(gateway, call) or not budget.try_spend(
+            now, gateway.count_gateways(now)
+        ):
+            return False
+        self.relay.excluded |= self.replaced
+        log.info(
+            "second run begins",
+            request=call.id,
+            silent_ms=round((now - self.run.silent_since) * 1000),
+            suspects=self.suspects,
+            first=chain.first.id,
+        )
+        return True
+
+
 async def move_run(
     relay: StreamRelay, run: StreamRun, suspects: list[str], now: float
 ) -> bool:
