--- a/lentilhaven/admission/service_queue.py
+++ b/lentilhaven/admission/service_queue.py
@@ -26,6 +26,9 @@
 #: passes in vain take at most a tenth of the processor's time.
 PASS_TIME_FACTOR = 10.0
 
+#: Cost and duration assumed for a request, in tokens and seconds, until one has ended.
+USUAL_DRAIN = DrainRate(1000.0, 1.0)
+
 T = TypeVar("T")
 
 log = get_logger("admission")
@@ -87,8 +90,8 @@
         for the log.
     queue : WaitingQueue
         The order of the waiting requests.
-    drain : DrainRate
-        Estimates the rate at which running requests end.
+    drain : DrainRate or None
+        Estimates the rate at which running requests end; None before the first end.
     brown_out : PriorityBrownOut
         Degradation steps of the service.
     waiters : dict
@@ -110,7 +113,7 @@
     next_change: Callable[[float], float | None] = lambda now: None
     ages: Callable[[float], dict[str, float]] = lambda now: {}
     queue: WaitingQueue = attrs.field(factory=WaitingQueue)
-    drain: DrainRate = attrs.field(factory=lambda: DrainRate(1000.0, 1.0))
+    drain: DrainRate | None = None
     brown_out: PriorityBrownOut = attrs.field(factory=PriorityBrownOut)
     waiters: dict[QueueEntry, Waiter] = attrs.field(factory=dict)
     scopes: Counter[Hashable] = attrs.field(factory=Counter)
@@ -187,7 +190,8 @@
         ahead = self.queue.cost_ahead(entry)
         # One that nothing goes before is not refused because of a prediction: the
         # capacity of other processes may become free for it too.
-        rate = self.drain.rate(self.running) if ahead > 0.0 else 0.0
+        drain = self.drain or USUAL_DRAIN
+        rate = drain.rate(self.running) if ahead > 0.0 else 0.0
         decision = decide_arrival(
             self.queue,
             entry,
@@ -395,5 +399,7 @@
         """
         self.running -= 1
         if seconds is not None:
+            if self.drain is None:
+                self.drain = DrainRate(cost, seconds)
             self.drain.observe(cost, seconds)
         self.notify_room()
--- a/lentilhaven/admission/tests/test_service_queue.py
+++ b/lentilhaven/admission/tests/test_service_queue.py
@@ -5,6 +5,7 @@
 import attrs
 
 from lentilhaven.admission import Refusal, ServiceQueue
+from lentilhaven.limits.drain_rate import DrainRate
 from lentilhaven.limits.waiting_queue import QueueEntry, WaitingQueue
 from lentilhaven.standins.virtual import run_virtual
 
@@ -207,7 +208,7 @@
     def test_a_start_after_the_allowed_wait_is_refused_at_once(self):
         async def scenario(queue, room):
             loop = asyncio.get_running_loop()
-            queue.drain.cost, queue.drain.duration = 100.0, 0.9
+            queue.drain = DrainRate(100.0, 0.9)
             options = {"deadline": loop.time() + 20.0}
             tasks = await fill(queue, room, *map(make_entry, "abcd"), **options)
             ended = [task.result() for task in tasks if task.done()]
