Begin a second run at once if a part of the chain is suspected for other streams

Cause: a stream whose last event came more than 50 ms before the loss of an engine found all its engines active and waited 0.8 s. Change: under an ordered manifest such a part is suspected too, and only there suspicions are dated by the silence; other deployments stay as they were.

--- a/lentilhaven/gateway/silence.py
+++ b/lentilhaven/gateway/silence.py
@@ -47,19 +47,24 @@
     -------
     list of str
         Ids of the suspects; empty if data has arrived from all endpoints, or through
-        them, at any gateway more than `REFUTE_MARGIN` after that.
+        them, at any gateway more than `REFUTE_MARGIN` after that, and if none of them
+        is suspected for another reason.
     """
     suspects = []
     fresh = False
+    is_ordered = gateway.rules.is_ordered
     for endpoint, _ in chain.parts:
         state = gateway.endpoint_states.of(endpoint)
         if state.heard_at <= since + REFUTE_MARGIN:
             if state.suspected_until <= now:
                 # A suspicion that is dated anew could not be refuted by the next event.
-                failed_at = latest_failure(since, now)
+                failed_at = latest_failure(since, now) if is_ordered else now
                 state.note_suspicion(failed_at, now + SUSPICION_TIME)
                 fresh = True
             suspects.append(endpoint.id)
+        elif is_ordered and state.suspected_until > now:
+            # It was heard after this silence began, but has failed since then.
+            suspects.append(endpoint.id)
     if not fresh:
         return suspects
     gateway.urgent_signal.notify()
--- a/lentilhaven/gateway/tests/test_mass_suspicion.py
+++ b/lentilhaven/gateway/tests/test_mass_suspicion.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 
+from lentilhaven.admission import OrderRules
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.clock import loop_clock
 from lentilhaven.core.store_position import StorePosition
@@ -43,6 +44,7 @@
             for gateway in gateways:
                 gateway.view.replace_endpoints(engines, StorePosition(0, 1), "test")
             first, second = gateways
+            first.queues.rules = OrderRules(is_ordered=True)
             for engine, ago in zip(engines, heard_ago, strict=False):
                 second.endpoint_states.of(engine).note_heard(now - ago)
             chain = Chain(tuple((it, LayerSpan(0, 8)) for it in engines))
@@ -59,3 +61,19 @@
 
     def test_what_was_in_transit_at_the_failure_does_not(self):
         self.assertEqual(self.play(SILENCE - 0.02), [False, False])
+
+    def test_a_suspicion_by_others_counts_for_a_stream_that_was_silent_before(self):
+        """Such a stream waited 0.8 s for its second run after a loss of engines."""
+
+        async def scenario():
+            now = asyncio.get_running_loop().time() + 100.0
+            gateway = Gateway(decode_settings(sample_settings(0)), loop_clock())
+            gateway.queues.rules = OrderRules(is_ordered=True)
+            engine = wire_engine("e0", "10.2.0.1:80")
+            state = gateway.endpoint_states.of(engine)
+            state.note_heard(now - 0.1)
+            state.note_suspicion(now - 0.09, now + 4.0, distance=1)
+            chain = Chain(((engine, LayerSpan(0, 8)),))
+            return suspect_silent_parts(gateway, chain, "r1", now - 0.2, now)
+
+        self.assertEqual(run_virtual(scenario()), ["e0"])
