--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -17,7 +17,7 @@
 from lentilhaven.fleet.route_rule import RouteRule
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.locality import stays_local
+from lentilhaven.locality import find_near_chain, stays_local
 from lentilhaven.peering.load_sums import LoadSums
 
 #: Relative increase of a request's estimated time on an engine whose KV memory is
@@ -46,10 +46,6 @@
 #: some 30 ms after a loss, before any datagram tells of the others.
 RECOVERY_JITTER = 0.4
 
-#: Largest cost of a chain in the own data centre that is preferred to a cheaper one
-#: elsewhere, relative to it: a stream that continues must go on soon.
-MAX_NEAR_COST = 1.5
-
 #: Decoding steps that count towards the choice of the chain whose first event comes
 #: soonest.
 FIRST_EVENT_STEPS = 2
@@ -180,27 +176,6 @@
     return attrs.evolve(chain, cost=total)
 
 
-def find_near_chain(
-    data_centre: str, costs: ChainCosts, candidates: Sequence[Candidate]
-) -> Chain | None:
-    """
-    Return the cheapest chain, or one within a data centre that is not much worse.
-
-    The gateways that lose streams together are in all data centres.  In a trial with 99
-    engines, 50 prompts at once were read after 52 instead of 60 ms at the 90th
-    percentile if each stayed in the data centre of its gateway.
-    """
-    layers = LayerSpan(0, costs.spec.layers)
-    chain = find_chain(layers, drop_dominated(candidates), costs.hop_ms)
-    local = [it for it in candidates if it.endpoint.data_centre == data_centre]
-    if chain is None or len(local) == len(candidates):
-        return chain
-    near = find_chain(layers, drop_dominated(local), costs.hop_ms)
-    if near is None or near.cost > MAX_NEAR_COST * chain.cost:
-        return chain
-    return near
-
-
 def first_event_cost(
     gateway: Gateway, costs: ChainCosts, endpoint: Endpoint, now: float
 ) -> float:
--- a/lentilhaven/gateway/intake.py
+++ b/lentilhaven/gateway/intake.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 from aiohttp import web
 from expression import Error, Ok, Result
 
@@ -135,14 +136,24 @@
     return workspace.name, route.priority if priority is None else priority
 
 
-def current_priority(gateway: Gateway, call: Call) -> int:
-    """Return the priority of a request by the manifest that is in force now."""
+def with_current_terms(gateway: Gateway, call: Call) -> Call:
+    """
+    Return a waiting request with the priority and times that are in force now.
+
+    The manifest may have changed since it was accepted.  Its service stays as it was.
+    """
     manifest = gateway.view.manifest
     if manifest is None or manifest.version == call.manifest_version:
-        return call.priority
+        return call
     route = manifest.find_route(call.route.host, call.target.partition("?")[0])
     identity = authenticate(manifest, route, call.head) if route else None
-    return identity[1] if identity else call.priority
+    if route is None or identity is None:
+        return call
+    workspace, priority = identity
+    deadline = min(call.deadline, call.arrived + route.timeout)
+    return attrs.evolve(
+        call, workspace=workspace, priority=priority, route=route, deadline=deadline
+    )
 
 
 def choose_service(gateway: Gateway, route: RouteRule) -> str:
--- a/lentilhaven/gateway/slot_admission.py
+++ b/lentilhaven/gateway/slot_admission.py
@@ -7,7 +7,7 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.gateway.intake import current_priority
+from lentilhaven.gateway.intake import with_current_terms
 from lentilhaven.gateway.replica_choice import usable_replicas
 from lentilhaven.limits.waiting_queue import QueueEntry
 
@@ -26,20 +26,23 @@
     if not gateway.rules.is_ordered:
         return
     now = asyncio.get_running_loop().time()
-    until = min(call.deadline, now + SLOT_WAIT_SHARE * call.route.target_latency)
 
     def make_entry() -> tuple[QueueEntry, float]:
-        priority = current_priority(gateway, call)
-        due = call.arrived + call.route.target_latency
-        entry = QueueEntry(call.id, priority, call.workspace, 1.0, call.arrived, due)
-        return entry, until
+        terms = with_current_terms(gateway, call)
+        due = call.arrived + terms.route.target_latency
+        entry = QueueEntry(
+            call.id, terms.priority, terms.workspace, 1.0, call.arrived, due
+        )
+        patience = SLOT_WAIT_SHARE * terms.route.target_latency
+        return entry, min(terms.deadline, now + patience)
 
     def has_slot() -> bool | None:
         usable = usable_replicas(gateway, call.service, ())
         return True if not usable or with_free_slots(gateway, usable) else None
 
     queue = gateway.queues.of(call.service)
-    await queue.wait(make_entry()[0], has_slot, until=until, renew=make_entry)
+    entry, until = make_entry()
+    await queue.wait(entry, has_slot, until=until, renew=make_entry)
 
 
 def with_free_slots(gateway: Gateway, replicas: Sequence[Endpoint]) -> list[Endpoint]:
--- a/lentilhaven/gateway/stream_admission.py
+++ b/lentilhaven/gateway/stream_admission.py
@@ -19,7 +19,7 @@
     time_to_cover,
     unread_at,
 )
-from lentilhaven.gateway.intake import current_priority
+from lentilhaven.gateway.intake import with_current_terms
 from lentilhaven.gateway.limit_checks import limit_wait
 from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
 from lentilhaven.limits.queue_decision import allowed_wait
@@ -43,7 +43,7 @@
     It is due when a prompt that begins to be read then still meets the target of the
     first event, or the longest pause of a stream that continues.
     """
-    call = relay.call
+    call = with_current_terms(relay.gateway, relay.call)
     cost = max(1.0, relay.tokens)
     if not relay.gateway.rules.is_ordered:
         return QueueEntry(call.id, 0, "", cost, call.arrived, call.arrived)
@@ -52,16 +52,15 @@
         patience = call.route.gap_target or call.route.stream_patience
         due = (relay.heard_at or call.arrived) + patience
     due -= usual_read_time(relay.spec, call.head.prompt_tokens)
-    priority = current_priority(relay.gateway, call)
     return QueueEntry(
-        call.id, priority, call.workspace, cost, call.arrived, due, relay.continues
+        call.id, call.priority, call.workspace, cost, call.arrived, due, relay.continues
     )
 
 
 def wait_limit(relay: StreamRelay, entry: QueueEntry) -> float:
     """Return the event loop time at which a stream's wait for capacity ends."""
     now = asyncio.get_running_loop().time()
-    call = relay.call
+    call = with_current_terms(relay.gateway, relay.call)
     latest = call.arrived + CAPACITY_WAIT_SHARE * call.route.target_latency
     until = max(latest, now + MIN_CAPACITY_WAIT)
     if relay.gateway.rules.is_ordered:
--- a/lentilhaven/gateway/suspect_check.py
+++ b/lentilhaven/gateway/suspect_check.py
@@ -90,6 +90,7 @@
     elif holds_same_layers(endpoint, report.ok):
         now = asyncio.get_running_loop().time()
         gateway.endpoint_states.of(endpoint).note_heard(now)
+        gateway.queues.notify_room()
         gateway.urgent_signal.notify()
         log.info("suspected engine is alive", endpoint=endpoint.id)
 
