--- a/lentilhaven/gateway/endpoint_states.py
+++ b/lentilhaven/gateway/endpoint_states.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from collections.abc import Iterator
 
 import attrs
 
@@ -260,6 +261,13 @@
         """Return the time from which the endpoint may get requests."""
         return max(self.suspected_until, self.refused_until, self.paused_until)
 
+    def next_changes(self, now: float) -> Iterator[float]:
+        """Yield the times at which the endpoint may take more requests by itself."""
+        if self.unavailable_until > now:
+            yield self.unavailable_until
+        elif self.named_limit is not None and self.sent_at:
+            yield max(now, self.sent_at[0] + SENT_WINDOW)
+
 
 @attrs.define
 class EndpointStates:
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -200,13 +200,9 @@
         return ServiceQueues(next_change=self.next_return, ages=self.report_ages)
 
     def next_return(self, service: str, now: float) -> float | None:
-        """Return when the next endpoint that is unavailable may get requests again."""
-        times = [
-            until
-            for endpoint in self.view.of_service(service)
-            if (until := self.endpoint_states.of(endpoint).unavailable_until) > now
-        ]
-        return min(times, default=None)
+        """Return when an endpoint that is unavailable or at its limit may be used."""
+        states = [self.endpoint_states.of(it) for it in self.view.of_service(service)]
+        return min((it for s in states for it in s.next_changes(now)), default=None)
 
     def report_ages(self, now: float) -> dict[str, float]:
         """Return the ages of the latest and of the oldest report of other gateways."""
