--- a/lentilhaven/admission/service_queue.py
+++ b/lentilhaven/admission/service_queue.py
@@ -8,7 +8,6 @@
 import attrs
 
 from lentilhaven.admission.refusal import Refusal
-from lentilhaven.admission.started_work import StartedWork
 from lentilhaven.core.logs import get_logger
 from lentilhaven.limits.drain_rate import DrainRate
 from lentilhaven.limits.priority_brown_out import PriorityBrownOut
@@ -95,8 +94,6 @@
         Estimates the rate at which running requests end; None before the first end.
     brown_out : PriorityBrownOut
         Degradation steps of the service.
-    started : StartedWork
-        Rates of the work that has started, for the reports to other processes.
     waiters : dict
         `Waiter` by entry.
     scopes : Counter
@@ -118,7 +115,6 @@
     queue: WaitingQueue = attrs.field(factory=WaitingQueue)
     drain: DrainRate | None = None
     brown_out: PriorityBrownOut = attrs.field(factory=PriorityBrownOut)
-    started: StartedWork = attrs.field(factory=StartedWork)
     waiters: dict[QueueEntry, Waiter] = attrs.field(factory=dict)
     scopes: Counter[Hashable] = attrs.field(factory=Counter)
     running: int = 0
@@ -187,7 +183,6 @@
         if refused:
             return
         self.queue.record_start(entry)
-        self.started.record(entry.workspace, entry.priority, entry.cost, now)
         self.brown_out.observe(entry.priority, False, now)
 
     def decide(self, entry: QueueEntry, now: float, deadline: float) -> Refusal | None:
