Refuse nothing that could run, and predict waits behind urgent arrivals

Cause: a request with room was refused if the prediction behind waiting ones was long, and a sum of costs decided whether one goes before it. With an unknown rate all requests but one were refused, which hits broken streams after a calm time. The prediction left out more urgent requests that arrive during the wait. When the wait was longer than the latest useful time, callers of all priorities returned together.

Change: the order decides on a start; with room a request starts or waits; rate may be None; urgent_rate is subtracted; a broken stream may wait as long as its caller would after a refusal; the bound of Retry-After grows with the priority. The second figure of the doctest of retry_after changes with that bound.

--- a/lentilhaven/limits/queue_decision.py
+++ b/lentilhaven/limits/queue_decision.py
@@ -1,8 +1,11 @@
 """Decisions whether a request starts, waits or is refused."""
 
+import math
+
 import attrs
 
 from lentilhaven.limits.priority_brown_out import PriorityBrownOut
+from lentilhaven.limits.retry_time import MAX_SHARE_OF_TIME_LEFT
 from lentilhaven.limits.waiting_queue import QueueEntry, WaitingQueue
 
 #: Largest predicted wait of a request that will be late, as a share of the time until
@@ -55,16 +58,18 @@
     entry: QueueEntry,
     *,
     has_room: bool,
-    rate: float,
+    rate: float | None,
     now: float,
     deadline: float,
     brown_out: PriorityBrownOut,
+    urgent_rate: float = 0.0,
 ) -> Decision:
     """
     Decide on a request that has just arrived.
 
-    A request for which there is room starts unless one that goes before it waits, so
-    that nothing is refused or waits while it could run.
+    A request for which there is room is not refused.  It starts unless another one goes
+    before it; the caller then tries the waiting requests in order, so that neither is
+    the order violated nor room left unused that those before cannot use.
 
     Parameters
     ----------
@@ -74,53 +79,89 @@
         The request.
     has_room : bool
         Whether it could run now.
-    rate : float
-        Rate at which waiting work starts, in tokens per second; 0 if unknown or if
-        nothing can start.
+    rate : float or None
+        Rate at which work starts while requests wait, in tokens per second; 0 if
+        nothing can start, None if it is unknown.
     now : float
         Current time, in seconds.
     deadline : float
         Time at which the caller leaves, in seconds.
     brown_out : PriorityBrownOut
         Degradation steps of the service.
+    urgent_rate : float
+        Rate at which more urgent work arrives, in tokens per second.  It goes before
+        the request while that waits.
 
     Returns
     -------
     Start, Wait or Refuse
         The decision; the caller changes the queue accordingly.
     """
-    ahead = queue.cost_ahead(entry)
-    if has_room and ahead <= 0.0:
+    if has_room and queue.goes_first(entry, now):
         return Start()
-    predicted = predict_wait(ahead, entry, rate, now, deadline)
+    ahead = queue.cost_ahead(entry, now)
     allowed = allowed_wait(entry, now, deadline)
+    predicted = predict_wait(ahead, entry, rate, now, deadline, urgent_rate)
+    if has_room:
+        return Wait(min(predicted, allowed))
     if predicted > allowed:
-        return Refuse("wait-too-long", predicted)
+        return Refuse("wait-too-long", min(predicted, max(0.0, deadline - now)))
     if not entry.continues:
-        reduced = allowed * brown_out.wait_factor(entry.priority)
+        reduced = allowed * brown_out.wait_factor(entry.priority, now)
         if predicted > reduced:
             return Refuse("brown-out", predicted)
     return Wait(predicted)
 
 
 def predict_wait(
-    ahead: float, entry: QueueEntry, rate: float, now: float, deadline: float
+    ahead: float,
+    entry: QueueEntry,
+    rate: float | None,
+    now: float,
+    deadline: float,
+    urgent_rate: float = 0.0,
 ) -> float:
     """
-    Return the predicted seconds until a request starts.
+    Return the predicted seconds until a request starts; infinite if it will not.
 
-    If nothing has started lately, the rate is unknown.  A request with nothing before
-    it may then wait for as long as its caller's target allows.
+    With an unknown rate it is what the caller's target allows: nothing has waited
+    lately, so that a long queue is not known.  If nothing can start, a request with
+    nothing before it may wait for the same time, since an endpoint may return.
+
+    Parameters
+    ----------
+    ahead : float
+        Tokens that go before the request.
+    entry : QueueEntry
+        The request.
+    rate : float or None
+        Rate at which work starts, in tokens per second; None if it is unknown.
+    now, deadline : float
+        Current time, and time at which the caller leaves, in seconds.
+    urgent_rate : float
+        Rate at which more urgent work arrives, in tokens per second.
+
+    Examples
+    --------
+    >>> entry = QueueEntry("r1", 1, "depot", 100.0, arrived=0.0, due=0.5)
+    >>> predict_wait(300.0, entry, 800.0, 0.0, 20.0)
+    0.5
+    >>> predict_wait(300.0, entry, 800.0, 0.0, 20.0, urgent_rate=600.0)
+    2.0
     """
-    if rate > 0.0:
-        return (ahead + entry.cost) / rate
-    return allowed_wait(entry, now, deadline) if ahead <= 0.0 else deadline - now
+    if rate is None or (rate <= 0.0 and ahead <= 0.0):
+        return allowed_wait(entry, now, deadline)
+    spare = rate - urgent_rate
+    return (ahead + entry.cost) / spare if spare > 0.0 else math.inf
 
 
 def allowed_wait(entry: QueueEntry, now: float, deadline: float) -> float:
     """
     Return the longest wait that still serves the caller of a request, in seconds.
 
+    A stream that continues may wait as long as its caller would after a refusal, since
+    a refusal would also discard what the caller has of the answer.
+
     Parameters
     ----------
     entry : QueueEntry
@@ -134,7 +175,9 @@
     >>> allowed_wait(entry, 0.0, 20.0), allowed_wait(entry, 0.0, 1.5)
     (2.0, 0.5)
     """
-    return max(0.0, entry.due - now, LATE_WAIT_SHARE * (deadline - now))
+    time_left = max(0.0, deadline - now)
+    share = MAX_SHARE_OF_TIME_LEFT if entry.continues else LATE_WAIT_SHARE
+    return min(time_left, max(entry.due - now, share * time_left))
 
 
 def may_start(cost: float, *, room: float, urgent_waiting: float) -> bool:
--- a/lentilhaven/limits/retry_time.py
+++ b/lentilhaven/limits/retry_time.py
@@ -14,6 +14,10 @@
 #: return together.
 SPREAD = 0.5
 
+#: Share by which the most urgent callers return earlier than the latest useful time if
+#: the wait is longer than that; the lead of the others is divided by their delay.
+CAPPED_LEAD = 0.2
+
 #: Callers follow a Retry-After of up to this share of the time that they have left.
 MAX_SHARE_OF_TIME_LEFT = 1 / 3
 
@@ -43,10 +47,12 @@
     >>> round(retry_after(1.0, 0, 20.0, Random(1)), 2)
     1.07
     >>> round(retry_after(60.0, 0, 6.0, Random(1)), 2)
-    1.42
+    1.14
     """
     latest = max(0.0, MAX_SHARE_OF_TIME_LEFT * time_left)
-    wanted = max(MIN_RETRY_AFTER, wait) * (1.0 + PRIORITY_DELAY * max(0, priority))
-    # A spread beyond the latest useful time would make all callers return then.
-    earliest = min(wanted, latest / (1.0 + SPREAD))
-    return min(latest, earliest * (1.0 + SPREAD * rng.random()))
+    delay = 1.0 + PRIORITY_DELAY * max(0, priority)
+    wanted = max(MIN_RETRY_AFTER, wait) * delay
+    # A spread beyond the latest useful time would make all callers return then.  Less
+    # urgent callers return later also if the wait exceeds that time.
+    bound = latest / (1.0 + SPREAD) * (1.0 - CAPPED_LEAD / delay)
+    return min(latest, min(wanted, bound) * (1.0 + SPREAD * rng.random()))
