Keep the router's queues sorted, and stop a pick at the limit

Cause: AdmissionState sorted a workspace's list at each enqueue, and pick_fairly sorted all workspaces also while the limit allows no start. Change: a sorted list per workspace, as in the waiting queue; a pick ends at the limit and sorts only as far as it looks. The start tags of the router move with the mean cost and weight (its credit), so that they can't be kept in order; the waiting queue's class is not shared.

--- a/lentilhaven/limits/admission_state.py
+++ b/lentilhaven/limits/admission_state.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 
 import attrs
+from sortedcontainers import SortedKeyList
 
 from lentilhaven.core.ids import RequestId, WorkspaceId
 from lentilhaven.core.invariants import ensure
@@ -39,8 +40,8 @@
     running_by_workspace : Counter
         Number of requests in flight by workspace.
     queues : dict
-        Queued requests by workspace, earliest `start_by` first.  A workspace without
-        queued requests has no entry.
+        `SortedKeyList` of queued requests by workspace, earliest `start_by` first.  A
+        workspace without queued requests has no entry.
     queued_tokens : dict
         Total cost of the queued requests by workspace, in tokens.
     finish_tags : dict
@@ -57,7 +58,7 @@
     running: dict[RequestId, AdmissionRequest] = attrs.field(factory=dict)
     started: dict[RequestId, float] = attrs.field(factory=dict)
     running_by_workspace: Counter[WorkspaceId] = attrs.field(factory=Counter)
-    queues: dict[WorkspaceId, list[AdmissionRequest]] = attrs.field(factory=dict)
+    queues: dict[WorkspaceId, SortedKeyList] = attrs.field(factory=dict)
     queued_tokens: dict[WorkspaceId, float] = attrs.field(
         factory=lambda: defaultdict(float)
     )
@@ -72,9 +73,9 @@
 
     def enqueue(self, ticket: AdmissionRequest) -> None:
         """Insert a request into its workspace's queue, ordered by `start_by`."""
-        queue = self.queues.setdefault(ticket.workspace, [])
-        queue.append(ticket)
-        queue.sort(key=lambda it: it.start_by)
+        if ticket.workspace not in self.queues:
+            self.queues[ticket.workspace] = SortedKeyList(key=lambda it: it.start_by)
+        self.queues[ticket.workspace].add(ticket)
         self.queued_tokens[ticket.workspace] += ticket.tokens
 
     def dequeue(self, ticket: AdmissionRequest) -> None:
--- a/lentilhaven/limits/deadline_admission.py
+++ b/lentilhaven/limits/deadline_admission.py
@@ -6,6 +6,8 @@
 P. Goyal, H. Vin, H. Cheng, "Start-Time Fair Queueing", 1996.
 """
 
+import heapq
+
 from lentilhaven.core.ids import WorkspaceId
 from lentilhaven.limits.admission_request import AdmissionRequest
 from lentilhaven.limits.admission_state import AdmissionState
@@ -64,12 +66,16 @@
     state : AdmissionState
         Requests in flight and in queue.
     """
-
-    def start_tag(workspace: WorkspaceId) -> float:
-        return state.start_tag(workspace, state.queues[workspace][0].weight)
-
-    order = sorted(state.queues, key=lambda it: (start_tag(it), it))
-    for workspace in order:
+    if len(state.running) + 1 > state.limit.limit:
+        return None
+    order = [
+        (state.start_tag(workspace, queue[0].weight), workspace)
+        for workspace, queue in state.queues.items()
+    ]
+    # Mostly the first workspace may start, so that the others need no sorting.
+    heapq.heapify(order)
+    while order:
+        _, workspace = heapq.heappop(order)
         ticket = state.queues[workspace][0]
         if may_start(state, ticket):
             return ticket
