Report queues and unread prompts in datagrams

Cause: each gateway orders only its own requests, and a loss of engines leaves one broken stream at each of about 45 gateways. Change: datagrams carry what waits and what was started by service and priority, the 8 heaviest workspaces of each service, and the unread layer-tokens by endpoint. Sums are formed like the load. Malformed entries are ignored one by one. Builds before this one ignore the two fields, which are absent while there is nothing to report. Amounts are multiples of 1/8, so that sums stay exact when a gateway is subtracted again.

--- a/lentilhaven/peering/load_sums.py
+++ b/lentilhaven/peering/load_sums.py
@@ -5,6 +5,7 @@
 import attrs
 
 from lentilhaven.peering.messages import PeerMessage
+from lentilhaven.peering.queue_sums import QueueSums
 
 
 @attrs.define
@@ -29,6 +30,8 @@
         Number of gateways that do not tell their attempts.
     sent : dict
         Requests that they have lately sent to endpoints that name limits, by endpoint.
+    queues : QueueSums
+        What they have waiting and have started, by service, and prompts not yet read.
 
     Examples
     --------
@@ -46,9 +49,11 @@
     attempts: dict[str, float] = attrs.field(factory=lambda: defaultdict(float))
     untold: int = 0
     sent: dict[str, int] = attrs.field(factory=lambda: defaultdict(int))
+    queues: QueueSums = attrs.field(factory=QueueSums)
 
     def add(self, message: PeerMessage, sign: int = 1) -> None:
         """Add the load that a datagram reports, or subtract it if `sign` is -1."""
+        self.queues.add(message.queues, message.unread, sign)
         for pipe, rate in message.pipes.items():
             self.pipes[pipe] += sign * rate
         if message.attempts is None:
@@ -78,6 +83,7 @@
         for endpoint, count in other.sent.items():
             self.sent[endpoint] += count
         self.untold += other.untold
+        self.queues.merge(other.queues)
 
     def load_of(self, endpoint: str) -> tuple[int, float]:
         """Return the requests in flight at an endpoint and their token-layers."""
--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -16,7 +16,15 @@
 from lentilhaven.core.store_position import StorePosition
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.endpoint_history import EndpointChanges
+from lentilhaven.peering.bounds import MAX_ENTRIES, is_name
 from lentilhaven.peering.member import Member
+from lentilhaven.peering.queue_state import (
+    QueueState,
+    decode_queues,
+    decode_unread,
+    encode_queues,
+    rounded_amounts,
+)
 from lentilhaven.peering.subject import Incarnation, Subject, SubjectKind
 
 #: zlib compression level; the fastest, which is enough for text that repeats the
@@ -32,11 +40,6 @@
 #: largest fleet sends.
 MAX_DECODED_BYTES = 1 << 20
 
-#: Maximum number of entries that are read of each list about ended endpoints, and of
-#: characters of a name in it.  Both are larger than what any gateway sends.
-MAX_ENTRIES = 256
-MAX_NAME_LENGTH = 256
-
 #: Errors by which a malformed datagram shows.
 MALFORMED = (
     ValueError,
@@ -173,6 +176,12 @@
         Refusals of parts of prompts and of requests.
     ended : dict
         Seconds since endpoints were seen to have ended, by incarnation.
+    queues : dict
+        What the gateways in the sum have waiting and have started, by service; only
+        sent for services with either.
+    unread : dict
+        Layer-tokens of prompts that were sent to an endpoint and are not yet read, by
+        endpoint; only sent for endpoints that have some.
     digest : str
         Digest of the endpoints that the sender holds.
     checked : float
@@ -238,6 +247,8 @@
     request_proofs: dict[Subject, float] = attrs.field(factory=dict)
     breakers: dict[Subject, BreakerState] = attrs.field(factory=dict)
     ended: dict[Incarnation, float] = attrs.field(factory=dict)
+    queues: dict[str, QueueState] = attrs.field(factory=dict)
+    unread: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def sender(self) -> Member:
@@ -285,6 +296,15 @@
     fields["ended"] = [
         (*incarnation, age) for incarnation, age in message.ended.items()
     ]
+    scarcity = {
+        "queues": encode_queues(message.queues),
+        "unread": rounded_amounts(message.unread),
+    }
+    for name, value in scarcity.items():
+        # Without scarcity a datagram stays as short as one of the release before.
+        del fields[name]
+        if value:
+            fields[name] = value
     text = json.dumps(fields, separators=(",", ":")).encode()
     return zlib.compress(text, COMPRESSION_LEVEL)
 
@@ -389,6 +409,8 @@
                 )
             },
             ended=decode_ages(fields.get("ended", ())),
+            queues=decode_queues(fields.get("queues")),
+            unread=decode_unread(fields.get("unread")),
         )
     except MALFORMED:
         return None
@@ -497,11 +519,6 @@
             yield entry
 
 
-def is_name(text: str) -> bool:
-    """Return whether a text may be kept and logged as a name."""
-    return len(text) <= MAX_NAME_LENGTH and text.isprintable()
-
-
 def decode_age(value: Any) -> float:
     """Decode the seconds since an event, which is not in the future."""
     return max(0.0, decode_finite(value))
--- a/lentilhaven/peering/peer_table.py
+++ b/lentilhaven/peering/peer_table.py
@@ -7,6 +7,8 @@
 from lentilhaven.peering.load_sums import LoadSums
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage, Scope
+from lentilhaven.peering.queue_state import QueueReport, QueueState
+from lentilhaven.peering.queue_sums import QueueSums
 
 #: Seconds without a datagram after which a gateway's load is no longer counted.
 LOAD_EXPIRY = 1.5
@@ -41,6 +43,20 @@
         """Return whether the datagram is recent enough for its load to count."""
         return now - self.received_at < LOAD_EXPIRY
 
+    def queue_report(self, service: str, now: float) -> QueueReport:
+        """
+        Return what the datagram reports of the queues of a service.
+
+        A gateway that tries to send requests for the service but reports no queue of
+        it is of a release that does not report queues.
+        """
+        message = self.message
+        state = message.queues.get(service)
+        is_active = (message.attempts or {}).get(service, 0.0) > 0.0
+        if state is None and not (is_active and message.scope is Scope.OWN):
+            state = QueueState()
+        return QueueReport(state, now - self.received_at, message.gateways)
+
 
 @attrs.define
 class PeerTable:
@@ -246,8 +262,44 @@
             total.attempts[service] = max(0.0, left_rate)
         for endpoint, count in self.reported_load.sent.items():
             total.sent[endpoint] = max(0, total.sent.get(endpoint, 0) - count)
+        total.queues.subtract(self.reported_load.queues)
         return total
 
+    def queue_reports(self, service: str, now: float) -> list[QueueReport]:
+        """
+        Return what other gateways report of their queues of a service, with its age.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        now : float
+            Time of the event loop, in seconds.
+
+        Returns
+        -------
+        list of QueueReport
+            One for each gateway that reports here, or one for a sum over several.
+            Gateways that are silent for longer than `LOAD_EXPIRY` have none.
+        """
+        fleet = best_peer(self.fleet_sums, now)
+        if fleet is not None and fleet.message.gateways > self.count_summed(now):
+            sums = QueueSums()
+            sums.add(fleet.message.queues, {})
+            sums.subtract(self.reported_load.queues)
+            others = fleet.message.gateways - 1
+            age = now - fleet.received_at
+            return [QueueReport(sums.state_of(service), age, others)]
+        sums_of_others = [
+            best
+            for name, senders in self.data_centre_sums.items()
+            if name != self.own.data_centre
+            and (best := best_peer(senders, now)) is not None
+        ]
+        alone = self.peers_outside([peer.message for peer in sums_of_others])
+        fresh = [peer for peer in alone if peer.is_fresh(now)]
+        return [peer.queue_report(service, now) for peer in (*fresh, *sums_of_others)]
+
     def reports(self, now: float) -> list[PeerMessage]:
         """Return the fresh datagrams of gateways that report their own state here."""
         return [peer.message for peer in self.peers.values() if peer.is_fresh(now)]
@@ -354,10 +406,15 @@
 
 def best_sum(senders: dict[str, Peer], now: float) -> PeerMessage | None:
     """Return the fresh sum over the most gateways, the latest if several are equal."""
+    best = best_peer(senders, now)
+    return best.message if best is not None else None
+
+
+def best_peer(senders: dict[str, Peer], now: float) -> Peer | None:
+    """Return the sender of the sum that `best_sum` returns."""
     fresh = [peer for peer in senders.values() if peer.is_fresh(now)]
-    best = max(
+    return max(
         fresh,
         key=lambda peer: (peer.message.gateways, peer.received_at),
         default=None,
     )
-    return best.message if best is not None else None
--- a/lentilhaven/peering/tests/test_previous_release.py
+++ b/lentilhaven/peering/tests/test_previous_release.py
@@ -20,6 +20,7 @@
     decode_message,
     encode_message,
 )
+from lentilhaven.peering.queue_state import QueueState
 from lentilhaven.peering.subject import Subject, SubjectKind
 
 REQUEST = SubjectKind.REQUEST
@@ -40,6 +41,8 @@
     "sent",
     "limits",
     "unreached",
+    "queues",
+    "unread",
 )
 
 #: Fields of a datagram that the release before reads.
@@ -111,6 +114,8 @@
         unreached=(("b", 8),),
         sent={"a": 4},
         limits={("a", 7): LimitState(6.4, 0.2)},
+        queues={"gen": QueueState({0: (1, 800.0)}, {0: 40.0}, (("depot", 0, 40.0),))},
+        unread={"a": 4000.0},
     )
 
 
@@ -134,6 +139,7 @@
         self.assertEqual((message.request_ends, message.request_proofs), ({}, {}))
         self.assertEqual((message.breakers, message.ended), ({}, {}))
         self.assertEqual((message.sent, message.limits), ({}, {}))
+        self.assertEqual((message.queues, message.unread), ({}, {}))
         self.assertIsNone(message.attempts)
         self.assertIsNone(message.unreached)
         self.assertEqual(message.changes.until, StorePosition(0, 5))
