Put queues and unread prompts of a gateway into its datagrams

Change: two callables of Gateway return what waits and was started here by service, and the unread layer-tokens by endpoint; both are empty until admission fills them.

--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -17,17 +17,18 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.gateway.body_memory import BodyMemory
-from lentilhaven.gateway.budget import RetryBudgetShare
 from lentilhaven.gateway.endpoint_signals import note_signals
 from lentilhaven.gateway.endpoint_states import EndpointStates
 from lentilhaven.gateway.pipe_meter import PipeMeter
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.peer_table import PeerTable
+from lentilhaven.peering.queue_state import QueueState
 from lentilhaven.peering.subject import Incarnation
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.rate_limits import ServiceDemand
+from lentilhaven.retries.budget_share import RetryBudgetShare
 from lentilhaven.serving.metrics import Metrics
 from lentilhaven.upstream.answer_memory import AnswerMemory, answer_memory_limit
 from lentilhaven.upstream.connection_pool import ConnectionPool
@@ -84,6 +85,11 @@
         `RetryBudgetShare` by service.
     demands : dict
         `ServiceDemand` by service.
+    queue_states : callable
+        Returns what waits here and was started here, by service.
+    unread : callable
+        Returns the layer-tokens of prompts that this gateway has sent and that are not
+        yet read, by endpoint.
     peers : PeerTable
         The other gateways.
     link_traffic : PipeMeter
@@ -143,6 +149,8 @@
     behind_signal: Signal = attrs.field(factory=Signal)
     budgets: dict[str, RetryBudgetShare] = attrs.field(factory=dict)
     demands: dict[str, ServiceDemand] = attrs.field(factory=dict)
+    queue_states: Callable[[], dict[str, QueueState]] = dict
+    unread: Callable[[], dict[str, float]] = dict
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
     crash_ledger: CrashLedger = attrs.field()
--- a/lentilhaven/gateway/message_composer.py
+++ b/lentilhaven/gateway/message_composer.py
@@ -111,6 +111,8 @@
             request_proofs=ledger.sent_proofs(SubjectKind.REQUEST, now, scope.distance),
             breakers=ledger.sent_breakers(now),
             ended=ledger.sent_ended(now),
+            queues=sums.queues.states(),
+            unread=dict(sums.queues.unread),
         )
 
     def endpoint_states(self) -> dict[str, EndpointState]:
@@ -182,6 +184,7 @@
             sums.attempts[service] = demand.rate(now)
         for pipe, rate in self.gateway.link_traffic.current(now).items():
             sums.pipes[pipe] = round(rate)
+        sums.queues.add_own(self.gateway.queue_states(), self.gateway.unread())
         return sums
 
     def named_limits(
--- a/lentilhaven/gateway/tests/stream_wire.py
+++ b/lentilhaven/gateway/tests/stream_wire.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from lentilhaven.gateway.budget import ASSUMED_GATEWAYS
 from lentilhaven.gateway.tests.platform_testbed import KEY
 from lentilhaven.gateway.tests.wire_testbed import (
     address_of,
@@ -17,6 +16,7 @@
     receive_bytes,
     wire_engine,
 )
+from lentilhaven.retries.budget_share import ASSUMED_GATEWAYS
 from lentilhaven.standins.platform.sample_files import request_headers
 from lentilhaven.upstream.tests.wire import SETTLE_TIME, close_in_order
 
--- a/lentilhaven/gateway/tests/test_large_fleet.py
+++ b/lentilhaven/gateway/tests/test_large_fleet.py
@@ -13,8 +13,10 @@
     sample_manifest,
     two_chains,
 )
+from lentilhaven.limits.shared_room import urgent_waiting_elsewhere
 from lentilhaven.peering.directory import ANSWER_TIMEOUT
 from lentilhaven.peering.peer_table import LOAD_EXPIRY
+from lentilhaven.peering.queue_state import QueueState
 from lentilhaven.standins.platform.sample_files import route_entry
 
 #: Seconds within which an accepted manifest must be in force.
@@ -70,6 +72,17 @@
     return found
 
 
+def waiting_elsewhere(gateway, now):
+    """Return waiting tokens, gateways that report them, and unread layer-tokens."""
+    reports = gateway.peers.queue_reports("gen", now)
+    unread = gateway.peers.load_of_others(now).queues.unread
+    return (
+        urgent_waiting_elsewhere(reports, 1),
+        sum(report.gateways for report in reports),
+        unread.get("i-a4"),
+    )
+
+
 class LoadTests(unittest.TestCase):
     """Guards against uneven load: many gateways choose among the same engines."""
 
@@ -90,6 +103,20 @@
         for requests in found:
             self.assertEqual(requests, found[0])
 
+    def test_every_gateway_knows_what_waits_at_the_others(self):
+        """Guards against less urgent work that starts before work elsewhere."""
+
+        async def use(bed):
+            for gateway in bed.gateways:
+                gateway.queue_states = lambda: {"gen": QueueState({0: (1, 100.0)})}
+                gateway.unread = lambda: {"i-a4": 5.0}
+            await asyncio.sleep(0.6)
+            now = asyncio.get_running_loop().time()
+            return [waiting_elsewhere(gateway, now) for gateway in bed.gateways]
+
+        expected = (1100.0, 11, 55.0)
+        self.assertEqual(in_large_fleet(use, plain_replicas()), [expected] * 12)
+
     def test_every_gateway_counts_all_gateways(self):
         async def use(bed):
             now = asyncio.get_running_loop().time()
--- a/lentilhaven/peering/queue_sums.py
+++ b/lentilhaven/peering/queue_sums.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from lentilhaven.peering.queue_state import QueueState, heaviest
+from lentilhaven.peering.queue_state import QueueState, heaviest, rounded_amounts
 
 
 @attrs.define
@@ -110,6 +110,13 @@
         for endpoint, amount in unread.items():
             add_amount(self.unread, endpoint, sign * amount)
 
+    def add_own(
+        self, queues: Mapping[str, QueueState], unread: Mapping[str, float]
+    ) -> None:
+        """Add the state of this gateway, as its datagrams state it."""
+        rounded = {service: state.rounded() for service, state in queues.items()}
+        self.add(rounded, rounded_amounts(unread))
+
     def merge(self, other: "QueueSums") -> None:
         """Add another sum to this one."""
         for service, sums in other.services.items():
