--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -24,6 +24,7 @@
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.peer_table import PeerTable
+from lentilhaven.peering.queue_state import QueueState
 from lentilhaven.peering.subject import Incarnation
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.platform.settings import PlatformSettings
@@ -87,6 +88,11 @@
         `ServiceDemand` by service.
     queues : ServiceQueues
         Requests that wait for capacity.
+    queue_states : callable
+        Returns what waits here and was started here, by service.
+    unread : callable
+        Returns the layer-tokens of prompts that this gateway has sent and that are not
+        yet read, by endpoint.
     peers : PeerTable
         The other gateways.
     link_traffic : PipeMeter
@@ -147,6 +153,8 @@
     budgets: dict[str, RetryBudgetShare] = attrs.field(factory=dict)
     demands: dict[str, ServiceDemand] = attrs.field(factory=dict)
     queues: ServiceQueues = attrs.field()
+    queue_states: Callable[[], dict[str, QueueState]] = dict
+    unread: Callable[[], dict[str, float]] = dict
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
     crash_ledger: CrashLedger = attrs.field()
