Let queues and unread prompts of other gateways count

Change: datagrams report what waits, what has started and what is unread, if the manifest orders requests. A new stream does not start while the free KV memory is needed for more urgent work that waits elsewhere; unread prompts of others count in the choice and the room of a chain; what others give to workspaces is charged while something waits.

--- a/lentilhaven/admission/service_queue.py
+++ b/lentilhaven/admission/service_queue.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Sequence
 from typing import Any, TypeVar, cast
 
 import attrs
@@ -12,7 +12,10 @@
 from lentilhaven.limits.drain_rate import DrainRate
 from lentilhaven.limits.priority_brown_out import PriorityBrownOut
 from lentilhaven.limits.queue_decision import Refuse, decide_arrival
+from lentilhaven.limits.shared_room import charges_from_peers
+from lentilhaven.limits.start_rates import StartRates
 from lentilhaven.limits.waiting_queue import QueueEntry, WaitingQueue
+from lentilhaven.peering.queue_state import QueueReport
 
 #: Number of requests that may fail to start in one pass over the queue: the search for
 #: a chain among 99 engines takes 1 to 4 ms.
@@ -94,6 +97,10 @@
         Estimates the rate at which running requests end; None before the first end.
     brown_out : PriorityBrownOut
         Degradation steps of the service.
+    rates : StartRates
+        What has lately been started.
+    charged_at : float
+        Time up to which the service of other processes is charged, in seconds.
     waiters : dict
         `Waiter` by entry.
     scopes : Counter
@@ -115,6 +122,8 @@
     queue: WaitingQueue = attrs.field(factory=WaitingQueue)
     drain: DrainRate | None = None
     brown_out: PriorityBrownOut = attrs.field(factory=PriorityBrownOut)
+    rates: StartRates = attrs.field(factory=StartRates)
+    charged_at: float = 0.0
     waiters: dict[QueueEntry, Waiter] = attrs.field(factory=dict)
     scopes: Counter[Hashable] = attrs.field(factory=Counter)
     running: int = 0
@@ -183,6 +192,7 @@
         if refused:
             return
         self.queue.record_start(entry)
+        self.rates.record(entry.priority, entry.workspace, entry.cost, now)
         self.brown_out.observe(entry.priority, False, now)
 
     def decide(self, entry: QueueEntry, now: float, deadline: float) -> Refusal | None:
@@ -286,6 +296,13 @@
             self.handle = None
         return waiter
 
+    def charge_peers(self, reports: Sequence[QueueReport], now: float) -> None:
+        """Charge the workspaces for what other processes have given them lately."""
+        elapsed, self.charged_at = now - self.charged_at, now
+        waiting = self.queue.waiting_cost()
+        for it in charges_from_peers(reports, elapsed, waiting):
+            self.queue.charge(it.workspace, it.priority, it.cost)
+
     def renew(self) -> None:
         """Order the waiting requests by what the manifest says now."""
         for waiter in list(self.waiters.values()):
--- a/lentilhaven/admission/service_queues.py
+++ b/lentilhaven/admission/service_queues.py
@@ -1,7 +1,7 @@
 """The queues of a process, and what their decisions share."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -10,6 +10,8 @@
 from lentilhaven.admission.unread_prompts import UnreadPrompts
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.fleet.manifest import Manifest
+from lentilhaven.limits.queue_report import report_queue
+from lentilhaven.peering.queue_state import QueueReport, QueueState
 
 
 @attrs.define(eq=False)
@@ -61,6 +63,37 @@
             self.manifest, self.rules = manifest, OrderRules.of(manifest)
         return self.rules
 
+    def states(self, now: float) -> dict[str, QueueState]:
+        """Return what waits and has started, by service, if it is ordered."""
+        if not self.rules.is_ordered:
+            return {}
+        return {
+            name: report_queue(queue.queue, queue.rates, now)
+            for name, queue in self.queues.items()
+        }
+
+    def unread_tokens(self) -> dict[str, float]:
+        """Return the unread layer-tokens by endpoint, if requests are ordered."""
+        return dict(self.unread.layer_tokens) if self.rules.is_ordered else {}
+
+    def note_reports(
+        self, reports_of: Callable[[str, float], Sequence[QueueReport]], now: float
+    ) -> None:
+        """
+        Apply what other processes report of their queues.
+
+        Parameters
+        ----------
+        reports_of : callable
+            Takes a service and a time, and returns the reports.
+        now : float
+            Current time, in seconds.
+        """
+        for name, queue in self.queues.items():
+            is_needed = self.rules.is_ordered and queue.waiters
+            queue.charge_peers(reports_of(name, now) if is_needed else (), now)
+            queue.notify_room()
+
     async def follow(self, view: FleetView) -> None:
         """Apply each change of the manifest or of the endpoints, until cancelled."""
         while True:
--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -196,8 +196,8 @@
 
 
 def unread_of_others(gateway: Gateway, endpoint: str, now: float) -> float:
-    """Return what other gateways report as unread; no datagram contains it yet."""
-    return 0.0
+    """Return the layer-tokens that other gateways report as unread."""
+    return gateway.peers.load_of_others(now).queues.unread.get(endpoint, 0.0)
 
 
 def find_local_chain(
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -153,8 +153,8 @@
     budgets: dict[str, RetryBudgetShare] = attrs.field(factory=dict)
     demands: dict[str, ServiceDemand] = attrs.field(factory=dict)
     queues: ServiceQueues = attrs.field()
-    queue_states: Callable[[], dict[str, QueueState]] = dict
-    unread: Callable[[], dict[str, float]] = dict
+    queue_states: Callable[[], dict[str, QueueState]] = attrs.field()
+    unread: Callable[[], dict[str, float]] = attrs.field()
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
     crash_ledger: CrashLedger = attrs.field()
@@ -207,6 +207,16 @@
         """Return queues without requests."""
         return ServiceQueues(next_change=self.next_return, ages=self.report_ages)
 
+    @queue_states.default
+    def report_queues(self) -> Callable[[], dict[str, QueueState]]:
+        """Return what tells the others of the queues."""
+        return lambda: self.queues.states(asyncio.get_running_loop().time())
+
+    @unread.default
+    def report_unread(self) -> Callable[[], dict[str, float]]:
+        """Return what tells the others of unread prompts."""
+        return lambda: self.queues.unread_tokens()
+
     def next_return(self, service: str, now: float) -> float | None:
         """Return when an endpoint that is unavailable or at its limit may be used."""
         states = [self.endpoint_states.of(it) for it in self.view.of_service(service)]
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -121,7 +121,7 @@
             if await gateway.urgent_signal.wait(self.interval(loop.time())):
                 await asyncio.sleep(URGENT_DELAY)
             gateway.peers.expire(loop.time())
-            gateway.queues.notify_room()
+            gateway.queues.note_reports(gateway.peers.queue_reports, loop.time())
             refute_ends(gateway, loop.time())
             refute_listed(gateway)
             settle_runs(gateway, loop.time())
--- a/lentilhaven/gateway/stream_admission.py
+++ b/lentilhaven/gateway/stream_admission.py
@@ -7,10 +7,12 @@
 
 from lentilhaven.admission import Refusal
 from lentilhaven.admission.chain_capacity import estimate_reading, usual_read_time
+from lentilhaven.admission.start_room import EngineUse, start_room
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.step import Step
 from lentilhaven.gateway.chain_choice import (
+    MAX_MEMORY_USE,
     build_costs,
     choose_chain,
     live_engines_cover_model,
@@ -22,8 +24,9 @@
 from lentilhaven.gateway.intake import with_current_terms
 from lentilhaven.gateway.limit_checks import limit_wait
 from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
-from lentilhaven.limits.queue_decision import allowed_wait
+from lentilhaven.limits.queue_decision import allowed_wait, may_start
 from lentilhaven.limits.retry_time import retry_after
+from lentilhaven.limits.shared_room import own_room, urgent_waiting_elsewhere
 from lentilhaven.limits.waiting_queue import QueueEntry
 
 #: Share of the target latency for which a request waits for capacity if the manifest
@@ -173,6 +176,8 @@
     queue = gateway.queues.of(call.service)
     if not gateway.rules.is_ordered or (relay.continues and not queue.waiters):
         return True
+    if not relay.continues and must_leave_room(relay, entry, now):
+        return False
     costs = build_costs(gateway, spec, call, now)
     slowdowns = {
         it.id: gateway.endpoint_states.of(it).current_slowdown(now)
@@ -191,6 +196,24 @@
     return estimate.leaves_room(time_left, call.route.gap_target)
 
 
+def must_leave_room(relay: StreamRelay, entry: QueueEntry, now: float) -> bool:
+    """Return whether the room is for more urgent work that waits at other gateways."""
+    gateway, service = relay.gateway, relay.call.service
+    reports = gateway.peers.queue_reports(service, now)
+    urgent = urgent_waiting_elsewhere(reports, entry.priority)
+    if urgent <= 0.0:
+        return False
+    load_of = gateway.peers.load_of_others(now).load_of
+    engines = [
+        EngineUse(it.card, len(it.layers), state.kv_token_layers + load_of(it.id)[1])
+        for it in gateway.view.of_service(service)
+        if it.layers and (state := gateway.endpoint_states.of(it)).available(now)
+    ]
+    room = start_room(relay.spec, engines, MAX_MEMORY_USE)
+    room = own_room(room, reports, gateway.count_gateways(now))
+    return not may_start(entry.cost, room=room, urgent_waiting=urgent)
+
+
 def no_chain_failure(
     relay: StreamRelay, refusal: Refusal, outcome: RunOutcome
 ) -> Failure:
--- a/lentilhaven/gateway/tests/test_ordered_requests.py
+++ b/lentilhaven/gateway/tests/test_ordered_requests.py
@@ -14,6 +14,7 @@
     preferred_chain,
     silence,
 )
+from lentilhaven.peering.queue_state import QueueState
 from lentilhaven.standins.platform.sample_files import route_entry
 
 #: Seconds between two requests that arrive one after the other.
@@ -136,6 +137,25 @@
         self.assertEqual((statuses, begun), ([503, 503], ["/relaxed/0"]))
 
 
+class SharedRoomTests(unittest.TestCase):
+    """Guard against relaxed work that takes the room of urgent work elsewhere."""
+
+    def test_room_is_left_while_urgent_work_waits_at_another_gateway(self):
+        async def scenario(bed):
+            waiting = {"gen": QueueState({0: (1, 1e6)})}
+            bed.gateways[1].queue_states = lambda: waiting
+            await asyncio.sleep(0.3)
+            found = [await bed.call("/relaxed/0"), await bed.call("/urgent/1")]
+            waiting.clear()
+            await asyncio.sleep(0.3)
+            found.append(await bed.call("/relaxed/2"))
+            return [it.status for it in found], targets(bed)
+
+        statuses, begun = run(scenario, [narrow_engine()])
+        self.assertEqual(statuses, [503, 200, 200])
+        self.assertEqual(begun, ["/urgent/1", "/relaxed/2"])
+
+
 class RecoveryTests(unittest.TestCase):
     """Guard against broken streams that wait behind new ones."""
 
