--- a/lentilhaven/gateway/endpoint_states.py
+++ b/lentilhaven/gateway/endpoint_states.py
@@ -2,9 +2,11 @@
 
 import math
 from collections import deque
+from collections.abc import Iterator
 
 import attrs
 
+from lentilhaven.admission.slots import StatedLoad
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.peering.messages import MAX_DISTANCE
 from lentilhaven.rate_limits import NamedLimit
@@ -87,6 +89,8 @@
     named_limit : NamedLimit or None
         Request rate that the endpoint has named as its limit, to any gateway; None if
         it has named none.
+    stated : StatedLoad or None
+        Load that the endpoint has stated in its last answer with one.
     unreached_since : float or None
         Time since which this gateway's own link to the endpoint is gone, while other
         gateways reach it; None while the link is there.
@@ -116,6 +120,7 @@
     refused_until: float = 0.0
     paused_until: float = 0.0
     named_limit: NamedLimit | None = None
+    stated: StatedLoad | None = None
     unreached_since: float | None = None
     link_checked_at: float = -math.inf
     sent_at: deque[float] = attrs.field(factory=deque)
@@ -249,7 +254,19 @@
 
     def available(self, now: float) -> bool:
         """Return whether the endpoint may get a request."""
-        return now >= max(self.suspected_until, self.refused_until, self.paused_until)
+        return now >= self.unavailable_until
+
+    @property
+    def unavailable_until(self) -> float:
+        """Return the time from which the endpoint may get requests."""
+        return max(self.suspected_until, self.refused_until, self.paused_until)
+
+    def next_changes(self, now: float) -> Iterator[float]:
+        """Yield the times at which the endpoint may take more requests by itself."""
+        if self.unavailable_until > now:
+            yield self.unavailable_until
+        elif self.named_limit is not None and self.sent_at:
+            yield max(now, self.sent_at[0] + SENT_WINDOW)
 
 
 @attrs.define
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -8,6 +8,8 @@
 import aiohttp
 import attrs
 
+from lentilhaven.admission import OrderRules, ServiceQueues
+from lentilhaven.chains.pipe_meter import PipeMeter
 from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.signal import Signal
 from lentilhaven.crashes.ledger import CrashLedger
@@ -17,17 +19,17 @@
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.fleet_view import FleetView
 from lentilhaven.gateway.body_memory import BodyMemory
-from lentilhaven.gateway.budget import RetryBudgetShare
 from lentilhaven.gateway.endpoint_signals import note_signals
 from lentilhaven.gateway.endpoint_states import EndpointStates
-from lentilhaven.gateway.pipe_meter import PipeMeter
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.peer_table import PeerTable
+from lentilhaven.peering.queue_state import QueueState
 from lentilhaven.peering.subject import Incarnation
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.rate_limits import ServiceDemand
+from lentilhaven.retries.budget_share import RetryBudgetShare
 from lentilhaven.serving.metrics import Metrics
 from lentilhaven.upstream.answer_memory import AnswerMemory, answer_memory_limit
 from lentilhaven.upstream.connection_pool import ConnectionPool
@@ -84,6 +86,13 @@
         `RetryBudgetShare` by service.
     demands : dict
         `ServiceDemand` by service.
+    queues : ServiceQueues
+        Requests that wait for capacity.
+    queue_states : callable
+        Returns what waits here and was started here, by service.
+    unread : callable
+        Returns the layer-tokens of prompts that this gateway has sent and that are not
+        yet read, by endpoint.
     peers : PeerTable
         The other gateways.
     link_traffic : PipeMeter
@@ -143,6 +152,9 @@
     behind_signal: Signal = attrs.field(factory=Signal)
     budgets: dict[str, RetryBudgetShare] = attrs.field(factory=dict)
     demands: dict[str, ServiceDemand] = attrs.field(factory=dict)
+    queues: ServiceQueues = attrs.field()
+    queue_states: Callable[[], dict[str, QueueState]] = attrs.field()
+    unread: Callable[[], dict[str, float]] = attrs.field()
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
     crash_ledger: CrashLedger = attrs.field()
@@ -164,8 +176,9 @@
     request_finished: Signal = attrs.field(factory=Signal)
 
     def __attrs_post_init__(self) -> None:
-        """Apply what endpoints say about themselves in the heads of their answers."""
+        """Connect the parts of the state that act on each other."""
         self.pool.on_head = self.note_head
+        self.queues.counters = self.counters
 
     def note_head(self, endpoint: Endpoint, head: ResponseHead) -> None:
         """Apply what the head of an answer says about its endpoint."""
@@ -189,6 +202,36 @@
         """Return a memory without bodies."""
         return BodyMemory(answer_memory_limit(self.settings.memory))
 
+    @queues.default
+    def empty_queues(self) -> ServiceQueues:
+        """Return queues without requests."""
+        return ServiceQueues(next_change=self.next_return, ages=self.report_ages)
+
+    @queue_states.default
+    def report_queues(self) -> Callable[[], dict[str, QueueState]]:
+        """Return what tells the others of the queues."""
+        return lambda: self.queues.states(asyncio.get_running_loop().time())
+
+    @unread.default
+    def report_unread(self) -> Callable[[], dict[str, float]]:
+        """Return what tells the others of unread prompts."""
+        return lambda: self.queues.unread_tokens()
+
+    def next_return(self, service: str, now: float) -> float | None:
+        """Return when an endpoint that is unavailable or at its limit may be used."""
+        states = [self.endpoint_states.of(it) for it in self.view.of_service(service)]
+        return min((it for s in states for it in s.next_changes(now)), default=None)
+
+    def report_ages(self, now: float) -> dict[str, float]:
+        """Return the ages of the latest and of the oldest report of other gateways."""
+        ages = [now - it.received_at for it in self.peers.peers.values()]
+        return {"latest": min(ages), "oldest": max(ages)} if ages else {}
+
+    @property
+    def rules(self) -> OrderRules:
+        """Return which requests the current manifest orders."""
+        return self.queues.rules_of(self.view.manifest)
+
     @peers.default
     def empty_peer_table(self) -> PeerTable:
         """Return a table without other gateways."""
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -106,6 +106,7 @@
             self.gateway, message, now
         ) and self.gateway.peers.is_large_fleet(now):
             self.gateway.urgent_signal.notify()
+        self.gateway.queues.notify_room()
         if message.scope is Scope.PROBE:
             self.send(Scope.MEMBERS, [message.address], now)
 
@@ -120,6 +121,7 @@
             if await gateway.urgent_signal.wait(self.interval(loop.time())):
                 await asyncio.sleep(URGENT_DELAY)
             gateway.peers.expire(loop.time())
+            gateway.queues.note_reports(gateway.peers.queue_reports, loop.time())
             refute_ends(gateway, loop.time())
             refute_listed(gateway)
             settle_runs(gateway, loop.time())
--- a/lentilhaven/gateway/silence.py
+++ b/lentilhaven/gateway/silence.py
@@ -7,6 +7,7 @@
     SUSPICION_TIME,
 )
 from lentilhaven.gateway.gateway import Gateway
+from lentilhaven.recovery import latest_failure
 
 log = get_logger("gateway")
 
@@ -14,7 +15,11 @@
 def note_heard(gateway: Gateway, chain: Chain, now: float) -> None:
     """Record that an event has passed through all parts of a chain."""
     for endpoint, _ in chain.parts:
-        gateway.endpoint_states.of(endpoint).note_heard(now)
+        state = gateway.endpoint_states.of(endpoint)
+        was_suspected = state.suspected_until > now
+        state.note_heard(now)
+        if was_suspected and not state.suspected_until:
+            gateway.queues.notify_room()
 
 
 def suspect_silent_parts(
@@ -42,18 +47,24 @@
     -------
     list of str
         Ids of the suspects; empty if data has arrived from all endpoints, or through
-        them, at any gateway more than `REFUTE_MARGIN` after that.
+        them, at any gateway more than `REFUTE_MARGIN` after that, and if none of them
+        is suspected for another reason.
     """
     suspects = []
     fresh = False
+    is_ordered = gateway.rules.is_ordered
     for endpoint, _ in chain.parts:
         state = gateway.endpoint_states.of(endpoint)
         if state.heard_at <= since + REFUTE_MARGIN:
             if state.suspected_until <= now:
                 # A suspicion that is dated anew could not be refuted by the next event.
-                state.note_suspicion(now, now + SUSPICION_TIME)
+                failed_at = latest_failure(since, now) if is_ordered else now
+                state.note_suspicion(failed_at, now + SUSPICION_TIME)
                 fresh = True
             suspects.append(endpoint.id)
+        elif is_ordered and state.suspected_until > now:
+            # It was heard after this silence began, but has failed since then.
+            suspects.append(endpoint.id)
     if not fresh:
         return suspects
     gateway.urgent_signal.notify()
--- a/lentilhaven/gateway/stream_events.py
+++ b/lentilhaven/gateway/stream_events.py
@@ -4,11 +4,11 @@
 
 from aiohttp import web
 
+from lentilhaven.answers.event_splitter import Events, EventSplitter
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.gateway.crash_checks import PROOF_EVENTS, note_answered, note_begun
-from lentilhaven.gateway.event_splitter import Events, EventSplitter
 from lentilhaven.gateway.gateway_metrics import record_first_event
 from lentilhaven.gateway.pace_check import note_pause
 from lentilhaven.gateway.silence import note_heard
@@ -94,6 +94,8 @@
         now = loop.time()
         note_heard(relay.gateway, run.chain, now)
         events = splitter.feed(chunk)
+        if run.reading is not None and events.count and run.reading.end():
+            relay.gateway.queues.notify_room()
         run.exchange.keep(len(splitter.remainder), MAX_EVENT_BYTES)
         # A comment proves no progress, so that it takes no lead.
         if events.data and (events.count or run is relay.lead.leader):
@@ -105,7 +107,7 @@
             pauses.record(now - run.silent_since)
             event_count += 1
             note_pause(relay.gateway, run.chain, event_count, pauses.mean, expected)
-            run.silent_since = now
+            run.silent_since = relay.heard_at = now
         next_chunk = run.exchange.next_chunk
         chunk = await wait_or_move(relay, run, next_chunk, pauses.limit())
     if chunk is None:
