Choose the chain with the fewest crossings that is in time

Cause: a stream left its data centre as soon as the mean pause of the local chain passed an eighth of what its caller accepts, which engines reach without any queue, and then took the fastest chain anywhere. First events, memory and incomplete local chains were not looked at.

Change: the chain with the fewest crossings is found first, also when no local chain is complete, and kept while pauses, first event and memory leave room. Then the price of a crossing falls, to none when that chain is late. The meter of the pipes moves to lentilhaven.locality.

--- a/lentilhaven/chains/chain_costs.py
+++ b/lentilhaven/chains/chain_costs.py
@@ -56,21 +56,23 @@
         """
         spec = self.spec
         kind = spec.cards.get(card)
-        step_factor, prefill_factor = (
-            (kind.step_factor, kind.prefill_factor) if kind else (1.0, 1.0)
-        )
+        step_factor = kind.step_factor if kind else 1.0
         # Mean context length over the decoding steps, in thousands of tokens.
         context_k = (self.prompt_tokens + self.output_tokens / 2) / 1000.0
         per_sequence_ms = (
             spec.step_ms_per_sequence + spec.step_ms_per_1k_tokens * context_k
         )
         step_ms = (spec.step_ms + batch * per_sequence_ms) * step_factor
-        prefill_ms = (
-            self.prompt_tokens / spec.prefill_tokens_per_s * 1000.0 * prefill_factor
-        )
-        return (
-            slowdown * (step_ms * self.output_tokens + prefill_ms) / max(1, spec.layers)
-        )
+        decode_ms = slowdown * step_ms * self.output_tokens / max(1, spec.layers)
+        return decode_ms + self.prompt_layer_ms(card, slowdown)
+
+    def prompt_layer_ms(self, card: str, slowdown: float) -> float:
+        """Return the part of `layer_ms` in which the prompt is read."""
+        spec = self.spec
+        kind = spec.cards.get(card)
+        factor = kind.prefill_factor if kind else 1.0
+        prefill_ms = self.prompt_tokens / spec.prefill_tokens_per_s * 1000.0 * factor
+        return slowdown * prefill_ms / max(1, spec.layers)
 
     def hop_ms(self, origin: str, target: str) -> float:
         """
--- a/lentilhaven/chains/chain_search.py
+++ b/lentilhaven/chains/chain_search.py
@@ -26,11 +26,20 @@
         Time that a request spends on each layer at the endpoint, in ms.
     may_begin : bool
         Whether the endpoint may be the first part of a chain.
+    prompt_cost : float
+        Part of `layer_cost` in which the prompt is read, in ms.
+    load : float
+        Number of requests that the endpoint is expected to run.
+    memory_use : float
+        Share of its KV memory that is expected to be in use.
     """
 
     endpoint: Endpoint
     layer_cost: float
     may_begin: bool = True
+    prompt_cost: float = 0.0
+    load: float = 0.0
+    memory_use: float = 0.0
 
 
 @attrs.frozen
@@ -63,6 +72,7 @@
     layers: LayerSpan,
     candidates: Sequence[Candidate],
     hop_cost: Callable[[str, str], float],
+    start_cost: Callable[[str], float] = lambda data_centre: 0.0,
 ) -> Chain | None:
     """
     Return the cheapest chain over a range of layers, or None if there is none.
@@ -78,6 +88,8 @@
     hop_cost : callable
         Takes two data centres and returns the time that a request spends on a hop
         from the first to the second, in ms.
+    start_cost : callable
+        Takes a data centre and returns the cost of a chain that begins there, in ms.
 
     Examples
     --------
@@ -95,7 +107,7 @@
     # occur twice, and all entries of a candidate are known before it is extended.
     start, end = layers.start, layers.end
     entries: list[dict[int, PartialChain]] = [
-        {start: PartialChain(it, start, 0.0, 1)}
+        {start: PartialChain(it, start, start_cost(it.endpoint.data_centre), 1)}
         if it.may_begin and held_layers(it).start <= start < held_layers(it).end
         else {}
         for it in holders
--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -1,8 +1,8 @@
 """Choice of the chain of engines that runs a generation request."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection
 
-from lentilhaven.chains.candidate_sets import drop_dominated, hold_starts
+from lentilhaven.chains.candidate_sets import hold_starts
 from lentilhaven.chains.chain import Chain
 from lentilhaven.chains.chain_costs import ChainCosts
 from lentilhaven.chains.chain_search import Candidate, find_chain
@@ -13,8 +13,8 @@
 from lentilhaven.fleet.route_rule import RouteRule
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.gateway.pipe_meter import pipe_name
-from lentilhaven.locality import stays_local
+from lentilhaven.locality import StreamNeeds, find_frugal_chain
+from lentilhaven.locality.pipe_meter import pipe_name
 from lentilhaven.peering.load_sums import LoadSums
 
 #: Relative increase of a request's estimated time on an engine whose KV memory is
@@ -70,7 +70,7 @@
     held: Collection[str] = (),
 ) -> Chain | None:
     """
-    Return the chain on which a request is expected to finish first.
+    Return the chain on which a request runs, by its costs and crossings.
 
     A chain on which the caller would leave before the end is not used: its work would
     be in vain, and would slow down the streams beside it.  For a stream that has
@@ -106,10 +106,10 @@
     costs = build_costs(gateway, spec, call, now)
     candidates = find_candidates(gateway, call, spec, excluded, costs, now)
     candidates = hold_starts(candidates, held)
-    chain = find_local_chain(gateway, call.route, costs, candidates)
-    if chain is None:
-        kept = drop_dominated(candidates)
-        chain = find_chain(LayerSpan(0, spec.layers), kept, costs.hop_ms)
+    route = call.route
+    needs = StreamNeeds(route.target_latency, route.gap_target or route.stream_patience)
+    own = gateway.settings.data_centre
+    chain = find_frugal_chain(needs, own, candidates, costs, gateway.random)
     if chain is None:
         return None
     chain.check(spec.layers)
@@ -125,26 +125,6 @@
     return chain
 
 
-def find_local_chain(
-    gateway: Gateway,
-    route: RouteRule,
-    costs: ChainCosts,
-    candidates: Sequence[Candidate],
-) -> Chain | None:
-    """Return a chain in the gateway's data centre that is in time, or None."""
-    own = gateway.settings.data_centre
-    local = [it for it in candidates if it.endpoint.data_centre == own]
-    if len(local) == len(candidates):
-        return None
-    layers = LayerSpan(0, costs.spec.layers)
-    chain = find_chain(layers, drop_dominated(local), costs.hop_ms)
-    if chain is None:
-        return None
-    pause = costs.mean_pause(chain.cost)
-    longest = route.gap_target or route.stream_patience
-    return chain if stays_local(pause, longest, gateway.random) else None
-
-
 def possible_starts(
     gateway: Gateway, service: str, excluded: Collection[str], now: float
 ) -> list[Endpoint]:
@@ -347,8 +327,11 @@
     if memory_use > MAX_MEMORY_USE:
         return None
     batch = state.requests + requests
-    cost = costs.layer_ms(endpoint.card, state.current_slowdown(now), batch)
+    slowdown = state.current_slowdown(now)
+    cost = costs.layer_ms(endpoint.card, slowdown, batch)
     cost *= 1.0 + MEMORY_USE_WEIGHT * memory_use * memory_use
     cost *= gateway.random.uniform(1 - COST_JITTER, 1 + COST_JITTER)
     # The slots limit only the requests that an engine takes as the first part.
-    return Candidate(endpoint, cost, may_begin=batch < MAX_SLOT_USE * endpoint.slots)
+    may_begin = batch < MAX_SLOT_USE * endpoint.slots
+    prompt_cost = costs.prompt_layer_ms(endpoint.card, slowdown)
+    return Candidate(endpoint, cost, may_begin, prompt_cost, batch, memory_use)
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -20,7 +20,7 @@
 from lentilhaven.gateway.budget import RetryBudgetShare
 from lentilhaven.gateway.endpoint_signals import note_signals
 from lentilhaven.gateway.endpoint_states import EndpointStates
-from lentilhaven.gateway.pipe_meter import PipeMeter
+from lentilhaven.locality.pipe_meter import PipeMeter
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.peer_table import PeerTable
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -12,11 +12,11 @@
     recording_run,
 )
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
-from lentilhaven.gateway.pipe_meter import count_crossings
 from lentilhaven.gateway.service_relay import UpstreamResponse, check_before_send
 from lentilhaven.gateway.stream_events import relay_answer
 from lentilhaven.gateway.stream_lead import StreamRun, SupersededError
 from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
+from lentilhaven.locality.pipe_meter import count_crossings
 from lentilhaven.platform.request_head import encode_request, gateway_headers
 from lentilhaven.upstream.exchange import UpstreamError
 
--- a/lentilhaven/gateway/tests/test_busy_pipe.py
+++ b/lentilhaven/gateway/tests/test_busy_pipe.py
@@ -13,12 +13,12 @@
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.fleet.route_rule import RouteKind, RouteRule
 from lentilhaven.gateway.chain_choice import is_too_slow
-from lentilhaven.gateway.pipe_meter import PipeMeter
 from lentilhaven.gateway.tests.platform_testbed import (
     engine,
     run_on_testbed,
     sample_manifest,
 )
+from lentilhaven.locality.pipe_meter import PipeMeter
 from lentilhaven.standins.platform.sample_files import engine_entry
 
 #: Bandwidth at which a prompt of 100 tokens takes 0.1 s.
--- a/lentilhaven/locality/__init__.py
+++ b/lentilhaven/locality/__init__.py
@@ -5,6 +5,7 @@
 stays in the data centre of its gateway while it is served in time there.
 """
 
-from lentilhaven.locality.local_preference import stays_local
+from lentilhaven.locality.chain_preference import find_frugal_chain
+from lentilhaven.locality.stream_needs import StreamNeeds
 
-__all__ = ["stays_local"]
+__all__ = ["StreamNeeds", "find_frugal_chain"]
--- /dev/null
+++ b/lentilhaven/locality/chain_preference.py
@@ -0,0 +1,142 @@
+"""Choice of the chain with the fewest bytes between data centres that is in time."""
+
+from collections.abc import Sequence
+from random import Random
+
+import attrs
+
+from lentilhaven.chains.candidate_sets import drop_dominated
+from lentilhaven.chains.chain import Chain
+from lentilhaven.chains.chain_costs import ChainCosts
+from lentilhaven.chains.chain_search import Candidate, find_chain
+from lentilhaven.fleet.layer_span import LayerSpan
+from lentilhaven.locality.pipe_meter import count_crossings
+from lentilhaven.locality.stream_needs import StreamNeeds
+
+#: Lateness up to which a stream takes the chain with the fewest crossings.  Above it,
+#: the price of a crossing falls, to none for a chain that is late: gateways with the
+#: same information then move a part of the work instead of all at once.
+TIMELY = 0.5
+
+#: Relative half-width of the random factor on the price of a crossing.  It spreads the
+#: decisions of gateways that have the same information.
+PRICE_JITTER = 0.25
+
+#: Price of a crossing in the search for the chain with the fewest, in ms: more than
+#: any chain costs.
+PROHIBITIVE_PRICE = 1e7
+
+#: Price of a first part in another data centre in that search, relative to that of a
+#: hop.  Events have a few hundred bytes at most, activations thousands for each token.
+START_PRICE_SHARE = 0.1
+
+
+def find_frugal_chain(
+    needs: StreamNeeds,
+    own: str,
+    candidates: Sequence[Candidate],
+    costs: ChainCosts,
+    rng: Random,
+) -> Chain | None:
+    """
+    Return a chain with few crossings between data centres, for a stream.
+
+    The chain with the fewest is taken while it is in time.  As it becomes late, another
+    one is taken if it is faster by more than the price of its crossings.
+
+    Parameters
+    ----------
+    needs : StreamNeeds
+        What the caller needs.
+    own : str
+        Data centre of the gateway.
+    candidates : sequence of Candidate
+        Endpoints to choose from.
+    costs : ChainCosts
+        Estimates for the request.
+    rng : random.Random
+        Random number generator.
+
+    Returns
+    -------
+    Chain or None
+        None if there is no chain.  The price of crossings is not part of its cost.
+    """
+    layers = LayerSpan(0, costs.spec.layers)
+    local = [it for it in candidates if it.endpoint.data_centre == own]
+    chain = find_chain(layers, drop_dominated(local), costs.hop_ms)
+    if len(local) == len(candidates):
+        return chain
+    kept: list[Candidate] = []
+    if chain is None:
+        kept = drop_dominated(candidates)
+        chain = find_priced_chain(
+            own, kept, costs, PROHIBITIVE_PRICE, START_PRICE_SHARE * PROHIBITIVE_PRICE
+        )
+    if chain is None:
+        return None
+    lateness = needs.lateness(costs, chain, candidates)
+    if lateness <= TIMELY:
+        return chain
+    price = crossing_price(lateness, chain.cost, rng)
+    kept = kept or drop_dominated(candidates)
+    return find_priced_chain(own, kept, costs, price, price)
+
+
+def crossing_price(lateness: float, cost: float, rng: Random) -> float:
+    """
+    Return the price of a crossing, in ms.
+
+    Parameters
+    ----------
+    lateness : float
+        Lateness of the chain with the fewest crossings (see `StreamNeeds.lateness`).
+    cost : float
+        Cost of that chain, in ms.
+    rng : random.Random
+        Random number generator.
+
+    Examples
+    --------
+    >>> prices = [crossing_price(it, 1000.0, Random(1)) for it in (0.5, 0.75, 1.0)]
+    >>> [round(price) for price in prices]
+    [817, 409, 0]
+    """
+    room = min(1.0, max(0.0, (1.0 - lateness) / (1.0 - TIMELY)))
+    return cost * room * rng.uniform(1.0 - PRICE_JITTER, 1.0 + PRICE_JITTER)
+
+
+def find_priced_chain(
+    own: str,
+    candidates: Sequence[Candidate],
+    costs: ChainCosts,
+    hop_price: float,
+    start_price: float,
+) -> Chain | None:
+    """
+    Return the cheapest chain if crossings between data centres have a price.
+
+    Parameters
+    ----------
+    own, candidates, costs
+        As in `find_frugal_chain`.
+    hop_price : float
+        Price of a hop from one data centre to another, in ms.
+    start_price : float
+        Price of a first part outside the data centre of the gateway, in ms.
+    """
+
+    def hop_cost(origin: str, target: str) -> float:
+        hop = costs.hop_ms(origin, target)
+        return hop if origin == target else hop + hop_price
+
+    def start_cost(data_centre: str) -> float:
+        return 0.0 if data_centre == own else start_price
+
+    layers = LayerSpan(0, costs.spec.layers)
+    chain = find_chain(layers, candidates, hop_cost, start_cost)
+    if chain is None:
+        return None
+    crossings = sum(count_crossings(chain.parts).values())
+    paid = crossings * hop_price + start_cost(chain.first.data_centre)
+    return attrs.evolve(chain, cost=chain.cost - paid)
