Add a scenario that plays overloads with the queue and with polling

Cause: nothing showed what the order of the queue brings. Change: queue-loads plays a burst of the least and then the most urgent kind, a flood of one workspace, a loss of half of the streams, and callers who arrive all at once, on one router of the service model with 160 streams in flight. Target: no workspace is served in time less than half as often as another one.

--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -19,6 +19,7 @@
 from lentilhaven.bench.journal_random import run_journal_random
 from lentilhaven.bench.leaving import run_leaving
 from lentilhaven.bench.orders_random import run_orders_random
+from lentilhaven.bench.queue_loads.run import run_queue_loads
 from lentilhaven.bench.recovery import run_recovery
 from lentilhaven.bench.report import Report
 from lentilhaven.bench.resume import run_resume
@@ -55,6 +56,7 @@
     "journal-random": run_journal_random,
     "leaving": run_leaving,
     "orders-random": run_orders_random,
+    "queue-loads": run_queue_loads,
     "recovery": run_recovery,
     "router-cost": run_router_cost,
     "rush": run_rush,
