Continue streams on engines that were heard since the break

Cause: engines are lost together, and a second run chose one of the others; after two runs the stream waited for seconds. Change: a recovery prefers engines from which any gateway has heard since its stream broke. A stream continues after its first run, also without an event.

--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -8,7 +8,7 @@
 from lentilhaven.chains.candidate_sets import drop_dominated, hold_starts
 from lentilhaven.chains.chain import Chain
 from lentilhaven.chains.chain_costs import ChainCosts
-from lentilhaven.chains.chain_search import Candidate, find_chain
+from lentilhaven.chains.chain_search import Candidate, find_chain, held_layers
 from lentilhaven.chains.pipe_meter import pipe_name
 from lentilhaven.core.logs import get_logger
 from lentilhaven.fleet.endpoint import Endpoint
@@ -46,6 +46,11 @@
 #: some 30 ms after a loss, before any datagram tells of the others.
 RECOVERY_JITTER = 0.4
 
+#: Time added to the first event for each engine that was not heard since the stream
+#: broke, in ms.  If 4 of 99 engines are lost, a stream sent to one of them is late for
+#: another 0.25 s, which is 10 ms for each engine that may be one.
+UNHEARD_COST_MS = 20.0
+
 #: Decoding steps that count towards the choice of the chain whose first event comes
 #: soonest.
 FIRST_EVENT_STEPS = 2
@@ -79,7 +84,7 @@
     now: float,
     continues: bool = False,
     held: Collection[str] = (),
-    soonest: bool = False,
+    broken_at: float | None = None,
 ) -> Chain | None:
     """
     Return the chain on which a request is expected to finish first.
@@ -104,9 +109,9 @@
         Whether the request continues a stream of which the caller has events.
     held : collection of str
         Ids of endpoints that must not begin the chain.
-    soonest : bool
-        Whether the chain is chosen on which the first event is expected soonest: a
-        pause is over then.
+    broken_at : float or None
+        For a stream that continues, the time since which it is broken.  The chain is
+        chosen on which the first event is expected soonest: a pause is over then.
 
     Returns
     -------
@@ -119,8 +124,8 @@
         If the chain found does not run each layer exactly once.
     """
     costs = build_costs(gateway, spec, call, now)
-    if soonest:
-        return find_soonest_chain(gateway, call, costs, excluded, held, now)
+    if broken_at is not None:
+        return find_soonest_chain(gateway, call, costs, excluded, held, now, broken_at)
     candidates = find_candidates(gateway, call, spec, excluded, costs, now)
     candidates = hold_starts(candidates, held)
     chain = find_local_chain(gateway, call.route, costs, candidates)
@@ -149,20 +154,25 @@
     excluded: Collection[str],
     held: Collection[str],
     now: float,
+    broken_at: float,
 ) -> Chain | None:
     """
     Return the chain on which the first event is expected soonest, or None.
 
     Parameters are those of `choose_chain`.  The random factors spread the choices of
-    gateways that lose streams at the same time and know the same.
+    gateways that lose streams at the same time and know the same.  Engines from which
+    any gateway has heard since the stream broke are preferred: several may be lost at
+    the same time.
     """
     spec = costs.spec
     first = attrs.evolve(costs, output_tokens=float(FIRST_EVENT_STEPS))
     usual = find_candidates(gateway, call, spec, excluded, costs, now)
-    candidates = [
-        attrs.evolve(it, layer_cost=first_event_cost(gateway, first, it.endpoint, now))
-        for it in hold_starts(usual, held)
-    ]
+    candidates = []
+    for it in hold_starts(usual, held):
+        cost = first_event_cost(gateway, first, it.endpoint, now)
+        if gateway.endpoint_states.of(it.endpoint).heard_at < broken_at:
+            cost += UNHEARD_COST_MS / len(held_layers(it))
+        candidates.append(attrs.evolve(it, layer_cost=cost))
     chain = find_near_chain(gateway.settings.data_centre, first, candidates)
     if chain is None:
         return None
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -27,7 +27,6 @@
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.gateway.held_response import HeldResponse
 from lentilhaven.gateway.limit_checks import (
     begin_send_attempt,
     held_back,
@@ -45,6 +44,7 @@
 from lentilhaven.upstream.connection import UpstreamConnection
 from lentilhaven.upstream.connection_pool import MAX_IDLE_TIME
 from lentilhaven.upstream.exchange import UpstreamError
+from lentilhaven.upstream.held_response import HeldResponse
 
 #: Share of the target latency after which a repeatable request is also sent to another
 #: replica: the remaining time suffices for an average response.
--- a/lentilhaven/gateway/stream_admission.py
+++ b/lentilhaven/gateway/stream_admission.py
@@ -48,9 +48,8 @@
     if not relay.gateway.rules.is_ordered:
         return QueueEntry(call.id, 0, "", cost, call.arrived, call.arrived)
     due = call.arrived + call.route.target_latency
-    if relay.continues:
-        patience = call.route.gap_target or call.route.stream_patience
-        due = (relay.heard_at or call.arrived) + patience
+    if relay.heard_at:
+        due = relay.heard_at + (call.route.gap_target or call.route.stream_patience)
     due -= usual_read_time(relay.spec, call.head.prompt_tokens)
     return QueueEntry(
         call.id, call.priority, call.workspace, cost, call.arrived, due, relay.continues
@@ -150,7 +149,7 @@
     """Return the best chain for a stream, whether or not it has room."""
     gateway = relay.gateway
     has_begun = relay.response is not None
-    soonest = gateway.rules.is_ordered and relay.continues
+    recovers = gateway.rules.is_ordered and relay.continues
     return choose_chain(
         gateway,
         relay.call,
@@ -159,7 +158,7 @@
         now,
         has_begun,
         relay.held(now),
-        soonest,
+        relay.broken_at(now) if recovers else None,
     )
 
 
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -20,7 +20,6 @@
 from lentilhaven.gateway.crash_checks import HARMFUL_KINDS, forbids_repeat_now
 from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
-from lentilhaven.gateway.held_response import HeldResponse
 from lentilhaven.gateway.service_relay import (
     MAX_REFUSALS,
     UpstreamResponse,
@@ -29,6 +28,7 @@
 from lentilhaven.gateway.stream_admission import no_chain_failure, wait_for_chain
 from lentilhaven.gateway.stream_run import run_on_chain
 from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
+from lentilhaven.upstream.held_response import HeldResponse
 
 log = get_logger("gateway")
 
--- a/lentilhaven/gateway/stream_state.py
+++ b/lentilhaven/gateway/stream_state.py
@@ -13,6 +13,7 @@
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.chain_choice import possible_starts
+from lentilhaven.gateway.endpoint_states import REFUTE_MARGIN
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.limit_checks import (
     SendAttempt,
@@ -22,6 +23,9 @@
 from lentilhaven.gateway.service_relay import UpstreamResponse
 from lentilhaven.gateway.stream_lead import StreamLead, StreamRun
 
+#: Seconds for which a stream is taken to be broken if its gateway has heard no event.
+UNKNOWN_BREAK = 0.3
+
 #: Outcome of a run: None if the stream was relayed completely, or an answer that is no
 #: stream.
 RunOutcome = UpstreamResponse | Failure | None
@@ -110,8 +114,14 @@
 
     @property
     def continues(self) -> bool:
-        """Return whether the caller has got events of this stream, from any gateway."""
-        return self.response is not None or self.last_event_id != ""
+        """Return whether an earlier run of this stream, at any gateway, was broken."""
+        return self.runs > 0 or self.last_event_id != ""
+
+    def broken_at(self, now: float) -> float:
+        """Return the time from which an endpoint that was heard is not at fault."""
+        if self.lead.leader is not None:
+            return self.lead.leader.silent_since + REFUTE_MARGIN
+        return (self.heard_at or now - UNKNOWN_BREAK) + REFUTE_MARGIN
 
     @property
     def tokens(self) -> float:
--- a/lentilhaven/gateway/tests/test_mass_suspicion.py
+++ b/lentilhaven/gateway/tests/test_mass_suspicion.py
@@ -1,18 +1,23 @@
 import asyncio
 import unittest
+from types import SimpleNamespace
 
 from lentilhaven.admission import OrderRules
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.clock import loop_clock
 from lentilhaven.core.store_position import StorePosition
 from lentilhaven.fleet.layer_span import LayerSpan
+from lentilhaven.gateway.chain_choice import choose_chain
+from lentilhaven.gateway.endpoint_states import REFUTE_MARGIN
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.message_composer import MessageComposer
 from lentilhaven.gateway.peer_exchange import merge_state
 from lentilhaven.gateway.silence import suspect_silent_parts
-from lentilhaven.gateway.tests.platform_testbed import sample_settings
+from lentilhaven.gateway.tests.platform_testbed import sample_manifest, sample_settings
 from lentilhaven.gateway.tests.wire_testbed import wire_engine
 from lentilhaven.peering.messages import Scope
+from lentilhaven.platform.manifest_format import decode_manifest
+from lentilhaven.platform.request_head import RequestHead
 from lentilhaven.platform.settings import decode_settings
 from lentilhaven.standins.virtual import run_virtual
 
@@ -76,3 +81,21 @@
             return suspect_silent_parts(gateway, chain, "r1", now - 0.2, now)
 
         self.assertEqual(run_virtual(scenario()), ["e0"])
+
+    def test_a_recovery_takes_engines_that_were_heard_since_the_break(self):
+        """Others were lost together with that of the first run, and chosen next."""
+
+        async def scenario():
+            now = asyncio.get_running_loop().time() + 100.0
+            gateway = make_gateway(0)
+            engines = [wire_engine(f"e{it}", f"10.2.0.{it}:80") for it in range(20)]
+            gateway.view.replace_endpoints(engines, StorePosition(0, 1), "test")
+            for engine in engines:
+                ago = 0.01 if engine.id == "e7" else SILENCE
+                gateway.endpoint_states.of(engine).note_heard(now - ago)
+            call = SimpleNamespace(head=RequestHead("r1"), service="gen")
+            spec = decode_manifest(sample_manifest()).services["gen"].engine
+            options = {"broken_at": now - SILENCE + REFUTE_MARGIN}
+            return choose_chain(gateway, call, spec, (), now, **options).first.id
+
+        self.assertEqual(run_virtual(scenario()), "e7")
