--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -28,7 +28,7 @@
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.rate_limits import ServiceDemand
-from lentilhaven.retries.budget_share import RetryBudgetShare
+from lentilhaven.retries.retry_budget_share import RetryBudgetShare
 from lentilhaven.serving.metrics import Metrics
 from lentilhaven.upstream.answer_memory import AnswerMemory, answer_memory_limit
 from lentilhaven.upstream.connection_pool import ConnectionPool
