Add metrics of waits, refusals and requests sent to other data centres

Change: queue length and wait by priority, refusals by cause, and requests sent to another data centre by that one. What was started is recorded as (workspace, priority, cost, now), in the order that admission uses.

--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -30,6 +30,7 @@
 from lentilhaven.rate_limits import ServiceDemand
 from lentilhaven.retries.retry_budget_share import RetryBudgetShare
 from lentilhaven.serving.metrics import Metrics
+from lentilhaven.serving.queue_metrics import QueueMetrics
 from lentilhaven.upstream.answer_memory import AnswerMemory, answer_memory_limit
 from lentilhaven.upstream.connection_pool import ConnectionPool
 
@@ -62,6 +63,8 @@
         background tasks run.
     metrics : Metrics or None
         Instruments; None if metrics are not served.
+    queue_metrics : QueueMetrics or None
+        Those of requests that wait; None if metrics are not served.
     holds_placement_lease : callable
         Returns whether this gateway holds the placement lease, whose holder assigns
         layers to engines.
@@ -139,6 +142,7 @@
     endpoint_states: EndpointStates = attrs.field(factory=EndpointStates)
     session: aiohttp.ClientSession | None = None
     metrics: Metrics | None = None
+    queue_metrics: QueueMetrics | None = None
     holds_placement_lease: Callable[[], bool] = lambda: False
     random: Random = attrs.field(factory=Random)
     digest: str = ""
--- a/lentilhaven/gateway/gateway_metrics.py
+++ b/lentilhaven/gateway/gateway_metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a gateway, exposed for Prometheus."""
 
 import asyncio
+from collections import Counter
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from functools import partial
@@ -11,6 +12,7 @@
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.serving.metrics import Metrics, make_metrics
+from lentilhaven.serving.queue_metrics import make_queue_metrics
 
 #: Port and path of the metrics, which the deploy file names too; the port is the
 #: default of OpenTelemetry's Prometheus exporter.
@@ -52,9 +54,21 @@
     for name, (unit, description) in gauges.items():
         read = partial(read_gauge, gateway, name)
         metrics.observe_gauge(name, unit, description, read)
+    gateway.queue_metrics = make_queue_metrics(
+        metrics, partial(count_waiting, gateway), lambda: gateway.counters
+    )
     return metrics
 
 
+def count_waiting(gateway: Gateway) -> Counter[int]:
+    """Return the number of requests that wait at this gateway, by priority."""
+    counts: Counter[int] = Counter()
+    for state in gateway.queue_states().values():
+        for priority, (count, _) in state.waiting.items():
+            counts[priority] += count
+    return counts
+
+
 def read_gauge(gateway: Gateway, name: str) -> float:
     """Return the current value of a gauge."""
     manifest = gateway.view.manifest
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -41,6 +41,7 @@
 )
 from lentilhaven.platform.request_head import encode_request, gateway_headers
 from lentilhaven.platform.response_head import ResponseHead
+from lentilhaven.serving.queue_metrics import SENT_AWAY
 from lentilhaven.upstream.connection import UpstreamConnection
 from lentilhaven.upstream.connection_pool import MAX_IDLE_TIME
 from lentilhaven.upstream.exchange import UpstreamError
@@ -546,6 +547,8 @@
     if refusal is None:
         begin_trials(gateway, call)
         gateway.endpoint_states.of(first).note_sent(now)
+        if first.data_centre != gateway.settings.data_centre:
+            gateway.counters[SENT_AWAY + first.data_centre] += 1
     return refusal
 
 
--- a/lentilhaven/limits/queue_report.py
+++ b/lentilhaven/limits/queue_report.py
@@ -25,7 +25,7 @@
     >>> report_queue(queue, rates, 0.0).is_empty
     True
     >>> queue.add(QueueEntry("r1", 2, "depot", 10.0, arrived=0.0, due=1.0))
-    >>> rates.record(0, "quay", 800.0, now=0.0)
+    >>> rates.record("quay", 0, 800.0, now=0.0)
     >>> report_queue(queue, rates, 0.0)
     QueueState(waiting={2: (1, 10.0)}, started={0: 400.0}, heavy=(('quay', 0, 400.0),))
     """
@@ -34,4 +34,4 @@
         for priority, level in queue.levels.items()
         if level.count
     }
-    return QueueState(waiting, rates.started(now), rates.heavy(now))
+    return QueueState(waiting, rates.by_priority(now), rates.heavy(now))
--- a/lentilhaven/limits/start_rates.py
+++ b/lentilhaven/limits/start_rates.py
@@ -59,26 +59,26 @@
     Examples
     --------
     >>> rates = StartRates()
-    >>> rates.record(0, "depot", 800.0, now=5.0)
-    >>> rates.started(5.0), rates.heavy(5.0)
+    >>> rates.record("depot", 0, 800.0, now=5.0)
+    >>> rates.by_priority(5.0), rates.heavy(5.0)
     ({0: 400.0}, (('depot', 0, 400.0),))
-    >>> rates.started(60.0)
+    >>> rates.by_priority(60.0)
     {}
     """
 
     priorities: dict[int, DecayingRate] = attrs.field(factory=dict)
     workspaces: dict[tuple[str, int], DecayingRate] = attrs.field(factory=dict)
 
-    def record(self, priority: int, workspace: str, cost: float, now: float) -> None:
+    def record(self, workspace: str, priority: int, cost: float, now: float) -> None:
         """
         Count a request that starts.
 
         Parameters
         ----------
-        priority : int
-            Its priority.
         workspace : str
             Workspace of the caller; empty for an anonymous one.
+        priority : int
+            Its priority.
         cost : float
             Cost of the request, in tokens.
         now : float
@@ -98,7 +98,7 @@
         for key in order[: len(order) // 2]:
             del self.workspaces[key]
 
-    def started(self, now: float) -> dict[int, float]:
+    def by_priority(self, now: float) -> dict[int, float]:
         """Return the tokens per second of started work, by priority."""
         self.expire(now)
         return {key: rate.current(now) for key, rate in self.priorities.items()}
--- a/lentilhaven/limits/tests/test_shared_room.py
+++ b/lentilhaven/limits/tests/test_shared_room.py
@@ -117,15 +117,15 @@
     def test_rates_follow_steady_work(self):
         rates = StartRates()
         for step in range(200):
-            rates.record(0, "depot", 80.0, now=step / 10)
-        self.assertAlmostEqual(rates.started(20.0)[0], 800.0, delta=40.0)
+            rates.record("depot", 0, 80.0, now=step / 10)
+        self.assertAlmostEqual(rates.by_priority(20.0)[0], 800.0, delta=40.0)
 
     def test_many_workspaces_take_bounded_memory(self):
         """Guards against growth with the number of workspaces that callers have."""
         rates = StartRates()
         for index in range(10 * MAX_TRACKED):
-            rates.record(0, f"w{index}", 10.0, now=0.0)
-            rates.record(0, "depot", 50.0, now=0.0)
+            rates.record(f"w{index}", 0, 10.0, now=0.0)
+            rates.record("depot", 0, 50.0, now=0.0)
         self.assertLessEqual(len(rates.workspaces), MAX_TRACKED)
         self.assertEqual(rates.heavy(0.0)[0][0], "depot")
         self.assertEqual(len(rates.heavy(0.0)), MAX_HEAVY)
