Explain waits and refusals of requests by their queue

Change: `explain request` says why a request was refused instead of waiting, how long it waited and what was predicted, and lists the requests that went before it in its queue.

--- a/lentilhaven/cli/explain.py
+++ b/lentilhaven/cli/explain.py
@@ -16,7 +16,12 @@
 from lentilhaven.core.json_text import load_json
 from lentilhaven.core.step import Step
 from lentilhaven.distribution.editing import read_current_tables
-from lentilhaven.logbook import LogLine, diagnose_request, read_lines
+from lentilhaven.logbook import (
+    LogLine,
+    RequestDiagnosis,
+    diagnose_request,
+    read_lines,
+)
 from lentilhaven.pipelines.bound import Bound, deployment_bounds
 
 explain_app = cyclopts.App(name="explain", help="Say why.")
@@ -162,6 +167,12 @@
         failure = Failure(Step.PARSE, str(error.filename), "no-log", str(error))
         return report_failure(failure, ExitCode.INVALID)
     diagnosis = diagnose_request(read_lines(log_lines), id)
+    print_diagnosis(diagnosis)
+    return ExitCode.OK if diagnosis.request_lines else ExitCode.FAILED
+
+
+def print_diagnosis(diagnosis: RequestDiagnosis) -> None:
+    """Print the lines that concern a request, and what follows from them."""
     print(f"request {diagnosis.request} at {diagnosis.vm or 'an unknown gateway'}")
     for line in diagnosis.request_lines:
         print_log_line(line)
@@ -169,15 +180,22 @@
         print("\nabout its endpoints, by the clocks of those who wrote it:")
     for line in diagnosis.related_lines:
         print_log_line(line)
+    if diagnosis.ahead_lines:
+        print("\nbefore it in its queue:")
+    for line in diagnosis.ahead_lines:
+        print_log_line(line, with_request=True)
+    if diagnosis.wait:
+        print(f"\nwait: {diagnosis.wait}")
     print(f"\ncause: {diagnosis.cause}")
     for item in diagnosis.missing:
         print(f"missing: {item}")
-    return ExitCode.OK if diagnosis.request_lines else ExitCode.FAILED
 
 
-def print_log_line(line: LogLine) -> None:
+def print_log_line(line: LogLine, with_request: bool = False) -> None:
     """Print a log line without the fields that all lines have."""
-    common_fields = {"component", "event", "level", "timestamp", "request", "vm"}
+    common_fields = {"component", "event", "level", "timestamp", "vm"}
+    if not with_request:
+        common_fields.add("request")
     rest = {key: it for key, it in line.fields.items() if key not in common_fields}
     time_of_day = str(line.fields.get("timestamp", ""))[11:23]
     print(f"  {time_of_day} {line.vm} {line.event}: {json.dumps(rest)}")
--- a/lentilhaven/logbook/request_story.py
+++ b/lentilhaven/logbook/request_story.py
@@ -5,6 +5,11 @@
 import attrs
 
 from lentilhaven.logbook.log_line import LogLine, ParsedLog
+from lentilhaven.logbook.queue_story import (
+    describe_queue_refusal,
+    describe_wait,
+    find_lines_ahead,
+)
 
 #: Time before and after a request within which other events may concern it, in seconds:
 #: the maximum duration of an endpoint's suspicion, plus the same time for differences
@@ -59,6 +64,11 @@
     related_lines : list of LogLine
         Other events near the request that concern its endpoints or the store and
         gateways that its gateway depends on, ordered by timestamp.
+    ahead_lines : list of LogLine
+        Lines of the requests that went before it in its queue, in the order of the
+        input.
+    wait : str
+        How the request waited in its queue, in one sentence; empty if it did not.
     cause : str
         Cause of the outcome as derived from the request's lines, in one sentence.
     missing : list of str
@@ -69,6 +79,8 @@
     vm: str
     request_lines: list[LogLine]
     related_lines: list[LogLine]
+    ahead_lines: list[LogLine]
+    wait: str
     cause: str
     missing: list[str]
 
@@ -92,6 +104,8 @@
         vm=vm,
         request_lines=request_lines,
         related_lines=find_related_lines(log.lines, request_lines, vm, endpoints),
+        ahead_lines=find_lines_ahead(log.lines, request_lines),
+        wait=describe_wait(request_lines),
         cause=find_cause(request_lines),
         missing=find_missing(log, request_lines),
     )
@@ -173,6 +187,9 @@
 
 def explain_refusal(line: LogLine, lines: list[LogLine]) -> str:
     """Explain a request that was refused before it was forwarded."""
+    by_queue = describe_queue_refusal(line)
+    if by_queue:
+        return by_queue
     return f"refused at the step {line.fields.get('step')}: {line.fields.get('kind')}"
 
 
--- a/lentilhaven/logbook/tests/test_request_story.py
+++ b/lentilhaven/logbook/tests/test_request_story.py
@@ -151,3 +151,62 @@
     def test_prefix_of_a_collector_is_ignored(self):
         text = "12.3 vm-1 " + log_line("request ended", 1.0, request="r1", status=200)
         self.assertEqual(len(diagnose(text).request_lines), 1)
+
+
+def queue_line(event, second, request, priority, service="gen", **fields):
+    """Return the log line of a decision of a queue."""
+    return log_line(
+        event, second, request=request, priority=priority, service=service, **fields
+    )
+
+
+class QueueTests(unittest.TestCase):
+    WAITS, STARTS = "request waits", "request starts after a wait"
+
+    def test_refusal_names_its_cause_and_what_it_rests_on(self):
+        refused = queue_line(
+            "request refused",
+            1.0,
+            "r1",
+            2,
+            cause="wait-too-long",
+            predicted_ms=2400,
+            ahead=9600,
+            waiting=7,
+            peers_age_ms=130,
+        )
+        cause = diagnose(refused).cause
+        for part in ("2400 ms", "9600 tokens", "7 waiting", "priority 2", "130 ms old"):
+            self.assertIn(part, cause)
+
+    def test_cause_that_is_not_known_is_named(self):
+        """Guards against an explanation of another refusal."""
+        refused = queue_line("request refused", 1.0, "r1", 2, cause="frozen")
+        self.assertIn("frozen", diagnose(refused).cause)
+
+    def test_requests_before_it_are_found(self):
+        """Guards against blame of requests of other queues or of later turns."""
+        diagnosis = diagnose(
+            queue_line(self.WAITS, 1.0, "urgent", 0),
+            queue_line(self.WAITS, 1.1, "gone", 0),
+            queue_line(self.WAITS, 1.2, "less-urgent", 2),
+            queue_line(self.WAITS, 1.3, "other-service", 0, service="stock"),
+            queue_line(self.WAITS, 1.4, "other-gateway", 0, vm="vm-2"),
+            log_line("caller left", 1.5, request="gone", ms=400),
+            queue_line(self.WAITS, 2.0, "r1", 1, predicted_ms=700, ahead=800),
+            queue_line(self.WAITS, 2.1, "later", 0),
+            queue_line(self.STARTS, 2.2, "later", 0),
+            queue_line(self.STARTS, 2.5, "r1", 1),
+            queue_line(self.STARTS, 2.6, "less-urgent", 2),
+            log_line("request ended", 3.0, request="r1", status=200),
+        )
+        ahead = [it.fields["request"] for it in diagnosis.ahead_lines]
+        self.assertEqual(ahead, ["urgent", "later"])
+        self.assertIn("for 500 ms (700 ms predicted)", diagnosis.wait)
+
+    def test_request_that_did_not_wait_has_none_before_it(self):
+        diagnosis = diagnose(
+            queue_line(self.WAITS, 1.0, "urgent", 0),
+            log_line("request ended", 1.1, request="r1", status=200),
+        )
+        self.assertEqual((diagnosis.ahead_lines, diagnosis.wait), ([], ""))
