Recognize older builds by processes that have never reported a queue

Cause: a gateway of this build whose queue is empty for a moment would have counted as one of an older build, so that the others use only their own part of the room.

--- a/lentilhaven/peering/peer_table.py
+++ b/lentilhaven/peering/peer_table.py
@@ -33,11 +33,14 @@
         Event loop time at which the datagram arrived, in seconds.
     counted : bool
         Whether its load is in `PeerTable.peer_load`.
+    reports_queues : bool
+        Whether its process has reported a queue of any service.
     """
 
     message: PeerMessage
     received_at: float
     counted: bool = True
+    reports_queues: bool = False
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the datagram is recent enough for its load to count."""
@@ -47,15 +50,16 @@
         """
         Return what the datagram reports of the queues of a service.
 
-        A gateway that tries to send requests for the service but reports no queue of
-        it is of a release that does not report queues.
+        A gateway that tries to send requests for the service but has never reported a
+        queue is of a release that does not report queues.
         """
         message = self.message
-        state = message.queues.get(service)
+        state = message.queues.get(service, QueueState())
         is_active = (message.attempts or {}).get(service, 0.0) > 0.0
-        if state is None and not (is_active and message.scope is Scope.OWN):
-            state = QueueState()
-        return QueueReport(state, now - self.received_at, message.gateways)
+        age = now - self.received_at
+        if message.scope is Scope.OWN and is_active and not self.reports_queues:
+            return QueueReport(None, age)
+        return QueueReport(state, age, message.gateways)
 
 
 @attrs.define
@@ -135,7 +139,13 @@
             self.directory.note_member(member, now)
         if message.scope in (Scope.PROBE, Scope.MEMBERS):
             return True
-        self.peers_in_scope(message)[message.vm] = Peer(message, now)
+        reports_queues = bool(message.queues) or (
+            previous is not None
+            and previous.message.run == message.run
+            and previous.reports_queues
+        )
+        peer = Peer(message, now, reports_queues=reports_queues)
+        self.peers_in_scope(message)[message.vm] = peer
         if message.scope is Scope.OWN:
             if previous is not None and previous.counted:
                 self.peer_load.add(previous.message, -1)
--- a/lentilhaven/peering/tests/test_queue_state.py
+++ b/lentilhaven/peering/tests/test_queue_state.py
@@ -2,6 +2,7 @@
 import unittest
 import zlib
 
+import attrs
 from hypothesis import given, settings, strategies as st
 
 from lentilhaven.peering.member import Member
@@ -136,6 +137,14 @@
         self.assertIsNone(self.reports(message(attempts={"gen": 3.0}))[0].state)
         self.assertEqual(self.reports(message(attempts={}))[0].state, QueueState())
 
+    def test_gateway_that_has_reported_a_queue_stays_of_this_build(self):
+        """Guards against an own part of the room while peers have an empty queue."""
+        first = message(queues={"stock": QueueState({0: (1, 8.0)})})
+        idle = attrs.evolve(message(attempts={"gen": 3.0}), number=2)
+        self.assertEqual(self.reports(first, idle)[0].state, QueueState())
+        restarted = attrs.evolve(idle, run="s")
+        self.assertIsNone(self.reports(first, restarted)[0].state)
+
     def test_own_queue_in_a_sum_over_all_does_not_count(self):
         """Guards against work that waits for itself."""
         queues = {"gen": QueueState({0: (3, 900.0)})}
