Log waits as the explanation of a request reads them

Change: the fields predicted_ms, ahead and peers_age_ms, a hook for the measured wait, one line and one count also for a request without a chain. A plain request that is sent after its wait without a slot no longer counts as refused; one that a full queue gives up is.

--- a/lentilhaven/admission/service_queue.py
+++ b/lentilhaven/admission/service_queue.py
@@ -11,7 +11,7 @@
 from lentilhaven.core.logs import get_logger
 from lentilhaven.limits.drain_rate import DrainRate
 from lentilhaven.limits.priority_brown_out import PriorityBrownOut
-from lentilhaven.limits.queue_decision import Refuse, decide_arrival
+from lentilhaven.limits.queue_decision import Refuse, Wait, decide_arrival
 from lentilhaven.limits.waiting_queue import QueueEntry, WaitingQueue
 
 #: Number of requests that may fail to start in one pass over the queue: the search for
@@ -29,6 +29,9 @@
 #: Cost and duration assumed for a request, in tokens and seconds, until one has ended.
 USUAL_DRAIN = DrainRate(1000.0, 1.0)
 
+#: Result of a wait that has ended.
+NOT_STARTED = Refusal("not-started")
+
 T = TypeVar("T")
 
 log = get_logger("admission")
@@ -51,6 +54,8 @@
         What `try_start` has returned, or a `Refusal`.
     timeout : asyncio.Timeout
         Ends its wait.
+    began : float
+        Time at which it began to wait, in seconds.
     renew : callable or None
         As in `ServiceQueue.wait`.
     is_starting : bool
@@ -62,6 +67,7 @@
     scope: Hashable
     done: asyncio.Future[Any]
     timeout: asyncio.Timeout
+    began: float
     renew: Callable[[], tuple[QueueEntry, float]] | None = None
     is_starting: bool = False
 
@@ -86,8 +92,10 @@
         Takes a time and returns the next time at which capacity may appear without a
         notification, such as the end of a suspicion, or None.
     ages : callable
-        Takes a time and returns the ages of what decisions rest on, in seconds by name,
-        for the log.
+        Takes a time and returns the ages of what decisions rest on, in ms by name, for
+        the log.
+    record_wait : callable
+        Takes the priority of a request that starts after a wait, and its seconds.
     queue : WaitingQueue
         The order of the waiting requests.
     drain : DrainRate or None
@@ -111,7 +119,8 @@
     service: str
     counters: Counter[str] = attrs.field(factory=Counter)
     next_change: Callable[[float], float | None] = lambda now: None
-    ages: Callable[[float], dict[str, float]] = lambda now: {}
+    ages: Callable[[float], dict[str, int]] = lambda now: {}
+    record_wait: Callable[[int, float], None] = lambda priority, seconds: None
     queue: WaitingQueue = attrs.field(factory=WaitingQueue)
     drain: DrainRate | None = None
     brown_out: PriorityBrownOut = attrs.field(factory=PriorityBrownOut)
@@ -135,6 +144,7 @@
         deadline: float | None = None,
         scope: Hashable = (),
         renew: Callable[[], tuple[QueueEntry, float]] | None = None,
+        starts_anyway: bool = False,
     ) -> T | Refusal:
         """
         Return what a request needs to start, at once or when its turn has come.
@@ -159,34 +169,44 @@
             one is not tried when an earlier one has failed.
         renew : callable or None
             Returns the entry and `until` anew after a change of the manifest.
+        starts_anyway : bool
+            Whether the caller lets the request start when `until` has come, so that the
+            end of the wait is no refusal.
         """
         # What the woken requests take up must be known to `try_start`.
         await self.resumed.wait()
         now = asyncio.get_running_loop().time()
         if not self.scopes[scope] or self.queue.cost_ahead(entry) <= 0.0:
             started = try_start()
+            if isinstance(started, Refusal):
+                return self.refuse(entry, started.cause, started.wait, now)
             if started is not None:
-                self.note_decision(entry, isinstance(started, Refusal), now)
+                self.record_start(entry, now)
                 return started
+        began, predicted = now, until - now
         if deadline is not None:
-            refusal = self.decide(entry, now, deadline)
-            if refusal is not None:
-                return refusal
-        self.log("request waits", entry, now, until_ms=round((until - now) * 1000))
+            decision = self.decide(entry, now, deadline)
+            if isinstance(decision, Refusal):
+                return decision
+            predicted = min(predicted, decision)
+        self.log("request waits", entry, now, predicted_ms=round(predicted * 1000))
         self.counters["waits"] += 1
-        return cast(
-            T | Refusal, await self.wait_in_queue(entry, try_start, until, scope, renew)
-        )
-
-    def note_decision(self, entry: QueueEntry, refused: bool, now: float) -> None:
-        """Count a request that has started or was refused."""
-        if refused:
-            return
+        found = await self.wait_in_queue(entry, try_start, until, scope, renew)
+        if found is NOT_STARTED:
+            now = asyncio.get_running_loop().time()
+            if starts_anyway:
+                self.note_start_after_wait(entry, now - began, now)
+            else:
+                return self.refuse(entry, NOT_STARTED.cause, 0.0, now)
+        return cast(T | Refusal, found)
+
+    def record_start(self, entry: QueueEntry, now: float) -> None:
+        """Count a request that starts."""
         self.queue.record_start(entry)
         self.brown_out.observe(entry.priority, False, now)
 
-    def decide(self, entry: QueueEntry, now: float, deadline: float) -> Refusal | None:
-        """Return why a request that can't start now must not wait, or None."""
+    def decide(self, entry: QueueEntry, now: float, deadline: float) -> Refusal | float:
+        """Return the predicted wait of a request that can't start now, or a refusal."""
         ahead = self.queue.cost_ahead(entry)
         # One that nothing goes before is not refused because of a prediction: the
         # capacity of other processes may become free for it too.
@@ -205,7 +225,7 @@
         is_late = isinstance(decision, Refuse) and decision.cause == "wait-too-long"
         self.brown_out.observe(entry.priority, is_late, now)
         if not isinstance(decision, Refuse):
-            return None
+            return decision.predicted if isinstance(decision, Wait) else 0.0
         return self.refuse(entry, decision.cause, decision.wait, now)
 
     def refuse(self, entry: QueueEntry, cause: str, wait: float, now: float) -> Refusal:
@@ -218,7 +238,6 @@
 
     def log(self, event: str, entry: QueueEntry, now: float, **fields: Any) -> None:
         """Log a decision with its grounds."""
-        ages = {name: round(age, 3) for name, age in self.ages(now).items()}
         log.info(
             event,
             request=entry.request,
@@ -228,8 +247,8 @@
             continues=entry.continues,
             waiting=len(self.waiters),
             waited_ms=round((now - entry.arrived) * 1000),
-            cost_ahead=round(self.queue.cost_ahead(entry)),
-            ages=ages,
+            ahead=round(self.queue.cost_ahead(entry)),
+            **self.ages(now),
             **fields,
         )
 
@@ -244,7 +263,8 @@
         """Wait for a request's turn; leave the queue in any case."""
         loop = asyncio.get_running_loop()
         timeout = asyncio.timeout_at(until)
-        waiter = Waiter(entry, try_start, scope, loop.create_future(), timeout, renew)
+        done, began = loop.create_future(), loop.time()
+        waiter = Waiter(entry, try_start, scope, done, timeout, began, renew)
         self.add(waiter)
         try:
             async with timeout:
@@ -253,7 +273,7 @@
         except TimeoutError:
             if not timeout.expired():
                 raise
-            return self.refuse(waiter.entry, "not-started", 0.0, loop.time())
+            return NOT_STARTED
         finally:
             if waiter.is_starting:
                 self.resumed.set()
@@ -378,11 +398,18 @@
         else:
             waiter.is_starting = True
             self.resumed.clear()
-            self.note_decision(entry, False, now)
-            self.log("request starts after a wait", entry, now)
+            self.note_start_after_wait(entry, now - waiter.began, now)
         waiter.done.set_result(started)
         return True
 
+    def note_start_after_wait(
+        self, entry: QueueEntry, seconds: float, now: float
+    ) -> None:
+        """Record that a request starts after some seconds in the queue."""
+        self.record_start(entry, now)
+        self.record_wait(entry.priority, seconds)
+        self.log("request starts after a wait", entry, now)
+
     def note_start(self) -> None:
         """Count a request that begins to run."""
         self.running += 1
--- a/lentilhaven/admission/service_queues.py
+++ b/lentilhaven/admission/service_queues.py
@@ -23,7 +23,7 @@
         As in `ServiceQueue`.
     next_change : callable
         Takes a service and a time; otherwise as in `ServiceQueue`.
-    ages : callable
+    ages, record_wait : callable
         As in `ServiceQueue`.
     queues : dict
         `ServiceQueue` by service.
@@ -37,7 +37,8 @@
 
     counters: Counter[str] = attrs.field(factory=Counter)
     next_change: Callable[[str, float], float | None] = lambda service, now: None
-    ages: Callable[[float], dict[str, float]] = lambda now: {}
+    ages: Callable[[float], dict[str, int]] = lambda now: {}
+    record_wait: Callable[[int, float], None] = lambda priority, seconds: None
     queues: dict[str, ServiceQueue] = attrs.field(factory=dict)
     unread: UnreadPrompts = attrs.field(factory=UnreadPrompts)
     manifest: Manifest | None = None
@@ -52,6 +53,7 @@
                 self.counters,
                 lambda now: self.next_change(service, now),
                 self.ages,
+                lambda priority, seconds: self.record_wait(priority, seconds),
             )
         return queue
 
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -28,7 +28,7 @@
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.rate_limits import ServiceDemand
-from lentilhaven.retries.budget_share import RetryBudgetShare
+from lentilhaven.retries.retry_budget_share import RetryBudgetShare
 from lentilhaven.serving.metrics import Metrics
 from lentilhaven.upstream.answer_memory import AnswerMemory, answer_memory_limit
 from lentilhaven.upstream.connection_pool import ConnectionPool
@@ -204,10 +204,10 @@
         states = [self.endpoint_states.of(it) for it in self.view.of_service(service)]
         return min((it for s in states for it in s.next_changes(now)), default=None)
 
-    def report_ages(self, now: float) -> dict[str, float]:
-        """Return the ages of the latest and of the oldest report of other gateways."""
-        ages = [now - it.received_at for it in self.peers.peers.values()]
-        return {"latest": min(ages), "oldest": max(ages)} if ages else {}
+    def report_ages(self, now: float) -> dict[str, int]:
+        """Return the ages of the latest and of the oldest datagram, in ms."""
+        ages = [round((now - it.received_at) * 1e3) for it in self.peers.peers.values()]
+        return {"peers_age_ms": min(ages), "oldest_ms": max(ages)} if ages else {}
 
     @property
     def rules(self) -> OrderRules:
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -208,7 +208,9 @@
     attempts = Attempts()
     try:
         async with gateway.work_limits.limited():
-            await wait_for_slot(gateway, call)
+            refused = await wait_for_slot(gateway, call)
+            if refused is not None:
+                return make_error_response(refused)
             await run_attempts(gateway, call, attempts)
     except TimeoutError:
         attempts.record_done()
--- a/lentilhaven/gateway/slot_admission.py
+++ b/lentilhaven/gateway/slot_admission.py
@@ -3,12 +3,17 @@
 import asyncio
 from collections.abc import Sequence
 
+from lentilhaven.admission import Refusal
+from lentilhaven.admission.service_queue import NOT_STARTED
 from lentilhaven.admission.slots import free_slots
+from lentilhaven.core.failure import Failure
+from lentilhaven.core.step import Step
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.intake import with_current_terms
 from lentilhaven.gateway.replica_choice import usable_replicas
+from lentilhaven.limits.retry_time import retry_after
 from lentilhaven.limits.waiting_queue import QueueEntry
 
 #: Share of the target latency for which a request waits for a slot.  After that it is
@@ -17,14 +22,19 @@
 SLOT_WAIT_SHARE = 0.3
 
 
-async def wait_for_slot(gateway: Gateway, call: Call) -> None:
+async def wait_for_slot(gateway: Gateway, call: Call) -> Failure | None:
     """
     Wait until a replica has a free slot, in the order of the service's queue.
 
     There is no wait if the manifest orders nothing, or without a replica.
+
+    Returns
+    -------
+    Failure or None
+        Why the request must not be sent: the queue is full.
     """
     if not gateway.rules.is_ordered:
-        return
+        return None
     now = asyncio.get_running_loop().time()
 
     def make_entry() -> tuple[QueueEntry, float]:
@@ -42,7 +52,15 @@
 
     queue = gateway.queues.of(call.service)
     entry, until = make_entry()
-    await queue.wait(entry, has_slot, until=until, renew=make_entry)
+    found = await queue.wait(
+        entry, has_slot, until=until, renew=make_entry, starts_anyway=True
+    )
+    if not isinstance(found, Refusal) or found is NOT_STARTED:
+        return None
+    left = call.deadline - asyncio.get_running_loop().time()
+    pause = retry_after(found.wait, entry.priority, left, gateway.random)
+    detail = f"requests to {call.service} wait: {found.cause}"
+    return Failure(Step.ADMIT, "", "no-room", detail, retry_after=pause)
 
 
 def with_free_slots(gateway: Gateway, replicas: Sequence[Endpoint]) -> list[Endpoint]:
--- a/lentilhaven/gateway/tests/stream_wire.py
+++ b/lentilhaven/gateway/tests/stream_wire.py
@@ -16,7 +16,7 @@
     receive_bytes,
     wire_engine,
 )
-from lentilhaven.retries.budget_share import ASSUMED_GATEWAYS
+from lentilhaven.retries.retry_budget_share import ASSUMED_GATEWAYS
 from lentilhaven.standins.platform.sample_files import request_headers
 from lentilhaven.upstream.tests.wire import SETTLE_TIME, close_in_order
 
