--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -6,6 +6,7 @@
 import attrs
 from aiohttp import web
 
+from lentilhaven.answers.error_responses import make_error_response
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.ran import Ran
@@ -25,7 +26,6 @@
 )
 from lentilhaven.gateway.endpoint_links import SLOW_ANSWER_TIME, begin_link_check
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
-from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.limit_checks import (
     begin_send_attempt,
@@ -209,7 +209,9 @@
     attempts = Attempts()
     try:
         async with gateway.work_limits.limited():
-            await wait_for_slot(gateway, call)
+            refused = await wait_for_slot(gateway, call)
+            if refused is not None:
+                return make_error_response(refused)
             await run_attempts(gateway, call, attempts)
     except TimeoutError:
         attempts.record_done()
--- a/lentilhaven/gateway/stream_relay.py
+++ b/lentilhaven/gateway/stream_relay.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from lentilhaven.admission import Refusal
+from lentilhaven.answers.error_responses import make_error_response
 from lentilhaven.answers.event_order import EventOrder
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
@@ -18,7 +19,6 @@
 from lentilhaven.fleet.engine_spec import EngineSpec
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.crash_checks import HARMFUL_KINDS, forbids_repeat_now
-from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.service_relay import (
     MAX_REFUSALS,
