--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -29,8 +29,9 @@
 from lentilhaven.platform.response_head import ResponseHead
 from lentilhaven.platform.settings import PlatformSettings
 from lentilhaven.rate_limits import ServiceDemand
-from lentilhaven.retries.budget_share import RetryBudgetShare
+from lentilhaven.retries.retry_budget_share import RetryBudgetShare
 from lentilhaven.serving.metrics import Metrics
+from lentilhaven.serving.queue_metrics import QueueMetrics
 from lentilhaven.upstream.answer_memory import AnswerMemory, answer_memory_limit
 from lentilhaven.upstream.connection_pool import ConnectionPool
 
@@ -63,6 +64,8 @@
         background tasks run.
     metrics : Metrics or None
         Instruments; None if metrics are not served.
+    queue_metrics : QueueMetrics or None
+        Those of requests that wait; None if metrics are not served.
     holds_placement_lease : callable
         Returns whether this gateway holds the placement lease, whose holder assigns
         layers to engines.
@@ -142,6 +145,7 @@
     endpoint_states: EndpointStates = attrs.field(factory=EndpointStates)
     session: aiohttp.ClientSession | None = None
     metrics: Metrics | None = None
+    queue_metrics: QueueMetrics | None = None
     holds_placement_lease: Callable[[], bool] = lambda: False
     random: Random = attrs.field(factory=Random)
     digest: str = ""
@@ -179,6 +183,7 @@
         """Connect the parts of the state that act on each other."""
         self.pool.on_head = self.note_head
         self.queues.counters = self.counters
+        self.queues.record_wait = self.record_wait
 
     def note_head(self, endpoint: Endpoint, head: ResponseHead) -> None:
         """Apply what the head of an answer says about its endpoint."""
@@ -207,6 +212,11 @@
         """Return queues without requests."""
         return ServiceQueues(next_change=self.next_return, ages=self.report_ages)
 
+    def record_wait(self, priority: int, seconds: float) -> None:
+        """Record for how long a request has waited before its start."""
+        if self.queue_metrics is not None:
+            self.queue_metrics.record_wait(priority, seconds)
+
     @queue_states.default
     def report_queues(self) -> Callable[[], dict[str, QueueState]]:
         """Return what tells the others of the queues."""
@@ -222,10 +232,10 @@
         states = [self.endpoint_states.of(it) for it in self.view.of_service(service)]
         return min((it for s in states for it in s.next_changes(now)), default=None)
 
-    def report_ages(self, now: float) -> dict[str, float]:
-        """Return the ages of the latest and of the oldest report of other gateways."""
-        ages = [now - it.received_at for it in self.peers.peers.values()]
-        return {"latest": min(ages), "oldest": max(ages)} if ages else {}
+    def report_ages(self, now: float) -> dict[str, int]:
+        """Return the ages of the latest and of the oldest datagram, in ms."""
+        ages = [round((now - it.received_at) * 1e3) for it in self.peers.peers.values()]
+        return {"peers_age_ms": min(ages), "oldest_ms": max(ages)} if ages else {}
 
     @property
     def rules(self) -> OrderRules:
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -7,6 +7,7 @@
 import attrs
 from aiohttp import web
 
+from lentilhaven.answers.error_responses import make_error_response
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import describe_exception, get_logger
 from lentilhaven.core.ran import Ran
@@ -22,7 +23,6 @@
 )
 from lentilhaven.gateway.caller_request import make_request_factory
 from lentilhaven.gateway.crash_checks import refuse_harmful
-from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.gateway_metrics import record_request
 from lentilhaven.gateway.intake import read_call
--- a/lentilhaven/gateway/service_relay.py
+++ b/lentilhaven/gateway/service_relay.py
@@ -6,6 +6,7 @@
 import attrs
 from aiohttp import web
 
+from lentilhaven.answers.error_responses import make_error_response
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import get_logger
 from lentilhaven.core.ran import Ran
@@ -25,7 +26,6 @@
 )
 from lentilhaven.gateway.endpoint_links import SLOW_ANSWER_TIME, begin_link_check
 from lentilhaven.gateway.endpoint_states import REFUSAL_BACKOFF, SUSPICION_TIME
-from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.limit_checks import (
     begin_send_attempt,
@@ -41,6 +41,7 @@
 from lentilhaven.gateway.slot_admission import prefer_free_slots, wait_for_slot
 from lentilhaven.platform.request_head import encode_request, gateway_headers
 from lentilhaven.platform.response_head import ResponseHead
+from lentilhaven.serving.queue_metrics import SENT_AWAY
 from lentilhaven.upstream.connection import UpstreamConnection
 from lentilhaven.upstream.connection_pool import MAX_IDLE_TIME
 from lentilhaven.upstream.exchange import UpstreamError
@@ -208,7 +209,9 @@
     attempts = Attempts()
     try:
         async with gateway.work_limits.limited():
-            await wait_for_slot(gateway, call)
+            refused = await wait_for_slot(gateway, call)
+            if refused is not None:
+                return make_error_response(refused)
             await run_attempts(gateway, call, attempts)
     except TimeoutError:
         attempts.record_done()
@@ -556,6 +559,8 @@
     if refusal is None:
         begin_trials(gateway, call)
         gateway.endpoint_states.of(first).note_sent(now)
+        if first.data_centre != gateway.settings.data_centre:
+            gateway.counters[SENT_AWAY + first.data_centre] += 1
     return refusal
 
 
