Send fewer and shorter datagrams between data centres

Cause: both leaders of each data centre sent each sum to both leaders of every other one, uncompressed lists included, and every gateway probed all data centres.

Change: the first leaders exchange each sum, and all leaders every 0.4 s, after urgent events, and while a first leader is silent; first leaders tell the second ones all that they learn. Gateways that do not lead probe other data centres in one round of four. Empty optional fields are left out, which the decoder of earlier releases reads, and zlib's level is 6.

test_suspicion_ends_everywhere depended on whether the question to the living engine came within 50 ms of the suspicion, which any other order of timers changes.

--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -51,9 +51,18 @@
 #: considered unresponsive.
 STANDBY_ANSWER_PERIOD = 4
 
+#: Seconds between two sums of a data centre that go to all leaders of the others.  The
+#: first leaders tell the second ones all that they learn, so that these are sent less,
+#: but often enough to count as responsive and to take over without a gap.
+STANDBY_SUM_INTERVAL = 0.4
+
 #: Seconds between two probes of randomly chosen gateways in a large fleet.
 PROBE_INTERVAL = 1.0
 
+#: One in this many rounds of probes includes other data centres if the gateway does not
+#: lead: the probes of leaders are enough for parts of a fleet to find each other.
+REMOTE_PROBE_PERIOD = 4
+
 
 @attrs.define(eq=False)
 class PeerExchange(asyncio.DatagramProtocol):
@@ -75,15 +84,22 @@
         The socket; None until it is open.
     probed_at : float
         Event loop time of the last probe of a randomly chosen gateway, in seconds.
+    probe_count : int
+        Number of rounds of probes.
     report_count : int
         Number of times that this gateway has reported its load to the leaders.
+    sum_sent_at : float
+        Event loop time of the last sum that went to all leaders of the other data
+        centres, in seconds.
     """
 
     gateway: Gateway
     composer: MessageComposer = attrs.field()
     transport: asyncio.DatagramTransport | None = None
     probed_at: float = 0.0
+    probe_count: int = 0
     report_count: int = 0
+    sum_sent_at: float = 0.0
 
     @composer.default
     def make_composer(self) -> MessageComposer:
@@ -117,13 +133,14 @@
         gateway = self.gateway
         loop = asyncio.get_running_loop()
         while True:
-            if await gateway.urgent_signal.wait(self.interval(loop.time())):
+            urgent = await gateway.urgent_signal.wait(self.interval(loop.time()))
+            if urgent:
                 await asyncio.sleep(URGENT_DELAY)
             gateway.peers.expire(loop.time())
             refute_ends(gateway, loop.time())
             refute_listed(gateway)
             settle_runs(gateway, loop.time())
-            self.send_due()
+            self.send_due(urgent)
 
     def interval(self, now: float) -> float:
         """Return the seconds between two datagrams to the same gateway."""
@@ -132,7 +149,7 @@
             return SEND_INTERVAL + INTERVAL_PER_PEER * len(peers.directory.entries)
         return SEND_INTERVAL + INTERVAL_PER_REPORTER * len(peers.peers)
 
-    def send_due(self) -> None:
+    def send_due(self, urgent: bool = False) -> None:
         """Send each datagram that is due to its receivers."""
         now = asyncio.get_running_loop().time()
         peers = self.gateway.peers
@@ -144,7 +161,13 @@
         leaders = directory.leaders(own.data_centre, now)
         self.report([leader.address for leader in leaders if leader != own], now)
         if own in leaders:
-            self.send(Scope.DATA_CENTRE, self.remote_leaders(now), now)
+            is_first = leaders[0] == own
+            wanted = urgent or not (is_first or self.is_heard(leaders[0].address, now))
+            if wanted or now - self.sum_sent_at >= STANDBY_SUM_INTERVAL:
+                self.sum_sent_at = now
+                self.send(Scope.DATA_CENTRE, self.remote_leaders(now), now)
+            elif is_first:
+                self.send(Scope.DATA_CENTRE, self.first_remote_leaders(now), now)
         asking = [
             peer.message.address
             for peer in peers.peers.values()
@@ -153,7 +176,7 @@
         self.send(Scope.FLEET, asking, now)
         if now - self.probed_at > PROBE_INTERVAL:
             self.probed_at = now
-            self.send(Scope.PROBE, self.pick_probe_targets(), now)
+            self.send(Scope.PROBE, self.pick_probe_targets(now), now)
 
     def report(self, leaders: Sequence[str], now: float) -> None:
         """
@@ -168,16 +191,24 @@
         self.report_count += 1
         message = self.composer.compose(Scope.OWN, now)
         self.send_message(message, leaders[:1], now)
-        answered_at = [
-            peer.received_at
-            for peer in self.gateway.peers.fleet_sums.values()
-            if peer.message.address == leaders[0]
-        ]
-        silent = not answered_at or now - answered_at[0] > LEADER_TIMEOUT
+        silent = not self.is_heard(leaders[0], now)
         wants_answer = silent or self.report_count % STANDBY_ANSWER_PERIOD == 0
         standby_message = attrs.evolve(message, wants_answer=wants_answer)
         self.send_message(standby_message, leaders[1:], now)
 
+    def is_heard(self, leader: str, now: float) -> bool:
+        """Return whether a leader, by address, has sent a fleet-wide sum recently."""
+        return any(
+            peer.message.address == leader and now - peer.received_at <= LEADER_TIMEOUT
+            for peer in self.gateway.peers.fleet_sums.values()
+        )
+
+    def first_remote_leaders(self, now: float) -> list[str]:
+        """Return the addresses of the first leader of each other data centre."""
+        directory = self.gateway.peers.directory
+        others = directory.data_centres() - {directory.own.data_centre}
+        return [it.address for name in others for it in directory.leaders(name, now, 1)]
+
     def remote_leaders(self, now: float) -> list[str]:
         """
         Return the addresses to which a leader sends its data centre's sum.
@@ -198,7 +229,7 @@
             }
         return sorted(found)
 
-    def pick_probe_targets(self) -> list[str]:
+    def pick_probe_targets(self, now: float) -> list[str]:
         """
         Return the addresses of a random seed from the settings and a random gateway.
 
@@ -206,14 +237,20 @@
         the rest.
         """
         gateway = self.gateway
+        directory = gateway.peers.directory
         seeds = self.seed_addresses()
-        known = gateway.peers.directory.addresses()
+        known = directory.addresses()
         found = {
             gateway.random.choice(addresses)
             for addresses in (seeds, known)
             if addresses
         }
-        return sorted(found - {gateway.peers.own.address})
+        found -= {gateway.peers.own.address}
+        self.probe_count += 1
+        stays = self.probe_count % REMOTE_PROBE_PERIOD and not directory.is_leader(now)
+        if stays:
+            found = {it for it in found if not directory.is_remote(it)}
+        return sorted(found)
 
     def seed_addresses(self) -> list[str]:
         """Return the datagram addresses of the seeds, which use this gateway's port."""
--- a/lentilhaven/gateway/tests/test_large_fleet.py
+++ b/lentilhaven/gateway/tests/test_large_fleet.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from lentilhaven.gateway import suspect_check
 from lentilhaven.gateway.endpoint_states import SUSPICION_TIME
 from lentilhaven.gateway.program import PLACEMENT_LEASE
 from lentilhaven.gateway.tests import platform_testbed
@@ -152,7 +153,9 @@
             ended = [not gateway.is_suspected(endpoint) for gateway in bed.gateways]
             return all(spread), all(ended)
 
-        self.assertEqual(self.in_slow_fleet(use), (True, True))
+        # The engine is alive, and its answer to a question would end the suspicion.
+        with mock.patch.object(suspect_check, "CHECK_INTERVAL", 60.0):
+            self.assertEqual(self.in_slow_fleet(use), (True, True))
 
     def test_silent_endpoint_is_heard_of_no_longer(self):
         async def use(bed):
--- a/lentilhaven/peering/directory.py
+++ b/lentilhaven/peering/directory.py
@@ -133,6 +133,12 @@
         """Return the addresses of all other known gateways."""
         return list(self.entries)
 
+    def is_remote(self, address: str) -> bool:
+        """Return whether a gateway is known to be in another data centre."""
+        entry = self.entries.get(address)
+        known = entry.member.data_centre if entry else ""
+        return known not in ("", self.own.data_centre)
+
     def leaders(
         self, data_centre: str, now: float, count: int = LEADERS_PER_DATA_CENTRE
     ) -> list[Member]:
--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -19,9 +19,24 @@
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.subject import Incarnation, Subject, SubjectKind
 
-#: zlib compression level; the fastest, which is enough for text that repeats the
-#: names of endpoints.
-COMPRESSION_LEVEL = 1
+#: zlib compression level.  A sum of a data centre with 99 engines takes 0.06 ms instead
+#: of 0.02 ms at level 1, and is a tenth shorter; a higher level saves next to nothing.
+COMPRESSION_LEVEL = 6
+
+#: Fields that are left out while they are empty.  The decoder of earlier releases has
+#: the same default for them.
+OPTIONAL_FIELDS = (
+    "paces",
+    "sent",
+    "limits",
+    "leaving",
+    "prompt_ends",
+    "prompt_proofs",
+    "request_ends",
+    "request_proofs",
+    "breakers",
+    "ended",
+)
 
 #: Largest distance of an observation: it is 0 for a gateway's own, 1 for one that
 #: another gateway has reported of itself, 2 for one in the sum of a data centre, and 3
@@ -285,6 +300,9 @@
     fields["ended"] = [
         (*incarnation, age) for incarnation, age in message.ended.items()
     ]
+    for name in OPTIONAL_FIELDS:
+        if not fields[name]:
+            del fields[name]
     text = json.dumps(fields, separators=(",", ":")).encode()
     return zlib.compress(text, COMPRESSION_LEVEL)
 
