Expect the swing of a data centre's demand when a stream chooses its chain

Cause: a local chain is loaded by the streams that will begin, not only by those that run, and demand swings.

Change: each gateway samples the demand of its data centre once a second (its leader tells it in the sums that it sends anyway, 20 bytes), fits a mean and one harmonic of unknown period to the last 40 s, and raises the lateness of its local chain by the growth that it expects over a stream, by half at most. Falls are not anticipated. No library of suitable size is among the dependencies: numpy alone takes tens of MB, so that the fit of three coefficients is written out.

--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -109,7 +109,8 @@
     route = call.route
     needs = StreamNeeds(route.target_latency, route.gap_target or route.stream_patience)
     own = gateway.settings.data_centre
-    chain = find_frugal_chain(needs, own, candidates, costs, gateway.random)
+    growth = gateway.forecast.growth(call.service, now)
+    chain = find_frugal_chain(needs, own, candidates, costs, gateway.random, growth)
     if chain is None:
         return None
     chain.check(spec.layers)
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -20,7 +20,9 @@
 from lentilhaven.gateway.budget import RetryBudgetShare
 from lentilhaven.gateway.endpoint_signals import note_signals
 from lentilhaven.gateway.endpoint_states import EndpointStates
+from lentilhaven.locality import DemandForecast
 from lentilhaven.locality.pipe_meter import PipeMeter
+from lentilhaven.peering.local_demand import local_demand
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.peer_table import PeerTable
@@ -84,6 +86,8 @@
         `RetryBudgetShare` by service.
     demands : dict
         `ServiceDemand` by service.
+    forecast : DemandForecast
+        Expected demand of this data centre.
     peers : PeerTable
         The other gateways.
     link_traffic : PipeMeter
@@ -143,6 +147,7 @@
     behind_signal: Signal = attrs.field(factory=Signal)
     budgets: dict[str, RetryBudgetShare] = attrs.field(factory=dict)
     demands: dict[str, ServiceDemand] = attrs.field(factory=dict)
+    forecast: DemandForecast = attrs.field(factory=DemandForecast)
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
     crash_ledger: CrashLedger = attrs.field()
@@ -258,6 +263,16 @@
         peers = self.peers
         return not peers.is_large_fleet(now) or peers.directory.is_leader(now)
 
+    def own_demand(self, now: float) -> dict[str, float]:
+        """Return how often this gateway tries to send requests, by service."""
+        return {name: demand.rate(now) for name, demand in self.demands.items()}
+
+    def observe_demand(self, now: float) -> None:
+        """Add a sample of this data centre's demand to the forecast if one is due."""
+        if self.forecast.is_due(now):
+            rates = local_demand(self.peers, self.own_demand(now), now)
+            self.forecast.observe(now, rates)
+
     @property
     def ready(self) -> bool:
         """Return whether the load balancer should send new connections."""
--- a/lentilhaven/gateway/message_composer.py
+++ b/lentilhaven/gateway/message_composer.py
@@ -8,6 +8,7 @@
 from lentilhaven.gateway.endpoint_states import EndpointState
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.peering.load_sums import LoadSums
+from lentilhaven.peering.local_demand import sum_local_demand
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import (
     MAX_ENTRIES,
@@ -102,6 +103,9 @@
             paces=stated_paces(states, now, scope.distance),
             unreached=self.unreached(states),
             attempts=known_attempts(sums),
+            local_attempts=sum_local_demand(peers, gateway.own_demand(now), now)
+            if scope is Scope.FLEET
+            else None,
             sent=dict(sums.sent),
             limits=self.named_limits(states, now, scope.distance),
             leaving=view.leaving.recent(view.monotonic()),
@@ -178,8 +182,7 @@
                 sums.token_layers[name] = round(state.kv_token_layers)
             if state.named_limit is not None and (sent := state.count_sent(now)):
                 sums.sent[name] = sent
-        for service, demand in self.gateway.demands.items():
-            sums.attempts[service] = demand.rate(now)
+        sums.attempts.update(self.gateway.own_demand(now))
         for pipe, rate in self.gateway.link_traffic.current(now).items():
             sums.pipes[pipe] = round(rate)
         return sums
--- a/lentilhaven/gateway/peer_exchange.py
+++ b/lentilhaven/gateway/peer_exchange.py
@@ -137,6 +137,7 @@
             if urgent:
                 await asyncio.sleep(URGENT_DELAY)
             gateway.peers.expire(loop.time())
+            gateway.observe_demand(loop.time())
             refute_ends(gateway, loop.time())
             refute_listed(gateway)
             settle_runs(gateway, loop.time())
--- a/lentilhaven/locality/__init__.py
+++ b/lentilhaven/locality/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from lentilhaven.locality.chain_preference import find_frugal_chain
+from lentilhaven.locality.demand_forecast import DemandForecast
 from lentilhaven.locality.stream_needs import StreamNeeds
 
-__all__ = ["StreamNeeds", "find_frugal_chain"]
+__all__ = ["DemandForecast", "StreamNeeds", "find_frugal_chain"]
--- a/lentilhaven/locality/chain_preference.py
+++ b/lentilhaven/locality/chain_preference.py
@@ -37,6 +37,7 @@
     candidates: Sequence[Candidate],
     costs: ChainCosts,
     rng: Random,
+    growth: float = 1.0,
 ) -> Chain | None:
     """
     Return a chain with few crossings between data centres, for a stream.
@@ -56,6 +57,9 @@
         Estimates for the request.
     rng : random.Random
         Random number generator.
+    growth : float
+        Demand of the data centre that the stream is expected to meet, relative to that
+        of the present load.
 
     Returns
     -------
@@ -75,7 +79,7 @@
         )
     if chain is None:
         return None
-    lateness = needs.lateness(costs, chain, candidates)
+    lateness = growth * needs.lateness(costs, chain, candidates)
     if lateness <= TIMELY:
         return chain
     price = crossing_price(lateness, chain.cost, rng)
--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -27,6 +27,7 @@
 #: the same default for them.
 OPTIONAL_FIELDS = (
     "paces",
+    "local_attempts",
     "sent",
     "limits",
     "leaving",
@@ -171,6 +172,9 @@
     attempts : dict or None
         Requests per second that the gateways in the sum try to send, by service; None
         from a release that does not tell.
+    local_attempts : dict or None
+        The same for the gateways in the sender's data centre, in a sum over all
+        gateways; None from a release that does not tell.
     sent : dict
         Requests that they sent in the last `SENT_WINDOW` to each endpoint that names a
         limit, by endpoint.
@@ -244,6 +248,7 @@
     paces: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     unreached: tuple[Incarnation, ...] | None = None
     attempts: dict[str, float] | None = None
+    local_attempts: dict[str, float] | None = None
     sent: dict[str, int] = attrs.field(factory=dict)
     limits: dict[Incarnation, LimitState] = attrs.field(factory=dict)
     leaving: tuple[Incarnation, ...] = ()
@@ -380,6 +385,7 @@
             },
             unreached=decode_unreached(fields.get("unreached")),
             attempts=decode_attempts(fields.get("attempts")),
+            local_attempts=decode_attempts(fields.get("local_attempts")),
             sent={
                 str(name): max(0, to_integer(count))
                 for name, count in fields.get("sent", {}).items()
