--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -21,6 +21,8 @@
 from lentilhaven.gateway.body_memory import BodyMemory
 from lentilhaven.gateway.endpoint_signals import note_signals
 from lentilhaven.gateway.endpoint_states import EndpointStates
+from lentilhaven.locality import DemandForecast
+from lentilhaven.peering.local_demand import local_demand
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import PeerMessage
 from lentilhaven.peering.peer_table import PeerTable
@@ -96,6 +98,8 @@
     unread : callable
         Returns the layer-tokens of prompts that this gateway has sent and that are not
         yet read, by endpoint.
+    forecast : DemandForecast
+        Expected demand of this data centre.
     peers : PeerTable
         The other gateways.
     link_traffic : PipeMeter
@@ -159,6 +163,7 @@
     queues: ServiceQueues = attrs.field()
     queue_states: Callable[[], dict[str, QueueState]] = attrs.field()
     unread: Callable[[], dict[str, float]] = attrs.field()
+    forecast: DemandForecast = attrs.field(factory=DemandForecast)
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
     crash_ledger: CrashLedger = attrs.field()
@@ -311,6 +316,16 @@
         peers = self.peers
         return not peers.is_large_fleet(now) or peers.directory.is_leader(now)
 
+    def own_demand(self, now: float) -> dict[str, float]:
+        """Return how often this gateway tries to send requests, by service."""
+        return {name: demand.rate(now) for name, demand in self.demands.items()}
+
+    def observe_demand(self, now: float) -> None:
+        """Add a sample of this data centre's demand to the forecast if one is due."""
+        if self.forecast.is_due(now):
+            rates = local_demand(self.peers, self.own_demand(now), now)
+            self.forecast.observe(now, rates)
+
     @property
     def ready(self) -> bool:
         """Return whether the load balancer should send new connections."""
--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -27,9 +27,27 @@
 )
 from lentilhaven.peering.subject import Incarnation, Subject, SubjectKind
 
-#: zlib compression level; the fastest, which is enough for text that repeats the
-#: names of endpoints.
-COMPRESSION_LEVEL = 1
+#: zlib compression level.  A sum of a data centre with 99 engines takes 0.06 ms instead
+#: of 0.02 ms at level 1, and is a tenth shorter; a higher level saves next to nothing.
+COMPRESSION_LEVEL = 6
+
+#: Fields that are left out while they are empty.  The decoder of earlier releases has
+#: the same default for them.
+OPTIONAL_FIELDS = (
+    "paces",
+    "local_attempts",
+    "sent",
+    "limits",
+    "leaving",
+    "prompt_ends",
+    "prompt_proofs",
+    "request_ends",
+    "request_proofs",
+    "breakers",
+    "queues",
+    "unread",
+    "ended",
+)
 
 #: Largest distance of an observation: it is 0 for a gateway's own, 1 for one that
 #: another gateway has reported of itself, 2 for one in the sum of a data centre, and 3
@@ -159,6 +177,9 @@
     attempts : dict or None
         Requests per second that the gateways in the sum try to send, by service; None
         from a release that does not tell.
+    local_attempts : dict or None
+        The same for the gateways in the sender's data centre, in a sum over all
+        gateways; None from a release that does not tell.
     sent : dict
         Requests that they sent in the last `SENT_WINDOW` to each endpoint that names a
         limit, by endpoint.
@@ -238,6 +259,7 @@
     paces: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     unreached: tuple[Incarnation, ...] | None = None
     attempts: dict[str, float] | None = None
+    local_attempts: dict[str, float] | None = None
     sent: dict[str, int] = attrs.field(factory=dict)
     limits: dict[Incarnation, LimitState] = attrs.field(factory=dict)
     leaving: tuple[Incarnation, ...] = ()
@@ -296,15 +318,11 @@
     fields["ended"] = [
         (*incarnation, age) for incarnation, age in message.ended.items()
     ]
-    scarcity = {
-        "queues": encode_queues(message.queues),
-        "unread": rounded_amounts(message.unread),
-    }
-    for name, value in scarcity.items():
-        # Without scarcity a datagram stays as short as one of the release before.
-        del fields[name]
-        if value:
-            fields[name] = value
+    fields["queues"] = encode_queues(message.queues)
+    fields["unread"] = rounded_amounts(message.unread)
+    for name in OPTIONAL_FIELDS:
+        if not fields[name]:
+            del fields[name]
     text = json.dumps(fields, separators=(",", ":")).encode()
     return zlib.compress(text, COMPRESSION_LEVEL)
 
@@ -382,6 +400,7 @@
             },
             unreached=decode_unreached(fields.get("unreached")),
             attempts=decode_attempts(fields.get("attempts")),
+            local_attempts=decode_attempts(fields.get("local_attempts")),
             sent={
                 str(name): max(0, to_integer(count))
                 for name, count in fields.get("sent", {}).items()
