End the wait of a broken stream when its caller leaves

A stream that has begun may wait for a chain for a third of the time that is left, which is longer than its caller's patience.

--- a/lentilhaven/gateway/stream_admission.py
+++ b/lentilhaven/gateway/stream_admission.py
@@ -64,6 +64,9 @@
     until = max(latest, now + MIN_CAPACITY_WAIT)
     if relay.gateway.rules.is_ordered:
         until = max(until, now + allowed_wait(entry, now, call.deadline))
+        if relay.heard_at:
+            # Then its caller leaves, and may go on at another gateway.
+            until = min(until, relay.heard_at + call.route.stream_patience)
     return min(call.deadline, until)
 
 
