--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -88,11 +88,6 @@
         `RetryBudgetShare` by service.
     demands : dict
         `ServiceDemand` by service.
-    queue_states : callable
-        Returns what waits here and was started here, by service.
-    unread : callable
-        Returns the layer-tokens of prompts that this gateway has sent and that are not
-        yet read, by endpoint.
     peers : PeerTable
         The other gateways.
     link_traffic : PipeMeter
@@ -109,6 +104,11 @@
         Connections of other gateways to endpoints through this one.
     retire_tunnels : callable
         Tells the other gateways to send no further requests on these connections.
+    queue_states : callable
+        Returns what waits here and was started here, by service.
+    unread : callable
+        Returns the layer-tokens of prompts that this gateway has sent and that are not
+        yet read, by endpoint.
     urgent_signal : Signal
         Wakes the task that sends messages to the other gateways.
     pace_questions : dict
@@ -153,8 +153,6 @@
     behind_signal: Signal = attrs.field(factory=Signal)
     budgets: dict[str, RetryBudgetShare] = attrs.field(factory=dict)
     demands: dict[str, ServiceDemand] = attrs.field(factory=dict)
-    queue_states: Callable[[], dict[str, QueueState]] = dict
-    unread: Callable[[], dict[str, float]] = dict
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
     crash_ledger: CrashLedger = attrs.field()
@@ -163,6 +161,8 @@
     link_checks: set[asyncio.Future[None]] = attrs.field(factory=set)
     tunnels: Collection[object] = ()
     retire_tunnels: Callable[[], None] = lambda: None
+    queue_states: Callable[[], dict[str, QueueState]] = dict
+    unread: Callable[[], dict[str, float]] = dict
     urgent_signal: Signal = attrs.field(factory=Signal)
     pace_questions: dict[tuple[str, int], Endpoint] = attrs.field(factory=dict)
     pace_signal: Signal = attrs.field(factory=Signal)
