--- a/lentilhaven/peering/messages.py
+++ b/lentilhaven/peering/messages.py
@@ -277,6 +277,15 @@
         (member.address, member.data_centre, member.capacity)
         for member in message.members
     ]
+    scarcity = {
+        "queues": encode_queues(message.queues),
+        "unread": rounded_amounts(message.unread),
+    }
+    for name, value in scarcity.items():
+        # Without scarcity a datagram stays as short as one of the release before.
+        del fields[name]
+        if value:
+            fields[name] = value
     fields["changes"] = encode_changes(message.changes)
     fields["leaving"] = [list(incarnation) for incarnation in message.leaving]
     if message.unreached is not None:
@@ -296,15 +305,6 @@
     fields["ended"] = [
         (*incarnation, age) for incarnation, age in message.ended.items()
     ]
-    scarcity = {
-        "queues": encode_queues(message.queues),
-        "unread": rounded_amounts(message.unread),
-    }
-    for name, value in scarcity.items():
-        # Without scarcity a datagram stays as short as one of the release before.
-        del fields[name]
-        if value:
-            fields[name] = value
     text = json.dumps(fields, separators=(",", ":")).encode()
     return zlib.compress(text, COMPRESSION_LEVEL)
 
