Pass the time and unknown rates to the decisions of the queue

Cause: the queue's decisions take an unknown rate as None and the time, so that late streams are placed as they are served; the service queue still passed 0 and no time, and took a request with nothing counted ahead for the first.

--- a/lentilhaven/admission/service_queue.py
+++ b/lentilhaven/admission/service_queue.py
@@ -185,7 +185,7 @@
         # What the woken requests take up must be known to `try_start`.
         await self.resumed.wait()
         now = asyncio.get_running_loop().time()
-        if not self.scopes[scope] or self.queue.cost_ahead(entry) <= 0.0:
+        if not self.scopes[scope] or self.queue.goes_first(entry, now):
             started = try_start()
             if isinstance(started, Refusal):
                 return self.refuse(entry, started.cause, started.wait, now)
@@ -217,11 +217,11 @@
 
     def decide(self, entry: QueueEntry, now: float, deadline: float) -> Refusal | float:
         """Return the predicted wait of a request that can't start now, or a refusal."""
-        ahead = self.queue.cost_ahead(entry)
+        ahead = self.queue.cost_ahead(entry, now)
         # One that nothing goes before is not refused because of a prediction: the
         # capacity of other processes may become free for it too.
         drain = self.drain or USUAL_DRAIN
-        rate = drain.rate(self.running) if ahead > 0.0 else 0.0
+        rate = drain.rate(self.running) if ahead > 0.0 else None
         decision = decide_arrival(
             self.queue,
             entry,
@@ -257,7 +257,7 @@
             continues=entry.continues,
             waiting=len(self.waiters),
             waited_ms=round((now - entry.arrived) * 1000),
-            ahead=round(self.queue.cost_ahead(entry)),
+            ahead=round(self.queue.cost_ahead(entry, now)),
             **self.ages(now),
             **fields,
         )
@@ -294,7 +294,8 @@
         """Insert a waiter; if the queue is full, one is refused."""
         self.waiters[waiter.entry] = waiter
         self.scopes[waiter.scope] += 1
-        given_up = self.queue.add(waiter.entry)
+        now = asyncio.get_running_loop().time()
+        given_up = self.queue.add(waiter.entry, now)
         if given_up is not None:
             now = asyncio.get_running_loop().time()
             loser = self.forget(given_up)
