--- a/lentilhaven/admission/service_queue.py
+++ b/lentilhaven/admission/service_queue.py
@@ -297,7 +297,6 @@
         now = asyncio.get_running_loop().time()
         given_up = self.queue.add(waiter.entry, now)
         if given_up is not None:
-            now = asyncio.get_running_loop().time()
             loser = self.forget(given_up)
             loser.done.set_result(self.refuse(given_up, "queue-full", 0.0, now))
 
