--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -91,11 +91,6 @@
         `ServiceDemand` by service.
     queues : ServiceQueues
         Requests that wait for capacity.
-    queue_states : callable
-        Returns what waits here and was started here, by service.
-    unread : callable
-        Returns the layer-tokens of prompts that this gateway has sent and that are not
-        yet read, by endpoint.
     peers : PeerTable
         The other gateways.
     link_traffic : PipeMeter
@@ -112,6 +107,11 @@
         Connections of other gateways to endpoints through this one.
     retire_tunnels : callable
         Tells the other gateways to send no further requests on these connections.
+    queue_states : callable
+        Returns what waits here and was started here, by service.
+    unread : callable
+        Returns the layer-tokens of prompts that this gateway has sent and that are not
+        yet read, by endpoint.
     urgent_signal : Signal
         Wakes the task that sends messages to the other gateways.
     pace_questions : dict
@@ -157,8 +157,6 @@
     budgets: dict[str, RetryBudgetShare] = attrs.field(factory=dict)
     demands: dict[str, ServiceDemand] = attrs.field(factory=dict)
     queues: ServiceQueues = attrs.field()
-    queue_states: Callable[[], dict[str, QueueState]] = attrs.field()
-    unread: Callable[[], dict[str, float]] = attrs.field()
     peers: PeerTable = attrs.field()
     link_traffic: PipeMeter = attrs.field(factory=PipeMeter)
     crash_ledger: CrashLedger = attrs.field()
@@ -167,6 +165,8 @@
     link_checks: set[asyncio.Future[None]] = attrs.field(factory=set)
     tunnels: Collection[object] = ()
     retire_tunnels: Callable[[], None] = lambda: None
+    queue_states: Callable[[], dict[str, QueueState]] = attrs.field()
+    unread: Callable[[], dict[str, float]] = attrs.field()
     urgent_signal: Signal = attrs.field(factory=Signal)
     pace_questions: dict[tuple[str, int], Endpoint] = attrs.field(factory=dict)
     pace_signal: Signal = attrs.field(factory=Signal)
