--- a/lentilhaven/gateway/stream_admission.py
+++ b/lentilhaven/gateway/stream_admission.py
@@ -22,7 +22,7 @@
 from lentilhaven.gateway.intake import with_current_terms
 from lentilhaven.gateway.limit_checks import limit_wait
 from lentilhaven.gateway.stream_state import RunOutcome, StreamRelay
-from lentilhaven.limits.queue_decision import allowed_wait
+from lentilhaven.limits.queue_decision import LATE_WAIT_SHARE
 from lentilhaven.limits.retry_time import retry_after
 from lentilhaven.limits.waiting_queue import QueueEntry
 
@@ -35,6 +35,12 @@
 #: passed.
 MIN_CAPACITY_WAIT = 0.05
 
+#: Share of the time until its caller leaves for which a stream that continues waits for
+#: a chain: the caller would wait as long after a refusal.  New ones that were not refused
+#: at once wait until they are due, or for `LATE_WAIT_SHARE`: a late answer is better than
+#: a refusal after a wait.
+RECOVERY_WAIT_SHARE = 1 / 3
+
 
 def make_entry(relay: StreamRelay) -> QueueEntry:
     """
@@ -63,7 +69,8 @@
     latest = call.arrived + CAPACITY_WAIT_SHARE * call.route.target_latency
     until = max(latest, now + MIN_CAPACITY_WAIT)
     if relay.gateway.rules.is_ordered:
-        until = max(until, now + allowed_wait(entry, now, call.deadline))
+        share = RECOVERY_WAIT_SHARE if relay.continues else LATE_WAIT_SHARE
+        until = max(until, entry.due, now + share * (call.deadline - now))
         if relay.heard_at:
             # Then its caller leaves, and may go on at another gateway.
             until = min(until, relay.heard_at + call.route.stream_patience)
