--- a/lentilhaven/gateway/stream_admission.py
+++ b/lentilhaven/gateway/stream_admission.py
@@ -35,10 +35,10 @@
 #: passed.
 MIN_CAPACITY_WAIT = 0.05
 
-#: Share of the time until its caller leaves for which a stream that continues waits for
-#: a chain: the caller would wait as long after a refusal.  New ones that were not refused
-#: at once wait until they are due, or for `LATE_WAIT_SHARE`: a late answer is better than
-#: a refusal after a wait.
+#: Share of the time until its caller leaves for which a stream that continues waits
+#: for a chain: the caller would wait as long after a refusal.  New ones that were not
+#: refused at once wait until they are due, or for `LATE_WAIT_SHARE`: a late answer is
+#: better than a refusal after a wait.
 RECOVERY_WAIT_SHARE = 1 / 3
 
 
