--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -111,6 +111,11 @@
         Connections of other gateways to endpoints through this one.
     retire_tunnels : callable
         Tells the other gateways to send no further requests on these connections.
+    queue_states : callable
+        Returns what waits here and was started here, by service.
+    unread : callable
+        Returns the layer-tokens of prompts that this gateway has sent and that are not
+        yet read, by endpoint.
     urgent_signal : Signal
         Wakes the task that sends messages to the other gateways.
     pace_questions : dict
