Look at engines of other data centres only if they are needed

Cause: costs were estimated for all engines, though most streams stay in their data centre. And streams without a target for pauses stayed on a local chain until they were refused for its pauses.

Change: the candidates of other data centres are made when the local chain is missing or not well in time. Without a target, half of the caller's patience counts.

--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -35,6 +35,10 @@
 #: about exponentially distributed, one in 55 is longer than four times their mean.
 MAX_PAUSE_SHARE = 0.25
 
+#: Longest pause of a stream without a target that is in time, as a share of the same.
+#: A chain counts as late by it before its streams are refused by `MAX_PAUSE_SHARE`.
+PAUSE_SHARE = 0.5
+
 #: Relative half-width of the random factor on an engine's cost.  It keeps gateways
 #: with the same information from choosing the same chain.
 COST_JITTER = 0.1
@@ -104,13 +108,19 @@
         If the chain found does not run each layer exactly once.
     """
     costs = build_costs(gateway, spec, call, now)
-    candidates = find_candidates(gateway, call, spec, excluded, costs, now)
-    candidates = hold_starts(candidates, held)
+
+    def find(is_local: bool) -> list[Candidate]:
+        found = find_candidates(gateway, call, spec, excluded, costs, now, is_local)
+        return hold_starts(found, held)
+
     route = call.route
-    needs = StreamNeeds(route.target_latency, route.gap_target or route.stream_patience)
-    own = gateway.settings.data_centre
+    longest_pause = route.gap_target or PAUSE_SHARE * route.stream_patience
+    needs = StreamNeeds(route.target_latency, longest_pause)
     growth = gateway.forecast.growth(call.service, now)
-    chain = find_frugal_chain(needs, own, candidates, costs, gateway.random, growth)
+    own = gateway.settings.data_centre
+    chain = find_frugal_chain(
+        needs, own, find(True), lambda: find(False), costs, gateway.random, growth
+    )
     if chain is None:
         return None
     chain.check(spec.layers)
@@ -153,13 +163,20 @@
     excluded: Collection[str],
     costs: ChainCosts,
     now: float,
+    is_local: bool | None = None,
 ) -> list[Candidate]:
-    """Return the endpoints that a request can use, with their costs for each layer."""
+    """
+    Return the endpoints that a request can use, with their costs for each layer.
+
+    They are those of all data centres, or of the own one or of the others only.
+    """
+    own = gateway.settings.data_centre
     others = gateway.peers.load_of_others(now)
     return [
         candidate
         for endpoint in gateway.view.of_service(call.service)
         if endpoint.id not in excluded
+        and is_local in (None, endpoint.data_centre == own)
         and (candidate := make_candidate(gateway, spec, costs, endpoint, others, now))
         is not None
     ]
--- a/lentilhaven/locality/chain_preference.py
+++ b/lentilhaven/locality/chain_preference.py
@@ -1,6 +1,6 @@
 """Choice of the chain with the fewest bytes between data centres that is in time."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 import attrs
@@ -34,7 +34,8 @@
 def find_frugal_chain(
     needs: StreamNeeds,
     own: str,
-    candidates: Sequence[Candidate],
+    local: Sequence[Candidate],
+    find_remote: Callable[[], Sequence[Candidate]],
     costs: ChainCosts,
     rng: Random,
     growth: float = 1.0,
@@ -51,8 +52,11 @@
         What the caller needs.
     own : str
         Data centre of the gateway.
-    candidates : sequence of Candidate
-        Endpoints to choose from.
+    local : sequence of Candidate
+        Endpoints of that data centre to choose from.
+    find_remote : callable
+        Returns those of the others.  It is called only if they are needed, as most
+        streams stay and each candidate takes time.
     costs : ChainCosts
         Estimates for the request.
     rng : random.Random
@@ -67,24 +71,26 @@
         None if there is no chain.  The price of crossings is not part of its cost.
     """
     layers = LayerSpan(0, costs.spec.layers)
-    local = [it for it in candidates if it.endpoint.data_centre == own]
     chain = find_chain(layers, drop_dominated(local), costs.hop_ms)
-    if len(local) == len(candidates):
+    if chain is not None:
+        lateness = growth * needs.lateness(costs, chain, local)
+        if lateness <= TIMELY:
+            return chain
+    remote = find_remote()
+    if not remote:
         return chain
-    kept: list[Candidate] = []
-    if chain is None:
-        kept = drop_dominated(candidates)
-        chain = find_priced_chain(
-            own, kept, costs, PROHIBITIVE_PRICE, START_PRICE_SHARE * PROHIBITIVE_PRICE
-        )
+    candidates = drop_dominated([*local, *remote])
     if chain is None:
-        return None
-    lateness = growth * needs.lateness(costs, chain, candidates)
-    if lateness <= TIMELY:
-        return chain
+        price = PROHIBITIVE_PRICE
+        start_price = START_PRICE_SHARE * price
+        chain = find_priced_chain(own, candidates, costs, price, start_price)
+        if chain is None:
+            return None
+        lateness = growth * needs.lateness(costs, chain, candidates)
+        if lateness <= TIMELY:
+            return chain
     price = crossing_price(lateness, chain.cost, rng)
-    kept = kept or drop_dominated(candidates)
-    return find_priced_chain(own, kept, costs, price, price)
+    return find_priced_chain(own, candidates, costs, price, price)
 
 
 def crossing_price(lateness: float, cost: float, rng: Random) -> float:
@@ -122,8 +128,10 @@
 
     Parameters
     ----------
-    own, candidates, costs
+    own, costs
         As in `find_frugal_chain`.
+    candidates : sequence of Candidate
+        Endpoints to choose from.
     hop_price : float
         Price of a hop from one data centre to another, in ms.
     start_price : float
--- a/lentilhaven/locality/tests/swing_model.py
+++ b/lentilhaven/locality/tests/swing_model.py
@@ -68,6 +68,12 @@
     ]
 
 
+def split(candidates, own):
+    """Return the candidates of a data centre, and those of the others."""
+    local = [it for it in candidates if it.endpoint.data_centre == own]
+    return local, [it for it in candidates if it.endpoint.data_centre != own]
+
+
 @attrs.define
 class SwingModel:
     """
@@ -76,8 +82,7 @@
     Attributes
     ----------
     choose : callable
-        Takes the needs, a data centre, candidates, costs, a random number generator and
-        the growth of the demand, and returns a chain.
+        As `find_frugal_chain`.
     growth : callable
         Takes the model, a time and a data centre, and returns the growth.
     gateways : int
@@ -133,7 +138,10 @@
         gateway = (data_centre, self.random.randrange(self.gateways))
         costs, candidates = self.view(now, gateway, COST_JITTER)
         growth = self.growth(self, now, data_centre)
-        chain = self.choose(NEEDS, data_centre, candidates, costs, self.random, growth)
+        local, remote = split(candidates, data_centre)
+        chain = self.choose(
+            NEEDS, data_centre, local, lambda: remote, costs, self.random, growth
+        )
         if chain is None:
             self.served.append(Served(now, data_centre, math.inf, False))
             return
--- a/lentilhaven/locality/tests/test_swinging_demand.py
+++ b/lentilhaven/locality/tests/test_swinging_demand.py
@@ -21,15 +21,17 @@
     SPEC,
     SwingModel,
     make_engines,
+    split,
     swing,
 )
 
 LAYERS = LayerSpan(0, SPEC.layers)
 
 
-def find_fastest(needs, own, candidates, costs, rng, growth):
+def find_fastest(needs, own, local, find_remote, costs, rng, growth):
     """Choose by the time alone."""
-    return find_chain(LAYERS, drop_dominated(candidates), costs.hop_ms)
+    kept = drop_dominated([*local, *find_remote()])
+    return find_chain(LAYERS, kept, costs.hop_ms)
 
 
 def share(served, is_counted):
@@ -91,7 +93,8 @@
         candidates = [
             Candidate(it, costs.layer_ms("", 1.0, 0.0), True, 0.1) for it in engines
         ]
-        return find_frugal_chain(NEEDS, own, candidates, costs, Random(1))
+        local, remote = split(candidates, own)
+        return find_frugal_chain(NEEDS, own, local, lambda: remote, costs, Random(1))
 
     def test_a_chain_elsewhere_has_no_hop_between_data_centres(self):
         chain = self.choose({"c01"})
@@ -104,7 +107,8 @@
 
     def test_price_is_no_part_of_the_cost(self):
         own, costs = Endpoint("x", "s", "x", "x", layers=LAYERS), ChainCosts(SPEC, 1, 1)
-        chain = find_frugal_chain(NEEDS, "y", [Candidate(own, 1.0)], costs, Random(1))
+        remote = [Candidate(own, 1.0)]
+        chain = find_frugal_chain(NEEDS, "y", [], lambda: remote, costs, Random(1))
         self.assertAlmostEqual(chain.cost, 20.0)
 
 
