--- a/lentilhaven/bench/data_centre_bytes.py
+++ b/lentilhaven/bench/data_centre_bytes.py
@@ -5,10 +5,12 @@
 
 Gateways in three data centres find each other and report RATE streams a second on 99
 engines, of which a share LOCAL runs in the data centre of its gateway.  The result is
-printed by scope: datagrams and bytes per second between data centres.
+printed by scope: datagrams and bytes per second between data centres.  Without
+arguments, the sizes of other messages are printed.
 """
 
 import asyncio
+import json
 import sys
 from collections import Counter, deque
 from random import Random
@@ -16,15 +18,23 @@
 
 import attrs
 
+from lentilhaven.core.store_position import StorePosition
 from lentilhaven.fleet.endpoint import Endpoint
 from lentilhaven.fleet.layer_span import LayerSpan
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.gateway.peer_exchange import PeerExchange
+from lentilhaven.gateway.peer_relay import make_answer
 from lentilhaven.peering.member import Member
 from lentilhaven.peering.messages import decode_message
+from lentilhaven.platform.request_head import (
+    RequestHead,
+    encode_request,
+    gateway_headers,
+)
 from lentilhaven.platform.settings import decode_settings
 from lentilhaven.rate_limits import ServiceDemand
-from lentilhaven.standins.platform.sample_files import settings_file
+from lentilhaven.standins.platform import FakeReplica
+from lentilhaven.standins.platform.sample_files import request_headers, settings_file
 from lentilhaven.standins.virtual import run_virtual
 
 DATA_CENTRES = ("fukuoka", "kumamoto", "kagoshima")
@@ -161,8 +171,33 @@
     return wire.counts
 
 
+def other_sizes() -> dict[str, int]:
+    """Return the bytes of other messages, compact and without HTTP's own."""
+    engines = make_engines()
+    parts = [(it, it.layers or LayerSpan(0, 1)) for it in engines[:PARTS]]
+    own = gateway_headers(engines[0], 2.0, "depot", 1, parts)
+    fields = request_headers("4f6a2c1d9e3b7a50", "", 2.0, 69)
+    del fields["Authorization"]
+    caller = RequestHead("r", forwarded_headers=tuple(fields.items()))
+    head = encode_request("POST", "/assist/generate", caller, 0, own)
+    wire = Wire()
+    gateway = make_gateway(0, wire, engines)
+    gateway.view.endpoints_position = StorePosition(0, 1)
+    state = make_answer(gateway, {"manifest_version": 0, "era": 0, "endpoints": 0})
+    entry = FakeReplica("i-1", "assist", "10.0.2.1", card="large", span=(0, 8)).entry()
+    return {
+        "head of a request": len(head),
+        "entry of a replica": len(json.dumps(entry, separators=(",", ":"))),
+        "state from another gateway": len(json.dumps(state, separators=(",", ":"))),
+    }
+
+
 def main() -> None:
     """Count and print."""
+    if len(sys.argv) == 1:
+        for name, count in other_sizes().items():
+            print(f"{name}: {count} bytes")
+        return
     gateways, rate, local = int(sys.argv[1]), float(sys.argv[2]), float(sys.argv[3])
     counts = run_virtual(count_bytes(gateways, rate, local))
     for scope in sorted({scope for scope, _ in counts}):
