--- a/lentilhaven/locality/tests/swing_model.py
+++ b/lentilhaven/locality/tests/swing_model.py
@@ -37,6 +37,9 @@
 MEMORY = 80
 TOKENS = SPEC.mean_prompt_tokens + SPEC.mean_output_tokens
 
+#: Number of gateways in each data centre.
+GATEWAYS = 9
+
 #: Age of what a gateway knows of the requests of others, in seconds.
 REPORT_AGE = 0.25
 
@@ -56,12 +59,12 @@
     crosses: bool
 
 
-def make_engines(counts=CHAIN_COUNTS):
+def make_engines():
     """Return engines that hold a quarter of the layers each."""
     size = SPEC.layers // 4
     return [
         Endpoint(f"{name}{chain}{part}", "s", f"{name}{chain}{part}", name, layers=span)
-        for name, count in counts.items()
+        for name, count in CHAIN_COUNTS.items()
         for chain in range(count)
         for part in range(4)
         if (span := LayerSpan(part * size, (part + 1) * size))
@@ -76,24 +79,11 @@
 
 @attrs.define
 class SwingModel:
-    """
-    Gateways that choose chains by what they know, and engines that run them.
-
-    Attributes
-    ----------
-    choose : callable
-        As `find_frugal_chain`.
-    growth : callable
-        Takes the model, a time and a data centre, and returns the growth.
-    gateways : int
-        Number of gateways in each data centre.
-    """
+    """Gateways that choose chains by what they know, and engines that run them."""
 
     choose: object = find_frugal_chain
-    gateways: int = 9
     engines: list = attrs.field(factory=make_engines)
     random: Random = attrs.field(factory=lambda: Random(1))
-    growth: object = lambda model, now, data_centre: 1.0
     running: deque = attrs.field(factory=deque)
     served: list = attrs.field(factory=list)
 
@@ -135,12 +125,11 @@
         """Start a stream at a random gateway of a data centre."""
         while self.running and self.running[0][1] + REPORT_AGE < now:
             self.running.popleft()
-        gateway = (data_centre, self.random.randrange(self.gateways))
+        gateway = (data_centre, self.random.randrange(GATEWAYS))
         costs, candidates = self.view(now, gateway, COST_JITTER)
-        growth = self.growth(self, now, data_centre)
         local, remote = split(candidates, data_centre)
         chain = self.choose(
-            NEEDS, data_centre, local, lambda: remote, costs, self.random, growth
+            NEEDS, data_centre, local, lambda: remote, costs, self.random
         )
         if chain is None:
             self.served.append(Served(now, data_centre, math.inf, False))
@@ -152,14 +141,9 @@
         cost += sum(map(costs.hop_ms, places, places[1:]))
         chain = attrs.evolve(chain, cost=cost)
         self.running.append((now, now + cost / 1000.0, gateway, chain))
-        self.served.append(
-            Served(
-                now,
-                data_centre,
-                NEEDS.lateness(costs, chain, candidates),
-                set(places) != {data_centre},
-            )
-        )
+        lateness = NEEDS.lateness(costs, chain, candidates)
+        crosses = set(places) != {data_centre}
+        self.served.append(Served(now, data_centre, lateness, crosses))
 
     def run(self, seconds, rates):
         """Serve streams; `rates` takes a time and returns the demands."""
--- a/lentilhaven/locality/tests/test_swinging_demand.py
+++ b/lentilhaven/locality/tests/test_swinging_demand.py
@@ -28,7 +28,7 @@
 LAYERS = LayerSpan(0, SPEC.layers)
 
 
-def find_fastest(needs, own, local, find_remote, costs, rng, growth):
+def find_fastest(needs, own, local, find_remote, costs, rng):
     """Choose by the time alone."""
     kept = drop_dominated([*local, *find_remote()])
     return find_chain(LAYERS, kept, costs.hop_ms)
