Test processes against clients that misbehave

Cause: a trial with clients that are not controlled ended a process for want of memory, and no test played such clients.

Change: the module bench/crowd starts a gateway or a router with lowered limits (100 MB and 400 descriptors for the gateway), lets a small crowd misbehave for 8 s in one form, and checks that the process lives, that its memory and descriptors stay under these limits, and that an ordinary request is answered. 'lentilhaven-bench run clients' prints the figures.

--- a/lentilhaven/bench/scenarios.py
+++ b/lentilhaven/bench/scenarios.py
@@ -6,6 +6,7 @@
 from lentilhaven.bench.config_spread import run_config_spread
 from lentilhaven.bench.control_cost import run_control_cost
 from lentilhaven.bench.control_random import run_control_random
+from lentilhaven.bench.crowd.crowd_run import run_clients
 from lentilhaven.bench.decision_cost import run_decision_cost
 from lentilhaven.bench.failover import run_failover
 from lentilhaven.bench.failover_journal import run_failover_journal
@@ -38,6 +39,7 @@
 
 SCENARIOS: dict[str, Scenario] = {
     "affinity": run_affinity,
+    "clients": run_clients,
     "config-spread": run_config_spread,
     "control-cost": run_control_cost,
     "control-random": run_control_random,
--- a/lentilhaven/bench/soak/soak_environment.py
+++ b/lentilhaven/bench/soak/soak_environment.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import os
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from random import Random
@@ -131,6 +131,7 @@
     gateways: int,
     folder: Path,
     program: GatewayProgram = LINKED_GATEWAY,
+    limits: Mapping[str, float] | None = None,
 ) -> AsyncIterator[SoakEnvironment]:
     """
     Start the whole environment and wait until the gateways are ready.
@@ -145,6 +146,8 @@
         Folder for the settings files and logs.
     program : GatewayProgram
         Program that the gateways run at first.
+    limits : mapping or None
+        Limits of the machine in the gateways' settings that replace the usual ones.
     """
     store = FakeStore()
     fleet = FakeFleet(store, layers=LAYER_COUNT)
@@ -154,7 +157,9 @@
         environment = SoakEnvironment(Random(seed), store, fleet, session)
         await open_replicas(stack, environment, soak_replicas(replica_address))
         for number in range(gateways):
-            await open_gateway(stack, environment, number, folder, program)
+            await open_gateway(
+                stack, environment, number, folder, program, limits or {}
+            )
         await asyncio.gather(*(it.wait_until_ready() for it in environment.gateways))
         addresses = [it.decoded_settings.callers for it in environment.gateways]
         environment.callers = SoakCallers(environment.random, addresses)
@@ -183,6 +188,7 @@
     number: int,
     folder: Path,
     program: GatewayProgram,
+    limits: Mapping[str, float],
 ) -> None:
     """Start a gateway that has its own proxy to the store."""
     block = os.getpid()
@@ -193,6 +199,7 @@
     settings = settings_file(
         number, host, data_centre, seeds, f"{store_host}:{PROXY_PORT}"
     )
+    settings["limits"] |= limits
     app = store_app(environment.store, decode_settings(settings).vm)
     await stack.enter_async_context(serve_app(app, host=store_host, port=STORE_PORT))
     proxy = open_proxy(store_host, PROXY_PORT, store_host, STORE_PORT)
