Leave more places at the listeners for checks and other gateways

Cause: a leader of a fleet of hundreds of VMs may be asked by more than 64 of them at once after an edit.

Change: up to 256 connections, and a sixteenth of the descriptors.

--- a/lentilhaven/callers/plain_listener.py
+++ b/lentilhaven/callers/plain_listener.py
@@ -15,7 +15,7 @@
 #: Connections that such a listener keeps open, and the part of the process's
 #: descriptors that it may take: enough for the checks, scrapes and questions of a large
 #: fleet, each of which takes milliseconds.
-MAX_CONNECTIONS, DESCRIPTOR_SHARE = 64, 1 / 32
+MAX_CONNECTIONS, DESCRIPTOR_SHARE = 256, 1 / 16
 
 #: Length of the operating system's queue of connections to accept.
 BACKLOG = 100
