Bound connections at the gateway's listeners

Cause: 24 to 150 clients took 100 to 415 MB of a gateway with a limit of 100 MB, and 447 to 622 of 400 descriptors. A head inside the manifest's limit with one field over 8,190 bytes got 400.

Change: the listeners for callers, readiness, metrics and other gateways use the connections of 'callers'. A head up to max_header_bytes is served, a larger one gets 431 and a close. A request above a quarter of the descriptors gets 503 before it is passed on. A body that can't be parsed ends its request with 400; it waited until the client left. The gateway counts what was dropped, by cause.

--- a/lentilhaven/gateway/caller_connection.py
+++ b/lentilhaven/gateway/caller_connection.py
@@ -2,15 +2,17 @@
 
 import asyncio
 
-from aiohttp import StreamReader, web
+from aiohttp import web
 
+from lentilhaven.callers import BoundedConnection, ConnectionShare, OpenConnections
 from lentilhaven.core.failure import Failure
-from lentilhaven.core.logs import get_logger
+from lentilhaven.core.logs import describe_exception, get_logger
+from lentilhaven.core.ran import Ran
 from lentilhaven.core.step import Step
 from lentilhaven.fleet.manifest import RequestLimits
+from lentilhaven.gateway.error_responses import make_error_response
 from lentilhaven.gateway.gateway import Gateway
 from lentilhaven.serving.problems import problem_bytes
-from lentilhaven.sockets import has_unread_bytes
 
 #: Seconds for which a connection is kept open beyond the idle timeout, so that a
 #: request sent just before the timeout still arrives.
@@ -30,6 +32,9 @@
 #: connection ends: the head of a stream may have been sent long before.
 LAST_IDLE_TIME = 0.5
 
+#: Size of the shortest header field, with its line end, in bytes.
+MIN_FIELD_BYTES = 4
+
 #: Seconds after which aiohttp closes an idle connection; too long to take effect.
 #: aiohttp keeps the value with which a connection was opened, whereas the manifest's
 #: timeout may change, so that `close_idle_connections` closes idle connections.
@@ -38,7 +43,7 @@
 log = get_logger("gateway")
 
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(BoundedConnection):
     """
     A connection whose idle timeout follows the current manifest.
 
@@ -50,43 +55,48 @@
         Server that keeps track of the open connections.
     promised_time : float
         Idle timeout at the opening, in seconds.
+    share : ConnectionShare or None
+        What the connections of the process share; None for one of its own.
+    opened : OpenConnections or None
+        The open connections of the listener; None for a list of its own.
+    head_limit : int
+        Maximum size of a request's head, in bytes.
 
     Attributes
     ----------
-    used_at : float
-        Event loop time at which the connection was opened or its last response had
-        been written, in seconds.
     promised_time : float
         Seconds after `used_at` for which the caller may leave the connection idle: as
         stated in its last response, or the timeout at the opening.
     head_began : float or None
         Event loop time at which the first bytes of an incomplete request head arrived,
         in seconds; None if there is none.  A request before it may be in progress.
-    last_payload : aiohttp.StreamReader or None
-        Body of the last request whose head has arrived; None before the first one.
     """
 
-    __slots__ = ("used_at", "promised_time", "head_began", "last_payload")
+    __slots__ = ("promised_time", "head_began")
 
     def __init__(
         self,
         server: web.Server,
         promised_time: float = RequestLimits().idle_timeout,
+        share: ConnectionShare | None = None,
+        opened: OpenConnections | None = None,
+        head_limit: int = RequestLimits().header_bytes,
     ) -> None:
-        loop = asyncio.get_running_loop()
         super().__init__(
             server,
-            loop=loop,
-            access_log=None,  # type: ignore[arg-type]
+            share or ConnectionShare(),
+            opened or OpenConnections(1),
+            head_limit,
+            max_line_size=head_limit,
+            max_field_size=head_limit,
+            max_headers=head_limit // MIN_FIELD_BYTES,
             keepalive_timeout=LIBRARY_IDLE_TIMEOUT,
             lingering_time=LINGERING_TIME,
             # Bodies are forwarded as they were sent.
             auto_decompress=False,
         )
-        self.used_at = loop.time()
         self.promised_time = promised_time
         self.head_began: float | None = None
-        self.last_payload: StreamReader | None = None
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and note whether they begin a request head."""
@@ -95,31 +105,12 @@
         is_kept = self._upgraded
         is_body = self.last_payload is not None and not self.last_payload.is_eof()
         super().data_received(data)
-        if self._request_count > requests:
+        if self._request_count > requests or self.is_broken:
             self.head_began = None
-            _, self.last_payload = self._messages[-1]
         # Blank lines before the request line are not part of the head.
         elif not (is_body or is_kept) and self.head_began is None and data.strip():
             self.head_began = asyncio.get_running_loop().time()
 
-    def waits_for_request(self) -> bool:
-        """
-        Return whether no request is queued or in progress.
-
-        A request is in progress from its removal from the queue, which is before its
-        handler begins, until its response has been written.
-        """
-        waiter = self._waiter
-        return waiter is not None and not waiter.done() and not self._messages
-
-    def is_writing(self) -> bool:
-        """Return whether a part of a response has not been handed to the kernel."""
-        return bool(self.transport and self.transport.get_write_buffer_size())
-
-    def has_unread_bytes(self) -> bool:
-        """Return whether bytes have arrived that were not read."""
-        return self.transport is not None and has_unread_bytes(self.transport)
-
     def is_idle(self) -> bool:
         """Return whether nothing of a request or of a response is under way."""
         is_waiting = self.waits_for_request() and self.head_began is None
@@ -140,25 +131,24 @@
             self.used_at = now
         idle_time = now - self.used_at
         has_expired = idle_time > max(limit, self.promised_time) + IDLE_SLACK
-        return has_expired and self.is_idle() and not self.has_unread_bytes()
+        return has_expired and self.is_idle() and not self.is_unread()
 
-    async def finish_response(
-        self,
-        request: web.BaseRequest,
-        resp: web.StreamResponse,
-        start_time: float | None,
-    ) -> tuple[web.StreamResponse, bool]:
-        """Send a response or its end; the idle time begins then."""
-        try:
-            return await super().finish_response(request, resp, start_time)
-        finally:
-            self.used_at = asyncio.get_running_loop().time()
+    def make_refusal(self, failure: Failure) -> web.StreamResponse:
+        """Return the response to a request that is not run."""
+        return make_error_response(failure)
+
+    def make_defect_response(self, exc: BaseException | None) -> web.StreamResponse:
+        """Return the response after an unexpected exception."""
+        log.error("request failed here", **describe_exception(exc))
+        detail = "the gateway failed"
+        failure = Failure(Step.INTERNAL, "", "defect", detail, Ran.UNKNOWN)
+        return make_error_response(failure)
 
     def has_late_head(self, now: float, timeout: float) -> bool:
         """Return whether a head has been incomplete for over `timeout` seconds."""
         began = self.head_began
         is_late = began is not None and now - began > timeout
-        return is_late and self.waits_for_request() and not self.has_unread_bytes()
+        return is_late and self.waits_for_request() and not self.is_unread()
 
     def refuse_late_head(self) -> None:
         """Respond with 408 to a request whose head takes too long, and close."""
@@ -189,7 +179,7 @@
             self.refuse_late_head()
         elif self.is_idle() and now - self.used_at > LAST_IDLE_TIME:
             # The event loop reads in its next iteration what has arrived.
-            if not self.has_unread_bytes():
+            if not self.is_unread():
                 self.force_close()
 
 
--- a/lentilhaven/gateway/error_responses.py
+++ b/lentilhaven/gateway/error_responses.py
@@ -15,6 +15,7 @@
     "unknown-key": 401,
     "no-route": 404,
     "too-large": 413,
+    "head-too-large": 431,
     "timeout": 504,
 }
 
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -8,6 +8,7 @@
 import aiohttp
 import attrs
 
+from lentilhaven.callers.connection_share import ConnectionShare, make_share
 from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.signal import Signal
 from lentilhaven.crashes.ledger import CrashLedger
@@ -54,6 +55,8 @@
         Connections to endpoints.
     body_memory : BodyMemory
         Bytes of the bodies of callers' requests.
+    connections : ConnectionShare
+        Limits that all connections from outside share.
     endpoint_states : EndpointStates
         Observed state of the endpoints.
     session : aiohttp.ClientSession or None
@@ -130,6 +133,8 @@
     view: FleetView = attrs.field()
     pool: ConnectionPool = attrs.field()
     body_memory: BodyMemory = attrs.field()
+    counters: Counter[str] = attrs.field(factory=Counter)
+    connections: ConnectionShare = attrs.field()
     endpoint_states: EndpointStates = attrs.field(factory=EndpointStates)
     session: aiohttp.ClientSession | None = None
     metrics: Metrics | None = None
@@ -159,7 +164,6 @@
     intake_limits: TimeLimits = attrs.field(factory=TimeLimits)
     work_limits: TimeLimits = attrs.field(factory=TimeLimits)
     refuses_requests: bool = False
-    counters: Counter[str] = attrs.field(factory=Counter)
     active: int = 0
     request_finished: Signal = attrs.field(factory=Signal)
 
@@ -189,6 +193,12 @@
         """Return a memory without bodies."""
         return BodyMemory(answer_memory_limit(self.settings.memory))
 
+    @connections.default
+    def empty_connections(self) -> ConnectionShare:
+        """Return a share without connections, which counts in the same counters."""
+        settings = self.settings
+        return make_share(settings.memory, settings.open_files, self.counters)
+
     @peers.default
     def empty_peer_table(self) -> PeerTable:
         """Return a table without other gateways."""
--- a/lentilhaven/gateway/gateway_metrics.py
+++ b/lentilhaven/gateway/gateway_metrics.py
@@ -1,12 +1,12 @@
 """Metrics of a gateway, exposed for Prometheus."""
 
-import asyncio
 from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
 
 from aiohttp import web
 
+from lentilhaven.callers.plain_listener import open_plain_listener
 from lentilhaven.core.logs import get_logger
 from lentilhaven.gateway.call import Call
 from lentilhaven.gateway.gateway import Gateway
@@ -16,9 +16,6 @@
 #: default of OpenTelemetry's Prometheus exporter.
 METRICS_PORT, METRICS_PATH = 9464, "/metrics"
 
-#: Seconds for a scrape to finish when the process shuts down.
-CLOSE_TIMEOUT = 0.1
-
 log = get_logger("gateway")
 
 
@@ -109,17 +106,11 @@
             return web.Response(status=404)
         return web.Response(body=metrics.render(), content_type="text/plain")
 
-    server = web.Server(handle, access_log=None)
-    loop = asyncio.get_running_loop()
-    listener: asyncio.Server | None = None
-    try:
-        address = gateway.settings.address
-        listener = await loop.create_server(server, address, METRICS_PORT)
-    except OSError as error:
-        log.error("metrics are not served", port=METRICS_PORT, detail=str(error))
-    try:
+    address, share = gateway.settings.address, gateway.connections
+    async with AsyncExitStack() as stack:
+        listener = open_plain_listener(handle, address, METRICS_PORT, share)
+        try:
+            await stack.enter_async_context(listener)
+        except OSError as error:
+            log.error("metrics are not served", port=METRICS_PORT, detail=str(error))
         yield
-    finally:
-        if listener is not None:
-            listener.close()
-        await server.shutdown(timeout=CLOSE_TIMEOUT)
--- a/lentilhaven/gateway/listeners.py
+++ b/lentilhaven/gateway/listeners.py
@@ -7,6 +7,10 @@
 import attrs
 from aiohttp import web
 
+from lentilhaven.callers.accept_batches import listen_in_batches
+from lentilhaven.callers.drop_cause import DropCause
+from lentilhaven.callers.open_connections import callers_of_process
+from lentilhaven.callers.plain_listener import open_plain_listener
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import describe_exception, get_logger
 from lentilhaven.core.ran import Ran
@@ -133,9 +137,14 @@
     refusal = refuse_harmful(gateway, call)
     if refusal is not None:
         return make_error_response(refusal)
-    if call.route.kind is RouteKind.STREAMING:
-        return await relay_stream(gateway, request, call)
-    return await relay_call(gateway, call)
+    with gateway.connections.running.entered() as has_place:
+        if not has_place:
+            gateway.connections.note_drop(DropCause.REQUESTS)
+            detail = "too many requests are in progress"
+            return make_error_response(Failure(Step.ADMIT, "", "overloaded", detail))
+        if call.route.kind is RouteKind.STREAMING:
+            return await relay_stream(gateway, request, call)
+        return await relay_call(gateway, call)
 
 
 def log_cancelled(
@@ -248,14 +257,16 @@
         request_factory=make_request_factory(gateway),
     )
     host, _, port = gateway.settings.callers.rpartition(":")
-    loop = asyncio.get_running_loop()
+
+    settings = gateway.settings
+    callers = callers_of_process(settings.open_files, settings.memory)
 
     def make_connection() -> CallerConnection:
-        return CallerConnection(server, current_limits(gateway).idle_timeout)
+        limits = current_limits(gateway)
+        share, head_limit = gateway.connections, limits.header_bytes
+        return CallerConnection(server, limits.idle_timeout, share, callers, head_limit)
 
-    listener = await loop.create_server(
-        make_connection, host, int(port), backlog=BACKLOG
-    )
+    listener = await listen_in_batches(make_connection, host, int(port), BACKLOG)
     opened = CallerListener(listener, server, make_connection)
     try:
         async with running_tasks(opened.run_idle_check(gateway)):
@@ -279,12 +290,6 @@
     async def handle(request: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if gateway.ready else 503)
 
-    server = web.Server(handle, access_log=None)
     host, _, port = gateway.settings.ready.rpartition(":")
-    loop = asyncio.get_running_loop()
-    listener = await loop.create_server(server, host, int(port))
-    try:
+    async with open_plain_listener(handle, host, int(port), gateway.connections):
         yield
-    finally:
-        listener.close()
-        await server.shutdown(timeout=CLOSE_TIMEOUT)
--- a/lentilhaven/gateway/peer_relay.py
+++ b/lentilhaven/gateway/peer_relay.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp import web
 
+from lentilhaven.callers.plain_listener import open_plain_listener
 from lentilhaven.core.answer_body import read_answer_json
 from lentilhaven.core.converter import CONVERTER
 from lentilhaven.core.logs import get_logger
@@ -38,10 +39,6 @@
 
 #: Seconds after which the check runs although no gateway seems to be ahead.
 MAX_WAIT = 5.0
-
-#: Seconds that request handlers have to finish when the process ends.
-CLOSE_TIMEOUT = 0.1
-
 #: Errors of a request without a usable answer.
 ANSWER_ERRORS = (
     aiohttp.ClientError,
@@ -230,11 +227,6 @@
     if not gateway.settings.peers:
         yield
         return
-    server = web.Server(handle, access_log=None)
     host, _, port = gateway.settings.peers.rpartition(":")
-    listener = await asyncio.get_running_loop().create_server(server, host, int(port))
-    try:
+    async with open_plain_listener(handle, host, int(port), gateway.connections):
         yield
-    finally:
-        listener.close()
-        await server.shutdown(timeout=CLOSE_TIMEOUT)
--- a/lentilhaven/gateway/program.py
+++ b/lentilhaven/gateway/program.py
@@ -9,6 +9,7 @@
 import attrs
 import structlog
 
+from lentilhaven.callers.connection_memory import connection_memory_limit
 from lentilhaven.core.client_session import open_session
 from lentilhaven.core.ids import VmId
 from lentilhaven.core.logs import get_logger
@@ -149,6 +150,7 @@
     gateway.settings = settings
     gateway.pool.memory.limit = answer_memory_limit(settings.memory)
     gateway.body_memory.limit = answer_memory_limit(settings.memory)
+    gateway.connections.memory.limit = connection_memory_limit(settings.memory)
     for budget in gateway.budgets.values():
         budget.window = settings.budget_window
         budget.ratio = settings.budget_ratio
