Bound connections at the listeners of router and agent

Cause: a crowd took 263 to 416 MB of a router on a VM of 200 MB, and 542 descriptors with 180 connections at each of its two listeners. asyncio accepts its whole backlog before a connection is counted, and a TLS handshake is not counted.

Change: GuardedConnection is a connection of 'callers', with the settings limits.max_head_bytes and limits.max_held_bytes. Counters by cause are in the metric lentilhaven.clients.dropped.

--- a/lentilhaven/agent/__main__.py
+++ b/lentilhaven/agent/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from collections import Counter
 from pathlib import Path
 
 import aiohttp
@@ -16,7 +17,7 @@
 from lentilhaven.objects.object_client import open_object_client
 from lentilhaven.serving.daemon import run_daemon
 from lentilhaven.serving.limited_server import serve_with_limits
-from lentilhaven.serving.metrics import make_metrics
+from lentilhaven.serving.metrics import count_dropped_clients, make_metrics
 from lentilhaven.serving.operators_app import OperatorCallbacks, operators_app
 from lentilhaven.serving.process_signals import follow_signals
 
@@ -66,7 +67,8 @@
         source = agent_source(agent, metrics, stopping.set)
         # One event for both arguments: the first signal already stops the agent.
         follow_signals(stopping, stopping, source)
-        await serve_listeners(settings, files, agent, source, stopping)
+        dropped = count_dropped_clients(metrics)
+        await serve_listeners(settings, files, agent, source, stopping, dropped)
     return 0
 
 
@@ -76,6 +78,7 @@
     agent: Agent,
     source: OperatorCallbacks,
     stopping: asyncio.Event,
+    dropped: Counter[str],
 ) -> None:
     """
     Serve the internal API and the operators' API until `stopping` is set.
@@ -85,12 +88,19 @@
     processes = agent_app(agent, files.cluster_token)
     operators = settings.operators
     async with (
-        serve_with_limits(processes, settings.host, settings.port, settings.limits),
+        serve_with_limits(
+            processes,
+            settings.host,
+            settings.port,
+            settings.limits,
+            dropped=dropped,
+        ),
         serve_with_limits(
             operators_app(source, files.operator_hashes),
             operators.host,
             operators.port,
             tls=files.operators_tls,
+            dropped=dropped,
         ),
     ):
         await stopping.wait()
--- a/lentilhaven/router/__main__.py
+++ b/lentilhaven/router/__main__.py
@@ -16,7 +16,7 @@
 from lentilhaven.router.shutdown import drain
 from lentilhaven.serving.daemon import run_daemon
 from lentilhaven.serving.limited_server import serve_with_limits
-from lentilhaven.serving.metrics import make_metrics
+from lentilhaven.serving.metrics import count_dropped_clients, make_metrics
 from lentilhaven.serving.operators_app import operators_app
 from lentilhaven.serving.process_signals import follow_signals
 
@@ -61,6 +61,7 @@
         register_router_metrics(router, metrics)
         source = operator_source(router, metrics, stop_requested.set)
         follow_signals(stop_requested, force_stop, source)
+        dropped = count_dropped_clients(metrics)
         callers, operators = router_app(router, metrics), settings.operators
         async with (
             serve_with_limits(
@@ -69,12 +70,14 @@
                 settings.port,
                 settings.limits,
                 files.callers_tls,
+                dropped,
             ),
             serve_with_limits(
                 operators_app(source, files.operator_hashes),
                 operators.host,
                 operators.port,
                 tls=files.operators_tls,
+                dropped=dropped,
             ),
         ):
             await stop_requested.wait()
--- a/lentilhaven/serving/guarded_connection.py
+++ b/lentilhaven/serving/guarded_connection.py
@@ -5,6 +5,8 @@
 from aiohttp import web
 from aiohttp.web_request import BaseRequest
 
+from lentilhaven.callers import BoundedConnection, ConnectionShare
+from lentilhaven.callers.open_connections import OpenConnections
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.logs import describe_exception, get_logger
 from lentilhaven.core.ran import Ran
@@ -22,11 +24,8 @@
 #: Bytes that end the head of a request.
 HEAD_END = b"\r\n\r\n"
 
-#: Substrings of the HTTP parser's error messages for a head that is too large.
-TOO_LARGE_MESSAGES = ("bytes when reading", "Too many headers")
 
-
-class GuardedConnection(web.RequestHandler):
+class GuardedConnection(BoundedConnection):
     """
     Connection that enforces limits and reports its errors as problem documents.
 
@@ -38,8 +37,10 @@
         The server, which keeps track of the open connections.
     limits : ServerLimits
         The listener's limits.
-    loop : asyncio.AbstractEventLoop
-        The running loop.
+    share : ConnectionShare
+        What the connections of the listener share.
+    opened : OpenConnections
+        The open connections of the listener.
 
     Attributes
     ----------
@@ -48,22 +49,22 @@
         arrive; None once the head has been received.
     head_tail : bytes
         Last bytes received, which may be the beginning of `HEAD_END`.
-    refused : bool
-        Whether the connection was rejected when it was opened.
     """
 
-    __slots__ = ("limits", "head_timer", "head_tail", "refused")
+    __slots__ = ("limits", "head_timer", "head_tail")
 
     def __init__(
         self,
         server: web.Server,
         limits: ServerLimits,
-        loop: asyncio.AbstractEventLoop,
+        share: ConnectionShare,
+        opened: OpenConnections,
     ) -> None:
         super().__init__(
             server,
-            loop=loop,
-            access_log=None,  # type: ignore[arg-type]
+            share,
+            opened,
+            limits.max_head_bytes,
             keepalive_timeout=limits.idle_timeout,
             max_line_size=limits.max_head_line,
             max_field_size=limits.max_head_line,
@@ -73,16 +74,12 @@
         self.limits = limits
         self.head_timer: asyncio.TimerHandle | None = None
         self.head_tail = b""
-        self.refused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept a connection, or reject it if too many are open."""
-        server = self._manager
-        if server and len(server.connections) >= self.limits.max_connections:
-            self.reject(transport)
-            return
         super().connection_made(transport)
-        self.start_head_timer()
+        if not self.refused:
+            self.start_head_timer()
 
     def start_head_timer(self) -> None:
         """Start the timer for a request's head."""
@@ -91,9 +88,8 @@
             self.limits.head_timeout, self.on_head_timeout
         )
 
-    def reject(self, transport: asyncio.BaseTransport) -> None:
+    def refuse_connection(self, transport: asyncio.BaseTransport) -> None:
         """Respond with 503 without reading a request, and close the connection."""
-        self.refused = True
         detail = "too many connections are open"
         failure = Failure(Step.ADMIT, "", "overloaded", detail, retry_after=1.0)
         transport.write(problem_bytes(failure))  # type: ignore[attr-defined]
@@ -115,14 +111,10 @@
         if self.head_timer is not None:
             self.find_head_end(data)
         super().data_received(data)
-        if self._request_count == requests and self.waits_for_request():
+        is_begun = self._request_count == requests and not self.is_broken
+        if is_begun and self.waits_for_request():
             self.note_head_begin(data)
 
-    def waits_for_request(self) -> bool:
-        """Return whether no request is queued or in progress."""
-        waiter = self._waiter
-        return waiter is not None and not waiter.done() and not self._messages
-
     def note_head_begin(self, data: bytes) -> None:
         """Start the timer if `data` begin the head of a later request."""
         # Blank lines before the request line are not part of the head.
@@ -154,9 +146,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer and release the connection."""
         self.stop_head_timer()
-        # `super().connection_made` was not called for a rejected connection.
-        if not self.refused:
-            super().connection_lost(exc)
+        super().connection_lost(exc)
 
     async def finish_response(
         self,
@@ -171,36 +161,14 @@
             resp.force_close()
         return await super().finish_response(request, resp, start_time)
 
-    def handle_error(
-        self,
-        request: BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """
-        Return the response for a parser error or an uncaught exception.
-
-        Raises
-        ------
-        ConnectionError
-            If a response has already begun, so that no other one can be sent.
-        """
-        if request.writer.output_size > 0:
-            raise ConnectionError("a response has already begun")
-        if isinstance(exc, UnicodeError):
-            # aiohttp's error message would quote the header field that is not text.
-            status, message = 400, "a header field is not text"
-        if status < 500:
-            detail = " ".join((message or "malformed request").split())[:200]
-            is_too_large = any(text in detail for text in TOO_LARGE_MESSAGES)
-            kind = "head-too-large" if is_too_large else "bad-request"
-            response = problem_response(Failure(Step.PARSE, "", kind, detail))
-        else:
-            log.error("unhandled error", **describe_exception(exc))
-            response = problem_response(internal_failure())
-        response.force_close()
-        return response
+    def make_refusal(self, failure: Failure) -> web.StreamResponse:
+        """Return the response to a request that is not run."""
+        return problem_response(failure)
+
+    def make_defect_response(self, exc: BaseException | None) -> web.StreamResponse:
+        """Return the response after an unexpected exception."""
+        log.error("unhandled error", **describe_exception(exc))
+        return problem_response(internal_failure())
 
 
 def internal_failure() -> Failure:
--- a/lentilhaven/serving/limited_server.py
+++ b/lentilhaven/serving/limited_server.py
@@ -4,11 +4,17 @@
 import contextlib
 import socket
 import ssl
+from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from aiohttp import web
 
+from lentilhaven.callers import ConnectionShare
+from lentilhaven.callers.accept_batches import listen_in_batches
+from lentilhaven.callers.connection_memory import ConnectionMemory
+from lentilhaven.callers.handshakes import running_handshakes
+from lentilhaven.callers.open_connections import OpenConnections
 from lentilhaven.core.failure import Failure, FailureError
 from lentilhaven.core.invariants import ensure
 from lentilhaven.core.step import Step
@@ -34,6 +40,7 @@
     port: int,
     limits: ServerLimits | None = None,
     tls: ssl.SSLContext | None = None,
+    dropped: Counter[str] | None = None,
 ) -> AsyncIterator[str]:
     """
     Serve an application within limits and yield its base URL.
@@ -50,6 +57,8 @@
         The limits of the listener; None selects the defaults.
     tls : ssl.SSLContext or None
         TLS context with certificate and key; None serves plain HTTP.
+    dropped : Counter or None
+        Takes the numbers of clients that were refused or closed, by cause.
 
     Raises
     ------
@@ -57,21 +66,30 @@
         If the server can't listen on the address.
     """
     effective_limits = limits or ServerLimits()
-    loop = asyncio.get_running_loop()
     app.on_response_prepare.append(announce_end)
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_TIMEOUT)
     await runner.setup()
     server = runner.server
     ensure(server is not None, "server-is-set-up")
 
-    def make_connection() -> GuardedConnection:
-        return GuardedConnection(server, effective_limits, loop)  # type: ignore[arg-type]
+    memory = ConnectionMemory(effective_limits.max_held_bytes)
+    counters = Counter() if dropped is None else dropped
+    share = ConnectionShare(memory, counters=counters)
+    opened = OpenConnections(effective_limits.max_connections)
 
+    def make_connection() -> GuardedConnection:
+        return GuardedConnection(server, effective_limits, share, opened)  # type: ignore[arg-type]
+
+    accept: Callable[[], asyncio.BaseProtocol] = make_connection
+    handshakes = contextlib.ExitStack()
+    if tls is not None:
+        timeout = effective_limits.head_timeout
+        accept = handshakes.enter_context(
+            running_handshakes(tls, timeout, share, make_connection)
+        )
     try:
         try:
-            listener = await loop.create_server(
-                make_connection, host, port, ssl=tls, backlog=BACKLOG
-            )
+            listener = await listen_in_batches(accept, host, port, BACKLOG)
         except (OSError, OverflowError) as error:
             raise FailureError(unusable_address(host, port, error)) from error
         try:
@@ -82,6 +100,7 @@
             waiting = await close_listener(listener)
             await serve_waiting(make_connection, waiting, tls)
     finally:
+        handshakes.close()
         await runner.cleanup()
 
 
--- a/lentilhaven/serving/metrics.py
+++ b/lentilhaven/serving/metrics.py
@@ -10,6 +10,7 @@
 OpenTelemetry semantic conventions, "HTTP metrics".
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
@@ -111,6 +112,18 @@
         self.meter.create_observable_counter(name, [observe], "1", description)
 
 
+def count_dropped_clients(metrics: Metrics) -> Counter[str]:
+    """Return counters by cause that the listeners of a process fill."""
+    counters: Counter[str] = Counter()
+    metrics.observe_counts(
+        "lentilhaven.clients.dropped",
+        "cause",
+        "Clients that were refused or closed, by cause.",
+        lambda: counters,
+    )
+    return counters
+
+
 def make_metrics(service: str, vm: str, data_centre: str) -> Metrics:
     """
     Create the metric instruments of one process.
