--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -9,6 +9,7 @@
 import attrs
 
 from lentilhaven.admission import OrderRules, ServiceQueues
+from lentilhaven.callers.connection_share import ConnectionShare, make_share
 from lentilhaven.chains.pipe_meter import PipeMeter
 from lentilhaven.core.clock import Clock, system_clock
 from lentilhaven.core.signal import Signal
@@ -59,6 +60,8 @@
         Connections to endpoints.
     body_memory : BodyMemory
         Bytes of the bodies of callers' requests.
+    connections : ConnectionShare
+        Limits that all connections from outside share.
     endpoint_states : EndpointStates
         Observed state of the endpoints.
     session : aiohttp.ClientSession or None
@@ -146,6 +149,8 @@
     view: FleetView = attrs.field()
     pool: ConnectionPool = attrs.field()
     body_memory: BodyMemory = attrs.field()
+    counters: Counter[str] = attrs.field(factory=Counter)
+    connections: ConnectionShare = attrs.field()
     endpoint_states: EndpointStates = attrs.field(factory=EndpointStates)
     session: aiohttp.ClientSession | None = None
     metrics: Metrics | None = None
@@ -180,7 +185,6 @@
     intake_limits: TimeLimits = attrs.field(factory=TimeLimits)
     work_limits: TimeLimits = attrs.field(factory=TimeLimits)
     refuses_requests: bool = False
-    counters: Counter[str] = attrs.field(factory=Counter)
     active: int = 0
     request_finished: Signal = attrs.field(factory=Signal)
 
@@ -247,6 +251,12 @@
         """Return which requests the current manifest orders."""
         return self.queues.rules_of(self.view.manifest)
 
+    @connections.default
+    def empty_connections(self) -> ConnectionShare:
+        """Return a share without connections, which counts in the same counters."""
+        settings = self.settings
+        return make_share(settings.memory, settings.open_files, self.counters)
+
     @peers.default
     def empty_peer_table(self) -> PeerTable:
         """Return a table without other gateways."""
