Predict waits by what all gateways start

Change: the rate is that of the work that all gateways have lately started, shared by all that waits at most as urgently; the estimate from own runs is gone.

--- a/lentilhaven/admission/service_queue.py
+++ b/lentilhaven/admission/service_queue.py
@@ -9,10 +9,9 @@
 
 from lentilhaven.admission.refusal import Refusal
 from lentilhaven.core.logs import get_logger
-from lentilhaven.limits.drain_rate import DrainRate
 from lentilhaven.limits.priority_brown_out import PriorityBrownOut
 from lentilhaven.limits.queue_decision import Refuse, Wait, decide_arrival
-from lentilhaven.limits.shared_room import charges_from_peers
+from lentilhaven.limits.shared_room import charges_from_peers, shared_start_rate
 from lentilhaven.limits.start_rates import StartRates
 from lentilhaven.limits.waiting_queue import QueueEntry, WaitingQueue
 from lentilhaven.peering.queue_state import QueueReport
@@ -29,9 +28,6 @@
 #: passes in vain take at most a tenth of the processor's time.
 PASS_TIME_FACTOR = 10.0
 
-#: Cost and duration assumed for a request, in tokens and seconds, until one has ended.
-USUAL_DRAIN = DrainRate(1000.0, 1.0)
-
 #: Result of a wait that has ended.
 NOT_STARTED = Refusal("not-started")
 
@@ -99,10 +95,10 @@
         the log.
     record_wait : callable
         Takes the priority of a request that starts after a wait, and its seconds.
+    reports : callable
+        Takes a time and returns what other processes report of their queues.
     queue : WaitingQueue
         The order of the waiting requests.
-    drain : DrainRate or None
-        Estimates the rate at which running requests end; None before the first end.
     brown_out : PriorityBrownOut
         Degradation steps of the service.
     rates : StartRates
@@ -113,8 +109,6 @@
         `Waiter` by entry.
     scopes : Counter
         Number of waiters by scope.
-    running : int
-        Number of requests that run.
     resumed : asyncio.Event
         Set unless a request may start but its task has not resumed yet.
     handle : asyncio.Handle or None
@@ -128,14 +122,13 @@
     next_change: Callable[[float], float | None] = lambda now: None
     ages: Callable[[float], dict[str, int]] = lambda now: {}
     record_wait: Callable[[int, float], None] = lambda priority, seconds: None
+    reports: Callable[[float], Sequence[QueueReport]] = lambda now: ()
     queue: WaitingQueue = attrs.field(factory=WaitingQueue)
-    drain: DrainRate | None = None
     brown_out: PriorityBrownOut = attrs.field(factory=PriorityBrownOut)
     rates: StartRates = attrs.field(factory=StartRates)
     charged_at: float = 0.0
     waiters: dict[QueueEntry, Waiter] = attrs.field(factory=dict)
     scopes: Counter[Hashable] = attrs.field(factory=Counter)
-    running: int = 0
     resumed: asyncio.Event = attrs.field(factory=asyncio.Event)
     handle: asyncio.Handle | None = None
     idle_until: float = 0.0
@@ -220,8 +213,12 @@
         ahead = self.queue.cost_ahead(entry, now)
         # One that nothing goes before is not refused because of a prediction: the
         # capacity of other processes may become free for it too.
-        drain = self.drain or USUAL_DRAIN
-        rate = drain.rate(self.running) if ahead > 0.0 else None
+        rate = None
+        if ahead > 0.0:
+            own_rate = sum(self.rates.by_priority(now).values())
+            rate = shared_start_rate(
+                self.reports(now), own_rate, ahead, entry.cost, entry.priority
+            )
         decision = decide_arrival(
             self.queue,
             entry,
@@ -426,25 +423,3 @@
         self.record_start(entry, now)
         self.record_wait(entry.priority, seconds)
         self.log("request starts after a wait", entry, now)
-
-    def note_start(self) -> None:
-        """Count a request that begins to run."""
-        self.running += 1
-
-    def note_end(self, cost: float, seconds: float | None) -> None:
-        """
-        Count the end of a run.
-
-        Parameters
-        ----------
-        cost : float
-            Its cost, in tokens.
-        seconds : float or None
-            Time that it took; None if it was no whole run.
-        """
-        self.running -= 1
-        if seconds is not None:
-            if self.drain is None:
-                self.drain = DrainRate(cost, seconds)
-            self.drain.observe(cost, seconds)
-        self.notify_room()
--- a/lentilhaven/admission/service_queues.py
+++ b/lentilhaven/admission/service_queues.py
@@ -25,6 +25,8 @@
         As in `ServiceQueue`.
     next_change : callable
         Takes a service and a time; otherwise as in `ServiceQueue`.
+    reports : callable
+        Takes a service and a time; otherwise as in `ServiceQueue`.
     ages, record_wait : callable
         As in `ServiceQueue`.
     queues : dict
@@ -41,6 +43,7 @@
     next_change: Callable[[str, float], float | None] = lambda service, now: None
     ages: Callable[[float], dict[str, int]] = lambda now: {}
     record_wait: Callable[[int, float], None] = lambda priority, seconds: None
+    reports: Callable[[str, float], Sequence[QueueReport]] = lambda service, now: ()
     queues: dict[str, ServiceQueue] = attrs.field(factory=dict)
     unread: UnreadPrompts = attrs.field(factory=UnreadPrompts)
     manifest: Manifest | None = None
@@ -56,6 +59,7 @@
                 lambda now: self.next_change(service, now),
                 self.ages,
                 lambda priority, seconds: self.record_wait(priority, seconds),
+                lambda now: self.reports(service, now),
             )
         return queue
 
--- a/lentilhaven/admission/tests/test_service_queue.py
+++ b/lentilhaven/admission/tests/test_service_queue.py
@@ -5,7 +5,6 @@
 import attrs
 
 from lentilhaven.admission import Refusal, ServiceQueue
-from lentilhaven.limits.drain_rate import DrainRate
 from lentilhaven.limits.waiting_queue import QueueEntry, WaitingQueue
 from lentilhaven.standins.virtual import run_virtual
 
@@ -178,7 +177,8 @@
     def test_a_start_after_the_allowed_wait_is_refused_at_once(self):
         async def scenario(queue, room):
             loop = asyncio.get_running_loop()
-            queue.drain = DrainRate(100.0, 1.0)
+            # Started work of 100 tokens a second, by the rate's time constant of 2 s.
+            queue.rates.record("w", 0, 200.0, loop.time())
             options = {"deadline": loop.time() + 4.0}
             entries = [make_entry(it, due=loop.time() + 3.0) for it in "abcd"]
             tasks = await fill(queue, room, *entries, **options)
--- a/lentilhaven/gateway/gateway.py
+++ b/lentilhaven/gateway/gateway.py
@@ -193,6 +193,7 @@
         self.pool.on_head = self.note_head
         self.queues.counters = self.counters
         self.queues.record_wait = self.record_wait
+        self.queues.reports = self.peers.queue_reports
 
     def note_head(self, endpoint: Endpoint, head: ResponseHead) -> None:
         """Apply what the head of an answer says about its endpoint."""
--- a/lentilhaven/gateway/stream_run.py
+++ b/lentilhaven/gateway/stream_run.py
@@ -45,7 +45,6 @@
     began = loop.time()
     tokens = relay.tokens
     queue = gateway.queues.of(call.service)
-    queue.note_start()
     reading = gateway.queues.unread.begin(chain.parts, call.head.prompt_tokens)
     for endpoint, span in chain.parts:
         state = gateway.endpoint_states.of(endpoint)
@@ -63,7 +62,7 @@
             state.requests -= 1
             state.kv_token_layers -= tokens * len(span)
         reading.end()
-        queue.note_end(tokens, loop.time() - began if ended == "done" else None)
+        queue.notify_room()
         log.info(
             "chain tried",
             request=call.id,
--- a/lentilhaven/limits/shared_room.py
+++ b/lentilhaven/limits/shared_room.py
@@ -84,6 +84,59 @@
     )
 
 
+def shared_start_rate(
+    reports: Iterable[QueueReport],
+    own_rate: float,
+    ahead: float,
+    cost: float,
+    priority: int,
+) -> float | None:
+    """
+    Return the rate at which work before a request starts here, in tokens per second.
+
+    What all processes start is shared by all that waits: a process with few requests
+    starts little itself, but its head takes room that appears anywhere.
+
+    Parameters
+    ----------
+    reports : iterable of QueueReport
+        What the others report of the service.
+    own_rate : float
+        Tokens per second of what has lately started here.
+    ahead : float
+        Tokens that wait here before the request.
+    cost : float
+        Tokens of the request itself.
+    priority : int
+        Its priority.
+
+    Returns
+    -------
+    float or None
+        None if nothing has started lately.
+
+    Examples
+    --------
+    >>> shared_start_rate([], 500.0, 100.0, 100.0, 1)
+    500.0
+    >>> from lentilhaven.peering.queue_state import QueueState
+    >>> state = QueueState({0: (2, 600.0)}, {0: 7500.0})
+    >>> shared_start_rate([QueueReport(state, 0.1)], 500.0, 100.0, 100.0, 1)
+    2000.0
+    """
+    rate, elsewhere = own_rate, 0.0
+    for report in reports:
+        if report.state is not None:
+            weight = report_weight(report.age)
+            rate += weight * math.fsum(report.state.started.values())
+            elsewhere += weight * math.fsum(
+                tokens
+                for key, (_, tokens) in report.state.waiting.items()
+                if key <= priority
+            )
+    return rate * (ahead + cost) / (ahead + elsewhere + cost) if rate else None
+
+
 def own_room(room: float, reports: Iterable[QueueReport], known: int) -> float:
     """
     Return the part of the room that this process may use.
