Let streams start while there is a chain and nothing more urgent waits

Cause: a stream with a chain waited at its gateway until the unread prompts of its engines would be read in time, and then still waited for them at the engine; and on slow streams a second run began only after three mean pauses, too late for the longest pause. Change: the check of the unread prompts is gone, also its estimate; a prediction needs 1.5 starts to know the rate; the silence limit is two mean pauses where three are too late.

--- a/lentilhaven/admission/__init__.py
+++ b/lentilhaven/admission/__init__.py
@@ -5,8 +5,7 @@
 `lentilhaven.limits.waiting_queue`, and tries them when capacity may have appeared.
 `ServiceQueues` are those of one process.  The rest is pure: which requests a manifest
 orders (`OrderRules`), the prompt tokens that engines have got but not read
-(`UnreadPrompts`), and whether a chain can read another prompt in time
-(`chain_capacity`).
+(`UnreadPrompts`), and the times in which engines read (`chain_capacity`).
 """
 
 from lentilhaven.admission.order_rules import OrderRules
--- a/lentilhaven/gateway/stream_admission.py
+++ b/lentilhaven/gateway/stream_admission.py
@@ -6,20 +6,18 @@
 import attrs
 
 from lentilhaven.admission import Refusal
-from lentilhaven.admission.chain_capacity import estimate_reading, usual_read_time
+from lentilhaven.admission.chain_capacity import usual_read_time
 from lentilhaven.admission.start_room import EngineUse, start_room
 from lentilhaven.chains.chain import Chain
 from lentilhaven.core.failure import Failure
 from lentilhaven.core.step import Step
 from lentilhaven.gateway.chain_choice import (
     MAX_MEMORY_USE,
-    build_costs,
     choose_chain,
     live_engines_cover_model,
     log_missing_layers,
     possible_starts,
     time_to_cover,
-    unread_at,
 )
 from lentilhaven.gateway.intake import with_current_terms
 from lentilhaven.gateway.limit_checks import limit_wait
@@ -143,7 +141,8 @@
     held = relay.held(now)
     chain = find_chain_for(relay, avoided, now)
     if chain is not None:
-        return chain if has_room(relay, chain, entry, now) else None
+        is_held = not relay.continues and must_leave_room(relay, entry, now)
+        return None if is_held else chain
     # Most suspicions after a loss are refuted soon, and a stream that has begun would
     # break off without a chain.
     is_patient = gateway.rules.is_ordered and relay.response is not None
@@ -175,39 +174,11 @@
     )
 
 
-def has_room(relay: StreamRelay, chain: Chain, entry: QueueEntry, now: float) -> bool:
-    """
-    Return whether a chain can read a stream's prompt now without harm to others.
-
-    A stream that continues is not delayed unless others wait with it.
-    """
-    gateway, call, spec = relay.gateway, relay.call, relay.spec
-    queue = gateway.queues.of(call.service)
-    if not gateway.rules.is_ordered or (relay.continues and not queue.waiters):
-        return True
-    if not relay.continues and must_leave_room(relay, entry, now):
-        return False
-    costs = build_costs(gateway, spec, call, now)
-    slowdowns = {
-        it.id: gateway.endpoint_states.of(it).current_slowdown(now)
-        for it in chain.endpoints
-    }
-    prompt_costs = attrs.evolve(costs, output_tokens=0.0)
-    estimate = estimate_reading(
-        spec,
-        chain.parts,
-        costs.prompt_tokens,
-        lambda endpoint: unread_at(gateway, endpoint, now),
-        slowdowns.__getitem__,
-        prompt_costs.hop_ms,
-    )
-    time_left = entry.due + usual_read_time(spec, costs.prompt_tokens) - now
-    return estimate.leaves_room(time_left, call.route.gap_target)
-
-
 def must_leave_room(relay: StreamRelay, entry: QueueEntry, now: float) -> bool:
     """Return whether the room is for more urgent work that waits at other gateways."""
     gateway, service = relay.gateway, relay.call.service
+    if not gateway.rules.is_ordered:
+        return False
     reports = gateway.peers.queue_reports(service, now)
     urgent = urgent_waiting_elsewhere(reports, entry.priority)
     if urgent <= 0.0:
--- a/lentilhaven/limits/shared_room.py
+++ b/lentilhaven/limits/shared_room.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from lentilhaven.limits.start_rates import TIME_CONSTANT
 from lentilhaven.peering.peer_table import LOAD_EXPIRY
 from lentilhaven.peering.queue_state import QueueReport
 
@@ -18,6 +19,10 @@
 #: 0.15 s; three in a row are lost only if something has failed.
 FULL_WEIGHT_AGE = 0.5
 
+#: Starts of like requests, within the time constant of the rates, from which on the
+#: rate predicts a wait: one start says nothing of the next.
+MIN_STARTS = 1.5
+
 
 @attrs.frozen
 class PeerCharge:
@@ -113,7 +118,7 @@
     Returns
     -------
     float or None
-        None if nothing has started lately.
+        None if too little has started lately to know it.
 
     Examples
     --------
@@ -134,7 +139,9 @@
                 for key, (_, tokens) in report.state.waiting.items()
                 if key <= priority
             )
-    return rate * (ahead + cost) / (ahead + elsewhere + cost) if rate else None
+    if rate * TIME_CONSTANT < MIN_STARTS * cost:
+        return None
+    return rate * (ahead + cost) / (ahead + elsewhere + cost)
 
 
 def own_room(room: float, reports: Iterable[QueueReport], known: int) -> float:
--- a/lentilhaven/recovery/silence_limit.py
+++ b/lentilhaven/recovery/silence_limit.py
@@ -17,8 +17,9 @@
 #: that can be neither repeated nor moved is waited for beyond that limit.
 MAX_SILENCE = 0.6
 
-#: A silence of this many mean pauses counts as a fault, within the limits above.
-PAUSE_FACTOR = 3.0
+#: A silence of this many mean pauses counts as a fault, within the limits above; the
+#: second holds for streams that a recovery could not end in time otherwise.
+PAUSE_FACTOR, LEAST_PAUSE_FACTOR = 3.0, 2.0
 
 #: Longest usual pause between two events of a stream, in seconds.
 LONGEST_USUAL_PAUSE = 0.05
@@ -59,11 +60,11 @@
 
     def limit(self) -> float:
         """Return the silence that counts as a fault, in seconds."""
-        least = USUAL_SILENCE
+        usual = max(USUAL_SILENCE, PAUSE_FACTOR * self.mean)
         if self.longest_pause:
-            in_time = self.longest_pause - RECOVERY_TIME
-            least = min(USUAL_SILENCE, max(LEAST_SILENCE, in_time))
-        return min(MAX_SILENCE, max(least, PAUSE_FACTOR * self.mean))
+            in_time = max(LEAST_SILENCE, self.longest_pause - RECOVERY_TIME)
+            usual = min(usual, max(in_time, LEAST_PAUSE_FACTOR * self.mean))
+        return min(MAX_SILENCE, usual)
 
 
 def latest_failure(silent_since: float, now: float) -> float:
