Count the hop to a part that replaces a failed one

Cause: a replacement was searched without the hop from the part before it, so that one in another data centre cost nothing extra.

Change: the search begins with that hop.

--- a/lentilhaven/gateway/chain_choice.py
+++ b/lentilhaven/gateway/chain_choice.py
@@ -1,6 +1,7 @@
 """Choice of the chain of engines that runs a generation request."""
 
 from collections.abc import Collection
+from functools import partial
 
 from lentilhaven.chains.candidate_sets import hold_starts
 from lentilhaven.chains.chain import Chain
@@ -268,7 +269,9 @@
         if endpoint.id not in dead:
             parts.append((endpoint, span))
             continue
-        found = find_chain(span, available, costs.hop_ms)
+        before = parts[-1][0].data_centre
+        hop_here = partial(costs.hop_ms, before)
+        found = find_chain(span, available, costs.hop_ms, hop_here)
         if found is None:
             return None
         parts += found.parts
