--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -736,12 +736,14 @@
             await deployment.end()
 
     async def limited(place):
-        return await asyncio.wait_for(main(place), TIME_LIMIT)
+        task = asyncio.ensure_future(main(place))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(task, TIME_LIMIT)
 
     with tempfile.TemporaryDirectory() as place:
         try:
             broken = asyncio.run(limited(place))
-        except (asyncio.TimeoutError, OSError) as error:
+        except (asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
             record(f"couldn't run: {error!r}")
             raise SystemExit(2) from error
     for text in broken:
